chore: lay out the workspace and the protocols of its edges

Ruled out: one crate, since embedders would then pull in the HTTP stack with the decisions. Before: nothing. Conclusion: radishhaven-core stays free of input and output; edges depend on it.

--- /dev/null
+++ b/crates/core/src/ids.rs
@@ -0,0 +1,221 @@
+//! Checked identifiers and small counted quantities.
+//!
+//! Every name that arrives from outside becomes one of these types before a
+//! decision sees it, so that the decisions never handle unchecked text.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+/// Longest identifier that is accepted, in bytes.
+pub const MAX_ID_BYTES: usize = 96;
+
+/// Says why a text is not an identifier.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{kind} {text:?} is not valid: use 1 to {MAX_ID_BYTES} of a-z A-Z 0-9 . _ : -")]
+pub struct IdError {
+    /// The kind of identifier that was expected.
+    pub kind: &'static str,
+    /// The text that was refused, cut to the longest accepted length.
+    pub text: String,
+}
+
+fn check(kind: &'static str, text: &str) -> Result<(), IdError> {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || b"._:-".contains(&b);
+    if !text.is_empty() && text.len() <= MAX_ID_BYTES && text.bytes().all(allowed) {
+        return Ok(());
+    }
+    let text = text.chars().take(MAX_ID_BYTES).collect();
+    Err(IdError { kind, text })
+}
+
+macro_rules! text_id {
+    ($($(#[$doc:meta])* $name:ident = $kind:literal;)+) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(String);
+
+        impl $name {
+            /// Returns the identifier as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                check($kind, text)?;
+                Ok(Self(text.to_owned()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = IdError;
+
+            fn try_from(text: String) -> Result<Self, IdError> {
+                check($kind, &text)?;
+                Ok(Self(text))
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> String {
+                id.0
+            }
+        }
+    )+};
+}
+
+text_id! {
+    /// Names a VM; an entry node and a backend server are named by their VM.
+    VmId = "VM";
+    /// Names a failure domain.
+    FailureDomain = "failure domain";
+    /// Names an organisation.
+    OrganisationId = "organisation";
+    /// Names a model.
+    ModelId = "model";
+    /// Names a version of a model.
+    VersionId = "version";
+    /// Names an adapter of a model.
+    AdapterId = "adapter";
+    /// Names a pipeline that callers address.
+    PipelineId = "pipeline";
+    /// Names a plain service that callers address.
+    ServiceId = "service";
+    /// Names a batch of configuration changes, chosen by the operator.
+    BatchId = "batch";
+    /// Names a request; minted by a node or, for idempotent requests, by the caller.
+    RequestId = "request id";
+}
+
+macro_rules! number_id {
+    ($($(#[$doc:meta])* $name:ident($inner:ty);)+) => {$(
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = std::num::ParseIntError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                text.parse().map(Self)
+            }
+        }
+    )+};
+}
+
+number_id! {
+    /// Tells one life of a process from the next one on the same VM.
+    Incarnation(u64);
+    /// Counts log records; a revision is the offset after the last folded record.
+    Revision(u64);
+    /// Orders lease holders; it is the log offset of the claim.
+    FencingToken(u64);
+    /// Counts the attempts that a node made at one request.
+    Attempt(u32);
+    /// Counts the positions of a token sequence, prompt included.
+    Position(u32);
+    /// Ranks requests; a larger number is served first.
+    Priority(u8);
+    /// Numbers a request inside one node for the node's whole life.
+    RequestKey(u64);
+}
+
+/// The layers `start..end` of a model.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "(u16, u16)", into = "(u16, u16)")]
+pub struct LayerRange {
+    start: u16,
+    end: u16,
+}
+
+/// Says that a pair of numbers is not a range of layers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("layers {start}..{end} are not a range: the end must be above the start")]
+pub struct LayerRangeError {
+    /// The first layer that was given.
+    pub start: u16,
+    /// The end that was given.
+    pub end: u16,
+}
+
+impl LayerRange {
+    /// Makes the range `start..end`.
+    ///
+    /// # Errors
+    ///
+    /// An empty or reversed range is refused.
+    pub fn new(start: u16, end: u16) -> Result<Self, LayerRangeError> {
+        if start < end {
+            Ok(Self { start, end })
+        } else {
+            Err(LayerRangeError { start, end })
+        }
+    }
+
+    /// Returns the first layer.
+    pub fn start(self) -> u16 {
+        self.start
+    }
+
+    /// Returns the layer after the last one.
+    pub fn end(self) -> u16 {
+        self.end
+    }
+
+    /// Returns the number of layers.
+    pub fn count(self) -> u16 {
+        self.end - self.start
+    }
+}
+
+impl fmt::Display for LayerRange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}..{}", self.start, self.end)
+    }
+}
+
+impl FromStr for LayerRange {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let parse = |part: &str| part.parse::<u16>().map_err(|e| e.to_string());
+        let (start, end) = text
+            .split_once("..")
+            .ok_or("layers are written START..END")?;
+        Self::new(parse(start)?, parse(end)?).map_err(|e| e.to_string())
+    }
+}
+
+impl TryFrom<(u16, u16)> for LayerRange {
+    type Error = LayerRangeError;
+
+    fn try_from((start, end): (u16, u16)) -> Result<Self, LayerRangeError> {
+        Self::new(start, end)
+    }
+}
+
+impl From<LayerRange> for (u16, u16) {
+    fn from(range: LayerRange) -> Self {
+        (range.start, range.end)
+    }
+}
