--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,2 +1,11 @@
-//! Placeholder.
-fn main() {}
+//! `radishhaven`: the operators' command.
+
+mod commands;
+mod exit;
+mod table;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    commands::run(&commands::command().get_matches())
+}
--- /dev/null
+++ b/crates/client/src/json.rs
@@ -0,0 +1,181 @@
+//! One bounded exchange of JSON over HTTP.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use serde::{Serialize, de::DeserializeOwned};
+use volo_http::{
+    body::Body,
+    client::Client,
+    error::client::{ClientError, ErrorKind},
+    response::Response,
+};
+
+/// Largest body that is read, in bytes.
+pub const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+/// Time within which a connection must be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Why an exchange gave no value.
+#[derive(Debug, thiserror::Error)]
+pub enum HttpError {
+    /// No connection was made, so the other side has not seen the request.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The request may have been seen; no answer came.
+    #[error("no answer: {0}")]
+    Lost(String),
+    /// The other side answered with an error status.
+    #[error("status {status}: {}", String::from_utf8_lossy(.body))]
+    Status {
+        /// The status.
+        status: StatusCode,
+        /// The body.
+        body: Bytes,
+    },
+    /// The answer is not what the protocol says.
+    #[error("malformed answer: {0}")]
+    Malformed(String),
+}
+
+impl From<ClientError> for HttpError {
+    fn from(error: ClientError) -> Self {
+        match error.kind() {
+            ErrorKind::Connect | ErrorKind::Builder | ErrorKind::Context => {
+                Self::NotSent(error.to_string())
+            }
+            _ => Self::Lost(error.to_string()),
+        }
+    }
+}
+
+/// A client that sends JSON to IP addresses and reads JSON.
+#[derive(Clone)]
+pub struct JsonClient {
+    client: Client,
+}
+
+impl std::fmt::Debug for JsonClient {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("JsonClient")
+    }
+}
+
+impl JsonClient {
+    /// Makes a client that keeps idle connections.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the HTTP library refuses its settings.
+    pub fn new() -> Result<Self, HttpError> {
+        Self::with_idle(64)
+    }
+
+    /// Makes a client that opens a connection for each exchange, so that a
+    /// connection which the other side just closed can't leave a fate open.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the HTTP library refuses its settings.
+    pub fn unpooled() -> Result<Self, HttpError> {
+        Self::with_idle(0)
+    }
+
+    fn with_idle(idle: usize) -> Result<Self, HttpError> {
+        let mut builder = Client::builder();
+        builder
+            .set_connect_timeout(CONNECT_TIMEOUT)
+            .set_max_idle_per_host(idle);
+        Ok(Self {
+            client: builder.build()?,
+        })
+    }
+
+    /// Sends a request and returns the answer with its body unread.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no answer's head came; an error status is not an error here.
+    pub async fn send(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        headers: HeaderMap,
+        body: Vec<u8>,
+    ) -> Result<Response, HttpError> {
+        let uri = format!("http://{addr}{path}");
+        let mut req = self.client.request(method, uri).data(body);
+        req.headers_mut().extend(headers);
+        Ok(req.send().await?)
+    }
+
+    async fn exchange<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        body: Vec<u8>,
+        within: Duration,
+    ) -> Result<T, HttpError> {
+        let exchange = async {
+            let resp = self
+                .send(method, addr, path, HeaderMap::new(), body)
+                .await?;
+            let status = resp.status();
+            let body = read_body(resp.into_body()).await?;
+            if !status.is_success() {
+                return Err(HttpError::Status { status, body });
+            }
+            let body: &[u8] = if body.is_empty() { b"null" } else { &body };
+            serde_json::from_slice(body).map_err(|e| HttpError::Malformed(e.to_string()))
+        };
+        match tokio::time::timeout(within, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(HttpError::Lost(format!("no answer within {within:?}"))),
+        }
+    }
+
+    /// Gets a value.
+    ///
+    /// # Errors
+    ///
+    /// See [`HttpError`].
+    pub async fn get<T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        within: Duration,
+    ) -> Result<T, HttpError> {
+        self.exchange(Method::GET, addr, path, Vec::new(), within)
+            .await
+    }
+
+    /// Posts a value and reads the answer.
+    ///
+    /// # Errors
+    ///
+    /// See [`HttpError`].
+    pub async fn post<B: Serialize, T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        body: &B,
+        within: Duration,
+    ) -> Result<T, HttpError> {
+        let body = serde_json::to_vec(body).map_err(|e| HttpError::NotSent(e.to_string()))?;
+        self.exchange(Method::POST, addr, path, body, within).await
+    }
+}
+
+/// Reads a body up to [`MAX_BODY_BYTES`].
+pub(crate) async fn read_body(body: Body) -> Result<Bytes, HttpError> {
+    let limited = Limited::new(body, MAX_BODY_BYTES);
+    let whole = limited
+        .collect()
+        .await
+        .map_err(|e| HttpError::Lost(e.to_string()))?;
+    Ok(whole.to_bytes())
+}
--- /dev/null
+++ b/crates/client/src/lib.rs
@@ -0,0 +1,13 @@
+//! JSON over HTTP for radishhaven's own processes and for its callers.
+//!
+//! [`JsonClient`] is one bounded exchange; [`Caller`] is what a caller's
+//! program needs: it asks for the addresses to use, keeps the answer and
+//! reads whole answers and streams.
+
+mod caller;
+mod json;
+mod sse;
+
+pub use caller::{Answer, Ask, Caller, CallerError};
+pub use json::{HttpError, JsonClient, MAX_BODY_BYTES};
+pub use sse::{Event, EventReader};
--- /dev/null
+++ b/crates/core/src/configs/directory.rs
@@ -0,0 +1,19 @@
+//! Settings of the directory answer.
+
+use std::time::Duration;
+
+/// Shapes the answer to callers that ask which address to use; the INI
+/// section `[directory]`.
+#[derive(Debug, Clone)]
+pub struct DirectoryConfig {
+    /// How long a caller may keep the answer. Default: 10 s.
+    pub keep: Duration,
+}
+
+impl Default for DirectoryConfig {
+    fn default() -> Self {
+        Self {
+            keep: Duration::from_secs(10),
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,14 @@
 //! its own: events and the time go in, actions come out. The daemon runs
 //! these parts, and other programs can embed them; see `docs/EMBEDDING.md`.
 
+pub mod config;
+pub mod configs;
+pub mod engine;
 pub mod ids;
+pub mod message;
+pub mod node;
 pub mod outcome;
+pub mod platform;
+pub mod systems;
+pub mod tables;
 pub mod time;
--- /dev/null
+++ b/crates/core/src/message.rs
@@ -0,0 +1,232 @@
+//! What goes into the decisions and what comes out: events and actions.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    engine::{EngineRefusal, SessionRef, StageInput, StepReply},
+    ids::{
+        Attempt, LayerRange, ModelId, PipelineId, Position, Priority, RequestId, RequestKey,
+        ServiceId, VersionId, VmId,
+    },
+    outcome::Outcome,
+    platform::{Record, VmList},
+};
+
+/// What a caller asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Demand {
+    /// Tokens from a pipeline.
+    Completion {
+        /// The pipeline.
+        pipeline: PipelineId,
+        /// The prompt's tokens.
+        prompt: Vec<u32>,
+        /// The largest number of tokens to generate.
+        max_tokens: u32,
+    },
+    /// A call to a plain service.
+    Call {
+        /// The service.
+        service: ServiceId,
+        /// The operation.
+        operation: String,
+        /// Its argument.
+        body: serde_json::Value,
+    },
+}
+
+/// A request as it arrives.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Submission {
+    /// SHA-256 of the bearer token.
+    pub token_sha256: [u8; 32],
+    /// The id that the caller gave.
+    pub id: Option<RequestId>,
+    /// The priority that the caller asks for.
+    pub priority: Option<Priority>,
+    /// The time within which the answer is of use.
+    pub within: Option<Duration>,
+    /// What the caller says of idempotency.
+    pub idempotent: Option<bool>,
+    /// What the caller asks for.
+    pub demand: Demand,
+}
+
+/// Why a step or call brought no result.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptError {
+    /// The backend server was not reached; it has not started anything.
+    NotSent,
+    /// The backend server refused and ran nothing.
+    Refused(EngineRefusal),
+    /// The fate is not known: the connection broke or the answer was an error.
+    Lost,
+    /// The answer was not understood.
+    Malformed,
+}
+
+/// Something that happened.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// A caller sent a request.
+    Submit {
+        /// Numbers the request; chosen by the edge.
+        key: RequestKey,
+        /// The request.
+        submission: Box<Submission>,
+    },
+    /// A caller went away before its answer was whole.
+    CallerGone {
+        /// The request.
+        key: RequestKey,
+    },
+    /// A step ended.
+    StepDone {
+        /// The request.
+        key: RequestKey,
+        /// The attempt that the step belonged to.
+        attempt: Attempt,
+        /// The stage, counted from 0.
+        stage: usize,
+        /// The reply, or why there is none.
+        result: Result<StepReply, AttemptError>,
+    },
+    /// A call to a plain service ended.
+    CallDone {
+        /// The request.
+        key: RequestKey,
+        /// The attempt that the call belonged to.
+        attempt: Attempt,
+        /// The reply, or why there is none.
+        result: Result<serde_json::Value, AttemptError>,
+    },
+    /// The log gave configuration records.
+    ConfigRecords {
+        /// The lowest offset that the log keeps.
+        first: u64,
+        /// The offset of the next append.
+        end: u64,
+        /// The records.
+        records: Vec<Record>,
+    },
+    /// The log did not answer.
+    ConfigReadFailed,
+    /// The platform gave the VM list.
+    VmList(VmList),
+    /// The node was told to shut down gracefully.
+    Drain,
+}
+
+/// One step to be sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StepOrder {
+    /// The session.
+    pub session: SessionRef,
+    /// The model.
+    pub model: ModelId,
+    /// Its version.
+    pub version: VersionId,
+    /// The layers to run.
+    pub layers: LayerRange,
+    /// The first position.
+    pub first: Position,
+    /// One value for each position.
+    pub input: StageInput,
+    /// The request's priority.
+    pub priority: Priority,
+    /// The time that is left.
+    pub within: Duration,
+}
+
+/// Part of an answer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// The request was admitted under this id.
+    Admitted {
+        /// The request's id.
+        id: RequestId,
+    },
+    /// The text of one token.
+    Delta {
+        /// Counts the deltas from 0.
+        index: u32,
+        /// The text.
+        text: String,
+    },
+    /// The end: every request gets exactly one.
+    Done(Done),
+}
+
+/// The end of an answer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Done {
+    /// The request's id, if it has one.
+    pub id: Option<RequestId>,
+    /// What became of the request.
+    pub outcome: Outcome,
+    /// The number of tokens that were generated.
+    pub tokens: u32,
+    /// SHA-256 of the whole text, in hex.
+    pub digest: String,
+    /// The result of a call.
+    pub body: Option<serde_json::Value>,
+    /// How long the caller should wait before it asks again.
+    pub retry_after: Option<Duration>,
+    /// What happened, for a person.
+    pub message: String,
+}
+
+/// Something to be done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Send a step; its end comes back as [`Event::StepDone`].
+    Step {
+        /// The request.
+        key: RequestKey,
+        /// The attempt.
+        attempt: Attempt,
+        /// The stage, counted from 0.
+        stage: usize,
+        /// Where the engine serves.
+        address: SocketAddr,
+        /// The step.
+        order: Box<StepOrder>,
+    },
+    /// Tell an engine that a session is over; no answer is awaited.
+    EndSession {
+        /// Where the engine serves.
+        address: SocketAddr,
+        /// The session.
+        session: SessionRef,
+    },
+    /// Send a call; its end comes back as [`Event::CallDone`].
+    Call {
+        /// The request.
+        key: RequestKey,
+        /// The attempt.
+        attempt: Attempt,
+        /// Where the service serves.
+        address: SocketAddr,
+        /// The backend server.
+        vm: VmId,
+        /// The request's id.
+        id: RequestId,
+        /// The operation.
+        operation: String,
+        /// Its argument.
+        body: serde_json::Value,
+        /// The time that is left.
+        within: Duration,
+    },
+    /// Give the caller a part of its answer.
+    Reply {
+        /// The request.
+        key: RequestKey,
+        /// The part.
+        reply: Reply,
+    },
+}
--- /dev/null
+++ b/crates/core/src/node.rs
@@ -0,0 +1,105 @@
+//! An entry node's decisions: its tables and the systems that run over them.
+
+use std::time::Duration;
+
+use rand::{SeedableRng, rngs::StdRng};
+
+use crate::{
+    configs::Configs,
+    ids::RequestId,
+    message::{Action, Event},
+    outcome::Outcome,
+    systems::{self, Context},
+    tables::Tables,
+    time::Timestamp,
+};
+
+/// An entry node without its edges.
+///
+/// Give it each event with the current time and carry out the actions that it
+/// returns; see `docs/ARCHITECTURE.md`.
+#[derive(Debug)]
+pub struct Node {
+    cfg: Configs,
+    tables: Tables,
+    rng: StdRng,
+}
+
+/// What became of a request, as far as a node knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Known {
+    /// It runs here.
+    Open,
+    /// It ended here.
+    Ended(Outcome),
+    /// This node knows nothing of it.
+    Nothing,
+}
+
+impl Node {
+    /// Makes a node; `seed` feeds all its random choices.
+    pub fn new(cfg: Configs, seed: u64) -> Self {
+        Self {
+            cfg,
+            tables: Tables::default(),
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Handles one event and returns what is to be done.
+    pub fn handle(&mut self, now: Timestamp, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        let mut cx = Context {
+            now,
+            cfg: &self.cfg,
+            tables: &mut self.tables,
+            rng: &mut self.rng,
+            out: &mut out,
+        };
+        systems::dispatch(&mut cx, event);
+        out
+    }
+
+    /// Mints an id for one request.
+    pub fn mint(&mut self) -> RequestId {
+        systems::minting::mint(&self.cfg.identity, &mut self.tables.requests)
+    }
+
+    /// Tells what this node knows of a request.
+    pub fn known(&self, id: &RequestId) -> Known {
+        if self.tables.requests.open(id).is_some() {
+            return Known::Open;
+        }
+        self.tables
+            .requests
+            .outcome(id)
+            .map_or(Known::Nothing, Known::Ended)
+    }
+
+    /// Returns the tables, for reading.
+    pub fn tables(&self) -> &Tables {
+        &self.tables
+    }
+
+    /// Returns the settings.
+    pub fn configs(&self) -> &Configs {
+        &self.cfg
+    }
+
+    /// Returns the moment of the next subscription, if there is one.
+    pub fn next_due(&self) -> Option<Timestamp> {
+        self.tables.timers.next_due()
+    }
+
+    /// Tells whether a graceful shutdown is over: callers that keep the
+    /// address have had their time, and no request is open.
+    pub fn drained(&self, now: Timestamp) -> bool {
+        let begun = self.tables.draining;
+        begun.is_some_and(|begun| now >= begun + self.keep()) && self.tables.requests.is_empty()
+    }
+
+    /// Returns how long callers may keep the directory answer.
+    pub fn keep(&self) -> Duration {
+        self.cfg.directory.keep
+    }
+}
--- /dev/null
+++ b/crates/core/src/systems/admission.rs
@@ -0,0 +1,183 @@
+//! Decides at arrival whether a request is taken on.
+//!
+//! A request that can't be taken on is answered at once as not run, with a
+//! time to come back; see `docs/design/admission.md`.
+
+use std::time::Duration;
+
+use subtle::ConstantTimeEq;
+
+use super::{Context, Timer, answer, calls, completion, minting};
+use crate::{
+    config::Organisation,
+    ids::{Attempt, Position, RequestKey},
+    message::{Action, Demand, Reply, Submission},
+    outcome::NotRun,
+    tables::{CallState, CompletionState, RequestRow, Work},
+};
+
+/// Takes a request on or rejects it; runs once for each request.
+pub fn run(cx: &mut Context<'_>, key: RequestKey, submission: Submission) {
+    cx.tables.counters.submitted += 1;
+    match check(cx, submission) {
+        Ok(row) => start(cx, key, row),
+        Err((reason, message)) => answer::reject(cx, key, None, reason, message),
+    }
+}
+
+type Rejection = (NotRun, String);
+
+fn check(cx: &mut Context<'_>, submission: Submission) -> Result<RequestRow, Rejection> {
+    let organisation = organisation(cx, &submission.token_sha256).ok_or_else(|| {
+        (
+            NotRun::Unauthorised,
+            "the bearer token is not known".to_owned(),
+        )
+    })?;
+    if super::drain::refuses(cx) {
+        return Err((NotRun::Draining, "the node is shutting down".to_owned()));
+    }
+    check_limits(cx, &organisation)?;
+    let work = work(cx, &submission.demand)?;
+    let within = submission
+        .within
+        .unwrap_or(cx.cfg.admission.default_deadline);
+    if within.is_zero() {
+        return Err((NotRun::Late, "the deadline has passed".to_owned()));
+    }
+    let id = match submission.id {
+        Some(id) => id,
+        None => minting::mint(&cx.cfg.identity, &mut cx.tables.requests),
+    };
+    Ok(RequestRow {
+        id,
+        priority: submission
+            .priority
+            .unwrap_or_default()
+            .min(organisation.priority),
+        deadline: cx.now + within.min(cx.cfg.admission.max_deadline),
+        admitted: cx.now,
+        idempotent: submission
+            .idempotent
+            .unwrap_or_else(|| idempotent(cx, &submission.demand)),
+        organisation: organisation.id,
+        attempt: Attempt(0),
+        started: false,
+        doubt: false,
+        failed: Vec::new(),
+        work,
+        deadline_timer: None,
+    })
+}
+
+fn organisation(cx: &Context<'_>, token_sha256: &[u8; 32]) -> Option<Organisation> {
+    let hex: String = token_sha256.iter().map(|b| format!("{b:02x}")).collect();
+    let same = |o: &&Organisation| bool::from(o.token_sha256.as_bytes().ct_eq(hex.as_bytes()));
+    cx.tables.config.organisations().find(same).cloned()
+}
+
+fn check_limits(cx: &Context<'_>, organisation: &Organisation) -> Result<(), Rejection> {
+    let own = cx.tables.requests.in_flight(&organisation.id);
+    if own >= organisation.max_in_flight {
+        let message = format!("{} requests of {} are in flight", own, organisation.id);
+        return Err((NotRun::OverLimit, message));
+    }
+    if cx.tables.requests.len() >= cx.cfg.admission.max_in_flight as usize {
+        return Err((NotRun::NoCapacity, "the node is full".to_owned()));
+    }
+    Ok(())
+}
+
+fn idempotent(cx: &Context<'_>, demand: &Demand) -> bool {
+    match demand {
+        Demand::Completion { .. } => true,
+        Demand::Call {
+            service, operation, ..
+        } => {
+            let service = cx.tables.config.service(service);
+            service.is_some_and(|s| s.idempotent.contains(operation))
+        }
+    }
+}
+
+fn work(cx: &Context<'_>, demand: &Demand) -> Result<Work, Rejection> {
+    let bad = |message: String| (NotRun::BadRequest, message);
+    match demand {
+        Demand::Completion {
+            pipeline,
+            prompt,
+            max_tokens,
+        } => {
+            let limits = &cx.cfg.admission;
+            if prompt.is_empty() || prompt.len() > limits.max_prompt_tokens as usize {
+                let most = limits.max_prompt_tokens;
+                return Err(bad(format!("a prompt has 1 to {most} tokens")));
+            }
+            if *max_tokens == 0 || *max_tokens > limits.max_tokens {
+                return Err(bad(format!("max_tokens is 1 to {}", limits.max_tokens)));
+            }
+            let found = cx.tables.config.pipeline(pipeline);
+            let found = found.ok_or_else(|| bad(format!("no pipeline is named {pipeline}")))?;
+            Ok(Work::Completion(CompletionState {
+                pipeline: pipeline.clone(),
+                model: found.model.clone(),
+                version: found.version.clone(),
+                prompt_len: prompt.len(),
+                tokens: prompt.clone(),
+                max_tokens: *max_tokens,
+                chain: Vec::new(),
+                stage: 0,
+                first: Position(0),
+                step_timer: None,
+            }))
+        }
+        Demand::Call {
+            service,
+            operation,
+            body,
+        } => {
+            if cx.tables.config.service(service).is_none() {
+                return Err(bad(format!("no service is named {service}")));
+            }
+            Ok(Work::Call(CallState {
+                service: service.clone(),
+                operation: operation.clone(),
+                body: body.clone(),
+                vm: None,
+            }))
+        }
+    }
+}
+
+fn start(cx: &mut Context<'_>, key: RequestKey, mut row: RequestRow) {
+    if cx.tables.requests.open(&row.id).is_some() || cx.tables.requests.outcome(&row.id).is_some() {
+        return answer::duplicate(cx, key, &row.id);
+    }
+    row.deadline_timer = Some(
+        cx.tables
+            .timers
+            .subscribe(row.deadline, Timer::Deadline(key)),
+    );
+    let id = row.id.clone();
+    let call = matches!(row.work, Work::Call(_));
+    cx.tables.requests.insert(key, row);
+    cx.out.push(Action::Reply {
+        key,
+        reply: Reply::Admitted { id },
+    });
+    if call {
+        calls::start(cx, key)
+    } else {
+        completion::start(cx, key)
+    }
+}
+
+/// Spreads the time at which a rejected caller should come back, between once
+/// and twice the shortest time, so that callers don't return together.
+pub fn retry_after(cx: &mut Context<'_>) -> Duration {
+    use rand::Rng;
+    cx.cfg
+        .admission
+        .retry_after
+        .mul_f64(cx.rng.random_range(1.0..2.0))
+}
--- /dev/null
+++ b/crates/core/src/systems/mod.rs
@@ -0,0 +1,106 @@
+//! The systems that run over a node's tables, one file for each.
+//!
+//! Each has one entry function that takes the shared [`Context`], and
+//! [`dispatch`] says which system takes which event.
+
+pub mod admission;
+pub mod answer;
+pub mod calls;
+pub mod completion;
+pub mod directory;
+pub mod drain;
+pub mod minting;
+pub mod platform;
+pub mod routing;
+
+use rand::rngs::StdRng;
+
+use crate::{
+    configs::Configs,
+    ids::{Attempt, Position, RequestKey},
+    message::{Action, Event},
+    tables::Tables,
+    time::Timestamp,
+};
+
+/// What every system works on.
+#[derive(Debug)]
+pub struct Context<'a> {
+    /// The current time.
+    pub now: Timestamp,
+    /// The node's settings.
+    pub cfg: &'a Configs,
+    /// The node's tables.
+    pub tables: &'a mut Tables,
+    /// Source of random choices, seeded by the node's owner.
+    pub rng: &'a mut StdRng,
+    /// What is to be done.
+    pub out: &'a mut Vec<Action>,
+}
+
+/// What a subscription to a moment stands for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Timer {
+    /// A request's deadline.
+    Deadline(RequestKey),
+    /// The bound on a step without an answer.
+    Step {
+        /// The request.
+        key: RequestKey,
+        /// The attempt.
+        attempt: Attempt,
+        /// The stage.
+        stage: usize,
+        /// The step's first position.
+        first: Position,
+    },
+}
+
+/// Hands an event to the system that takes it, after all due subscriptions.
+pub fn dispatch(cx: &mut Context<'_>, event: Event) {
+    while let Some(timer) = cx.tables.timers.pop_due(cx.now) {
+        expire(cx, timer);
+    }
+    match event {
+        Event::Tick => {}
+        Event::Submit { key, submission } => admission::run(cx, key, *submission),
+        Event::CallerGone { key } => answer::abandon(cx, key),
+        Event::StepDone {
+            key,
+            attempt,
+            stage,
+            result,
+        } => {
+            completion::step_done(cx, key, attempt, stage, result);
+        }
+        Event::CallDone {
+            key,
+            attempt,
+            result,
+        } => calls::done(cx, key, attempt, result),
+        Event::ConfigRecords {
+            first,
+            end,
+            records,
+        } => {
+            platform::records(cx, first, end, records);
+        }
+        Event::ConfigReadFailed => cx.tables.counters.log_failures += 1,
+        Event::VmList(list) => platform::vm_list(cx, list),
+        Event::Drain => drain::run(cx),
+    }
+}
+
+fn expire(cx: &mut Context<'_>, timer: Timer) {
+    match timer {
+        Timer::Deadline(key) => answer::deadline(cx, key),
+        Timer::Step {
+            key,
+            attempt,
+            stage,
+            first,
+        } => {
+            completion::step_timeout(cx, key, attempt, stage, first);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/systems/platform.rs
@@ -0,0 +1,33 @@
+//! Takes in what the platform says: configuration records and the VM list.
+
+use super::Context;
+use crate::platform::{Record, VmList};
+
+/// Folds configuration records; runs each time the log has answered.
+pub fn records(cx: &mut Context<'_>, _first: u64, end: u64, records: Vec<Record>) {
+    let before = cx.tables.config.revision();
+    for record in &records {
+        if record.offset >= cx.tables.config.revision().0 {
+            // A gap can't be folded; the next read asks for the missing offset again.
+            let _ = cx.tables.config.fold(record);
+        }
+    }
+    if cx.tables.config.revision() != before {
+        rebuild(cx);
+    }
+    if cx.tables.config.revision().0 >= end {
+        cx.tables.ready = true;
+    }
+}
+
+/// Takes over the VM list; runs each time the platform has given it.
+pub fn vm_list(cx: &mut Context<'_>, list: VmList) {
+    if cx.tables.vms.replace(list) {
+        rebuild(cx);
+    }
+}
+
+fn rebuild(cx: &mut Context<'_>) {
+    let tables = &mut *cx.tables;
+    tables.backends.rebuild(&tables.config, &tables.vms);
+}
--- /dev/null
+++ b/crates/core/src/tables/counters.rs
@@ -0,0 +1,28 @@
+//! What a node counts, for metrics and for the state dump.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+/// Counts since the node's start.
+#[derive(Debug, Default, Serialize)]
+pub struct Counters {
+    /// Requests that arrived.
+    pub submitted: u64,
+    /// Answers by outcome.
+    pub outcomes: BTreeMap<String, u64>,
+    /// Tokens that were given to callers.
+    pub tokens: u64,
+    /// Steps that were sent.
+    pub steps: u64,
+    /// Attempts beyond the first one.
+    pub retries: u64,
+    /// Replies of engines and services that belonged to no open attempt.
+    pub stale_replies: u64,
+    /// Replies of engines that answered another question.
+    pub crossed_replies: u64,
+    /// Steps that were not answered in time.
+    pub step_timeouts: u64,
+    /// Reads of the log that failed.
+    pub log_failures: u64,
+}
--- /dev/null
+++ b/crates/core/src/tables/mod.rs
@@ -0,0 +1,38 @@
+//! The entities that a node keeps, each kind in a table of its own.
+
+mod backends;
+mod counters;
+mod requests;
+mod vms;
+
+pub use backends::{BackendRow, BackendTable};
+pub use counters::Counters;
+pub use requests::{CallState, CompletionState, RequestRow, RequestTable, Stage, Work};
+pub use vms::VmTable;
+
+use crate::{
+    config::Config,
+    systems::Timer,
+    time::{Timers, Timestamp},
+};
+
+/// All tables of a node.
+#[derive(Debug, Default)]
+pub struct Tables {
+    /// The configuration in force.
+    pub config: Config,
+    /// The VM list as last heard.
+    pub vms: VmTable,
+    /// Backend servers: the VM list joined with the configuration.
+    pub backends: BackendTable,
+    /// Requests: open ones and recent outcomes.
+    pub requests: RequestTable,
+    /// Subscriptions to moments.
+    pub timers: Timers<Timer>,
+    /// What was counted.
+    pub counters: Counters,
+    /// When a graceful shutdown began.
+    pub draining: Option<Timestamp>,
+    /// True once the log and the VM list were read for the first time.
+    pub ready: bool,
+}
--- /dev/null
+++ b/crates/core/src/tables/requests.rs
@@ -0,0 +1,208 @@
+//! Requests: the open ones, and the outcomes of recent ones.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+};
+
+use serde::Serialize;
+
+use crate::{
+    ids::{
+        Attempt, LayerRange, ModelId, OrganisationId, PipelineId, Position, Priority, RequestId,
+        RequestKey, ServiceId, VersionId, VmId,
+    },
+    outcome::Outcome,
+    time::{TimerId, Timestamp},
+};
+
+/// Number of outcomes that a node remembers.
+const MAX_REMEMBERED_OUTCOMES: usize = 100_000;
+
+/// One stage of a chain.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Stage {
+    /// The backend server.
+    pub vm: VmId,
+    /// Where it serves.
+    pub address: SocketAddr,
+    /// The layers that it runs for this request.
+    pub layers: LayerRange,
+}
+
+/// The state of a completion.
+#[derive(Debug, Clone, Serialize)]
+pub struct CompletionState {
+    /// The pipeline.
+    pub pipeline: PipelineId,
+    /// The model.
+    pub model: ModelId,
+    /// Its version.
+    pub version: VersionId,
+    /// Prompt and generated tokens.
+    #[serde(skip)]
+    pub tokens: Vec<u32>,
+    /// Number of tokens of the prompt.
+    pub prompt_len: usize,
+    /// The largest number of tokens to generate.
+    pub max_tokens: u32,
+    /// The chain of the current attempt.
+    pub chain: Vec<Stage>,
+    /// The stage whose step is open.
+    pub stage: usize,
+    /// The first position of the open step.
+    pub first: Position,
+    /// The subscription that bounds the open step.
+    #[serde(skip)]
+    pub step_timer: Option<TimerId>,
+}
+
+impl CompletionState {
+    /// Returns the number of tokens that were generated.
+    pub fn generated(&self) -> u32 {
+        (self.tokens.len() - self.prompt_len) as u32
+    }
+}
+
+/// The state of a call.
+#[derive(Debug, Clone, Serialize)]
+pub struct CallState {
+    /// The service.
+    pub service: ServiceId,
+    /// The operation.
+    pub operation: String,
+    /// Its argument.
+    #[serde(skip)]
+    pub body: serde_json::Value,
+    /// The backend server that was asked.
+    pub vm: Option<VmId>,
+}
+
+/// What a request needs.
+#[derive(Debug, Clone, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Work {
+    /// Tokens from a pipeline.
+    Completion(CompletionState),
+    /// A call to a plain service.
+    Call(CallState),
+}
+
+/// An open request.
+#[derive(Debug, Clone, Serialize)]
+pub struct RequestRow {
+    /// Its id.
+    pub id: RequestId,
+    /// Whose it is.
+    pub organisation: OrganisationId,
+    /// Its priority.
+    pub priority: Priority,
+    /// When its answer is of no more use.
+    pub deadline: Timestamp,
+    /// When it was admitted.
+    pub admitted: Timestamp,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// The current attempt.
+    pub attempt: Attempt,
+    /// Whether any backend server may have started it.
+    pub started: bool,
+    /// Whether an earlier attempt may have started it.
+    pub doubt: bool,
+    /// Backend servers that failed it.
+    pub failed: Vec<VmId>,
+    /// What it needs.
+    pub work: Work,
+    /// The subscription to its deadline.
+    #[serde(skip)]
+    pub deadline_timer: Option<TimerId>,
+}
+
+/// Open requests and recent outcomes.
+#[derive(Debug, Default, Serialize)]
+pub struct RequestTable {
+    rows: BTreeMap<RequestKey, RequestRow>,
+    #[serde(skip)]
+    by_id: BTreeMap<RequestId, RequestKey>,
+    by_organisation: BTreeMap<OrganisationId, u32>,
+    #[serde(skip)]
+    outcomes: BTreeMap<RequestId, Outcome>,
+    #[serde(skip)]
+    order: VecDeque<RequestId>,
+    minted: u64,
+}
+
+impl RequestTable {
+    /// Returns the number of the next id to mint, and counts it.
+    pub fn mint(&mut self) -> u64 {
+        self.minted += 1;
+        self.minted
+    }
+
+    /// Adds an open request.
+    pub fn insert(&mut self, key: RequestKey, row: RequestRow) {
+        self.by_id.insert(row.id.clone(), key);
+        *self
+            .by_organisation
+            .entry(row.organisation.clone())
+            .or_default() += 1;
+        self.rows.insert(key, row);
+    }
+
+    /// Takes an open request out and remembers its outcome.
+    pub fn finish(&mut self, key: RequestKey, outcome: Outcome) -> Option<RequestRow> {
+        let row = self.rows.remove(&key)?;
+        self.by_id.remove(&row.id);
+        if let Some(count) = self.by_organisation.get_mut(&row.organisation) {
+            *count -= 1;
+        }
+        self.remember(row.id.clone(), outcome);
+        Some(row)
+    }
+
+    fn remember(&mut self, id: RequestId, outcome: Outcome) {
+        if self.outcomes.insert(id.clone(), outcome).is_none() {
+            self.order.push_back(id);
+        }
+        if self.order.len() > MAX_REMEMBERED_OUTCOMES
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.outcomes.remove(&oldest);
+        }
+    }
+
+    /// Returns an open request.
+    pub fn get(&self, key: RequestKey) -> Option<&RequestRow> {
+        self.rows.get(&key)
+    }
+
+    /// Returns an open request for a change.
+    pub fn get_mut(&mut self, key: RequestKey) -> Option<&mut RequestRow> {
+        self.rows.get_mut(&key)
+    }
+
+    /// Returns the open request that has this id.
+    pub fn open(&self, id: &RequestId) -> Option<RequestKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Returns what became of a recent request.
+    pub fn outcome(&self, id: &RequestId) -> Option<Outcome> {
+        self.outcomes.get(id).copied()
+    }
+
+    /// Returns the number of open requests.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Tells whether no request is open.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Returns the number of open requests of an organisation.
+    pub fn in_flight(&self, organisation: &OrganisationId) -> u32 {
+        self.by_organisation.get(organisation).copied().unwrap_or(0)
+    }
+}
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -75,13 +75,19 @@
 /// The timer service: parts subscribe to a moment with a value of their own.
 ///
 /// Finding what is due costs time in proportion to what is due.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Timers<T> {
     due: BTreeMap<(Timestamp, u64), T>,
     at: BTreeMap<u64, Timestamp>,
     next: u64,
 }
 
+impl<T> Default for Timers<T> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl<T> Timers<T> {
     /// Makes a service without subscriptions.
     pub fn new() -> Self {
--- /dev/null
+++ b/crates/daemon/src/commands/check.rs
@@ -0,0 +1,11 @@
+//! `check`: says whether the settings are valid, and does nothing else.
+
+use std::process::ExitCode;
+
+use crate::settings::Settings;
+
+/// Confirms settings that were loaded.
+pub fn run(settings: Settings) -> ExitCode {
+    println!("settings of {} are valid", settings.node.vm);
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/daemon/src/commands/mod.rs
@@ -0,0 +1,65 @@
+//! The command line: one file for each command.
+
+mod check;
+mod print_defaults;
+mod serve;
+
+use std::{path::PathBuf, process::ExitCode};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+use crate::settings::{Settings, SettingsErrors};
+
+/// Exit code for settings that are not valid.
+pub const EXIT_BAD_SETTINGS: u8 = 78;
+
+/// Describes the command line.
+pub fn command() -> Command {
+    let config = Arg::new("config")
+        .long("config")
+        .value_name("FILE.ini")
+        .value_parser(value_parser!(PathBuf))
+        .required(true)
+        .help("The settings");
+    Command::new("radishhavend")
+        .about("An entry node of the radishhaven router")
+        .version(clap::crate_version!())
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("serve")
+                .about("Runs the node")
+                .arg(config.clone()),
+        )
+        .subcommand(
+            Command::new("check")
+                .about("Checks the settings only")
+                .arg(config),
+        )
+        .subcommand(Command::new("print-defaults").about("Prints all settings with defaults"))
+}
+
+/// Runs the command that was parsed.
+pub fn run(matches: &ArgMatches) -> ExitCode {
+    match matches.subcommand() {
+        Some(("serve", args)) => with_settings(args, serve::run),
+        Some(("check", args)) => with_settings(args, check::run),
+        Some(("print-defaults", _)) => print_defaults::run(),
+        _ => ExitCode::from(2),
+    }
+}
+
+fn with_settings(args: &ArgMatches, run: fn(Settings) -> ExitCode) -> ExitCode {
+    let path = args
+        .get_one::<PathBuf>("config")
+        .expect("clap requires the option");
+    match Settings::load(path) {
+        Ok(settings) => run(settings),
+        Err(SettingsErrors(errors)) => {
+            for error in errors {
+                eprintln!("radishhavend: {error}");
+            }
+            ExitCode::from(EXIT_BAD_SETTINGS)
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/commands/serve.rs
@@ -0,0 +1,60 @@
+//! `serve`: runs the node until it is told to stop, then shuts down
+//! gracefully within the bound of the settings.
+
+use std::process::ExitCode;
+
+use spdlog::prelude::*;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::{host::RunningNode, logging, settings::Settings};
+
+/// Runs the node.
+pub fn run(settings: Settings) -> ExitCode {
+    if let Err(error) = logging::init(&settings.log) {
+        eprintln!("radishhavend: {error}");
+        return ExitCode::FAILURE;
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            critical!("the runtime could not be started", kv: { error = error.to_string() });
+            return ExitCode::FAILURE;
+        }
+    };
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> ExitCode {
+    let node = match RunningNode::start(settings).await {
+        Ok(node) => node,
+        Err(error) => {
+            critical!("the node could not be started", kv: { error = error.to_string() });
+            return ExitCode::FAILURE;
+        }
+    };
+    println!(
+        "callers {} operators {}",
+        node.callers_address, node.operators_address
+    );
+    let (Ok(mut term), Ok(mut int)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        return ExitCode::FAILURE;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    info!("shutting down gracefully");
+    let whole = node.drain().await;
+    info!("stopped", kv: { all_requests_ended = whole });
+    if whole {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/configs/directory.rs
@@ -0,0 +1,12 @@
+//! Reads `[directory]`.
+
+use radishhaven_core::configs::DirectoryConfig;
+
+use crate::settings::Section;
+
+pub(crate) fn read_directory(section: &mut Section<'_>) -> DirectoryConfig {
+    let d = DirectoryConfig::default();
+    DirectoryConfig {
+        keep: section.millis("keep_ms", 100..=600_000).unwrap_or(d.keep),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/configs/mod.rs
@@ -0,0 +1,16 @@
+//! Settings of the daemon, one struct for each INI section, and the readers
+//! of the sections that belong to [`radishhaven_core::configs`].
+
+mod admission;
+mod directory;
+mod log;
+mod node;
+mod platform;
+mod retry;
+
+pub(crate) use self::{admission::read_admission, directory::read_directory, retry::read_retry};
+pub use self::{
+    log::{LogConfig, LogFormat},
+    node::NodeConfig,
+    platform::PlatformConfig,
+};
--- /dev/null
+++ b/crates/daemon/src/configs/node.rs
@@ -0,0 +1,44 @@
+//! `[node]`: who the node is and where it listens.
+
+use std::{net::SocketAddr, time::Duration};
+
+use radishhaven_core::ids::{FailureDomain, VmId};
+
+use crate::settings::Section;
+
+/// `[node]`; `vm`, `failure_domain`, `callers` and `operators` must be given.
+#[derive(Debug, Clone)]
+pub struct NodeConfig {
+    /// The node's VM.
+    pub vm: VmId,
+    /// The failure domain that it runs in.
+    pub failure_domain: FailureDomain,
+    /// Where it listens for callers.
+    pub callers: SocketAddr,
+    /// Where it listens for operators.
+    pub operators: SocketAddr,
+    /// Bound on a graceful shutdown. Default: 30 s.
+    pub shutdown: Duration,
+}
+
+const DEFAULT_SHUTDOWN: Duration = Duration::from_secs(30);
+
+impl NodeConfig {
+    pub(crate) fn read(section: &mut Section<'_>) -> Option<Self> {
+        let id = "1 to 96 of a-z A-Z 0-9 . _ : -";
+        let vm = section.require("vm", id, |v| v.parse().ok());
+        let failure_domain = section.require("failure_domain", id, |v| v.parse().ok());
+        let callers = section.address("callers");
+        let operators = section.address("operators");
+        let shutdown = section
+            .millis("shutdown_ms", 0..=600_000)
+            .unwrap_or(DEFAULT_SHUTDOWN);
+        Some(Self {
+            vm: vm?,
+            failure_domain: failure_domain?,
+            callers: callers?,
+            operators: operators?,
+            shutdown,
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/host.rs
@@ -0,0 +1,263 @@
+//! Runs the decisions of one node with its edges around them.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use radishhaven_client::{HttpError, JsonClient};
+use radishhaven_core::{
+    configs::{Configs, Identity},
+    ids::RequestKey,
+    message::{Action, Event, Reply, Submission},
+    node::Node,
+};
+use tokio::{net::TcpListener, sync::mpsc};
+
+use crate::{
+    clock::{self, Clock},
+    edges::{callers, engines, operators, platform, services},
+    settings::Settings,
+};
+
+/// Time between two looks at the subscriptions that are due.
+const TICK: Duration = Duration::from_millis(2);
+/// Time between two looks at whether a shutdown is over.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Time left for the last bytes of answers to leave.
+const FLUSH: Duration = Duration::from_millis(100);
+
+/// Why a node could not be started.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address can't be listened on.
+    #[error("cannot listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// The HTTP client can't be made.
+    #[error(transparent)]
+    Http(#[from] HttpError),
+}
+
+/// The decisions of one node, shared by its edges.
+#[derive(Debug)]
+pub struct Host {
+    node: Mutex<Node>,
+    replies: Mutex<BTreeMap<RequestKey, mpsc::UnboundedSender<Reply>>>,
+    next_key: AtomicU64,
+    open_answers: AtomicU64,
+    clock: Clock,
+    /// Client for exchanges that may be repeated or whose loss is detected.
+    pub(crate) http: JsonClient,
+    /// Client for calls that may run at most once.
+    pub(crate) call_http: JsonClient,
+    /// The node's settings.
+    pub(crate) settings: Settings,
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Host {
+    fn new(settings: Settings) -> Result<Self, StartError> {
+        let identity = Identity {
+            vm: settings.node.vm.clone(),
+            failure_domain: settings.node.failure_domain.clone(),
+            address: settings.node.callers,
+            incarnation: clock::incarnation(),
+        };
+        let seed = identity.incarnation.0;
+        let cfg = Configs {
+            identity,
+            admission: settings.admission.clone(),
+            directory: settings.directory.clone(),
+            retry: settings.retry.clone(),
+        };
+        Ok(Self {
+            node: Mutex::new(Node::new(cfg, seed)),
+            replies: Mutex::default(),
+            next_key: AtomicU64::new(1),
+            open_answers: AtomicU64::new(0),
+            clock: Clock::start(),
+            http: JsonClient::new()?,
+            call_http: JsonClient::unpooled()?,
+            settings,
+        })
+    }
+
+    /// Hands an event to the decisions and carries out what they say.
+    pub fn handle(self: &Arc<Self>, event: Event) {
+        // Replies leave under the lock, so that one caller's parts stay in order.
+        let mut node = locked(&self.node);
+        let actions = node.handle(self.clock.now(), event);
+        for action in actions {
+            self.perform(action);
+        }
+    }
+
+    /// Looks at the decisions' state.
+    pub fn read<T>(&self, look: impl FnOnce(&Node) -> T) -> T {
+        look(&locked(&self.node))
+    }
+
+    /// Changes the decisions' state where no event is needed.
+    pub(crate) fn with<T>(&self, work: impl FnOnce(&mut Node) -> T) -> T {
+        work(&mut locked(&self.node))
+    }
+
+    /// Submits a request; its answer comes over the channel.
+    pub fn submit(
+        self: &Arc<Self>,
+        submission: Submission,
+    ) -> (RequestKey, mpsc::UnboundedReceiver<Reply>) {
+        let key = RequestKey(self.next_key.fetch_add(1, Ordering::Relaxed));
+        let (tx, rx) = mpsc::unbounded_channel();
+        locked(&self.replies).insert(key, tx);
+        self.handle(Event::Submit {
+            key,
+            submission: Box::new(submission),
+        });
+        (key, rx)
+    }
+
+    /// Counts an answer that a caller reads.
+    pub(crate) fn answer_opened(&self) {
+        self.open_answers.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts an answer that was read to its end, or given up.
+    pub(crate) fn answer_closed(&self) {
+        self.open_answers.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    fn drained(&self) -> bool {
+        let read = self.open_answers.load(Ordering::Relaxed) == 0;
+        read && self.read(|node| node.drained(self.clock.now()))
+    }
+
+    /// Tells the decisions that a caller is no longer there.
+    pub fn caller_gone(self: &Arc<Self>, key: RequestKey) {
+        if locked(&self.replies).remove(&key).is_some() {
+            self.handle(Event::CallerGone { key });
+        }
+    }
+
+    fn perform(self: &Arc<Self>, action: Action) {
+        match action {
+            Action::Reply { key, reply } => self.reply(key, reply),
+            Action::Step {
+                key,
+                attempt,
+                stage,
+                address,
+                order,
+            } => {
+                engines::step(self, key, attempt, stage, address, *order);
+            }
+            Action::EndSession { address, session } => engines::end(self, address, session),
+            Action::Call {
+                key,
+                attempt,
+                address,
+                id,
+                operation,
+                body,
+                within,
+                ..
+            } => {
+                services::call(self, key, attempt, address, id, operation, body, within);
+            }
+        }
+    }
+
+    fn reply(&self, key: RequestKey, reply: Reply) {
+        let mut replies = locked(&self.replies);
+        let last = matches!(reply, Reply::Done(_));
+        // A caller that went away is seen by its edge, which says so itself.
+        if let Some(tx) = replies.get(&key) {
+            let _ = tx.send(reply);
+        }
+        if last {
+            replies.remove(&key);
+        }
+    }
+}
+
+/// A node that serves.
+#[derive(Debug)]
+pub struct RunningNode {
+    /// The node's decisions.
+    pub host: Arc<Host>,
+    /// Where it serves callers.
+    pub callers_address: SocketAddr,
+    /// Where it serves operators.
+    pub operators_address: SocketAddr,
+}
+
+impl RunningNode {
+    /// Starts a node on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address can't be listened on.
+    pub async fn start(mut settings: Settings) -> Result<Self, StartError> {
+        let callers_listener = listen(settings.node.callers).await?;
+        let operators_listener = listen(settings.node.operators).await?;
+        let address = |l: &TcpListener, asked| l.local_addr().unwrap_or(asked);
+        settings.node.callers = address(&callers_listener, settings.node.callers);
+        settings.node.operators = address(&operators_listener, settings.node.operators);
+        let (callers_address, operators_address) = (settings.node.callers, settings.node.operators);
+        let host = Arc::new(Host::new(settings)?);
+        tokio::spawn(callers::serve(host.clone(), callers_listener));
+        tokio::spawn(operators::serve(host.clone(), operators_listener));
+        tokio::spawn(platform::follow_log(host.clone()));
+        tokio::spawn(platform::follow_vms(host.clone()));
+        tokio::spawn(tick(host.clone()));
+        Ok(Self {
+            host,
+            callers_address,
+            operators_address,
+        })
+    }
+
+    /// Shuts down gracefully; returns whether every request had ended.
+    pub async fn drain(&self) -> bool {
+        self.host.handle(Event::Drain);
+        let bound = self.host.settings.node.shutdown;
+        let drained = async {
+            while !self.host.drained() {
+                tokio::time::sleep(DRAIN_POLL).await;
+            }
+        };
+        let whole = tokio::time::timeout(bound, drained).await.is_ok();
+        tokio::time::sleep(FLUSH).await;
+        whole
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|source| StartError::Listen { address, source })
+}
+
+async fn tick(host: Arc<Host>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    loop {
+        interval.tick().await;
+        let now = host.clock.now();
+        if host.read(|node| node.next_due().is_some_and(|due| due <= now)) {
+            host.handle(Event::Tick);
+        }
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,2 +1,9 @@
-//! Placeholder.
-fn main() {}
+//! `radishhavend`: the entry node.
+
+use std::process::ExitCode;
+
+use radishhavend::commands;
+
+fn main() -> ExitCode {
+    commands::run(&commands::command().get_matches())
+}
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,289 @@
+//! Reads and checks the INI settings.
+//!
+//! Every mistake in a file is reported, each with file, section, key, value
+//! and what is allowed. Unknown sections and keys are mistakes too.
+
+use std::{
+    collections::BTreeMap, fmt, net::SocketAddr, ops::RangeInclusive, path::Path, time::Duration,
+};
+
+use ini::Ini;
+use radishhaven_core::configs::{AdmissionConfig, DirectoryConfig, RetryConfig};
+
+use crate::configs::{
+    LogConfig, NodeConfig, PlatformConfig, read_admission, read_directory, read_retry,
+};
+
+/// A file with every setting, its default and its unit.
+pub const DEFAULTS: &str = include_str!("defaults.ini");
+
+/// All settings of a node.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// `[node]`.
+    pub node: NodeConfig,
+    /// `[platform]`.
+    pub platform: PlatformConfig,
+    /// `[log]`.
+    pub log: LogConfig,
+    /// `[admission]`.
+    pub admission: AdmissionConfig,
+    /// `[directory]`.
+    pub directory: DirectoryConfig,
+    /// `[retry]`.
+    pub retry: RetryConfig,
+}
+
+/// One mistake in a settings file.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum SettingsError {
+    /// The file can't be read or isn't INI.
+    #[error("{file}: {message}")]
+    File {
+        /// The file.
+        file: String,
+        /// What is wrong.
+        message: String,
+    },
+    /// A value is not allowed.
+    #[error("{file}: [{section}] {key} = {value}: allowed is {allowed}")]
+    Value {
+        /// The file.
+        file: String,
+        /// The section.
+        section: String,
+        /// The key.
+        key: String,
+        /// The value.
+        value: String,
+        /// What is allowed.
+        allowed: String,
+    },
+    /// A setting that has no default is absent.
+    #[error("{file}: [{section}] {key} is missing: allowed is {allowed}")]
+    Missing {
+        /// The file.
+        file: String,
+        /// The section.
+        section: String,
+        /// The key.
+        key: String,
+        /// What is allowed.
+        allowed: String,
+    },
+    /// A key or section is not known.
+    #[error("{file}: [{section}] {key} = {value}: allowed are {allowed}")]
+    Unknown {
+        /// The file.
+        file: String,
+        /// The section.
+        section: String,
+        /// The key.
+        key: String,
+        /// The value.
+        value: String,
+        /// What is allowed.
+        allowed: String,
+    },
+}
+
+/// All mistakes in a settings file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsErrors(pub Vec<SettingsError>);
+
+impl fmt::Display for SettingsErrors {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let lines: Vec<String> = self.0.iter().map(ToString::to_string).collect();
+        f.write_str(&lines.join("\n"))
+    }
+}
+
+impl std::error::Error for SettingsErrors {}
+
+/// One section while it is read: each key is taken once, and what is left is
+/// unknown.
+#[derive(Debug)]
+pub struct Section<'a> {
+    file: &'a str,
+    name: &'static str,
+    values: BTreeMap<String, String>,
+    known: Vec<&'static str>,
+    errors: &'a mut Vec<SettingsError>,
+}
+
+impl Section<'_> {
+    /// Takes a value, if it is there and valid.
+    pub(crate) fn take<T>(
+        &mut self,
+        key: &'static str,
+        allowed: &str,
+        parse: impl FnOnce(&str) -> Option<T>,
+    ) -> Option<T> {
+        self.known.push(key);
+        let value = self.values.remove(key)?;
+        let parsed = parse(&value);
+        if parsed.is_none() {
+            self.errors.push(SettingsError::Value {
+                file: self.file.to_owned(),
+                section: self.name.to_owned(),
+                key: key.to_owned(),
+                value,
+                allowed: allowed.to_owned(),
+            });
+        }
+        parsed
+    }
+
+    /// Takes a value that must be there.
+    pub(crate) fn require<T>(
+        &mut self,
+        key: &'static str,
+        allowed: &str,
+        parse: impl FnOnce(&str) -> Option<T>,
+    ) -> Option<T> {
+        if self.values.contains_key(key) {
+            return self.take(key, allowed, parse);
+        }
+        self.known.push(key);
+        self.errors.push(SettingsError::Missing {
+            file: self.file.to_owned(),
+            section: self.name.to_owned(),
+            key: key.to_owned(),
+            allowed: allowed.to_owned(),
+        });
+        None
+    }
+
+    /// Takes an IP address with a port, which must be there.
+    pub(crate) fn address(&mut self, key: &'static str) -> Option<SocketAddr> {
+        self.require(key, "IP:PORT", |v| v.parse().ok())
+    }
+
+    /// Takes a number within a range.
+    pub(crate) fn number(&mut self, key: &'static str, range: RangeInclusive<u32>) -> Option<u32> {
+        let allowed = format!("{} to {}", range.start(), range.end());
+        self.take(key, &allowed, |v| {
+            v.parse().ok().filter(|n| range.contains(n))
+        })
+    }
+
+    /// Takes milliseconds within a range.
+    pub(crate) fn millis(
+        &mut self,
+        key: &'static str,
+        range: RangeInclusive<u32>,
+    ) -> Option<Duration> {
+        self.number(key, range)
+            .map(|ms| Duration::from_millis(ms.into()))
+    }
+
+    fn finish(self) {
+        let allowed = self.known.join(", ");
+        for (key, value) in self.values {
+            self.errors.push(SettingsError::Unknown {
+                file: self.file.to_owned(),
+                section: self.name.to_owned(),
+                key,
+                value,
+                allowed: allowed.clone(),
+            });
+        }
+    }
+}
+
+struct Reader<'a> {
+    file: &'a str,
+    ini: Ini,
+    errors: Vec<SettingsError>,
+}
+
+impl Reader<'_> {
+    fn section<T>(&mut self, name: &'static str, read: impl FnOnce(&mut Section<'_>) -> T) -> T {
+        let pairs = self.ini.delete(Some(name)).unwrap_or_default();
+        let values = pairs
+            .iter()
+            .map(|(k, v)| (k.to_owned(), v.to_owned()))
+            .collect();
+        let errors = &mut self.errors;
+        let mut section = Section {
+            file: self.file,
+            name,
+            values,
+            known: Vec::new(),
+            errors,
+        };
+        let value = read(&mut section);
+        section.finish();
+        value
+    }
+
+    fn reject_other_sections(&mut self) {
+        for (name, pairs) in self.ini.iter() {
+            for (key, value) in pairs.iter() {
+                self.errors.push(SettingsError::Unknown {
+                    file: self.file.to_owned(),
+                    section: name.unwrap_or_default().to_owned(),
+                    key: key.to_owned(),
+                    value: value.to_owned(),
+                    allowed: "the sections that `radishhavend print-defaults` shows".to_owned(),
+                });
+            }
+        }
+    }
+}
+
+impl Settings {
+    /// Reads a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every mistake that is found.
+    pub fn load(path: &Path) -> Result<Self, SettingsErrors> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| {
+            SettingsErrors(vec![SettingsError::File {
+                file: file.clone(),
+                message: e.to_string(),
+            }])
+        })?;
+        Self::parse(&file, &text)
+    }
+
+    /// Reads settings from text; `file` is for the messages.
+    ///
+    /// # Errors
+    ///
+    /// Returns every mistake that is found.
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsErrors> {
+        let ini = Ini::load_from_str(text).map_err(|e| {
+            let message = e.to_string();
+            SettingsErrors(vec![SettingsError::File {
+                file: file.to_owned(),
+                message,
+            }])
+        })?;
+        let mut reader = Reader {
+            file,
+            ini,
+            errors: Vec::new(),
+        };
+        let node = reader.section("node", NodeConfig::read);
+        let platform = reader.section("platform", PlatformConfig::read);
+        let log = reader.section("log", LogConfig::read);
+        let admission = reader.section("admission", read_admission);
+        let directory = reader.section("directory", read_directory);
+        let retry = reader.section("retry", read_retry);
+        reader.reject_other_sections();
+        match (node, platform) {
+            (Some(node), Some(platform)) if reader.errors.is_empty() => Ok(Self {
+                node,
+                platform,
+                log,
+                admission,
+                directory,
+                retry,
+            }),
+            _ => Err(SettingsErrors(reader.errors)),
+        }
+    }
+}
--- a/crates/proto/src/engine.rs
+++ b/crates/proto/src/engine.rs
@@ -5,9 +5,11 @@
 //! a pipeline takes tokens, the last one gives a token, and all others take
 //! and give activations.
 
+pub use radishhaven_core::engine::{
+    EngineRefusal, KvCache, SessionRef, StageInput, StageOutput, StepReply,
+};
 use radishhaven_core::ids::{
-    AdapterId, Attempt, FencingToken, LayerRange, ModelId, Position, Priority, RequestId,
-    VersionId, VmId,
+    AdapterId, FencingToken, LayerRange, ModelId, Position, Priority, VersionId, VmId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -28,50 +30,6 @@
 /// `GET`: what the engine holds now, as [`Holding`].
 pub const HOLDING_PATH: &str = "/v1/holding";
 
-/// Names one session of an engine: the KV cache of one attempt at one request.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct SessionRef {
-    /// The request that the session serves.
-    pub request: RequestId,
-    /// The node's attempt; output of an older attempt never joins a newer one.
-    pub attempt: Attempt,
-}
-
-/// What goes into a step.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum StageInput {
-    /// Tokens, for the stage that holds layer 0; one for each position.
-    Tokens(Vec<u32>),
-    /// Activations of the layer before, one value for each position.
-    Activations(Vec<u64>),
-}
-
-impl StageInput {
-    /// Returns the number of positions.
-    pub fn len(&self) -> usize {
-        match self {
-            Self::Tokens(v) => v.len(),
-            Self::Activations(v) => v.len(),
-        }
-    }
-
-    /// Tells whether there are no positions.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-}
-
-/// What comes out of a step.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum StageOutput {
-    /// Activations for the next stage, one value for each position.
-    Activations(Vec<u64>),
-    /// The token that follows the last position, from the last stage.
-    Token(u32),
-}
-
 /// Asks for one step.
 ///
 /// Asking again for the newest step of a session, with the same positions,
@@ -96,55 +54,6 @@
     pub deadline_ms: Option<u64>,
 }
 
-/// The result of one step.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct StepReply {
-    /// The engine's name for the run.
-    pub run: String,
-    /// The session that was asked about, so that crossed replies are seen.
-    pub session: SessionRef,
-    /// The first position that was run.
-    pub first: Position,
-    /// What came out.
-    pub output: StageOutput,
-}
-
-/// Why an engine did not run a step, an import or an export.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", tag = "error")]
-pub enum EngineRefusal {
-    /// The engine doesn't hold these layers of this version.
-    NotHeld,
-    /// The session isn't known here.
-    NoSession,
-    /// The step doesn't begin at the session's next position.
-    WrongPosition {
-        /// The position that the session would take.
-        next: Position,
-    },
-    /// The step was cancelled or its deadline had passed; nothing was run.
-    NotRun,
-    /// The engine takes no new sessions.
-    Leaving,
-    /// The engine's queue is full; nothing was run.
-    Busy,
-}
-
-/// The KV cache of a session, for the layers that an engine holds.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct KvCache {
-    /// The model that the cache belongs to.
-    pub model: ModelId,
-    /// Its version.
-    pub version: VersionId,
-    /// The layers that the cache covers.
-    pub layers: LayerRange,
-    /// The next position of the session.
-    pub next: Position,
-    /// One value for each layer.
-    pub state: Vec<u64>,
-}
-
 /// Opens a session from an exported cache.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct KvImport {
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -7,5 +7,6 @@
 
 pub mod caller;
 pub mod engine;
+pub mod operator;
 pub mod platform;
 pub mod service;
