feat(standin): serve the platform's stores and plain services

Tests need the systems around the router without the platform itself, and a checker may trust only what these systems recorded. Real servers on loopback were kept over in-memory fakes, since lost answers and closed sockets belong to the failures under test.

--- /dev/null
+++ b/crates/standin/src/vms.rs
@@ -0,0 +1,121 @@
+//! The lagging list of live and leaving VMs.
+
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use http::{Method, StatusCode};
+use radishhaven_proto::platform::{VMS_PATH, VmList};
+use serde::{Deserialize, Serialize};
+use volo_http::{request::Request, response::Response};
+
+use crate::{
+    control::{FAULTS_PATH, Faults},
+    runtime::Respond,
+    wire,
+};
+
+/// `POST`: replaces the list, body [`VmList`].
+pub const SET_VMS_PATH: &str = "/standin/vms";
+
+/// Settings of the VM list.
+#[derive(Debug, Clone, Default)]
+pub struct VmsCfg {
+    /// Time after which a change shows, in milliseconds.
+    pub lag_ms: u64,
+}
+
+/// A way in which the VM list fails.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "fault")]
+pub enum VmsFault {
+    /// Every request is answered by 503.
+    Outage,
+    /// The list that was last shown stays; changes show after the fault ends.
+    Freeze,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    shown: VmList,
+    coming: VecDeque<(Instant, VmList)>,
+}
+
+/// The VM list.
+#[derive(Debug)]
+pub struct Vms {
+    cfg: VmsCfg,
+    faults: Faults<VmsFault>,
+    inner: Mutex<Inner>,
+}
+
+impl Vms {
+    /// Makes a list that shows `list` at once.
+    pub fn new(cfg: VmsCfg, list: VmList) -> Self {
+        let inner = Inner {
+            shown: list,
+            coming: VecDeque::new(),
+        };
+        Self {
+            cfg,
+            faults: Faults::new(),
+            inner: Mutex::new(inner),
+        }
+    }
+
+    /// Replaces the list; the change shows after the lag.
+    pub fn set(&self, list: VmList) {
+        let shows_at = Instant::now() + Duration::from_millis(self.cfg.lag_ms);
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        inner.coming.push_back((shows_at, list));
+    }
+
+    /// Replaces the faults in force.
+    pub fn set_faults(&self, faults: Vec<VmsFault>) {
+        // What was due before a freeze has to show during it.
+        self.shown();
+        self.faults.set(faults);
+    }
+
+    /// Returns the list that is shown now.
+    pub fn shown(&self) -> VmList {
+        let now = Instant::now();
+        let frozen = self.faults.any(|f| *f == VmsFault::Freeze);
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        while !frozen && inner.coming.front().is_some_and(|(at, _)| *at <= now) {
+            if let Some((_, list)) = inner.coming.pop_front() {
+                inner.shown = list;
+            }
+        }
+        inner.shown.clone()
+    }
+
+    async fn respond_set(&self, req: Request) -> Response {
+        match wire::read(req.into_body()).await {
+            Ok(list) => {
+                self.set(list);
+                wire::empty(StatusCode::OK)
+            }
+            Err(e) => e.into(),
+        }
+    }
+}
+
+impl Respond for Vms {
+    async fn respond(self: Arc<Self>, req: Request) -> Response {
+        match (req.method(), req.uri().path()) {
+            (_, FAULTS_PATH) => {
+                self.shown();
+                self.faults.respond(req).await
+            }
+            (&Method::POST, SET_VMS_PATH) => self.respond_set(req).await,
+            _ if self.faults.any(|f| *f == VmsFault::Outage) => {
+                wire::empty(StatusCode::SERVICE_UNAVAILABLE)
+            }
+            (&Method::GET, VMS_PATH) => wire::ok(&self.shown()),
+            _ => wire::empty(StatusCode::NOT_FOUND),
+        }
+    }
+}
