feat(standin): run the reference model in an engine with batches

The router needs engines whose every run is on record, so that a checker can tell which layers ran for which position. Computing a step when its batch starts was chosen over computing it when the batch ends: a step that is refused is then never on record, and one that was started always is. Before, only the platform was served; now sessions, KV cache, load, cache events, orders and faults of the engine protocol are too.

--- /dev/null
+++ b/crates/standin/src/engine/state.rs
@@ -0,0 +1,106 @@
+//! What an engine holds in memory, changed under one lock.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use radishhaven_core::ids::{FencingToken, LayerRange, ModelId, VersionId};
+use radishhaven_proto::engine::{EngineRefusal, Holding, LoadReport, SessionRef, StepReply};
+use tokio::time::Instant;
+
+use super::{
+    cache::PrefixCache,
+    cfg::EngineCfg,
+    queue::StepQueue,
+    record::EngineRecord,
+    session::{EndedSessions, Session},
+};
+use crate::control::RecordRing;
+
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) holding: Holding,
+    /// Counts the changes of what is held, so that a late load ends nothing newer.
+    pub(super) generation: u64,
+    pub(super) newest_token: FencingToken,
+    pub(super) sessions: BTreeMap<SessionRef, Session>,
+    pub(super) ended: EndedSessions,
+    pub(super) queue: StepQueue,
+    pub(super) running: usize,
+    pub(super) cache: PrefixCache,
+    pub(super) records: RecordRing<EngineRecord>,
+    pub(super) samples: VecDeque<(Instant, LoadReport)>,
+    pub(super) step_us: u64,
+    pub(super) runs: u64,
+    /// The reply that was given last, for the duplicate fault.
+    pub(super) last_reply: Option<StepReply>,
+}
+
+impl State {
+    pub(super) fn new(cfg: &EngineCfg) -> Self {
+        let holding = Holding {
+            model: cfg.model.clone(),
+            version: cfg.version.clone(),
+            layers: cfg.layers,
+            adapters: Vec::new(),
+            token: FencingToken::default(),
+            loading: false,
+        };
+        Self {
+            holding,
+            generation: 0,
+            newest_token: FencingToken::default(),
+            sessions: BTreeMap::new(),
+            ended: EndedSessions::default(),
+            queue: StepQueue::default(),
+            running: 0,
+            cache: PrefixCache::new(cfg.cache_prefixes),
+            records: RecordRing::new(cfg.record_values),
+            samples: VecDeque::new(),
+            step_us: 0,
+            runs: 0,
+            last_reply: None,
+        }
+    }
+
+    pub(super) fn record(&mut self, record: EngineRecord) {
+        self.records.push(record.values(), record);
+    }
+
+    /// Checks that weights for these layers of this version are there.
+    pub(super) fn check_held(
+        &self,
+        model: &ModelId,
+        version: &VersionId,
+        layers: LayerRange,
+    ) -> Result<(), EngineRefusal> {
+        let held = &self.holding;
+        let right = held.model == *model && held.version == *version && !held.loading;
+        let inside = held.layers.start() <= layers.start() && layers.end() <= held.layers.end();
+        if right && inside {
+            Ok(())
+        } else {
+            Err(EngineRefusal::NotHeld)
+        }
+    }
+
+    /// Ends a session; a step that has started runs to its end and is answered.
+    ///
+    /// The waiters of a step that has not started get `refusal`.
+    pub(super) fn end_session(&mut self, session: &SessionRef, refusal: &EngineRefusal) {
+        self.ended.insert(session.clone());
+        let Some(known) = self.sessions.get_mut(session) else {
+            return;
+        };
+        let queued = known.take_queued();
+        if known.runs() {
+            known.cancelled = true;
+        } else {
+            self.sessions.remove(session);
+        }
+        let Some(queued) = queued else { return };
+        self.queue.remove(queued.key);
+        for tx in queued.waiters {
+            // A waiter that has gone needs no answer.
+            let _ = tx.send(Err(refusal.clone()));
+        }
+    }
+}
