test(standin): check the stand-ins against their protocols

A stand-in that is wrong makes every later check worthless, so each rule that the checker relies on has a test: layers, repeated steps, KV moves, fencing tokens, lost acknowledgements and retention. Timing is never asserted, as the machine's load would decide the result.

--- /dev/null
+++ b/crates/standin/tests/common/mod.rs
@@ -0,0 +1,164 @@
+//! A client for the stand-ins and the fixtures of their tests.
+
+#![allow(dead_code, reason = "each test file uses a part of this module")]
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use http::{Method, StatusCode};
+use radishhaven_core::ids::{Attempt, LayerRange, Position, Priority};
+use radishhaven_proto::engine::{
+    EngineRefusal, STEP_PATH, SessionRef, StageInput, StageOutput, StepReply, StepRequest,
+};
+use radishhaven_standin::{
+    engine::{Engine, EngineCfg, StepCost},
+    reference,
+    runtime::{Respond, Running},
+};
+use serde::{Serialize, de::DeserializeOwned};
+use volo_http::{
+    body::{Body, BodyConversion},
+    client::Client,
+};
+
+pub const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+pub const MODEL: &str = "dictado";
+pub const VERSION: &str = "v1";
+
+pub struct Answer {
+    pub status: StatusCode,
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    pub fn json<T: DeserializeOwned>(&self) -> T {
+        serde_json::from_slice(&self.body).expect("the body is the expected JSON")
+    }
+
+    pub fn ok<T: DeserializeOwned>(&self) -> T {
+        assert_eq!(self.status, StatusCode::OK);
+        self.json()
+    }
+
+    pub fn refusal(&self) -> EngineRefusal {
+        assert_eq!(self.status, StatusCode::CONFLICT);
+        self.json()
+    }
+}
+
+pub fn start<S: Respond>(state: S) -> Running<S> {
+    Running::start(LOOPBACK, state).expect("the stand-in starts")
+}
+
+async fn call(addr: SocketAddr, method: Method, path: &str, body: Vec<u8>) -> Answer {
+    let client: Client = Client::builder().build().expect("the client is made");
+    let response = client
+        .request(method, format!("http://{addr}{path}"))
+        .data(body)
+        .send::<Body>()
+        .await
+        .expect("the stand-in answers");
+    let status = response.status();
+    let body = response.into_body().into_vec().await.expect("a whole body");
+    Answer { status, body }
+}
+
+pub async fn get(addr: SocketAddr, path: &str) -> Answer {
+    call(addr, Method::GET, path, Vec::new()).await
+}
+
+pub async fn post<T: Serialize>(addr: SocketAddr, path: &str, body: &T) -> Answer {
+    let buf = serde_json::to_vec(body).expect("the body is encoded");
+    call(addr, Method::POST, path, buf).await
+}
+
+pub fn layers(start: u16, end: u16) -> LayerRange {
+    LayerRange::new(start, end).expect("a range")
+}
+
+pub fn engine_cfg(range: LayerRange, total_layers: u16) -> EngineCfg {
+    let vm = format!("engine-{}", range.start());
+    let ids = (vm.parse(), MODEL.parse(), VERSION.parse());
+    let (Ok(vm), Ok(model), Ok(version)) = ids else {
+        panic!("the names are valid");
+    };
+    EngineCfg {
+        total_layers,
+        cost: StepCost {
+            base_us: 0,
+            per_layer_us: 0,
+            per_position_us: 0,
+            per_member_us: 0,
+        },
+        kv_base_us: 0,
+        ..EngineCfg::new(vm, model, version, range)
+    }
+}
+
+pub fn engine(range: LayerRange, total_layers: u16) -> Running<Engine> {
+    start(Engine::new(engine_cfg(range, total_layers)))
+}
+
+pub fn session(name: &str) -> SessionRef {
+    SessionRef {
+        request: name.parse().expect("a request id"),
+        attempt: Attempt(0),
+    }
+}
+
+pub fn step(name: &str, range: LayerRange, first: u32, input: StageInput) -> StepRequest {
+    StepRequest {
+        session: session(name),
+        model: MODEL.parse().expect("a model"),
+        version: VERSION.parse().expect("a version"),
+        layers: range,
+        first: Position(first),
+        input,
+        priority: Priority(0),
+        deadline_ms: None,
+    }
+}
+
+pub fn answer(layers: u16, prompt: &str, max_tokens: u32) -> String {
+    let model = MODEL.parse().expect("a model");
+    let version = VERSION.parse().expect("a version");
+    reference::answer(&model, &version, layers, prompt, max_tokens)
+}
+
+/// Runs consecutive positions through a chain of engines.
+pub async fn run_chain(
+    chain: &[(SocketAddr, LayerRange)],
+    name: &str,
+    first: u32,
+    tokens: Vec<u32>,
+) -> u32 {
+    let mut input = StageInput::Tokens(tokens);
+    for (addr, range) in chain {
+        let req = step(name, *range, first, input);
+        let reply: StepReply = post(*addr, STEP_PATH, &req).await.ok();
+        match reply.output {
+            StageOutput::Activations(values) => input = StageInput::Activations(values),
+            StageOutput::Token(token) => return token,
+        }
+    }
+    panic!("the last engine of the chain gives a token");
+}
+
+/// Goes on from a token until the end token or the largest number of tokens.
+pub async fn generate(
+    chain: &[(SocketAddr, LayerRange)],
+    name: &str,
+    mut position: u32,
+    mut token: u32,
+    max_tokens: usize,
+) -> String {
+    let mut text = String::new();
+    while let Some(c) = reference::token_text(token) {
+        text.push(c);
+        if text.len() == max_tokens {
+            break;
+        }
+        token = run_chain(chain, name, position, vec![token]).await;
+        position += 1;
+    }
+    text
+}
--- /dev/null
+++ b/crates/standin/tests/engine.rs
@@ -0,0 +1,272 @@
+//! Engines run what they are asked once, refuse what they should, and fail as told.
+
+mod common;
+
+use common::{
+    answer, engine, engine_cfg, generate, get, layers, post, run_chain, session, start, step,
+};
+use http::StatusCode;
+use radishhaven_core::ids::{FencingToken, Position};
+use radishhaven_proto::engine::{
+    CANCEL_PATH, EngineRefusal, HOLDING_PATH, Holding, KV_EXPORT_PATH, KV_IMPORT_PATH, KvCache,
+    KvImport, ORDER_PATH, Order, OrderReply, STEP_PATH, StageInput, StepReply,
+};
+use radishhaven_standin::{
+    control::{FAULTS_PATH, RECORDS_PATH, RecordPage},
+    engine::{Engine, EngineCfg, EngineFault, EngineRecord},
+    reference::tokens,
+    runtime::Running,
+    weights::{Weights, WeightsCfg},
+};
+
+const PROMPT: &str = "from pocitos to cordon";
+const MAX_TOKENS: usize = 24;
+
+fn prompt_len() -> u32 {
+    u32::try_from(PROMPT.len()).expect("a short prompt")
+}
+
+fn order(token: u64, range: (u16, u16), version: &str) -> Order {
+    Order {
+        token: FencingToken(token),
+        model: common::MODEL.parse().expect("a model"),
+        version: version.parse().expect("a version"),
+        layers: layers(range.0, range.1),
+        adapters: Vec::new(),
+    }
+}
+
+#[tokio::test]
+async fn three_chained_engines_give_the_reference_answer() {
+    let ranges = [layers(0, 2), layers(2, 5), layers(5, 6)];
+    let engines = ranges.map(|range| engine(range, 6));
+    let chain: Vec<_> = engines.iter().map(|e| e.addr).zip(ranges).collect();
+    let first = run_chain(&chain, "r-1", 0, tokens(PROMPT)).await;
+    let text = generate(&chain, "r-1", prompt_len(), first, MAX_TOKENS).await;
+    assert_eq!(text, answer(6, PROMPT, 24));
+    assert!(!text.is_empty());
+}
+
+#[tokio::test]
+async fn a_repeated_step_runs_once() {
+    let e = engine(layers(0, 4), 4);
+    let req = step("r-1", layers(0, 4), 0, StageInput::Tokens(tokens(PROMPT)));
+    e.state
+        .set_faults(vec![EngineFault::LoseReplyNext { n: 1 }]);
+    let lost = post(e.addr, STEP_PATH, &req).await;
+    assert_eq!(lost.status, StatusCode::INTERNAL_SERVER_ERROR);
+    let first: StepReply = post(e.addr, STEP_PATH, &req).await.ok();
+    let second: StepReply = post(e.addr, STEP_PATH, &req).await.ok();
+    assert_eq!(first.run, second.run);
+    assert_eq!(first.output, second.output);
+    let runs = e.state.runs();
+    assert_eq!(runs.len(), 1);
+    assert_eq!(runs[0].positions, prompt_len());
+    assert_eq!(runs[0].output, first.output);
+}
+
+#[tokio::test]
+async fn two_askers_of_a_step_share_one_run() {
+    let e = engine(layers(0, 4), 4);
+    let req = step("r-1", layers(0, 4), 0, StageInput::Tokens(tokens(PROMPT)));
+    e.state.set_faults(vec![EngineFault::Slow { factor: 1.0 }]);
+    let (a, b) = tokio::join!(post(e.addr, STEP_PATH, &req), post(e.addr, STEP_PATH, &req));
+    assert_eq!(a.ok::<StepReply>().run, b.ok::<StepReply>().run);
+    assert_eq!(e.state.runs().len(), 1);
+}
+
+#[tokio::test]
+async fn steps_out_of_place_are_refused() {
+    let e = engine(layers(0, 4), 4);
+    let input = || StageInput::Tokens(vec![1, 2]);
+    let unknown = post(e.addr, STEP_PATH, &step("r-1", layers(0, 4), 2, input())).await;
+    assert_eq!(unknown.refusal(), EngineRefusal::NoSession);
+    let not_held = post(e.addr, STEP_PATH, &step("r-1", layers(0, 5), 0, input())).await;
+    assert_eq!(not_held.refusal(), EngineRefusal::NotHeld);
+    let opened = post(e.addr, STEP_PATH, &step("r-1", layers(0, 4), 0, input())).await;
+    assert_eq!(opened.status, StatusCode::OK);
+    let gap = post(e.addr, STEP_PATH, &step("r-1", layers(0, 4), 3, input())).await;
+    let next = Position(2);
+    assert_eq!(gap.refusal(), EngineRefusal::WrongPosition { next });
+    let other = StageInput::Tokens(vec![2, 1]);
+    let changed = post(e.addr, STEP_PATH, &step("r-1", layers(0, 4), 0, other)).await;
+    assert_eq!(changed.refusal(), EngineRefusal::WrongPosition { next });
+    let wrong_kind = StageInput::Activations(vec![1]);
+    let bad = post(e.addr, STEP_PATH, &step("r-1", layers(0, 4), 2, wrong_kind)).await;
+    assert_eq!(bad.status, StatusCode::BAD_REQUEST);
+    assert_eq!(e.state.runs().len(), 1);
+}
+
+#[tokio::test]
+async fn an_expired_step_is_not_run() {
+    let e = engine(layers(0, 4), 4);
+    let mut req = step("r-1", layers(0, 4), 0, StageInput::Tokens(vec![1]));
+    req.deadline_ms = Some(0);
+    let late = post(e.addr, STEP_PATH, &req).await;
+    assert_eq!(late.refusal(), EngineRefusal::NotRun);
+    assert!(e.state.records().is_empty());
+}
+
+#[tokio::test]
+async fn a_cancelled_session_never_runs_again() {
+    let e = engine(layers(0, 4), 4);
+    let cancelled = post(e.addr, CANCEL_PATH, &session("r-1")).await;
+    assert_eq!(cancelled.status, StatusCode::OK);
+    let req = step("r-1", layers(0, 4), 0, StageInput::Tokens(vec![1]));
+    let late = post(e.addr, STEP_PATH, &req).await;
+    assert_eq!(late.refusal(), EngineRefusal::NoSession);
+    assert!(e.state.runs().is_empty());
+}
+
+#[tokio::test]
+async fn an_exported_session_goes_on_elsewhere() {
+    let range = layers(0, 4);
+    let (a, b) = (engine(range, 4), engine(range, 4));
+    let first = run_chain(&[(a.addr, range)], "r-1", 0, tokens(PROMPT)).await;
+    let cache: KvCache = post(a.addr, KV_EXPORT_PATH, &session("r-1")).await.ok();
+    assert_eq!(cache.next, Position(prompt_len()));
+    let import = KvImport {
+        session: session("r-1"),
+        cache: cache.clone(),
+    };
+    for _ in 0..2 {
+        let imported = post(b.addr, KV_IMPORT_PATH, &import).await;
+        assert_eq!(imported.status, StatusCode::OK);
+    }
+    let chain = [(b.addr, range)];
+    let text = generate(&chain, "r-1", prompt_len(), first, MAX_TOKENS).await;
+    assert_eq!(text, answer(4, PROMPT, 24));
+    let runs = b.state.runs();
+    assert!(!runs.is_empty());
+    assert!(runs.iter().all(|r| r.imported_from == Some(cache.next)));
+}
+
+#[tokio::test]
+async fn failing_kv_has_no_effect() {
+    let range = layers(0, 4);
+    let e = engine(range, 4);
+    run_chain(&[(e.addr, range)], "r-1", 0, tokens(PROMPT)).await;
+    e.state.set_faults(vec![EngineFault::KvFails]);
+    let failed = post(e.addr, KV_EXPORT_PATH, &session("r-1")).await;
+    assert_eq!(failed.status, StatusCode::INTERNAL_SERVER_ERROR);
+    let exported = |r: &EngineRecord| matches!(r, EngineRecord::KvExported(_));
+    assert!(!e.state.records().iter().any(exported));
+}
+
+async fn held(e: &Running<Engine>) -> Holding {
+    loop {
+        let holding: Holding = get(e.addr, HOLDING_PATH).await.ok();
+        if !holding.loading {
+            return holding;
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+async fn give_orders(checks_tokens: bool) -> (OrderReply, Holding) {
+    let cfg = EngineCfg {
+        checks_tokens,
+        layer_bytes: 1,
+        ..engine_cfg(layers(0, 4), 8)
+    };
+    let e = start(Engine::new(cfg));
+    let newer = post(e.addr, ORDER_PATH, &order(9, (0, 4), "v2")).await;
+    assert_eq!(newer.ok::<OrderReply>(), OrderReply::Accepted);
+    let older = post(e.addr, ORDER_PATH, &order(8, (4, 8), "v1")).await;
+    (older.ok(), held(&e).await)
+}
+
+#[tokio::test]
+async fn a_stale_token_is_refused_by_engines_that_check() {
+    let (reply, holding) = give_orders(true).await;
+    let newest = FencingToken(9);
+    assert_eq!(reply, OrderReply::StaleToken { newest });
+    assert_eq!(holding.token, newest);
+    assert_eq!(holding.version.as_str(), "v2");
+}
+
+#[tokio::test]
+async fn a_stale_token_is_ignored_by_engines_that_do_not_check() {
+    let (reply, holding) = give_orders(false).await;
+    assert_eq!(reply, OrderReply::Accepted);
+    assert_eq!(holding.token, FencingToken(8));
+    assert_eq!(holding.layers, layers(4, 8));
+}
+
+#[tokio::test]
+async fn an_order_loads_from_the_weight_store_and_ends_sessions() {
+    let store = start(Weights::new(WeightsCfg {
+        layer_bytes: 1,
+        ..WeightsCfg::default()
+    }));
+    let e = start(Engine::new(EngineCfg {
+        weight_store: Some(store.addr),
+        ..engine_cfg(layers(0, 4), 4)
+    }));
+    let range = layers(0, 4);
+    run_chain(&[(e.addr, range)], "r-1", 0, vec![1]).await;
+    let reply: OrderReply = post(e.addr, ORDER_PATH, &order(1, (0, 4), "v2")).await.ok();
+    assert_eq!(reply, OrderReply::Accepted);
+    assert_eq!(held(&e).await.version.as_str(), "v2");
+    let req = step("r-1", range, 1, StageInput::Tokens(vec![1]));
+    let ended = post(e.addr, STEP_PATH, &req).await;
+    assert_eq!(ended.refusal(), EngineRefusal::NoSession);
+}
+
+#[tokio::test]
+async fn a_leaving_engine_refuses_new_sessions_and_goes_on_with_old_ones() {
+    let range = layers(0, 4);
+    let e = engine(range, 4);
+    run_chain(&[(e.addr, range)], "r-1", 0, vec![1]).await;
+    let faults = vec![EngineFault::RefuseSessions];
+    let set = post(e.addr, FAULTS_PATH, &faults).await;
+    assert_eq!(set.status, StatusCode::OK);
+    let req = step("r-2", range, 0, StageInput::Tokens(vec![1]));
+    let refused = post(e.addr, STEP_PATH, &req).await;
+    assert_eq!(refused.refusal(), EngineRefusal::Leaving);
+    run_chain(&[(e.addr, range)], "r-1", 1, vec![1]).await;
+}
+
+#[tokio::test]
+async fn crossed_replies_name_the_session_that_they_belong_to() {
+    let range = layers(0, 4);
+    let e = engine(range, 4);
+    let req = |name| step(name, range, 0, StageInput::Tokens(vec![1]));
+    let (r1, r2) = (req("r-1"), req("r-2"));
+    // Both steps arrive during the stall's last look at the queue or after a
+    // first batch; only a batch of two is crossed, so the stall gathers them.
+    e.state
+        .set_faults(vec![EngineFault::DuplicateReplyNext { n: 1 }]);
+    let first: StepReply = post(e.addr, STEP_PATH, &r1).await.ok();
+    assert_eq!(first.session, r1.session);
+    let second: StepReply = post(e.addr, STEP_PATH, &r2).await.ok();
+    assert_eq!(second.session, r1.session);
+    assert_eq!(second.run, first.run);
+    let stored: StepReply = post(e.addr, STEP_PATH, &r2).await.ok();
+    assert_eq!(stored.session, r2.session);
+}
+
+#[tokio::test]
+async fn records_are_served_in_pages() {
+    let range = layers(0, 4);
+    let e = engine(range, 4);
+    run_chain(&[(e.addr, range)], "r-1", 0, vec![1]).await;
+    let all: RecordPage<EngineRecord> = get(e.addr, RECORDS_PATH).await.ok();
+    assert_eq!((all.first, all.next, all.end), (0, 2, 2));
+    let path = format!("{RECORDS_PATH}?from=1");
+    let rest: RecordPage<EngineRecord> = get(e.addr, &path).await.ok();
+    assert!(matches!(rest.records.as_slice(), [EngineRecord::Run(_)]));
+}
+
+#[tokio::test]
+async fn a_killed_engine_comes_back_empty_at_its_address() {
+    let range = layers(0, 4);
+    let e = engine(range, 4);
+    let addr = e.addr;
+    run_chain(&[(addr, range)], "r-1", 0, vec![1]).await;
+    e.kill();
+    let back = Running::start(addr, Engine::new(engine_cfg(range, 4))).expect("it starts again");
+    let req = step("r-1", range, 1, StageInput::Tokens(vec![1]));
+    let lost = post(back.addr, STEP_PATH, &req).await;
+    assert_eq!(lost.refusal(), EngineRefusal::NoSession);
+}
--- /dev/null
+++ b/crates/standin/tests/platform.rs
@@ -0,0 +1,148 @@
+//! The platform's stores and the plain service keep to their protocols and fail as told.
+
+mod common;
+
+use common::{get, post, start};
+use http::StatusCode;
+use radishhaven_proto::{
+    platform::{Append, Appended, Records, VMS_PATH, Vm, VmList, VmRole, VmState},
+    service::{CALL_PATH, Call, CallReply},
+};
+use radishhaven_standin::{
+    log::{Log, LogCfg, LogFault},
+    service::{PlainService, ServiceCfg, ServiceFault},
+    vms::{SET_VMS_PATH, Vms, VmsCfg, VmsFault},
+};
+
+const RECORDS: &str = "/v1/streams/config/records";
+
+fn append(text: &str) -> Append {
+    Append {
+        body: text.to_owned(),
+    }
+}
+
+#[tokio::test]
+async fn an_append_whose_ack_is_lost_took_effect() {
+    let log = start(Log::new(LogCfg::default()));
+    log.state.set_faults(vec![LogFault::LoseAckNext { n: 1 }]);
+    let lost = post(log.addr, RECORDS, &append("a")).await;
+    assert_eq!(lost.status, StatusCode::INTERNAL_SERVER_ERROR);
+    let next: Appended = post(log.addr, RECORDS, &append("b")).await.ok();
+    assert_eq!(next.offset, 1);
+    let read: Records = get(log.addr, RECORDS).await.ok();
+    let bodies: Vec<&str> = read.records.iter().map(|r| r.body.as_str()).collect();
+    assert_eq!(bodies, ["a", "b"]);
+}
+
+#[tokio::test]
+async fn the_log_keeps_the_newest_records_and_their_offsets() {
+    let cfg = LogCfg {
+        retain_records: Some(2),
+        ..LogCfg::default()
+    };
+    let log = start(Log::new(cfg));
+    for text in ["a", "b", "c"] {
+        post(log.addr, RECORDS, &append(text))
+            .await
+            .ok::<Appended>();
+    }
+    let read: Records = get(log.addr, &format!("{RECORDS}?from=0")).await.ok();
+    assert_eq!((read.first, read.end), (1, 3));
+    assert_eq!(read.records[0].offset, 1);
+    assert_eq!(read.records[0].body, "b");
+    let other: Records = get(log.addr, "/v1/streams/leases/records").await.ok();
+    assert_eq!((other.first, other.end), (0, 0));
+}
+
+#[tokio::test]
+async fn a_long_poll_sees_the_append_that_comes_after_it() {
+    let log = start(Log::new(LogCfg::default()));
+    let path = format!("{RECORDS}?from=0&max=1&wait_ms=60000");
+    let (read, _) = tokio::join!(get(log.addr, &path), async {
+        post(log.addr, RECORDS, &append("a")).await.ok::<Appended>()
+    });
+    assert_eq!(read.ok::<Records>().records[0].body, "a");
+}
+
+#[tokio::test]
+async fn appends_over_the_rate_have_no_effect() {
+    let cfg = LogCfg {
+        appends_per_s: 0,
+        ..LogCfg::default()
+    };
+    let log = start(Log::new(cfg));
+    let refused = post(log.addr, RECORDS, &append("a")).await;
+    assert_eq!(refused.status, StatusCode::TOO_MANY_REQUESTS);
+    assert_eq!(log.state.read("config", 0, 1).end, 0);
+}
+
+#[tokio::test]
+async fn an_outage_of_the_log_refuses_everything() {
+    let log = start(Log::new(LogCfg::default()));
+    log.state.set_faults(vec![LogFault::Outage]);
+    let refused = post(log.addr, RECORDS, &append("a")).await;
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    let unread = get(log.addr, RECORDS).await;
+    assert_eq!(unread.status, StatusCode::SERVICE_UNAVAILABLE);
+    log.state.set_faults(Vec::new());
+    assert_eq!(get(log.addr, RECORDS).await.ok::<Records>().end, 0);
+}
+
+fn list() -> VmList {
+    VmList {
+        vms: vec![Vm {
+            vm: "vm-1".parse().expect("a VM"),
+            role: VmRole::Backend,
+            address: "127.0.0.1:9".parse().expect("an address"),
+            peer_address: None,
+            failure_domain: "mvd-centro".parse().expect("a failure domain"),
+            state: VmState::Live,
+        }],
+    }
+}
+
+#[tokio::test]
+async fn a_frozen_list_shows_changes_after_the_freeze() {
+    let vms = start(Vms::new(VmsCfg::default(), VmList::default()));
+    vms.state.set_faults(vec![VmsFault::Freeze]);
+    let set = post(vms.addr, SET_VMS_PATH, &list()).await;
+    assert_eq!(set.status, StatusCode::OK);
+    let frozen: VmList = get(vms.addr, VMS_PATH).await.ok();
+    assert!(frozen.vms.is_empty());
+    vms.state.set_faults(Vec::new());
+    let shown: VmList = get(vms.addr, VMS_PATH).await.ok();
+    assert_eq!(shown.vms, list().vms);
+}
+
+fn call(operation: &str) -> Call {
+    Call {
+        request: "r-1".parse().expect("a request id"),
+        operation: operation.to_owned(),
+        body: serde_json::json!({ "hearing": 7 }),
+    }
+}
+
+#[tokio::test]
+async fn a_service_runs_twice_when_it_is_asked_twice() {
+    let service = start(PlainService::new(ServiceCfg::default()));
+    service
+        .state
+        .set_faults(vec![ServiceFault::LoseReplyNext { n: 1 }]);
+    let lost = post(service.addr, CALL_PATH, &call("book")).await;
+    assert_eq!(lost.status, StatusCode::INTERNAL_SERVER_ERROR);
+    let reply: CallReply = post(service.addr, CALL_PATH, &call("book")).await.ok();
+    assert_eq!(reply.request, call("book").request);
+    let records = service.state.records();
+    assert_eq!(records.len(), 2);
+    assert!(records.iter().all(|r| r.finished && r.operation == "book"));
+}
+
+#[tokio::test]
+async fn a_service_in_outage_runs_nothing() {
+    let service = start(PlainService::new(ServiceCfg::default()));
+    service.state.set_faults(vec![ServiceFault::Outage]);
+    let refused = post(service.addr, CALL_PATH, &call("append")).await;
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(service.state.records().is_empty());
+}
