feat(standin): run a whole deployment on loopback in one process

Cause: README's first command and all later failure tests need real nodes with stand-ins around them. Ruled out: one shared runtime, where nothing could be killed alone. Before: parts that never met.

--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -100,7 +100,7 @@
         self.queue.remove(queued.key);
         for tx in queued.waiters {
             // A waiter that has gone needs no answer.
-            let _ = tx.send(Err(refusal.clone()));
+            let _ = tx.send(Err(*refusal));
         }
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 //! by the `standin` example.
 
 pub mod control;
+pub mod deployment;
 pub mod engine;
 pub mod log;
 pub mod reference;
