feat(peers): carry messages between nodes over h2 streams of bincode frames

Cause: nodes must tell each other what the platform's lagging list does not. Ruled out: JSON over HTTP/1.1 between nodes (a head per message) and plain bearer keys (a recorded head could be replayed). Before: nodes knew each other from the VM list only. After: mutual proof of the shared key over fresh values, ordered one-way frames with a bound, heartbeats in the member table.

--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -6,11 +6,13 @@
 mod admission;
 mod directory;
 mod identity;
+mod membership;
 mod retry;
 
 pub use admission::AdmissionConfig;
 pub use directory::DirectoryConfig;
 pub use identity::Identity;
+pub use membership::MembershipConfig;
 pub use retry::RetryConfig;
 
 /// All settings of the decisions.
@@ -22,6 +24,8 @@
     pub admission: AdmissionConfig,
     /// `[directory]`.
     pub directory: DirectoryConfig,
+    /// `[membership]`.
+    pub membership: MembershipConfig,
     /// `[retry]`.
     pub retry: RetryConfig,
 }
@@ -33,6 +37,7 @@
             identity,
             admission: AdmissionConfig::default(),
             directory: DirectoryConfig::default(),
+            membership: MembershipConfig::default(),
             retry: RetryConfig::default(),
         }
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod message;
 pub mod node;
 pub mod outcome;
+pub mod peer;
 pub mod platform;
 pub mod systems;
 pub mod tables;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -11,6 +11,7 @@
         ServiceId, VersionId, VmId,
     },
     outcome::Outcome,
+    peer::{PeerMessage, Sender},
     platform::{Record, VmList},
 };
 
@@ -70,6 +71,8 @@
 /// Something that happened.
 #[derive(Debug, Clone)]
 pub enum Event {
+    /// The node begins; the first event of its life.
+    Start,
     /// Time has passed.
     Tick,
     /// A caller sent a request.
@@ -117,6 +120,18 @@
     ConfigReadFailed,
     /// The platform gave the VM list.
     VmList(VmList),
+    /// Another node sent a message.
+    Peer {
+        /// The sender, whose key was checked.
+        from: Sender,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Another node can't be reached; messages to it were dropped.
+    PeerUnreachable {
+        /// The node's VM.
+        vm: VmId,
+    },
     /// The node was told to shut down gracefully.
     Drain,
 }
@@ -222,6 +237,15 @@
         /// The time that is left.
         within: Duration,
     },
+    /// Send a message to another node.
+    Peer {
+        /// The node's VM.
+        to: VmId,
+        /// Where it listens for peers.
+        address: SocketAddr,
+        /// The message.
+        message: PeerMessage,
+    },
     /// Give the caller a part of its answer.
     Reply {
         /// The request.
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -9,6 +9,7 @@
 pub mod completion;
 pub mod directory;
 pub mod drain;
+pub mod membership;
 pub mod minting;
 pub mod platform;
 pub mod routing;
@@ -19,6 +20,7 @@
     configs::Configs,
     ids::{Attempt, Position, RequestKey},
     message::{Action, Event},
+    peer::{PeerMessage, Sender},
     tables::Tables,
     time::Timestamp,
 };
@@ -43,6 +45,8 @@
 pub enum Timer {
     /// A request's deadline.
     Deadline(RequestKey),
+    /// The next round of heartbeats.
+    Heartbeat,
     /// The bound on a step without an answer.
     Step {
         /// The request.
@@ -87,12 +91,22 @@
         }
         Event::ConfigReadFailed => cx.tables.counters.log_failures += 1,
         Event::VmList(list) => platform::vm_list(cx, list),
+        Event::Peer { from, message } => peer_message(cx, from, message),
+        Event::PeerUnreachable { .. } => {}
+        Event::Start => membership::round(cx),
         Event::Drain => drain::run(cx),
     }
 }
 
+fn peer_message(cx: &mut Context<'_>, from: Sender, message: PeerMessage) {
+    match message {
+        PeerMessage::Heartbeat(said) => membership::heard(cx, from, said),
+    }
+}
+
 fn expire(cx: &mut Context<'_>, timer: Timer) {
     match timer {
+        Timer::Heartbeat => membership::round(cx),
         Timer::Deadline(key) => answer::deadline(cx, key),
         Timer::Step {
             key,
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -2,11 +2,13 @@
 
 mod backends;
 mod counters;
+mod members;
 mod requests;
 mod vms;
 
 pub use backends::{BackendRow, BackendTable};
 pub use counters::Counters;
+pub use members::{MemberRow, MemberTable};
 pub use requests::{CallState, CompletionState, RequestRow, RequestTable, Stage, Work};
 pub use vms::VmTable;
 
@@ -23,6 +25,8 @@
     pub config: Config,
     /// The VM list as last heard.
     pub vms: VmTable,
+    /// Other entry nodes, as heard from themselves.
+    pub members: MemberTable,
     /// Backend servers: the VM list joined with the configuration.
     pub backends: BackendTable,
     /// Requests: open ones and recent outcomes.
--- a/crates/daemon/src/commands/serve.rs
+++ b/crates/daemon/src/commands/serve.rs
@@ -36,8 +36,8 @@
         }
     };
     println!(
-        "callers {} operators {}",
-        node.callers_address, node.operators_address
+        "callers {} operators {} peers {}",
+        node.callers_address, node.operators_address, node.peers_address
     );
     let (Ok(mut term), Ok(mut int)) = (
         signal(SignalKind::terminate()),
--- a/crates/daemon/src/configs/mod.rs
+++ b/crates/daemon/src/configs/mod.rs
@@ -4,13 +4,19 @@
 mod admission;
 mod directory;
 mod log;
+mod membership;
 mod node;
+mod peers;
 mod platform;
 mod retry;
 
-pub(crate) use self::{admission::read_admission, directory::read_directory, retry::read_retry};
+pub(crate) use self::{
+    admission::read_admission, directory::read_directory, membership::read_membership,
+    retry::read_retry,
+};
 pub use self::{
     log::{LogConfig, LogFormat},
     node::NodeConfig,
+    peers::{PeerKey, PeersConfig},
     platform::PlatformConfig,
 };
--- a/crates/daemon/src/edges/mod.rs
+++ b/crates/daemon/src/edges/mod.rs
@@ -5,5 +5,6 @@
 pub mod engines;
 mod http;
 pub mod operators;
+pub mod peers;
 pub mod platform;
 pub mod services;
--- a/crates/daemon/src/edges/operators.rs
+++ b/crates/daemon/src/edges/operators.rs
@@ -105,6 +105,7 @@
             "broken_records": tables.config.broken_records(),
         },
         "vms": tables.vms,
+        "members": tables.members,
         "backends": tables.backends,
         "requests": tables.requests,
         "subscriptions": tables.timers.len(),
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -16,12 +16,17 @@
     ids::RequestKey,
     message::{Action, Event, Reply, Submission},
     node::Node,
+    peer::Sender,
 };
 use tokio::{net::TcpListener, sync::mpsc};
 
 use crate::{
     clock::{self, Clock},
-    edges::{callers, engines, operators, platform, services},
+    edges::{
+        callers, engines, operators,
+        peers::{self, Links},
+        platform, services,
+    },
     settings::Settings,
 };
 
@@ -55,6 +60,9 @@
     replies: Mutex<BTreeMap<RequestKey, mpsc::UnboundedSender<Reply>>>,
     next_key: AtomicU64,
     open_answers: AtomicU64,
+    peer_stream_failures: AtomicU64,
+    links: Links,
+    sender: Sender,
     clock: Clock,
     /// Client for exchanges that may be repeated or whose loss is detected.
     pub(crate) http: JsonClient,
@@ -77,10 +85,15 @@
             incarnation: clock::incarnation(),
         };
         let seed = identity.incarnation.0;
+        let sender = Sender {
+            vm: identity.vm.clone(),
+            incarnation: identity.incarnation,
+        };
         let cfg = Configs {
             identity,
             admission: settings.admission.clone(),
             directory: settings.directory.clone(),
+            membership: settings.membership.clone(),
             retry: settings.retry.clone(),
         };
         Ok(Self {
@@ -88,6 +101,9 @@
             replies: Mutex::default(),
             next_key: AtomicU64::new(1),
             open_answers: AtomicU64::new(0),
+            peer_stream_failures: AtomicU64::new(0),
+            links: Links::default(),
+            sender,
             clock: Clock::start(),
             http: JsonClient::new()?,
             call_http: JsonClient::unpooled()?,
@@ -130,6 +146,21 @@
         (key, rx)
     }
 
+    /// Returns who this node is to its peers.
+    pub(crate) fn sender(&self) -> Sender {
+        self.sender.clone()
+    }
+
+    /// Counts a stream of a peer that failed, or a message that was dropped.
+    pub(crate) fn peer_stream_failed(&self) {
+        self.peer_stream_failures.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the number of streams of peers that failed.
+    pub fn peer_stream_failures(&self) -> u64 {
+        self.peer_stream_failures.load(Ordering::Relaxed)
+    }
+
     /// Counts an answer that a caller reads.
     pub(crate) fn answer_opened(&self) {
         self.open_answers.fetch_add(1, Ordering::Relaxed);
@@ -164,6 +195,15 @@
             } => {
                 engines::step(self, key, attempt, stage, address, *order);
             }
+            Action::Peer {
+                to,
+                address,
+                message,
+            } => {
+                if !self.links.send(self, to, address, message) {
+                    self.peer_stream_failed();
+                }
+            }
             Action::EndSession { address, session } => engines::end(self, address, session),
             Action::Call {
                 key,
@@ -202,6 +242,8 @@
     pub callers_address: SocketAddr,
     /// Where it serves operators.
     pub operators_address: SocketAddr,
+    /// Where it serves its peers.
+    pub peers_address: SocketAddr,
 }
 
 impl RunningNode {
@@ -213,20 +255,26 @@
     pub async fn start(mut settings: Settings) -> Result<Self, StartError> {
         let callers_listener = listen(settings.node.callers).await?;
         let operators_listener = listen(settings.node.operators).await?;
+        let peers_listener = listen(settings.peers.listen).await?;
         let address = |l: &TcpListener, asked| l.local_addr().unwrap_or(asked);
         settings.node.callers = address(&callers_listener, settings.node.callers);
         settings.node.operators = address(&operators_listener, settings.node.operators);
+        settings.peers.listen = address(&peers_listener, settings.peers.listen);
+        let peers_address = settings.peers.listen;
         let (callers_address, operators_address) = (settings.node.callers, settings.node.operators);
         let host = Arc::new(Host::new(settings)?);
         tokio::spawn(callers::serve(host.clone(), callers_listener));
         tokio::spawn(operators::serve(host.clone(), operators_listener));
+        tokio::spawn(peers::serve(host.clone(), peers_listener));
         tokio::spawn(platform::follow_log(host.clone()));
         tokio::spawn(platform::follow_vms(host.clone()));
+        host.handle(Event::Start);
         tokio::spawn(tick(host.clone()));
         Ok(Self {
             host,
             callers_address,
             operators_address,
+            peers_address,
         })
     }
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -8,10 +8,11 @@
 };
 
 use ini::Ini;
-use radishhaven_core::configs::{AdmissionConfig, DirectoryConfig, RetryConfig};
+use radishhaven_core::configs::{AdmissionConfig, DirectoryConfig, MembershipConfig, RetryConfig};
 
 use crate::configs::{
-    LogConfig, NodeConfig, PlatformConfig, read_admission, read_directory, read_retry,
+    LogConfig, NodeConfig, PeersConfig, PlatformConfig, read_admission, read_directory,
+    read_membership, read_retry,
 };
 
 /// A file with every setting, its default and its unit.
@@ -22,6 +23,8 @@
 pub struct Settings {
     /// `[node]`.
     pub node: NodeConfig,
+    /// `[peers]`.
+    pub peers: PeersConfig,
     /// `[platform]`.
     pub platform: PlatformConfig,
     /// `[log]`.
@@ -30,6 +33,8 @@
     pub admission: AdmissionConfig,
     /// `[directory]`.
     pub directory: DirectoryConfig,
+    /// `[membership]`.
+    pub membership: MembershipConfig,
     /// `[retry]`.
     pub retry: RetryConfig,
 }
@@ -154,6 +159,26 @@
         None
     }
 
+    /// Takes a value that must be there and must not be shown in messages.
+    pub(crate) fn require_secret<T>(
+        &mut self,
+        key: &'static str,
+        allowed: &str,
+        parse: impl FnOnce(&str) -> Option<T>,
+    ) -> Option<T> {
+        let secret = self.values.get_mut(key).map(std::mem::take);
+        let parsed = secret.as_deref().and_then(parse);
+        if let Some(parsed) = parsed {
+            self.known.push(key);
+            self.values.remove(key);
+            return Some(parsed);
+        }
+        if secret.is_some() {
+            self.values.insert(key.to_owned(), "(hidden)".to_owned());
+        }
+        self.require(key, allowed, |_| None)
+    }
+
     /// Takes an IP address with a port, which must be there.
     pub(crate) fn address(&mut self, key: &'static str) -> Option<SocketAddr> {
         self.require(key, "IP:PORT", |v| v.parse().ok())
@@ -268,19 +293,23 @@
             errors: Vec::new(),
         };
         let node = reader.section("node", NodeConfig::read);
+        let peers = reader.section("peers", PeersConfig::read);
         let platform = reader.section("platform", PlatformConfig::read);
         let log = reader.section("log", LogConfig::read);
         let admission = reader.section("admission", read_admission);
         let directory = reader.section("directory", read_directory);
+        let membership = reader.section("membership", read_membership);
         let retry = reader.section("retry", read_retry);
         reader.reject_other_sections();
-        match (node, platform) {
-            (Some(node), Some(platform)) if reader.errors.is_empty() => Ok(Self {
+        match (node, peers, platform) {
+            (Some(node), Some(peers), Some(platform)) if reader.errors.is_empty() => Ok(Self {
                 node,
+                peers,
                 platform,
                 log,
                 admission,
                 directory,
+                membership,
                 retry,
             }),
             _ => Err(SettingsErrors(reader.errors)),
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -343,6 +343,7 @@
     list: BTreeMap<VmId, Vm>,
 }
 
+const PEER_KEY: &str = "key-of-a-deployment-on-loopback";
 const ANY_PORT: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 
@@ -426,11 +427,18 @@
     pub fn start_node(&mut self, vm: &VmId, domain: &FailureDomain) -> Result<(), DeploymentError> {
         let text = format!(
             "[node]\nvm = {vm}\nfailure_domain = {domain}\ncallers = {ANY_PORT}\n\
-             operators = {ANY_PORT}\n[platform]\nlog = {}\nvms = {}\nvms_every_ms = 50\n{}",
+             operators = {ANY_PORT}\n\
+             [peers]\nlisten = {ANY_PORT}\nkey = {PEER_KEY}\n[platform]\nlog = {}\nvms = {}\nvms_every_ms = 50\n{}",
             self.log.addr, self.vms.addr, self.plan.settings
         );
         let node = NodeProcess::start(Settings::parse("plan", &text)?)?;
-        self.list_vm(vm, VmRole::Node, node.node.callers_address, None, domain);
+        self.list_vm(
+            vm,
+            VmRole::Node,
+            node.node.callers_address,
+            Some(node.node.peers_address),
+            domain,
+        );
         self.nodes.insert(vm.clone(), node);
         Ok(())
     }
