--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -16,6 +16,8 @@
 mod session;
 mod state;
 mod submit;
+#[cfg(test)]
+mod tests;
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
--- a/crates/standin/src/engine/order.rs
+++ b/crates/standin/src/engine/order.rs
@@ -91,8 +91,9 @@
             ..
         } = holding;
         let url = format!("http://{store}{WEIGHTS_PATH}{model}/{version}?layers={layers}");
+        let client = Client::default();
         while self.lock().generation == generation {
-            if matches!(read_weights(&url).await, Ok(StatusCode::OK)) {
+            if matches!(read_weights(&client, &url).await, Ok(StatusCode::OK)) {
                 return;
             }
             tokio::time::sleep(LOAD_RETRY_DELAY).await;
@@ -100,8 +101,7 @@
     }
 }
 
-async fn read_weights(url: &str) -> Result<StatusCode, BoxError> {
-    let client: Client = Client::builder().build()?;
+async fn read_weights(client: &Client, url: &str) -> Result<StatusCode, BoxError> {
     let response = client.get(url).send::<Body>().await?;
     let status = response.status();
     response.into_body().into_vec().await?;
--- a/crates/standin/src/vms.rs
+++ b/crates/standin/src/vms.rs
@@ -2,6 +2,8 @@
 
 use std::{
     collections::VecDeque,
+    fs, io,
+    path::PathBuf,
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
 };
@@ -9,15 +11,15 @@
 use http::{Method, StatusCode};
 use radishhaven_proto::platform::{VMS_PATH, VmList};
 use serde::{Deserialize, Serialize};
-use volo_http::{request::Request, response::Response};
+use volo_http::{body::BodyConversion, request::Request, response::Response};
 
 use crate::{
     control::{FAULTS_PATH, Faults},
     runtime::Respond,
-    wire,
+    wire::{self, WireError},
 };
 
-/// `POST`: replaces the list, body [`VmList`].
+/// `POST`: replaces the list, body [`VmList`]; an empty body reads the file again.
 pub const SET_VMS_PATH: &str = "/standin/vms";
 
 /// Settings of the VM list.
@@ -25,6 +27,22 @@
 pub struct VmsCfg {
     /// Time after which a change shows, in milliseconds.
     pub lag_ms: u64,
+    /// A file that holds a [`VmList`] as JSON.
+    pub file: Option<PathBuf>,
+}
+
+/// Says why a VM list can't be read.
+#[derive(Debug, thiserror::Error)]
+pub enum VmsError {
+    /// The settings name no file.
+    #[error("no file is set to read the VM list from")]
+    NoFile,
+    /// The file can't be read.
+    #[error("cannot read the VM list: {0}")]
+    Read(#[from] io::Error),
+    /// The text isn't a VM list.
+    #[error("not a VM list: {0}")]
+    Json(#[from] serde_json::Error),
 }
 
 /// A way in which the VM list fails.
@@ -65,6 +83,16 @@
         }
     }
 
+    /// Makes a list that shows the settings' file at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no file or it holds no VM list.
+    pub fn from_file(cfg: VmsCfg) -> Result<Self, VmsError> {
+        let list = read_file(&cfg)?;
+        Ok(Self::new(cfg, list))
+    }
+
     /// Replaces the list; the change shows after the lag.
     pub fn set(&self, list: VmList) {
         let shows_at = Instant::now() + Duration::from_millis(self.cfg.lag_ms);
@@ -93,14 +121,29 @@
     }
 
     async fn respond_set(&self, req: Request) -> Response {
-        match wire::read(req.into_body()).await {
+        let Ok(buf) = req.into_body().into_vec().await else {
+            return WireError::Cut.into();
+        };
+        match self.parse(&buf) {
             Ok(list) => {
                 self.set(list);
                 wire::empty(StatusCode::OK)
             }
-            Err(e) => e.into(),
+            Err(e) => wire::text(StatusCode::BAD_REQUEST, e.to_string()),
         }
     }
+
+    fn parse(&self, buf: &[u8]) -> Result<VmList, VmsError> {
+        if buf.is_empty() {
+            return read_file(&self.cfg);
+        }
+        Ok(serde_json::from_slice(buf)?)
+    }
+}
+
+fn read_file(cfg: &VmsCfg) -> Result<VmList, VmsError> {
+    let path = cfg.file.as_ref().ok_or(VmsError::NoFile)?;
+    Ok(serde_json::from_slice(&fs::read(path)?)?)
 }
 
 impl Respond for Vms {
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -71,6 +71,10 @@
     call(addr, Method::POST, path, buf).await
 }
 
+pub async fn post_empty(addr: SocketAddr, path: &str) -> Answer {
+    call(addr, Method::POST, path, Vec::new()).await
+}
+
 pub fn layers(start: u16, end: u16) -> LayerRange {
     LayerRange::new(start, end).expect("a range")
 }
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -2,18 +2,21 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{
     answer, engine, engine_cfg, generate, get, layers, post, run_chain, session, start, step,
 };
 use http::StatusCode;
 use radishhaven_core::ids::{FencingToken, Position};
 use radishhaven_proto::engine::{
-    CANCEL_PATH, EngineRefusal, HOLDING_PATH, Holding, KV_EXPORT_PATH, KV_IMPORT_PATH, KvCache,
-    KvImport, ORDER_PATH, Order, OrderReply, STEP_PATH, StageInput, StepReply,
+    CACHE_EVENTS_PATH, CANCEL_PATH, CacheEvents, EngineRefusal, HOLDING_PATH, Holding,
+    KV_EXPORT_PATH, KV_IMPORT_PATH, KvCache, KvImport, LOAD_PATH, LoadReport, ORDER_PATH, Order,
+    OrderReply, STEP_PATH, StageInput, StepReply,
 };
 use radishhaven_standin::{
     control::{FAULTS_PATH, RECORDS_PATH, RecordPage},
-    engine::{Engine, EngineCfg, EngineFault, EngineRecord},
+    engine::{Engine, EngineCfg, EngineFault, EngineRecord, prefix_digest},
     reference::tokens,
     runtime::Running,
     weights::{Weights, WeightsCfg},
@@ -21,11 +24,17 @@
 
 const PROMPT: &str = "from pocitos to cordon";
 const MAX_TOKENS: usize = 24;
+/// Rounds in which two steps have to meet in a batch once.
+const CROSSED_ROUNDS: u32 = 50;
 
 fn prompt_len() -> u32 {
     u32::try_from(PROMPT.len()).expect("a short prompt")
 }
 
+fn one_token() -> StageInput {
+    StageInput::Tokens(vec![1])
+}
+
 fn order(token: u64, range: (u16, u16), version: &str) -> Order {
     Order {
         token: FencingToken(token),
@@ -69,7 +78,6 @@
 async fn two_askers_of_a_step_share_one_run() {
     let e = engine(layers(0, 4), 4);
     let req = step("r-1", layers(0, 4), 0, StageInput::Tokens(tokens(PROMPT)));
-    e.state.set_faults(vec![EngineFault::Slow { factor: 1.0 }]);
     let (a, b) = tokio::join!(post(e.addr, STEP_PATH, &req), post(e.addr, STEP_PATH, &req));
     assert_eq!(a.ok::<StepReply>().run, b.ok::<StepReply>().run);
     assert_eq!(e.state.runs().len(), 1);
@@ -229,16 +237,49 @@
 
 #[tokio::test]
 async fn crossed_replies_name_the_session_that_they_belong_to() {
+    let range = layers(0, 4);
+    let mut cfg = engine_cfg(range, 4);
+    cfg.cost.base_us = 20_000;
+    let e = start(Engine::new(cfg));
+    e.state.set_faults(vec![EngineFault::Crossed]);
+    // The first step starts at once and alone; only members of the same batch
+    // are crossed, so two more steps wait behind it and start together. A slow
+    // machine may part them, so that the round is tried again.
+    let crossed = async |round: u32| {
+        let req = |side| step(&format!("r-{round}-{side}"), range, 0, one_token());
+        let (a, b, c) = (req("a"), req("b"), req("c"));
+        let answers = tokio::join!(
+            post(e.addr, STEP_PATH, &a),
+            post(e.addr, STEP_PATH, &b),
+            post(e.addr, STEP_PATH, &c),
+        );
+        let got = [answers.0, answers.1, answers.2].map(|r| r.ok::<StepReply>().session);
+        let asked = [a.session, b.session, c.session];
+        assert!(asked.iter().all(|s| got.contains(s)));
+        let swapped = asked.iter().zip(&got).filter(|(a, g)| a != g).count();
+        assert!(swapped == 0 || swapped == 2);
+        swapped == 2
+    };
+    for round in 0..CROSSED_ROUNDS {
+        if crossed(round).await {
+            let again = step(&format!("r-{round}-a"), range, 0, one_token());
+            let stored: StepReply = post(e.addr, STEP_PATH, &again).await.ok();
+            assert_eq!(stored.session, again.session);
+            return;
+        }
+    }
+    panic!("no two steps met in a batch");
+}
+
+#[tokio::test]
+async fn a_duplicate_reply_is_the_one_that_was_given_before() {
     let range = layers(0, 4);
     let e = engine(range, 4);
-    let req = |name| step(name, range, 0, StageInput::Tokens(vec![1]));
+    let req = |name| step(name, range, 0, one_token());
     let (r1, r2) = (req("r-1"), req("r-2"));
-    // Both steps arrive during the stall's last look at the queue or after a
-    // first batch; only a batch of two is crossed, so the stall gathers them.
-    e.state
-        .set_faults(vec![EngineFault::DuplicateReplyNext { n: 1 }]);
     let first: StepReply = post(e.addr, STEP_PATH, &r1).await.ok();
-    assert_eq!(first.session, r1.session);
+    let faults = vec![EngineFault::DuplicateReplyNext { n: 1 }];
+    e.state.set_faults(faults);
     let second: StepReply = post(e.addr, STEP_PATH, &r2).await.ok();
     assert_eq!(second.session, r1.session);
     assert_eq!(second.run, first.run);
@@ -246,6 +287,74 @@
     assert_eq!(stored.session, r2.session);
 }
 
+#[tokio::test]
+async fn a_stalled_engine_runs_nothing_and_answers_nothing() {
+    let range = layers(0, 4);
+    let e = engine(range, 4);
+    e.state.set_faults(vec![EngineFault::Stall]);
+    let req = step("r-1", range, 0, one_token());
+    let asked = tokio::time::timeout(Duration::from_millis(50), post(e.addr, STEP_PATH, &req));
+    assert!(asked.await.is_err());
+    assert!(e.state.runs().is_empty());
+}
+
+#[tokio::test]
+async fn a_full_queue_is_busy_and_opens_no_session() {
+    let range = layers(0, 4);
+    let cfg = EngineCfg {
+        queue_limit: 0,
+        ..engine_cfg(range, 4)
+    };
+    let e = start(Engine::new(cfg));
+    let req = step("r-1", range, 0, one_token());
+    let busy = post(e.addr, STEP_PATH, &req).await;
+    assert_eq!(busy.refusal(), EngineRefusal::Busy);
+    let load: LoadReport = get(e.addr, LOAD_PATH).await.ok();
+    assert_eq!(load.sessions, 0);
+    assert!(e.state.records().is_empty());
+}
+
+#[tokio::test]
+async fn cache_events_have_gaps_and_say_what_was_evicted() {
+    let range = layers(0, 4);
+    let cfg = EngineCfg {
+        cache_prefixes: 1,
+        cache_lag_ms: 0,
+        cache_gap_every: 3,
+        ..engine_cfg(range, 4)
+    };
+    let e = start(Engine::new(cfg));
+    let chain = [(e.addr, range)];
+    let prompts = ["a prompt of enough bytes", "another one of enough bytes"];
+    for (name, prompt) in ["r-1", "r-2"].iter().zip(prompts) {
+        run_chain(&chain, name, 0, tokens(prompt)).await;
+    }
+    let events: CacheEvents = get(e.addr, CACHE_EVENTS_PATH).await.ok();
+    let seen: Vec<(u64, bool)> = events.events.iter().map(|e| (e.seq, e.cached)).collect();
+    assert_eq!(seen, [(0, true), (1, true)]);
+    assert_eq!(events.next, 3);
+    let digest = |prompt| prefix_digest(&StageInput::Tokens(tokens(prompt)));
+    assert_eq!(Some(events.events[1].prefix), digest(prompts[1]));
+}
+
+#[tokio::test]
+async fn records_stay_within_their_bound() {
+    let range = layers(0, 4);
+    let cfg = EngineCfg {
+        record_values: 10,
+        ..engine_cfg(range, 4)
+    };
+    let e = start(Engine::new(cfg));
+    for position in 0..20 {
+        run_chain(&[(e.addr, range)], "r-1", position, vec![1]).await;
+    }
+    let runs = e.state.runs();
+    assert_eq!(runs.len(), 5);
+    assert_eq!(runs[4].first, Position(19));
+    let page: RecordPage<EngineRecord> = get(e.addr, RECORDS_PATH).await.ok();
+    assert_eq!((page.first, page.end), (16, 21));
+}
+
 #[tokio::test]
 async fn records_are_served_in_pages() {
     let range = layers(0, 4);
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -115,6 +115,14 @@
     assert_eq!(shown.vms, list().vms);
 }
 
+#[tokio::test]
+async fn an_empty_change_needs_a_file_to_read() {
+    let vms = start(Vms::new(VmsCfg::default(), list()));
+    let refused = common::post_empty(vms.addr, SET_VMS_PATH).await;
+    assert_eq!(refused.status, StatusCode::BAD_REQUEST);
+    assert_eq!(vms.state.shown().vms, list().vms);
+}
+
 fn call(operation: &str) -> Call {
     Call {
         request: "r-1".parse().expect("a request id"),
