docs(standin): say which position an exported KV cache stands at

A step changes the session when its batch starts, so that an export during the batch already holds the step. Waiting for the batch was ruled out, as it would hide the time of the export. Before, the doc left this open; now it states that a started step counts as run.

--- a/crates/standin/src/engine/kv.rs
+++ b/crates/standin/src/engine/kv.rs
@@ -27,6 +27,8 @@
     }
 
     /// Exports the KV cache of a session that goes on here.
+    ///
+    /// A step that has started counts as run, even before its reply is given.
     pub(super) async fn export(&self, session: SessionRef) -> Result<KvCache, EngineError> {
         self.check_kv()?;
         let cache = self.copy_cache(&session)?;
