test(node): prove the thin path and the settings, and describe them

Ruled out: a test that looks at nodes' own counters; the tests look at what callers and stand-ins saw.

--- /dev/null
+++ b/crates/daemon/tests/settings.rs
@@ -0,0 +1,57 @@
+//! The settings: what is valid, and what the messages say of the rest.
+
+use radishhavend::settings::{DEFAULTS, Settings};
+
+fn messages(text: &str) -> Vec<String> {
+    match Settings::parse("node.ini", text) {
+        Ok(_) => Vec::new(),
+        Err(errors) => errors.0.iter().map(ToString::to_string).collect(),
+    }
+}
+
+#[test]
+fn the_printed_defaults_are_valid_and_are_the_defaults() {
+    let shown = Settings::parse("defaults.ini", DEFAULTS).expect("the defaults are valid");
+    let needed = "[node]\nvm = node-1\nfailure_domain = mvd-centro\ncallers = 127.0.0.1:8080\n\
+                  operators = 127.0.0.1:8081\n[peers]\nlisten = 127.0.0.1:8082\n\
+                  key = change-me-change-me\n[platform]\nlog = 127.0.0.1:9001\n\
+                  vms = 127.0.0.1:9002\n";
+    let least = Settings::parse("least.ini", needed).expect("the least is valid");
+    assert_eq!(format!("{shown:?}"), format!("{least:?}"));
+}
+
+#[test]
+fn a_wrong_value_names_file_section_key_value_and_what_is_allowed() {
+    let text = DEFAULTS.replace("max_attempts = 4", "max_attempts = 0");
+    assert_eq!(
+        messages(&text),
+        ["node.ini: [retry] max_attempts = 0: allowed is 1 to 100"]
+    );
+}
+
+#[test]
+fn every_mistake_is_reported() {
+    let text = DEFAULTS
+        .replace("level = info", "level = loud")
+        .replace("vm = node-1\n", "")
+        .replace("[retry]", "[retry]\nmax_atempts = 3")
+        + "\n[nonsense]\na = b\n";
+    let found = messages(&text);
+    assert_eq!(found.len(), 4, "{found:#?}");
+    assert!(
+        found
+            .iter()
+            .any(|m| m.contains("[retry] max_atempts = 3: allowed are max_attempts"))
+    );
+    assert!(found.iter().any(|m| m.contains("[node] vm is missing")));
+    assert!(found.iter().any(|m| m.contains("[nonsense] a = b")));
+}
+
+#[test]
+fn a_short_key_is_refused_and_not_shown() {
+    let found = messages(&DEFAULTS.replace("change-me-change-me", "hunter2"));
+    assert_eq!(
+        found,
+        ["node.ini: [peers] key = (hidden): allowed is at least 16 bytes"]
+    );
+}
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -357,6 +357,7 @@
     pub async fn start(plan: Plan) -> Result<Self, DeploymentError> {
         let vms_cfg = VmsCfg {
             lag_ms: plan.vms_lag_ms,
+            file: None,
         };
         let mut deployment = Self {
             log: Running::start(ANY_PORT, Log::new(plan.log.clone()))?,
--- /dev/null
+++ b/crates/standin/tests/whole_path.rs
@@ -0,0 +1,120 @@
+//! The whole path: callers, real nodes and stand-ins on loopback.
+
+use radishhaven_client::{Answer, Ask, Caller};
+use radishhaven_core::outcome::{NotRun, Outcome};
+use radishhaven_standin::{
+    deployment::{Deployment, Plan, VERSION, id},
+    reference,
+};
+use serde_json::json;
+
+const PROMPT: &str = "three stops in pocitos, then the depot";
+const MAX_TOKENS: u32 = 32;
+
+fn right_answer(plan: &Plan) -> String {
+    let model = id(plan.pipeline.as_str());
+    reference::answer(&model, &id(VERSION), plan.layers, PROMPT, MAX_TOKENS)
+}
+
+async fn dictate(deployment: &Deployment, node: &str) -> Answer {
+    let caller = Caller::new("small-firm").expect("a caller can be made");
+    let node = deployment.callers_address(node);
+    let pipeline = &deployment.plan.pipeline;
+    let answer = caller
+        .complete(node, &Ask::default(), pipeline, PROMPT, MAX_TOKENS)
+        .await;
+    answer.expect("the node answers")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dictation_equals_the_reference_through_every_node() {
+    let deployment = Deployment::start(Plan::bitacora(3, 2))
+        .await
+        .expect("it starts");
+    for node in ["node-0", "node-1", "node-2"] {
+        let answer = dictate(&deployment, node).await;
+        assert_eq!(answer.outcome, Some(Outcome::Completed));
+        assert_eq!(answer.text, right_answer(&deployment.plan));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_after_a_node_is_lost() {
+    let mut deployment = Deployment::start(Plan::roster(3, 2))
+        .await
+        .expect("it starts");
+    let lost = id("node-1");
+    deployment
+        .nodes
+        .remove(&lost)
+        .expect("the node runs")
+        .kill();
+    for node in ["node-0", "node-2"] {
+        let answer = dictate(&deployment, node).await;
+        assert_eq!(answer.outcome, Some(Outcome::Completed));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_lost_before_the_list_says_so_does_not_break_the_answer() {
+    let mut deployment = Deployment::start(Plan::bitacora(1, 2))
+        .await
+        .expect("it starts");
+    for lost in ["engine-0", "engine-4"] {
+        deployment
+            .engines
+            .remove(&id(lost))
+            .expect("the engine runs")
+            .kill();
+    }
+    let answer = dictate(&deployment, "node-0").await;
+    assert_eq!(answer.outcome, Some(Outcome::Completed));
+    assert_eq!(answer.text, right_answer(&deployment.plan));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_booking_runs_once_when_it_is_sent_twice() {
+    let deployment = Deployment::start(Plan::roster(1, 1))
+        .await
+        .expect("it starts");
+    let caller = Caller::new("large-firm").expect("a caller can be made");
+    let node = deployment.callers_address("node-0");
+    let ids = caller.mint(node, 1).await.expect("the node mints").ids;
+    let ask = Ask {
+        id: ids.first().cloned(),
+        ..Ask::default()
+    };
+    let service = deployment.plan.service.as_str();
+    for _ in 0..2 {
+        let sent = caller
+            .call(node, &ask, service, "book", &json!({ "hearing": 12 }))
+            .await;
+        sent.expect("the node answers");
+    }
+    let runs: usize = deployment
+        .services
+        .values()
+        .map(|s| s.state.records().len())
+        .sum();
+    assert_eq!(runs, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_refused_says_why() {
+    let deployment = Deployment::start(Plan::bitacora(1, 1))
+        .await
+        .expect("it starts");
+    let node = deployment.callers_address("node-0");
+    let stranger = Caller::new("nobody").expect("a caller can be made");
+    let sent = stranger
+        .complete(node, &Ask::default(), &id("dictado"), PROMPT, 1)
+        .await;
+    let answer = sent.expect("the node answers");
+    assert_eq!(answer.outcome, Some(Outcome::NotRun(NotRun::Unauthorised)));
+    let caller = Caller::new("small-firm").expect("a caller can be made");
+    let sent = caller
+        .complete(node, &Ask::default(), &id("nothing"), PROMPT, 1)
+        .await;
+    let answer = sent.expect("the node answers");
+    assert_eq!(answer.outcome, Some(Outcome::NotRun(NotRun::BadRequest)));
+}
