feat(config): fold a batch at a cost in proportion to the batch

Each record cloned all objects and validated all of them, and a comparison of nodes hashed everything. The fold now changes the objects in place with an undo list, checks only what a batch touches and the user of it that asks the most (reverse references), and keeps the digest by element.

A key or a section that settings give twice is now a mistake too.

--- a/crates/cli/src/commands/query.rs
+++ b/crates/cli/src/commands/query.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use clap::{Arg, ArgMatches, Command};
-use radishhaven_core::config::{Config, Kind};
+use radishhaven_core::config::{Kind, SnapshotPart};
 use radishhaven_proto::operator::CONFIG_PATH;
 
 use super::{Context, unreachable};
@@ -25,20 +25,26 @@
     let kind = *args
         .get_one::<Kind>("kind")
         .expect("clap requires the kind");
-    let config = match cx.http.get::<Config>(cx.node, CONFIG_PATH, cx.within).await {
-        Ok(config) => config,
+    let parts = match cx
+        .http
+        .get::<Vec<SnapshotPart>>(cx.node, CONFIG_PATH, cx.within)
+        .await
+    {
+        Ok(parts) => parts,
         Err(error) => return unreachable(cx, &error),
     };
-    let found: Vec<_> = config
-        .objects()
+    let revision = parts.first().map(|part| part.snapshot.revision);
+    let found: Vec<_> = parts
         .iter()
+        .flat_map(|part| &part.entries)
+        .map(|entry| (entry.object.key(), entry))
         .filter(|(key, _)| key.kind == kind)
         .collect();
     if cx.json {
         let objects: Vec<_> = found.iter().map(|(_, entry)| entry).collect();
         println!(
             "{}",
-            serde_json::json!({ "revision": config.revision(), "objects": objects })
+            serde_json::json!({ "revision": revision, "objects": objects })
         );
         return ExitCode::SUCCESS;
     }
--- a/crates/core/src/config/batch.rs
+++ b/crates/core/src/config/batch.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 
 use super::objects::{Object, ObjectKey};
 use crate::ids::{BatchId, Revision};
@@ -44,6 +45,39 @@
     /// saw it changed last; an object that is left out is expected not to exist.
     #[serde(default)]
     pub base: BTreeMap<ObjectKey, Revision>,
+    /// The revision at which the batch was planned. A batch that reaches the
+    /// log more than [`super::RESULT_REVISIONS`] later is refused, so that a
+    /// duplicate can't outlive the memory of the first one.
+    #[serde(default)]
+    pub planned: Revision,
+    /// The digest of the text that the batch was made from, if it was. The
+    /// same text makes other bases later; it is still the same batch.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub source: Option<Fingerprint>,
     /// The changes.
     pub changes: Vec<Change>,
 }
+
+impl Batch {
+    /// Returns what tells this batch from another one under the same id.
+    pub fn fingerprint(&self) -> Fingerprint {
+        self.source.unwrap_or_else(|| {
+            let changes = serde_json::to_vec(&self.changes).unwrap_or_default();
+            Fingerprint::of(&changes)
+        })
+    }
+}
+
+/// The first bytes of a SHA-256; tells apart batches under one id.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint(u64);
+
+impl Fingerprint {
+    /// Takes the fingerprint of some bytes.
+    pub fn of(bytes: &[u8]) -> Self {
+        let hash = Sha256::digest(bytes);
+        let first = hash.first_chunk::<8>().copied().unwrap_or_default();
+        Self(u64::from_be_bytes(first))
+    }
+}
--- a/crates/core/src/config/fold.rs
+++ b/crates/core/src/config/fold.rs
@@ -6,14 +6,22 @@
 use sha2::{Digest, Sha256};
 
 use super::{
-    batch::{BATCH_FORMAT, Batch, Change, MAX_BATCH_CHANGES},
-    objects::{Backend, Carries, Kind, Model, Object, ObjectKey, Organisation, Pipeline, Service},
+    batch::{Batch, Change},
+    digest::{ConfigDigest, SetDigest},
+    objects::{Kind, Object, ObjectKey},
+    record::{LogRecord, Unreadable},
+    references::{References, need},
+    results::{Decision, RESULT_REVISIONS, Results},
+    snapshot::SnapshotPart,
 };
 use crate::{
-    ids::{BatchId, ModelId, OrganisationId, PipelineId, Revision, ServiceId},
+    ids::{BatchId, Revision},
     platform::Record,
 };
 
+/// Conflicts that a result names; further ones are left out.
+const MAX_CONFLICTS: usize = 64;
+
 /// An object and where it was changed last.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -48,6 +56,15 @@
     /// The result would not be consistent.
     #[error("{0}")]
     Invalid(String),
+    /// It was planned too long ago for a duplicate to be recognised.
+    #[error("the batch was planned at revision {0}, which is too long ago; plan it again")]
+    Expired(Revision),
+    /// It was planned at a revision that the log has not reached.
+    #[error("the batch was planned at revision {0}, which the log has not reached")]
+    Ahead(Revision),
+    /// Another batch has the same id.
+    #[error("the batch id was used for other changes, decided at revision {0}")]
+    IdTaken(Revision),
 }
 
 /// What became of a batch.
@@ -60,6 +77,15 @@
     Refused(Revision, RefusedBatch),
 }
 
+impl BatchResult {
+    /// Returns the revision that decided.
+    pub fn revision(&self) -> Revision {
+        match self {
+            BatchResult::Accepted(at) | BatchResult::Refused(at, _) => *at,
+        }
+    }
+}
+
 /// Why a record could not be folded at all.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum FoldError {
@@ -73,12 +99,32 @@
     },
 }
 
+/// What a record did.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Folded {
+    /// It held a batch, which was decided.
+    Decided {
+        /// The batch and what became of it.
+        decision: Decision,
+        /// The objects that changed, each once.
+        changed: BTreeSet<ObjectKey>,
+    },
+    /// It held a batch whose id had been decided before; nothing changed.
+    Duplicate(BatchId),
+    /// It held a part of a snapshot; nothing changed.
+    Snapshot(Box<SnapshotPart>),
+    /// It can't be read; it is counted and nothing else changed.
+    Unreadable(Unreadable),
+}
+
 /// The configuration in force at one revision.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Config {
     revision: Revision,
     objects: BTreeMap<ObjectKey, Entry>,
-    results: BTreeMap<BatchId, BatchResult>,
+    objects_digest: SetDigest,
+    references: References,
+    results: Results,
     broken_records: u64,
 }
 
@@ -88,6 +134,26 @@
         Self::default()
     }
 
+    pub(super) fn restore(
+        revision: Revision,
+        broken_records: u64,
+        entries: impl IntoIterator<Item = Entry>,
+        decisions: impl IntoIterator<Item = Decision>,
+    ) -> Self {
+        let mut config = Self {
+            revision,
+            broken_records,
+            ..Self::default()
+        };
+        for entry in entries {
+            config.replace(entry.object.key(), Some(entry));
+        }
+        for decision in decisions {
+            config.results.insert(decision);
+        }
+        config
+    }
+
     /// Returns the revision: the offset of the next record to fold.
     pub fn revision(&self) -> Revision {
         self.revision
@@ -103,30 +169,51 @@
         &self.objects
     }
 
-    /// Returns what became of a batch.
-    pub fn result(&self, batch: &BatchId) -> Option<&BatchResult> {
+    /// Returns what became of a batch, while that is kept.
+    pub fn decision(&self, batch: &BatchId) -> Option<&Decision> {
         self.results.get(batch)
     }
 
-    /// Returns SHA-256 over the objects, for comparing nodes.
-    pub fn digest(&self) -> String {
+    /// Returns what became of a batch, while that is kept.
+    pub fn result(&self, batch: &BatchId) -> Option<&BatchResult> {
+        self.decision(batch).map(|decision| &decision.result)
+    }
+
+    /// Returns the kept decisions, oldest first.
+    pub fn decisions(&self) -> impl Iterator<Item = &Decision> {
+        self.results.iter()
+    }
+
+    /// Returns the number of kept decisions.
+    pub fn decision_count(&self) -> usize {
+        self.results.len()
+    }
+
+    /// Returns the objects that need an object.
+    pub fn users(&self, key: &ObjectKey) -> impl Iterator<Item = &ObjectKey> {
+        self.references.users(key)
+    }
+
+    /// Returns the digest, for comparing nodes; it costs the same at any size.
+    pub fn digest(&self) -> ConfigDigest {
         let mut hash = Sha256::new();
-        for entry in self.objects.values() {
-            hash.update(serde_json::to_vec(entry).unwrap_or_default());
-        }
-        hash.finalize().iter().map(|b| format!("{b:02x}")).collect()
+        hash.update(self.revision.0.to_be_bytes());
+        hash.update(self.broken_records.to_be_bytes());
+        self.objects_digest.update(&mut hash);
+        self.results.digest().update(&mut hash);
+        ConfigDigest::finish(hash)
     }
 
     /// Folds the next record.
     ///
     /// A record that can't be read is counted and changes nothing but the
-    /// revision, on each node the same. Returns the batch and its result, if
-    /// the record held a batch that wasn't seen before.
+    /// revision, on each node the same. The cost is in proportion to the
+    /// record, not to the configuration.
     ///
     /// # Errors
     ///
     /// A record out of order is refused, and nothing changes.
-    pub fn fold(&mut self, record: &Record) -> Result<Option<(BatchId, BatchResult)>, FoldError> {
+    pub fn fold(&mut self, record: &Record) -> Result<Folded, FoldError> {
         if record.offset != self.revision.0 {
             let expected = self.revision.0;
             return Err(FoldError::OutOfOrder {
@@ -135,42 +222,72 @@
             });
         }
         self.revision = Revision(record.offset + 1);
-        let Some(batch) = parse(&record.body) else {
-            self.broken_records += 1;
-            return Ok(None);
-        };
-        if self.results.contains_key(&batch.batch) {
-            return Ok(None);
+        self.results.expire(self.revision);
+        Ok(match LogRecord::parse(&record.body) {
+            Ok(LogRecord::Batch(batch)) => self.decide(batch),
+            Ok(LogRecord::Snapshot(part)) => Folded::Snapshot(Box::new(part)),
+            Err(why) => {
+                self.broken_records += 1;
+                Folded::Unreadable(why)
+            }
+        })
+    }
+
+    fn decide(&mut self, batch: Batch) -> Folded {
+        if self.results.get(&batch.batch).is_some() {
+            return Folded::Duplicate(batch.batch);
         }
-        let id = batch.batch.clone();
-        let result = self.apply(batch);
-        self.results.insert(id.clone(), result.clone());
-        Ok(Some((id, result)))
+        let at = self.revision;
+        let (result, changed) = match self.apply(&batch) {
+            Ok(undo) => {
+                let changed = undo.into_iter().map(|(key, _)| key).collect();
+                (BatchResult::Accepted(at), changed)
+            }
+            Err(why) => (BatchResult::Refused(at, why), BTreeSet::new()),
+        };
+        let decision = Decision {
+            fingerprint: batch.fingerprint(),
+            batch: batch.batch,
+            result,
+        };
+        self.results.insert(decision.clone());
+        Folded::Decided { decision, changed }
     }
 
     /// Tells what would become of a batch if it were the next record.
-    pub fn preview(&self, batch: &Batch) -> Result<BTreeMap<ObjectKey, Entry>, RefusedBatch> {
-        let conflicts = self.conflicts(batch);
-        if !conflicts.is_empty() {
-            return Err(RefusedBatch::Conflicts(conflicts));
+    ///
+    /// # Errors
+    ///
+    /// Returns why it would be refused.
+    pub fn preview(&mut self, batch: &Batch) -> Result<(), RefusedBatch> {
+        if let Some(decision) = self.results.get(&batch.batch) {
+            return Err(RefusedBatch::IdTaken(decision.result.revision()));
         }
-        let objects = self.changed(batch, Revision(self.revision.0 + 1));
-        validate(&objects).map_err(RefusedBatch::Invalid)?;
-        Ok(objects)
+        self.revision.0 += 1;
+        let applied = self.apply(batch);
+        self.revision.0 -= 1;
+        self.undo(applied?);
+        Ok(())
     }
 
-    fn apply(&mut self, batch: Batch) -> BatchResult {
-        let at = self.revision;
-        let conflicts = self.conflicts(&batch);
+    fn apply(&mut self, batch: &Batch) -> Result<Undo, RefusedBatch> {
+        let planned = batch.planned;
+        if planned >= self.revision {
+            return Err(RefusedBatch::Ahead(planned));
+        }
+        if planned.0 + RESULT_REVISIONS < self.revision.0 {
+            return Err(RefusedBatch::Expired(planned));
+        }
+        let conflicts = self.conflicts(batch);
         if !conflicts.is_empty() {
-            return BatchResult::Refused(at, RefusedBatch::Conflicts(conflicts));
+            return Err(RefusedBatch::Conflicts(conflicts));
         }
-        let objects = self.changed(&batch, at);
-        if let Err(message) = validate(&objects) {
-            return BatchResult::Refused(at, RefusedBatch::Invalid(message));
+        let undo = self.change(batch);
+        if let Err(message) = self.validate(&undo) {
+            self.undo(undo);
+            return Err(RefusedBatch::Invalid(message));
         }
-        self.objects = objects;
-        BatchResult::Accepted(at)
+        Ok(undo)
     }
 
     fn conflicts(&self, batch: &Batch) -> Vec<Conflict> {
@@ -187,145 +304,87 @@
                 by,
             })
         };
-        touched.into_iter().filter_map(conflict).collect()
+        let conflicts = touched.into_iter().filter_map(conflict);
+        conflicts.take(MAX_CONFLICTS).collect()
     }
 
-    fn changed(&self, batch: &Batch, at: Revision) -> BTreeMap<ObjectKey, Entry> {
-        let mut objects = self.objects.clone();
+    fn change(&mut self, batch: &Batch) -> Undo {
+        let mut undo = Undo::new();
         for change in &batch.changes {
-            match change {
-                Change::Put(object) => {
-                    let by = batch.batch.clone();
-                    let entry = Entry {
-                        object: object.clone(),
-                        changed: at,
-                        by,
-                    };
-                    objects.insert(object.key(), entry);
-                }
-                Change::Delete(key) => {
-                    objects.remove(key);
-                }
-            }
+            let entry = match change {
+                Change::Put(object) => Some(Entry {
+                    object: object.clone(),
+                    changed: self.revision,
+                    by: batch.batch.clone(),
+                }),
+                Change::Delete(_) => None,
+            };
+            let key = change.key();
+            let old = self.replace(key.clone(), entry);
+            undo.push((key, old));
         }
-        objects
+        undo
     }
 
-    fn object(&self, kind: Kind, name: &str) -> Option<&Object> {
-        let key = ObjectKey {
-            kind,
-            name: name.to_owned(),
-        };
-        self.objects.get(&key).map(|entry| &entry.object)
-    }
-
-    /// Returns an organisation.
-    pub fn organisation(&self, id: &OrganisationId) -> Option<&Organisation> {
-        match self.object(Kind::Organisation, id.as_str())? {
-            Object::Organisation(o) => Some(o),
-            _ => None,
+    fn undo(&mut self, undo: Undo) {
+        for (key, old) in undo.into_iter().rev() {
+            self.replace(key, old);
         }
     }
 
-    /// Returns a pipeline.
-    pub fn pipeline(&self, id: &PipelineId) -> Option<&Pipeline> {
-        match self.object(Kind::Pipeline, id.as_str())? {
-            Object::Pipeline(p) => Some(p),
-            _ => None,
+    fn replace(&mut self, key: ObjectKey, entry: Option<Entry>) -> Option<Entry> {
+        if let Some(entry) = &entry {
+            self.objects_digest.add(entry);
         }
-    }
-
-    /// Returns a model.
-    pub fn model(&self, id: &ModelId) -> Option<&Model> {
-        match self.object(Kind::Model, id.as_str())? {
-            Object::Model(m) => Some(m),
-            _ => None,
+        let old = match entry.clone() {
+            Some(entry) => self.objects.insert(key, entry),
+            None => self.objects.remove(&key),
+        };
+        if let Some(old) = &old {
+            self.objects_digest.remove(old);
+            self.references.remove(&old.object);
         }
-    }
-
-    /// Returns a plain service.
-    pub fn service(&self, id: &ServiceId) -> Option<&Service> {
-        match self.object(Kind::Service, id.as_str())? {
-            Object::Service(s) => Some(s),
-            _ => None,
+        if let Some(entry) = &entry {
+            self.references.add(&entry.object);
         }
+        old
     }
 
-    /// Returns the choices for the whole deployment.
-    pub fn deployment(&self) -> super::Deployment {
-        match self.object(Kind::Deployment, "all") {
-            Some(Object::Deployment(d)) => d.clone(),
-            _ => super::Deployment::default(),
-        }
+    fn validate(&self, changed: &Undo) -> Result<(), String> {
+        let keys: BTreeSet<&ObjectKey> = changed.iter().map(|(key, _)| key).collect();
+        keys.into_iter().try_for_each(|key| self.validate_one(key))
     }
 
-    /// Returns all organisations.
-    pub fn organisations(&self) -> impl Iterator<Item = &Organisation> {
-        self.objects
-            .values()
-            .filter_map(|entry| match &entry.object {
-                Object::Organisation(o) => Some(o),
-                _ => None,
-            })
+    /// Checks what the object at `key` needs and the one that needs most of it.
+    fn validate_one(&self, key: &ObjectKey) -> Result<(), String> {
+        if let Some(need) = self.objects.get(key).and_then(|e| need(&e.object)) {
+            self.provides(key, &need.key, need.layers)?;
+        }
+        match self.references.most(key) {
+            Some((layers, user)) => self.provides(user, key, *layers),
+            None => Ok(()),
+        }
     }
 
-    /// Returns all backend servers.
-    pub fn backends(&self) -> impl Iterator<Item = &Backend> {
-        self.objects
-            .values()
-            .filter_map(|entry| match &entry.object {
-                Object::Backend(b) => Some(b),
-                _ => None,
-            })
+    fn provides(&self, user: &ObjectKey, key: &ObjectKey, layers: u16) -> Result<(), String> {
+        match self.objects.get(key).map(|entry| &entry.object) {
+            None => Err(format!("{user} needs {key}, which is not configured")),
+            Some(Object::Model(m)) if m.layers < layers => Err(format!(
+                "{user} needs {layers} layers of {key}, which has {}",
+                m.layers
+            )),
+            Some(_) => Ok(()),
+        }
     }
-}
 
-fn parse(body: &str) -> Option<Batch> {
-    let batch: Batch = serde_json::from_str(body).ok()?;
-    let known = batch.format == BATCH_FORMAT && batch.changes.len() <= MAX_BATCH_CHANGES;
-    known.then_some(batch)
-}
-
-fn validate(objects: &BTreeMap<ObjectKey, Entry>) -> Result<(), String> {
-    let exists = |kind: Kind, name: &str| {
-        objects.contains_key(&ObjectKey {
+    pub(super) fn object(&self, kind: Kind, name: &str) -> Option<&Object> {
+        let key = ObjectKey {
             kind,
             name: name.to_owned(),
-        })
-    };
-    for (key, entry) in objects {
-        let missing = match &entry.object {
-            Object::Pipeline(p) if !exists(Kind::Model, p.model.as_str()) => {
-                Some(format!("model {}", p.model))
-            }
-            Object::Backend(b) => missing_of_backend(objects, b),
-            _ => None,
         };
-        if let Some(missing) = missing {
-            return Err(format!("{key} needs {missing}, which is not configured"));
-        }
+        self.objects.get(&key).map(|entry| &entry.object)
     }
-    Ok(())
 }
 
-fn missing_of_backend(objects: &BTreeMap<ObjectKey, Entry>, backend: &Backend) -> Option<String> {
-    let find = |kind, name: &str| {
-        objects.get(&ObjectKey {
-            kind,
-            name: name.to_owned(),
-        })
-    };
-    match &backend.carries {
-        Carries::Service(service) => find(Kind::Service, service.as_str())
-            .is_none()
-            .then(|| format!("service {service}")),
-        Carries::Layers { model, layers, .. } => match find(Kind::Model, model.as_str()) {
-            Some(Entry {
-                object: Object::Model(m),
-                ..
-            }) if layers.end() <= m.layers => None,
-            Some(_) => Some(format!("model {model} with layers {layers}")),
-            None => Some(format!("model {model}")),
-        },
-    }
-}
+/// The entries that a batch replaced, in its order.
+type Undo = Vec<(ObjectKey, Option<Entry>)>;
--- /dev/null
+++ b/crates/core/src/config/lookup.rs
@@ -0,0 +1,77 @@
+//! Looks up configured objects by kind.
+
+use super::{
+    fold::Config,
+    objects::{Backend, Deployment, Kind, Model, Object, Organisation, Pipeline, Service},
+};
+use crate::ids::{ModelId, OrganisationId, PipelineId, ServiceId, VmId};
+
+impl Config {
+    /// Returns an organisation.
+    pub fn organisation(&self, id: &OrganisationId) -> Option<&Organisation> {
+        match self.object(Kind::Organisation, id.as_str())? {
+            Object::Organisation(o) => Some(o),
+            _ => None,
+        }
+    }
+
+    /// Returns a pipeline.
+    pub fn pipeline(&self, id: &PipelineId) -> Option<&Pipeline> {
+        match self.object(Kind::Pipeline, id.as_str())? {
+            Object::Pipeline(p) => Some(p),
+            _ => None,
+        }
+    }
+
+    /// Returns a model.
+    pub fn model(&self, id: &ModelId) -> Option<&Model> {
+        match self.object(Kind::Model, id.as_str())? {
+            Object::Model(m) => Some(m),
+            _ => None,
+        }
+    }
+
+    /// Returns a plain service.
+    pub fn service(&self, id: &ServiceId) -> Option<&Service> {
+        match self.object(Kind::Service, id.as_str())? {
+            Object::Service(s) => Some(s),
+            _ => None,
+        }
+    }
+
+    /// Returns a backend server.
+    pub fn backend(&self, id: &VmId) -> Option<&Backend> {
+        match self.object(Kind::Backend, id.as_str())? {
+            Object::Backend(b) => Some(b),
+            _ => None,
+        }
+    }
+
+    /// Returns the choices for the whole deployment.
+    pub fn deployment(&self) -> Deployment {
+        match self.object(Kind::Deployment, "all") {
+            Some(Object::Deployment(d)) => d.clone(),
+            _ => Deployment::default(),
+        }
+    }
+
+    /// Returns all organisations.
+    pub fn organisations(&self) -> impl Iterator<Item = &Organisation> {
+        self.objects()
+            .values()
+            .filter_map(|entry| match &entry.object {
+                Object::Organisation(o) => Some(o),
+                _ => None,
+            })
+    }
+
+    /// Returns all backend servers.
+    pub fn backends(&self) -> impl Iterator<Item = &Backend> {
+        self.objects()
+            .values()
+            .filter_map(|entry| match &entry.object {
+                Object::Backend(b) => Some(b),
+                _ => None,
+            })
+    }
+}
--- a/crates/core/src/systems/platform.rs
+++ b/crates/core/src/systems/platform.rs
@@ -1,18 +1,23 @@
 //! Takes in what the platform says: configuration records and the VM list.
 
 use super::Context;
-use crate::platform::{Record, VmList};
+use crate::{
+    config::{Folded, Kind},
+    platform::{Record, VmList},
+};
 
 /// Folds configuration records; runs each time the log has answered.
 pub fn records(cx: &mut Context<'_>, _first: u64, end: u64, records: Vec<Record>) {
-    let before = cx.tables.config.revision();
+    let mut backends_changed = false;
     for record in &records {
         if record.offset >= cx.tables.config.revision().0 {
             // A gap can't be folded; the next read asks for the missing offset again.
-            let _ = cx.tables.config.fold(record);
+            if let Ok(Folded::Decided { changed, .. }) = cx.tables.config.fold(record) {
+                backends_changed |= changed.iter().any(|key| key.kind == Kind::Backend);
+            }
         }
     }
-    if cx.tables.config.revision() != before {
+    if backends_changed {
         rebuild(cx);
     }
     if cx.tables.config.revision().0 >= end {
--- a/crates/daemon/src/edges/operators.rs
+++ b/crates/daemon/src/edges/operators.rs
@@ -49,8 +49,8 @@
             (&Method::GET, "/metrics") => self.metrics(),
             (&Method::GET, STATE_PATH) => json(StatusCode::OK, &self.host.read(state)),
             (&Method::GET, CONFIG_PATH) => {
-                let config = self.host.read(|node| node.tables().config.clone());
-                json(StatusCode::OK, &config)
+                let parts = self.host.read(|node| node.tables().config.snapshot());
+                json(StatusCode::OK, &parts)
             }
             _ => json(StatusCode::NOT_FOUND, &json!({ "message": "no such path" })),
         }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -4,7 +4,12 @@
 //! and what is allowed. Unknown sections and keys are mistakes too.
 
 use std::{
-    collections::BTreeMap, fmt, net::SocketAddr, ops::RangeInclusive, path::Path, time::Duration,
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    net::SocketAddr,
+    ops::RangeInclusive,
+    path::Path,
+    time::Duration,
 };
 
 use ini::Ini;
@@ -76,6 +81,16 @@
         /// What is allowed.
         allowed: String,
     },
+    /// A key or a section is there more than once.
+    #[error("{file}: [{section}] {key} is given more than once")]
+    Duplicate {
+        /// The file.
+        file: String,
+        /// The section.
+        section: String,
+        /// The key; empty for the section itself.
+        key: String,
+    },
     /// A key or section is not known.
     #[error("{file}: [{section}] {key} = {value}: allowed are {allowed}")]
     Unknown {
@@ -224,11 +239,7 @@
 
 impl Reader<'_> {
     fn section<T>(&mut self, name: &'static str, read: impl FnOnce(&mut Section<'_>) -> T) -> T {
-        let pairs = self.ini.delete(Some(name)).unwrap_or_default();
-        let values = pairs
-            .iter()
-            .map(|(k, v)| (k.to_owned(), v.to_owned()))
-            .collect();
+        let values = self.values(name);
         let errors = &mut self.errors;
         let mut section = Section {
             file: self.file,
@@ -242,6 +253,30 @@
         value
     }
 
+    /// Takes a section's values; what is given twice is a mistake.
+    fn values(&mut self, name: &'static str) -> BTreeMap<String, String> {
+        let mut values = BTreeMap::new();
+        let mut duplicates = BTreeSet::new();
+        for (number, pairs) in self.ini.section_all(Some(name)).enumerate() {
+            if number > 0 {
+                duplicates.insert(String::new());
+            }
+            for (key, value) in pairs.iter() {
+                if values.insert(key.to_owned(), value.to_owned()).is_some() {
+                    duplicates.insert(key.to_owned());
+                }
+            }
+        }
+        self.ini.delete(Some(name));
+        self.errors
+            .extend(duplicates.into_iter().map(|key| SettingsError::Duplicate {
+                file: self.file.to_owned(),
+                section: name.to_owned(),
+                key,
+            }));
+        values
+    }
+
     fn reject_other_sections(&mut self) {
         for (name, pairs) in self.ini.iter() {
             for (key, value) in pairs.iter() {
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -55,3 +55,24 @@
         ["node.ini: [peers] key = (hidden): allowed is at least 16 bytes"]
     );
 }
+
+#[test]
+fn what_is_given_twice_is_a_mistake() {
+    let text = DEFAULTS.replace("level = info", "level = info\nlevel = warn");
+    assert_eq!(
+        messages(&text),
+        ["node.ini: [log] level is given more than once"]
+    );
+    let found = messages(&format!("{DEFAULTS}\n[retry]\nmax_attempts = 3\n"));
+    assert!(
+        found.contains(&"node.ini: [retry] max_attempts is given more than once".to_owned()),
+        "{found:#?}"
+    );
+}
+
+#[test]
+fn a_secret_given_twice_is_not_shown() {
+    let key = "key = change-me-change-me";
+    let found = messages(&DEFAULTS.replace(key, &format!("{key}\nkey = another-secret-of-24-b")));
+    assert_eq!(found, ["node.ini: [peers] key is given more than once"]);
+}
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -15,8 +15,8 @@
         Service,
     },
     ids::{
-        BatchId, FailureDomain, LayerRange, ModelId, PipelineId, Priority, ServiceId, VersionId,
-        VmId,
+        BatchId, FailureDomain, LayerRange, ModelId, PipelineId, Priority, Revision, ServiceId,
+        VersionId, VmId,
     },
     platform::{Vm, VmList, VmRole, VmState},
 };
@@ -256,6 +256,8 @@
         Batch {
             format: BATCH_FORMAT,
             batch: id::<BatchId>("first"),
+            planned: Revision(0),
+            source: None,
             base: BTreeMap::new(),
             changes: objects.into_iter().map(Change::Put).collect(),
         }
