--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -29,6 +29,7 @@
 use tokio::runtime::Runtime;
 
 use crate::{
+    cpu::MAX_THREAD_NAME_BYTES,
     engine::{Accelerator, Engine, EngineCfg},
     log::{Log, LogCfg},
     runtime::{Running, StartError},
@@ -284,12 +285,15 @@
 impl NodeProcess {
     /// Starts a node on new ports of loopback.
     ///
+    /// Its threads carry the VM's name, so that [`crate::cpu`] can tell their cost.
+    ///
     /// # Errors
     ///
     /// Fails if the runtime or the node can't be started.
     pub fn start(settings: Settings) -> Result<Self, DeploymentError> {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(2)
+            .thread_name(thread_name(settings.node.vm.as_str()))
             .enable_all()
             .build()?;
         // The caller may be inside another runtime, which must not be blocked on.
@@ -317,6 +321,10 @@
     }
 }
 
+fn thread_name(name: &str) -> String {
+    name.chars().take(MAX_THREAD_NAME_BYTES).collect()
+}
+
 impl Drop for NodeProcess {
     fn drop(&mut self) {
         if let Some(runtime) = self.runtime.take() {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 //! by the `standin` example.
 
 pub mod control;
+pub mod cpu;
 pub mod deployment;
 pub mod engine;
 pub mod log;
