feat(checker): judge invariants by the records of callers and stand-ins

The checker reads what callers saw and what every life of every stand-in recorded, never a node's own opinion. The reference model gives each value between two layers, so a run whose input and output are right at a position has a history without gap, overlap or exchange.

Deployment keeps the state of each stand-in from its start, so the records of killed ones are there as well.

--- /dev/null
+++ b/crates/standin/src/checker/answers.rs
@@ -0,0 +1,76 @@
+//! A caller sees a whole answer to its own request, or a typed outcome.
+
+use radishhaven_core::{ids::RequestId, outcome::Outcome};
+
+use super::{AnswerRecord, Asked, CallerRecord, Evidence, Violation};
+
+/// Judges every answer of every caller.
+pub(super) fn check(evidence: &Evidence, found: &mut Vec<Violation>) {
+    for caller in &evidence.callers {
+        let Some(id) = &caller.id else { continue };
+        for answer in &caller.answers {
+            check_answer(evidence, caller, id, answer, found);
+        }
+        let told = |wanted: fn(Outcome) -> bool| {
+            let outcomes = caller.answers.iter().filter_map(|a| a.outcome);
+            outcomes.into_iter().any(wanted)
+        };
+        if told(|o| o == Outcome::Completed) && told(|o| matches!(o, Outcome::NotRun(_))) {
+            let request = id.clone();
+            found.push(Violation::Contradiction { request });
+        }
+    }
+}
+
+fn check_answer(
+    evidence: &Evidence,
+    caller: &CallerRecord,
+    id: &RequestId,
+    answer: &AnswerRecord,
+    found: &mut Vec<Violation>,
+) {
+    let request = id.clone();
+    if let Some(named) = answer.id.as_ref().filter(|named| *named != id) {
+        let found_id = named.clone();
+        found.push(Violation::OthersAnswer {
+            request: request.clone(),
+            found: found_id,
+        });
+    }
+    let completed = answer.outcome == Some(Outcome::Completed);
+    match &caller.asked {
+        Asked::Completion { .. } => {
+            let right = caller.asked.right_text();
+            let text = answer.text.clone();
+            if !right.starts_with(&text) {
+                let found_text = text;
+                found.push(Violation::WrongText {
+                    request,
+                    found: found_text,
+                    right,
+                });
+            } else if completed && text != right {
+                found.push(Violation::NotWhole {
+                    request,
+                    found: text,
+                    right,
+                });
+            }
+        }
+        Asked::Call { operation } => {
+            if completed && !was_given(evidence, id, operation, answer) {
+                found.push(Violation::ForeignResult { request });
+            }
+        }
+    }
+}
+
+/// Tells whether a service finished this call and gave this result for it.
+fn was_given(evidence: &Evidence, id: &RequestId, operation: &str, answer: &AnswerRecord) -> bool {
+    let named = answer.body.as_ref().and_then(|body| body.get("operation"));
+    let same_operation = named.and_then(|v| v.as_str()) == Some(operation);
+    same_operation
+        && evidence
+            .calls()
+            .any(|call| call.request == *id && call.finished && call.operation == operation)
+}
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -6,6 +6,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -29,11 +30,13 @@
 use tokio::runtime::Runtime;
 
 use crate::{
+    checker::{CallerRecord, Evidence, Life, PlannedStop},
     engine::{Accelerator, Engine, EngineCfg},
     log::{Log, LogCfg},
     runtime::{Running, StartError},
     service::{PlainService, ServiceCfg},
     vms::{Vms, VmsCfg},
+    wire::wall_clock_us,
 };
 
 /// Time within which nodes should have read log and VM list.
@@ -341,6 +344,11 @@
     /// Entry nodes by VM.
     pub nodes: BTreeMap<VmId, NodeProcess>,
     list: BTreeMap<VmId, Vm>,
+    /// Every life of every engine, so that records outlast a kill.
+    engine_lives: Vec<(VmId, Arc<Engine>)>,
+    /// Every life of every server of the plain service.
+    service_lives: Vec<(VmId, Arc<PlainService>)>,
+    stops: Vec<PlannedStop>,
 }
 
 const PEER_KEY: &str = "key-of-a-deployment-on-loopback";
@@ -366,6 +374,9 @@
             services: BTreeMap::new(),
             nodes: BTreeMap::new(),
             list: BTreeMap::new(),
+            engine_lives: Vec::new(),
+            service_lives: Vec::new(),
+            stops: Vec::new(),
             plan,
         };
         deployment.publish(&deployment.plan.batch());
@@ -404,6 +415,8 @@
         };
         let engine = Running::start(ANY_PORT, Engine::new(cfg))?;
         self.list_vm(&plan.vm, VmRole::Backend, engine.addr, None, &plan.domain);
+        let life = (plan.vm.clone(), engine.state.clone());
+        self.engine_lives.push(life);
         self.engines.insert(plan.vm.clone(), engine);
         Ok(())
     }
@@ -416,6 +429,8 @@
     pub fn start_service(&mut self, plan: &ServicePlan) -> Result<(), DeploymentError> {
         let service = Running::start(ANY_PORT, PlainService::new(ServiceCfg::default()))?;
         self.list_vm(&plan.vm, VmRole::Backend, service.addr, None, &plan.domain);
+        let life = (plan.vm.clone(), service.state.clone());
+        self.service_lives.push(life);
         self.services.insert(plan.vm.clone(), service);
         Ok(())
     }
@@ -448,6 +463,10 @@
     pub fn leave(&mut self, vm: &VmId) {
         if let Some(row) = self.list.get_mut(vm) {
             row.state = VmState::Leaving;
+            self.stops.push(PlannedStop {
+                vm: vm.clone(),
+                shown_us: wall_clock_us() + self.plan.vms_lag_ms * 1_000,
+            });
         }
         self.show_list();
     }
@@ -458,6 +477,26 @@
         self.show_list();
     }
 
+    /// Returns what callers saw together with what every life of every
+    /// stand-in has recorded, killed ones included.
+    pub fn records(&self, callers: Vec<CallerRecord>, faults: bool) -> Evidence {
+        let engine = |(vm, state): &(VmId, Arc<Engine>)| Life {
+            vm: vm.clone(),
+            records: state.records(),
+        };
+        let service = |(vm, state): &(VmId, Arc<PlainService>)| Life {
+            vm: vm.clone(),
+            records: state.records(),
+        };
+        Evidence {
+            callers,
+            engines: self.engine_lives.iter().map(engine).collect(),
+            services: self.service_lives.iter().map(service).collect(),
+            stops: self.stops.clone(),
+            faults,
+        }
+    }
+
     fn list_vm(
         &mut self,
         vm: &VmId,
--- /dev/null
+++ b/crates/standin/tests/checker.rs
@@ -0,0 +1,342 @@
+//! The checker finds nothing wrong in a right history, and each violation
+//! that is planted in one.
+
+use radishhaven_client::{Answer, Ask, Caller};
+use radishhaven_core::{
+    engine::{SessionRef, StageInput, StageOutput},
+    ids::{Attempt, LayerRange, Position},
+    outcome::{NotRun, Outcome},
+};
+use radishhaven_standin::{
+    checker::{AnswerRecord, Asked, CallerRecord, Evidence, Life, PlannedStop, Violation, check},
+    deployment::{Deployment, Plan, VERSION, id},
+    engine::{EngineRecord, KvRecord, RunRecord, SessionRecord},
+    reference::{LayerState, embed, model_seed, sample, tokens},
+    service::CallRecord,
+};
+use serde_json::json;
+
+const PROMPT: &str = "custody hearing";
+const MAX_TOKENS: u32 = 6;
+const STAGES: [(u16, u16); 3] = [(0, 8), (8, 16), (16, 24)];
+
+fn asked() -> Asked {
+    Asked::Completion {
+        model: id("brief-writer"),
+        version: id(VERSION),
+        layers: 24,
+        prompt: PROMPT.to_owned(),
+        max_tokens: MAX_TOKENS,
+    }
+}
+
+fn session() -> SessionRef {
+    SessionRef {
+        request: id("r-1"),
+        attempt: Attempt(0),
+    }
+}
+
+fn answer(outcome: Option<Outcome>, text: &str) -> AnswerRecord {
+    AnswerRecord {
+        id: Some(id("r-1")),
+        outcome,
+        text: text.to_owned(),
+        body: None,
+        at_us: 900,
+    }
+}
+
+/// Runs the reference model over three stages and records it as engines would.
+fn right_history() -> Evidence {
+    let seed = model_seed(&id("brief-writer"), &id(VERSION));
+    let ranges = STAGES.map(|(start, end)| LayerRange::new(start, end).expect("a range"));
+    let mut states = ranges.map(|range| LayerState::new(seed, range));
+    let mut records: [Vec<EngineRecord>; 3] = Default::default();
+    let (mut at_us, mut first) = (100, 0);
+    let mut step = tokens(PROMPT);
+    let mut text = String::new();
+    while text.len() < MAX_TOKENS as usize {
+        let positions = step.len() as u32;
+        let entered: Vec<u64> = (first..).zip(&step).map(|(p, t)| embed(*t, p)).collect();
+        let mut values = entered;
+        for stage in 0..3 {
+            let given = values.clone();
+            values = given.iter().map(|a| states[stage].run(*a)).collect();
+            let last = values.last().copied().expect("at least one position");
+            let run = RunRecord {
+                run: format!("{stage}-{first}"),
+                session: session(),
+                model: id("brief-writer"),
+                version: id(VERSION),
+                layers: ranges[stage],
+                first: Position(first),
+                positions,
+                input: match stage {
+                    0 => StageInput::Tokens(step.clone()),
+                    _ => StageInput::Activations(given),
+                },
+                output: match stage {
+                    2 => StageOutput::Token(sample(last)),
+                    _ => StageOutput::Activations(values.clone()),
+                },
+                at_us,
+                imported_from: None,
+            };
+            at_us += 1;
+            records[stage].push(EngineRecord::Run(run));
+        }
+        let token = sample(values.last().copied().expect("at least one position"));
+        text.push(char::from_u32(token).expect("a letter"));
+        first += positions;
+        step = vec![token];
+    }
+    let lives = (0..).zip(records).map(|(n, records)| Life {
+        vm: id(&format!("engine-{n}")),
+        records,
+    });
+    Evidence {
+        callers: vec![CallerRecord {
+            id: Some(id("r-1")),
+            asked: asked(),
+            idempotent: true,
+            answers: vec![answer(Some(Outcome::Completed), &text)],
+        }],
+        engines: lives.collect(),
+        faults: true,
+        ..Evidence::default()
+    }
+}
+
+fn run_mut(evidence: &mut Evidence, stage: usize, index: usize) -> &mut RunRecord {
+    match &mut evidence.engines[stage].records[index] {
+        EngineRecord::Run(run) => run,
+        other => panic!("not a run: {other:?}"),
+    }
+}
+
+fn call(started_us: u64) -> CallRecord {
+    CallRecord {
+        request: id("b-1"),
+        operation: "book".to_owned(),
+        body: json!({ "hearing": 4 }),
+        started_us,
+        finished: true,
+    }
+}
+
+/// One booking that ran once.
+fn right_booking() -> Evidence {
+    let mut answer = answer(Some(Outcome::Completed), "");
+    answer.id = Some(id("b-1"));
+    answer.body = Some(json!({ "operation": "book", "call": 0 }));
+    Evidence {
+        callers: vec![CallerRecord {
+            id: Some(id("b-1")),
+            asked: Asked::Call {
+                operation: "book".to_owned(),
+            },
+            idempotent: false,
+            answers: vec![answer],
+        }],
+        services: vec![Life {
+            vm: id("service-0"),
+            records: vec![call(200)],
+        }],
+        faults: true,
+        ..Evidence::default()
+    }
+}
+
+#[test]
+fn a_right_history_has_no_violation() {
+    assert_eq!(check(&right_history()), []);
+    assert_eq!(check(&right_booking()), []);
+}
+
+#[test]
+fn a_layer_that_nothing_ran_is_found() {
+    let mut evidence = right_history();
+    evidence.engines[1].records.clear();
+    let found = check(&evidence);
+    let missing = |v: &Violation| matches!(v, Violation::LayerMissing { layer: 8, .. });
+    assert!(found.iter().any(missing), "{found:?}");
+}
+
+#[test]
+fn layers_out_of_order_are_found() {
+    let mut evidence = right_history();
+    run_mut(&mut evidence, 0, 1).at_us = 10_000;
+    let found = check(&evidence);
+    let missing = |v: &Violation| matches!(v, Violation::LayerMissing { .. });
+    assert!(found.iter().any(missing), "{found:?}");
+}
+
+#[test]
+fn a_position_that_ran_twice_is_found() {
+    let mut evidence = right_history();
+    let again = evidence.engines[1].records[1].clone();
+    evidence.engines[1].records.insert(2, again);
+    let found = check(&evidence);
+    let twice = |v: &Violation| matches!(v, Violation::PositionsNotConsecutive { .. });
+    assert!(found.iter().any(twice), "{found:?}");
+}
+
+#[test]
+fn an_import_at_another_position_than_the_next_run_is_found() {
+    let mut evidence = right_history();
+    let import = EngineRecord::KvImported(KvRecord {
+        session: session(),
+        layers: LayerRange::new(8, 16).expect("a range"),
+        next: Position(3),
+        state: vec![0; 8],
+        at_us: 50,
+    });
+    evidence.engines[1].records.insert(0, import);
+    let found = check(&evidence);
+    let gap = |v: &Violation| matches!(v, Violation::PositionsNotConsecutive { .. });
+    assert!(found.iter().any(gap), "{found:?}");
+}
+
+#[test]
+fn the_activation_of_another_request_is_found() {
+    let mut evidence = right_history();
+    run_mut(&mut evidence, 2, 1).input = StageInput::Activations(vec![7]);
+    let found = check(&evidence);
+    let foreign = |v: &Violation| matches!(v, Violation::ForeignInput { .. });
+    assert!(found.iter().any(foreign), "{found:?}");
+}
+
+#[test]
+fn text_that_is_wrong_or_short_is_found() {
+    let mut evidence = right_history();
+    let right = asked().right_text();
+    evidence.callers[0].answers[0].text = "?".to_owned();
+    let wrong = |v: &Violation| matches!(v, Violation::WrongText { .. });
+    assert!(check(&evidence).iter().any(wrong));
+    evidence.callers[0].answers[0].text = right[..2].to_owned();
+    let short = |v: &Violation| matches!(v, Violation::NotWhole { .. });
+    assert!(check(&evidence).iter().any(short));
+    // A cut answer may end anywhere, as long as it tells no outcome.
+    evidence.callers[0].answers[0].outcome = None;
+    assert_eq!(check(&evidence), []);
+}
+
+#[test]
+fn an_answer_to_another_request_is_found() {
+    let mut evidence = right_history();
+    evidence.callers[0].answers[0].id = Some(id("r-2"));
+    let others = |v: &Violation| matches!(v, Violation::OthersAnswer { .. });
+    assert!(check(&evidence).iter().any(others));
+}
+
+#[test]
+fn a_result_that_no_service_gave_is_found() {
+    let mut evidence = right_booking();
+    evidence.services[0].records[0].request = id("b-2");
+    let request = id("b-1");
+    assert_eq!(check(&evidence), [Violation::ForeignResult { request }]);
+}
+
+#[test]
+fn a_start_of_what_was_told_as_not_run_is_found() {
+    let not_run = Some(Outcome::NotRun(NotRun::NoCapacity));
+    let mut evidence = right_booking();
+    evidence.callers[0].answers[0].outcome = not_run;
+    let started = |v: &Violation| matches!(v, Violation::StartedThoughNotRun { .. });
+    assert!(check(&evidence).iter().any(started));
+    let mut evidence = right_history();
+    evidence.callers[0].answers.push(answer(not_run, ""));
+    let found = check(&evidence);
+    assert!(found.iter().any(started), "{found:?}");
+    let both = |v: &Violation| matches!(v, Violation::Contradiction { .. });
+    assert!(found.iter().any(both), "{found:?}");
+}
+
+#[test]
+fn a_second_start_on_another_server_is_found() {
+    let mut evidence = right_booking();
+    evidence.services.push(Life {
+        vm: id("service-1"),
+        records: vec![call(300)],
+    });
+    let request = id("b-1");
+    let twice = Violation::StartedTwice { request, starts: 2 };
+    assert_eq!(check(&evidence), [twice]);
+    evidence.callers[0].idempotent = true;
+    assert_eq!(check(&evidence), []);
+}
+
+#[test]
+fn new_work_on_a_leaving_server_is_found_after_the_grace() {
+    let stop = |vm: &str| PlannedStop {
+        vm: id(vm),
+        shown_us: 1_000,
+    };
+    let mut evidence = right_booking();
+    evidence.stops = vec![stop("service-0")];
+    evidence.services[0].records[0].started_us = 5_001_000;
+    assert_eq!(check(&evidence), []);
+    evidence.services[0].records[0].started_us = 5_001_001;
+    let late = |v: &Violation| matches!(v, Violation::StartedOnLeaving { late_us: 1, .. });
+    assert!(check(&evidence).iter().any(late));
+    let mut evidence = right_history();
+    evidence.stops = vec![stop("engine-0")];
+    let started = SessionRecord {
+        session: session(),
+        at_us: 5_001_001,
+    };
+    evidence.engines[0]
+        .records
+        .push(EngineRecord::SessionStarted(started));
+    assert!(check(&evidence).iter().any(late));
+}
+
+#[test]
+fn a_request_that_a_planned_stop_cut_is_found() {
+    let mut evidence = right_history();
+    evidence.stops = vec![PlannedStop {
+        vm: id("engine-0"),
+        shown_us: 100,
+    }];
+    evidence.callers[0].answers[0].outcome = Some(Outcome::Failed);
+    assert_eq!(check(&evidence), []);
+    evidence.faults = false;
+    let cut = |v: &Violation| matches!(v, Violation::CutByPlannedStop { .. });
+    assert!(check(&evidence).iter().any(cut));
+}
+
+async fn dictate(deployment: &Deployment) -> CallerRecord {
+    let caller = Caller::new("small-firm").expect("a caller can be made");
+    let node = deployment.callers_address("node-0");
+    let pipeline = &deployment.plan.pipeline;
+    let ask = Ask::default();
+    let sent = caller.complete(node, &ask, pipeline, PROMPT, MAX_TOKENS);
+    let answer: Answer = sent.await.expect("the node answers");
+    CallerRecord {
+        id: answer.id.clone(),
+        asked: asked(),
+        idempotent: true,
+        answers: vec![AnswerRecord::new(answer)],
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deployment_keeps_the_records_of_engines_that_were_killed() {
+    let mut deployment = Deployment::start(Plan::roster(1, 2))
+        .await
+        .expect("it starts");
+    let callers = vec![dictate(&deployment).await];
+    let vms: Vec<_> = deployment.engines.keys().cloned().collect();
+    for vm in vms {
+        deployment.engines.remove(&vm).expect("it runs").kill();
+    }
+    let evidence = deployment.records(callers, true);
+    let runs = evidence.engines.iter().map(|life| life.records.len());
+    assert!(runs.sum::<usize>() >= 3 * MAX_TOKENS as usize);
+    assert_eq!(check(&evidence), []);
+    assert_eq!(
+        evidence.callers[0].answers[0].outcome,
+        Some(Outcome::Completed)
+    );
+}
