--- a/crates/cli/src/commands/apply.rs
+++ b/crates/cli/src/commands/apply.rs
@@ -1,98 +1,155 @@
-//! `apply`: hands a batch in and tells what became of it.
+//! `apply`: hands a batch in and tells what became of it, and where it is in
+//! force.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    process::ExitCode,
+    time::{Duration, Instant},
+};
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use radishhaven_core::config::{Batch, BatchResult, RefusedBatch};
-use radishhaven_proto::operator::{APPLY_PATH, Applied, ApplyOutcome};
+use radishhaven_core::{
+    config::{BatchResult, RefusedBatch},
+    ids::{BatchId, Revision, VmId},
+};
+use radishhaven_proto::operator::{APPLY_PATH, Applied, ApplyOutcome, NODES_PATH, Nodes};
+use serde::Serialize;
 
-use super::{Context, unreachable};
+use super::{Context, file_argument, print_json, read_batch};
 use crate::{exit, table};
 
+/// Time between two looks at the nodes.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
 /// Describes the command.
 pub fn command() -> Command {
-    let file = Arg::new("file")
-        .required(true)
-        .value_parser(value_parser!(PathBuf))
-        .help("The batch as JSON; handing the same file in again applies it once");
+    let wait = Arg::new("wait")
+        .long("wait")
+        .value_name("MILLISECONDS")
+        .value_parser(value_parser!(u64))
+        .default_value("9000")
+        .help("How long to wait until the batch is in force at every node");
     Command::new("apply")
-        .about("Applies a batch of changes")
-        .arg(file)
+        .about("Applies a batch of changes; the same file applies once")
+        .arg(file_argument())
+        .arg(wait)
+}
+
+/// What is printed as JSON.
+#[derive(Debug, Serialize)]
+struct Report {
+    applied: Applied,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    in_force: Option<InForce>,
+}
+
+/// Where a revision is in force.
+#[derive(Debug, Serialize)]
+struct InForce {
+    nodes: usize,
+    of: usize,
+    missing: Vec<VmId>,
 }
 
 /// Runs the command.
 pub async fn run(cx: &Context, args: &ArgMatches) -> ExitCode {
-    let path = args
-        .get_one::<PathBuf>("file")
-        .expect("clap requires the file");
-    let read = std::fs::read(path).map_err(|e| e.to_string());
-    let batch =
-        read.and_then(|text| serde_json::from_slice::<Batch>(&text).map_err(|e| e.to_string()));
-    let batch = match batch {
-        Ok(batch) => batch,
-        Err(error) => {
-            eprintln!("radishhaven: {}: {error}", path.display());
-            return ExitCode::from(exit::BAD_INPUT);
+    let text = match read_batch(args) {
+        Ok(text) => text,
+        Err(code) => return code,
+    };
+    let wait = args.get_one::<u64>("wait").copied().unwrap_or_default();
+    let applied = match cx.node.post::<Applied>(APPLY_PATH, &text).await {
+        Ok(applied) => applied,
+        Err(error) => return error.report(),
+    };
+    let in_force = match &applied.outcome {
+        ApplyOutcome::Decided(BatchResult::Accepted(revision)) => {
+            if !cx.json {
+                println!("batch {} accepted at revision {revision}", applied.batch);
+            }
+            Some(in_force(cx, *revision, Duration::from_millis(wait)).await)
         }
+        _ => None,
     };
-    match cx
-        .http
-        .post::<_, Applied>(cx.node, APPLY_PATH, &batch, cx.within)
-        .await
-    {
-        Ok(applied) => report(cx, &applied),
-        Err(error) => unreachable(cx, &error),
+    if !cx.json {
+        return report(&applied, in_force.as_ref());
+    }
+    let report = Report { applied, in_force };
+    print_json(&report);
+    code(&report.applied.outcome, report.in_force.as_ref())
+}
+
+/// Waits until every node has a revision, or the time is over.
+async fn in_force(cx: &Context, revision: Revision, wait: Duration) -> InForce {
+    let begun = Instant::now();
+    loop {
+        let nodes = cx.node.get::<Nodes>(NODES_PATH).await;
+        let nodes = nodes.map(|answer| answer.nodes).unwrap_or_default();
+        let has = |seen: Option<Revision>| seen.is_some_and(|seen| seen >= revision);
+        let missing: Vec<VmId> = nodes
+            .iter()
+            .filter(|node| !has(node.revision))
+            .map(|node| node.vm.clone())
+            .collect();
+        let done = !nodes.is_empty() && missing.is_empty();
+        if done || begun.elapsed() >= wait {
+            let of = nodes.len();
+            return InForce {
+                nodes: of - missing.len(),
+                of,
+                missing,
+            };
+        }
+        tokio::time::sleep(LOOK_EVERY).await;
     }
 }
 
-fn report(cx: &Context, applied: &Applied) -> ExitCode {
-    if cx.json {
-        println!("{}", serde_json::to_string(applied).unwrap_or_default());
+fn code(outcome: &ApplyOutcome, in_force: Option<&InForce>) -> ExitCode {
+    match outcome {
+        ApplyOutcome::Decided(BatchResult::Accepted(_)) => match in_force {
+            Some(seen) if seen.of > 0 && seen.missing.is_empty() => ExitCode::SUCCESS,
+            _ => ExitCode::from(exit::NOT_EVERYWHERE),
+        },
+        ApplyOutcome::Decided(BatchResult::Refused(..)) => ExitCode::from(exit::REFUSED),
+        ApplyOutcome::NotAppended => ExitCode::from(exit::UNREACHABLE),
+        ApplyOutcome::Unknown => ExitCode::from(exit::UNKNOWN),
     }
+}
+
+fn report(applied: &Applied, in_force: Option<&InForce>) -> ExitCode {
+    let batch: &BatchId = &applied.batch;
     match &applied.outcome {
-        ApplyOutcome::Decided(BatchResult::Accepted(revision)) => {
-            if !cx.json {
-                println!("batch {} accepted at revision {revision}", applied.batch);
+        ApplyOutcome::Decided(BatchResult::Accepted(_)) => {
+            if let Some(seen) = in_force {
+                println!("in force at {} of {} nodes", seen.nodes, seen.of);
+                let missing: Vec<&str> = seen.missing.iter().map(VmId::as_str).collect();
+                if !missing.is_empty() {
+                    eprintln!("not yet at: {}", missing.join(", "));
+                }
             }
-            ExitCode::SUCCESS
         }
         ApplyOutcome::Decided(BatchResult::Refused(revision, why)) => {
-            eprintln!(
-                "batch {} refused at revision {revision}: {why}",
-                applied.batch
-            );
+            eprintln!("batch {batch} refused at revision {revision}: {why}");
             print_conflicts(why);
-            ExitCode::from(exit::REFUSED)
         }
         ApplyOutcome::NotAppended => {
-            eprintln!(
-                "the log can't be reached; batch {} is not in it",
-                applied.batch
-            );
-            ExitCode::from(exit::UNREACHABLE)
+            eprintln!("the log can't be reached; batch {batch} is not in it");
         }
         ApplyOutcome::Unknown => {
-            eprintln!(
-                "batch {}: outcome unknown; apply the same file again",
-                applied.batch
-            );
-            ExitCode::from(exit::UNKNOWN)
+            eprintln!("batch {batch}: outcome unknown; apply the same file again");
         }
     }
+    code(&applied.outcome, in_force)
 }
 
-fn print_conflicts(why: &RefusedBatch) {
+/// Prints the objects that another batch changed.
+pub(super) fn print_conflicts(why: &RefusedBatch) {
     let RefusedBatch::Conflicts(conflicts) = why else {
         return;
     };
     let rows = conflicts.iter().map(|c| {
         let by = c.by.as_ref().map(ToString::to_string).unwrap_or_default();
-        [
-            c.key.to_string(),
-            c.expected.to_string(),
-            c.found.to_string(),
-            by,
-        ]
+        let (expected, found) = (c.expected.to_string(), c.found.to_string());
+        vec![c.key.to_string(), expected, found, by]
     });
-    table::print(["object", "expected", "found", "changed by"], rows);
+    table::print(&["object", "expected", "found", "changed by"], rows);
 }
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -2,30 +2,28 @@
 
 mod apply;
 mod completions;
+mod nodes;
+mod plan;
 mod query;
 mod state;
 
-use std::{net::SocketAddr, process::ExitCode, time::Duration};
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use radishhaven_client::JsonClient;
 
-use crate::exit;
-
-/// Time within which a node should answer.
-const NODE_TIMEOUT: Duration = Duration::from_secs(15);
+use crate::{exit, node::NodeClient};
 
 /// What every command works on.
 #[derive(Debug)]
 pub struct Context {
-    /// The client.
-    pub http: JsonClient,
-    /// The operators' address of a node.
-    pub node: SocketAddr,
+    /// The node that is asked.
+    pub node: NodeClient,
     /// Whether to print JSON.
     pub json: bool,
-    /// Time within which the node should answer.
-    pub within: Duration,
 }
 
 /// Describes the command line.
@@ -43,6 +41,13 @@
         .action(ArgAction::SetTrue)
         .global(true)
         .help("Prints JSON instead of tables");
+    let token_file = Arg::new("token-file")
+        .long("token-file")
+        .env("RADISHHAVEN_TOKEN_FILE")
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .global(true)
+        .help("Holds the operators' token; else RADISHHAVEN_TOKEN does");
     Command::new("radishhaven")
         .about("Asks what is in force, and changes it")
         .version(clap::crate_version!())
@@ -50,8 +55,11 @@
         .arg_required_else_help(true)
         .arg(node)
         .arg(json)
+        .arg(token_file)
         .subcommand(state::command())
+        .subcommand(nodes::command())
         .subcommand(query::command())
+        .subcommand(plan::command())
         .subcommand(apply::command())
         .subcommand(completions::command())
 }
@@ -64,30 +72,78 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
-    let (Ok(runtime), Ok(http)) = (runtime, JsonClient::new()) else {
+    let Ok(runtime) = runtime else {
         return ExitCode::FAILURE;
     };
-    let node = *matches
-        .get_one::<SocketAddr>("node")
-        .expect("the option has a default");
-    let cx = Context {
-        http,
-        node,
-        json: matches.get_flag("json"),
-        within: NODE_TIMEOUT,
+    let cx = match context(matches) {
+        Ok(cx) => cx,
+        Err(code) => return code,
     };
     runtime.block_on(async {
         match matches.subcommand() {
             Some(("state", _)) => state::run(&cx).await,
+            Some(("nodes", _)) => nodes::run(&cx).await,
             Some(("query", args)) => query::run(&cx, args).await,
+            Some(("plan", args)) => plan::run(&cx, args).await,
             Some(("apply", args)) => apply::run(&cx, args).await,
             _ => ExitCode::from(2),
         }
     })
 }
 
-/// Says why a node did not answer.
-fn unreachable(cx: &Context, error: &dyn std::fmt::Display) -> ExitCode {
-    eprintln!("radishhaven: node {}: {error}", cx.node);
-    ExitCode::from(exit::UNREACHABLE)
+fn context(matches: &ArgMatches) -> Result<Context, ExitCode> {
+    let node = *matches
+        .get_one::<SocketAddr>("node")
+        .expect("the option has a default");
+    let token = match matches.get_one::<PathBuf>("token-file") {
+        Some(path) => Some(read_text(path)?),
+        None => std::env::var("RADISHHAVEN_TOKEN").ok(),
+    };
+    let node = NodeClient::new(node, token.as_deref()).map_err(|error| {
+        eprintln!("radishhaven: {error}");
+        ExitCode::from(exit::BAD_INPUT)
+    })?;
+    Ok(Context {
+        node,
+        json: matches.get_flag("json"),
+    })
+}
+
+/// Reads a file, or says why it can't be read.
+fn read_text(path: &Path) -> Result<String, ExitCode> {
+    std::fs::read_to_string(path).map_err(|error| {
+        eprintln!("radishhaven: {}: {error}", path.display());
+        ExitCode::from(exit::BAD_INPUT)
+    })
+}
+
+/// Describes the argument that names a batch's file.
+fn file_argument() -> Arg {
+    Arg::new("file")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("The batch, in the operators' language or as JSON")
+}
+
+fn read_batch(args: &ArgMatches) -> Result<String, ExitCode> {
+    let path = args
+        .get_one::<PathBuf>("file")
+        .expect("clap requires the file");
+    let text = read_text(path)?;
+    if text.trim_start().starts_with('{') {
+        return Ok(text);
+    }
+    // Mistakes of grammar are found without a node.
+    match radishhaven_core::language::parse_script(&text) {
+        Ok(_) => Ok(text),
+        Err(error) => {
+            eprintln!("radishhaven: {}: {error}", path.display());
+            Err(ExitCode::from(exit::BAD_INPUT))
+        }
+    }
+}
+
+/// Prints a value as JSON.
+fn print_json<T: serde::Serialize>(value: &T) {
+    println!("{}", serde_json::to_string(value).unwrap_or_default());
 }
--- a/crates/cli/src/commands/query.rs
+++ b/crates/cli/src/commands/query.rs
@@ -1,62 +1,48 @@
-//! `query`: prints the objects of one kind that are in force.
+//! `query`: asks what is in force, in the operators' language.
 
 use std::process::ExitCode;
 
 use clap::{Arg, ArgMatches, Command};
-use radishhaven_core::config::{Kind, SnapshotPart};
-use radishhaven_proto::operator::CONFIG_PATH;
+use radishhaven_core::language::{Answer, parse_query};
+use radishhaven_proto::operator::QUERY_PATH;
 
-use super::{Context, unreachable};
-use crate::table;
+use super::{Context, print_json};
+use crate::{exit, table};
 
 /// Describes the command.
 pub fn command() -> Command {
-    let kind = Arg::new("kind")
+    let text = Arg::new("text")
         .required(true)
-        .value_parser(|text: &str| text.parse::<Kind>().map_err(|e| e.to_string()))
-        .help("organisation, model, pipeline, service, backend, link or deployment");
+        .num_args(1..)
+        .help("Such as: show backend where model = dictado; see docs/LANGUAGE.md");
     Command::new("query")
-        .about("Prints what is in force at a node")
-        .arg(kind)
+        .about("Asks a node what is in force")
+        .arg(text)
 }
 
 /// Runs the command.
 pub async fn run(cx: &Context, args: &ArgMatches) -> ExitCode {
-    let kind = *args
-        .get_one::<Kind>("kind")
-        .expect("clap requires the kind");
-    let parts = match cx
-        .http
-        .get::<Vec<SnapshotPart>>(cx.node, CONFIG_PATH, cx.within)
-        .await
-    {
-        Ok(parts) => parts,
-        Err(error) => return unreachable(cx, &error),
+    let words = args.get_many::<String>("text").into_iter().flatten();
+    let text = words.cloned().collect::<Vec<_>>().join(" ");
+    ask(cx, &text).await
+}
+
+/// Asks a query and prints the answer.
+pub async fn ask(cx: &Context, text: &str) -> ExitCode {
+    if let Err(error) = parse_query(text) {
+        eprintln!("radishhaven: {error}");
+        return ExitCode::from(exit::BAD_INPUT);
+    }
+    let answer = match cx.node.post::<Answer>(QUERY_PATH, text).await {
+        Ok(answer) => answer,
+        Err(error) => return error.report(),
     };
-    let revision = parts.first().map(|part| part.snapshot.revision);
-    let found: Vec<_> = parts
-        .iter()
-        .flat_map(|part| &part.entries)
-        .map(|entry| (entry.object.key(), entry))
-        .filter(|(key, _)| key.kind == kind)
-        .collect();
     if cx.json {
-        let objects: Vec<_> = found.iter().map(|(_, entry)| entry).collect();
-        println!(
-            "{}",
-            serde_json::json!({ "revision": revision, "objects": objects })
-        );
+        print_json(&answer);
         return ExitCode::SUCCESS;
     }
-    let rows = found.iter().map(|(key, entry)| {
-        let object = serde_json::to_string(&entry.object).unwrap_or_default();
-        [
-            key.to_string(),
-            entry.changed.to_string(),
-            entry.by.to_string(),
-            object,
-        ]
-    });
-    table::print(["object", "revision", "batch", "value"], rows);
+    let (node, revision) = (&answer.node, answer.revision);
+    table::print(&answer.columns, answer.rows);
+    println!("revision {revision} at {node}, digest {}", answer.digest);
     ExitCode::SUCCESS
 }
--- a/crates/cli/src/commands/state.rs
+++ b/crates/cli/src/commands/state.rs
@@ -6,7 +6,7 @@
 use radishhaven_proto::operator::STATE_PATH;
 use serde_json::Value;
 
-use super::{Context, unreachable};
+use super::Context;
 
 /// Describes the command.
 pub fn command() -> Command {
@@ -15,11 +15,15 @@
 
 /// Runs the command.
 pub async fn run(cx: &Context) -> ExitCode {
-    match cx.http.get::<Value>(cx.node, STATE_PATH, cx.within).await {
+    match cx.node.get::<Value>(STATE_PATH).await {
+        Ok(state) if cx.json => {
+            println!("{state}");
+            ExitCode::SUCCESS
+        }
         Ok(state) => {
             println!("{state:#}");
             ExitCode::SUCCESS
         }
-        Err(error) => unreachable(cx, &error),
+        Err(error) => error.report(),
     }
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod commands;
 mod exit;
+mod node;
 mod table;
 
 use std::process::ExitCode;
--- a/crates/cli/src/table.rs
+++ b/crates/cli/src/table.rs
@@ -3,9 +3,11 @@
 use comfy_table::{Table, presets::UTF8_BORDERS_ONLY};
 
 /// Prints rows under a header.
-pub fn print<const N: usize>(header: [&str; N], rows: impl IntoIterator<Item = [String; N]>) {
+pub fn print<S: AsRef<str>>(header: &[S], rows: impl IntoIterator<Item = Vec<String>>) {
     let mut table = Table::new();
-    table.load_preset(UTF8_BORDERS_ONLY).set_header(header);
+    table
+        .load_preset(UTF8_BORDERS_ONLY)
+        .set_header(header.iter().map(AsRef::as_ref));
     for row in rows {
         table.add_row(row);
     }
--- a/crates/client/src/json.rs
+++ b/crates/client/src/json.rs
@@ -119,11 +119,28 @@
         path: &str,
         body: Vec<u8>,
         within: Duration,
+    ) -> Result<T, HttpError> {
+        let headers = HeaderMap::new();
+        self.exchange_with(method, addr, path, headers, body, within)
+            .await
+    }
+
+    /// Sends bytes with headers and reads a value.
+    ///
+    /// # Errors
+    ///
+    /// See [`HttpError`].
+    pub async fn exchange_with<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        headers: HeaderMap,
+        body: Vec<u8>,
+        within: Duration,
     ) -> Result<T, HttpError> {
         let exchange = async {
-            let resp = self
-                .send(method, addr, path, HeaderMap::new(), body)
-                .await?;
+            let resp = self.send(method, addr, path, headers, body).await?;
             let status = resp.status();
             let body = read_body(resp.into_body()).await?;
             if !status.is_success() {
--- a/crates/core/src/config/record.rs
+++ b/crates/core/src/config/record.rs
@@ -8,7 +8,7 @@
 };
 
 /// Longest record that is read, in bytes.
-pub const MAX_RECORD_BYTES: usize = 8 * 1024 * 1024;
+pub const MAX_RECORD_BYTES: usize = 2 * 1024 * 1024;
 
 /// Why a record can't be read; each node comes to the same finding.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
--- /dev/null
+++ b/crates/core/src/configs/dissemination.rs
@@ -0,0 +1,42 @@
+//! Settings of how the configuration reaches the nodes.
+
+use std::time::Duration;
+
+/// Shapes reads of the log and help between nodes; the INI section
+/// `[dissemination]`.
+#[derive(Debug, Clone)]
+pub struct DisseminationConfig {
+    /// Nodes of each failure domain that wait at the log. Default: 2.
+    pub readers: u32,
+    /// Time between two reads of a node that doesn't wait at the log. Default: 5 s.
+    pub fallback: Duration,
+    /// Shortest time between two reads that bring records. Default: 50 ms.
+    pub pace: Duration,
+    /// Shortest pause after a read that failed. Default: 200 ms.
+    pub backoff_min: Duration,
+    /// Longest pause after reads that failed. Default: 5 s.
+    pub backoff_max: Duration,
+    /// Time for which a node waits for records that others have, before it
+    /// asks one of them. Default: 100 ms.
+    pub catch_up: Duration,
+    /// Time for which a node that starts waits for its peers' answers. Default: 1 s.
+    pub join_wait: Duration,
+    /// Time without a sign of the log or of peers after which a node asks
+    /// its peers before it serves on. Default: 5 s.
+    pub rejoin_after: Duration,
+}
+
+impl Default for DisseminationConfig {
+    fn default() -> Self {
+        Self {
+            readers: 2,
+            fallback: Duration::from_secs(5),
+            pace: Duration::from_millis(50),
+            backoff_min: Duration::from_millis(200),
+            backoff_max: Duration::from_secs(5),
+            catch_up: Duration::from_millis(100),
+            join_wait: Duration::from_secs(1),
+            rejoin_after: Duration::from_secs(5),
+        }
+    }
+}
--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -5,15 +5,19 @@
 
 mod admission;
 mod directory;
+mod dissemination;
 mod identity;
 mod membership;
 mod retry;
+mod snapshots;
 
 pub use admission::AdmissionConfig;
 pub use directory::DirectoryConfig;
+pub use dissemination::DisseminationConfig;
 pub use identity::Identity;
 pub use membership::MembershipConfig;
 pub use retry::RetryConfig;
+pub use snapshots::SnapshotsConfig;
 
 /// All settings of the decisions.
 #[derive(Debug, Clone)]
@@ -28,6 +32,10 @@
     pub membership: MembershipConfig,
     /// `[retry]`.
     pub retry: RetryConfig,
+    /// `[dissemination]`.
+    pub dissemination: DisseminationConfig,
+    /// `[snapshots]`.
+    pub snapshots: SnapshotsConfig,
 }
 
 impl Configs {
@@ -39,6 +47,8 @@
             directory: DirectoryConfig::default(),
             membership: MembershipConfig::default(),
             retry: RetryConfig::default(),
+            dissemination: DisseminationConfig::default(),
+            snapshots: SnapshotsConfig::default(),
         }
     }
 }
--- /dev/null
+++ b/crates/core/src/configs/snapshots.rs
@@ -0,0 +1,25 @@
+//! Settings of snapshots.
+
+use std::time::Duration;
+
+/// Says when snapshots are written to the log; the INI section `[snapshots]`.
+/// Both bounds must lie well within the log's retention.
+#[derive(Debug, Clone)]
+pub struct SnapshotsConfig {
+    /// Age of the newest snapshot at which another one is due. Default: 3600 s.
+    pub every: Duration,
+    /// Records since the newest snapshot after which another one is due. Default: 2000.
+    pub after_records: u32,
+    /// Time over which the nodes spread their attempts. Default: 30 s.
+    pub spread: Duration,
+}
+
+impl Default for SnapshotsConfig {
+    fn default() -> Self {
+        Self {
+            every: Duration::from_secs(3_600),
+            after_records: 2_000,
+            spread: Duration::from_secs(30),
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod configs;
 pub mod engine;
 pub mod ids;
+pub mod language;
 pub mod message;
 pub mod node;
 pub mod outcome;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -246,6 +246,11 @@
         /// The message.
         message: PeerMessage,
     },
+    /// Append records to the log's configuration stream, in order.
+    AppendConfig {
+        /// The records' bodies.
+        bodies: Vec<String>,
+    },
     /// Give the caller a part of its answer.
     Reply {
         /// The request.
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -5,11 +5,12 @@
 use rand::{SeedableRng, rngs::StdRng};
 
 use crate::{
+    config::{Batch, RefusedBatch},
     configs::Configs,
     ids::RequestId,
     message::{Action, Event},
     outcome::Outcome,
-    systems::{self, Context},
+    systems::{self, Context, dissemination::LogRead},
     tables::Tables,
     time::Timestamp,
 };
@@ -60,6 +61,28 @@
         out
     }
 
+    /// Returns the read of the log that should come next.
+    pub fn next_log_read(&mut self, now: Timestamp) -> LogRead {
+        let mut out = Vec::new();
+        let mut cx = Context {
+            now,
+            cfg: &self.cfg,
+            tables: &mut self.tables,
+            rng: &mut self.rng,
+            out: &mut out,
+        };
+        systems::dissemination::next_read(&mut cx)
+    }
+
+    /// Tells what would become of a batch if it were the log's next record.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it would be refused.
+    pub fn preview(&mut self, batch: &Batch) -> Result<(), RefusedBatch> {
+        self.tables.config.preview(batch)
+    }
+
     /// Mints an id for one request.
     pub fn mint(&mut self) -> RequestId {
         systems::minting::mint(&self.cfg.identity, &mut self.tables.requests)
--- /dev/null
+++ b/crates/core/src/systems/dissemination/join.rs
@@ -0,0 +1,109 @@
+//! Keeps a node that starts or returns from serving an old configuration.
+
+use super::{Context, relay, send};
+use crate::{
+    ids::{Revision, VmId},
+    peer::ConfigMessage,
+    systems::Timer,
+    tables::Join,
+};
+
+/// Most doublings of the time between two rounds.
+const MAX_DOUBLINGS: u32 = 4;
+
+/// Begins to ask the peers; nothing is served until that is over.
+pub(super) fn begin(cx: &mut Context<'_>) {
+    if cx.tables.follow.join.is_some() {
+        return;
+    }
+    cx.tables.ready = false;
+    cx.tables.follow.join = Some(Join::default());
+    round(cx);
+}
+
+/// Notes that the VM list is there.
+pub fn vms_known(cx: &mut Context<'_>) {
+    let join = cx.tables.follow.join.as_ref();
+    if join.is_some_and(|join| !join.asked) {
+        round(cx);
+    }
+}
+
+/// Ends the wait for peers that did not answer; runs at the round's end.
+pub fn join_round(cx: &mut Context<'_>) {
+    if let Some(join) = &mut cx.tables.follow.join {
+        join.pending.clear();
+    }
+    finish(cx);
+    if cx.tables.follow.join.is_some() {
+        round(cx);
+    }
+}
+
+fn round(cx: &mut Context<'_>) {
+    let own = &cx.cfg.identity.vm;
+    let nodes = cx.tables.vms.nodes();
+    let peers: Vec<VmId> = nodes
+        .filter(|vm| vm.vm != *own && vm.peer_address.is_some())
+        .map(|vm| vm.vm.clone())
+        .collect();
+    let Some(join) = &mut cx.tables.follow.join else {
+        return;
+    };
+    cx.tables.follow.counters.joins += u64::from(!join.asked);
+    join.asked = true;
+    join.heard.clear();
+    join.pending = peers.iter().cloned().collect();
+    let doublings = join.rounds.min(MAX_DOUBLINGS);
+    join.rounds += 1;
+    let wait = cx.cfg.dissemination.join_wait * 2u32.pow(doublings);
+    let timers = &mut cx.tables.timers;
+    timers.subscribe(cx.now + wait, Timer::JoinRound);
+    for peer in &peers {
+        send(cx, peer, ConfigMessage::AskRevision);
+    }
+    finish(cx);
+}
+
+/// Takes in a peer's revision.
+pub(super) fn answered(cx: &mut Context<'_>, from: &VmId, revision: Revision) {
+    if let Some(join) = &mut cx.tables.follow.join {
+        join.pending.remove(from);
+        join.heard.insert(from.clone(), revision);
+        finish(cx);
+    }
+}
+
+/// Leaves a peer out that can't be reached.
+pub(super) fn unreachable(cx: &mut Context<'_>, vm: &VmId) {
+    if let Some(join) = &mut cx.tables.follow.join {
+        join.pending.remove(vm);
+        join.heard.remove(vm);
+        finish(cx);
+    }
+}
+
+/// Lets the node serve, once it holds what the peers that answered hold, and
+/// what the log holds if that can be read.
+pub(super) fn finish(cx: &mut Context<'_>) {
+    let Some(join) = &cx.tables.follow.join else {
+        return;
+    };
+    if !join.asked || !join.pending.is_empty() {
+        return;
+    }
+    let newest = join.heard.values().max().copied().unwrap_or_default();
+    let log_read = join.log_read;
+    if cx.tables.config.revision() < newest {
+        relay::catch_up(cx);
+        return;
+    }
+    let log_refused = !matches!(
+        cx.tables.follow.log,
+        crate::tables::LogState::Following | crate::tables::LogState::Unread
+    );
+    if log_read || log_refused && newest > Revision(0) {
+        cx.tables.follow.join = None;
+        cx.tables.ready = true;
+    }
+}
--- a/crates/core/src/systems/membership.rs
+++ b/crates/core/src/systems/membership.rs
@@ -15,6 +15,7 @@
     cx.tables.timers.subscribe(next, Timer::Heartbeat);
     let said = Heartbeat {
         revision: cx.tables.config.revision(),
+        digest: cx.tables.config.digest().short(),
         draining: cx.tables.draining.is_some(),
         open_requests: u32::try_from(cx.tables.requests.len()).unwrap_or(u32::MAX),
     };
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -8,11 +8,13 @@
 pub mod calls;
 pub mod completion;
 pub mod directory;
+pub mod dissemination;
 pub mod drain;
 pub mod membership;
 pub mod minting;
 pub mod platform;
 pub mod routing;
+pub mod snapshots;
 
 use rand::rngs::StdRng;
 
@@ -47,6 +49,14 @@
     Deadline(RequestKey),
     /// The next round of heartbeats.
     Heartbeat,
+    /// The moment to ask a peer for records, if they did not come.
+    CatchUp,
+    /// The end of the time in which peers should say their revisions.
+    JoinRound,
+    /// The next look at whether a snapshot is due.
+    SnapshotCheck,
+    /// This node's turn to write a snapshot.
+    Snapshot,
     /// The bound on a step without an answer.
     Step {
         /// The request.
@@ -62,6 +72,7 @@
 
 /// Hands an event to the system that takes it, after all due subscriptions.
 pub fn dispatch(cx: &mut Context<'_>, event: Event) {
+    dissemination::wake(cx);
     while let Some(timer) = cx.tables.timers.pop_due(cx.now) {
         expire(cx, timer);
     }
@@ -89,11 +100,18 @@
         } => {
             platform::records(cx, first, end, records);
         }
-        Event::ConfigReadFailed => cx.tables.counters.log_failures += 1,
+        Event::ConfigReadFailed => dissemination::read_failed(cx),
         Event::VmList(list) => platform::vm_list(cx, list),
-        Event::Peer { from, message } => peer_message(cx, from, message),
-        Event::PeerUnreachable { .. } => {}
-        Event::Start => membership::round(cx),
+        Event::Peer { from, message } => {
+            let vm = from.vm.clone();
+            peer_message(cx, from, message);
+            dissemination::heard(cx, &vm);
+        }
+        Event::PeerUnreachable { vm } => dissemination::unreachable(cx, &vm),
+        Event::Start => {
+            membership::round(cx);
+            snapshots::start(cx);
+        }
         Event::Drain => drain::run(cx),
     }
 }
@@ -101,12 +119,17 @@
 fn peer_message(cx: &mut Context<'_>, from: Sender, message: PeerMessage) {
     match message {
         PeerMessage::Heartbeat(said) => membership::heard(cx, from, said),
+        PeerMessage::Config(message) => dissemination::message(cx, &from.vm, message),
     }
 }
 
 fn expire(cx: &mut Context<'_>, timer: Timer) {
     match timer {
         Timer::Heartbeat => membership::round(cx),
+        Timer::CatchUp => dissemination::catch_up_due(cx),
+        Timer::JoinRound => dissemination::join_round(cx),
+        Timer::SnapshotCheck => snapshots::check(cx),
+        Timer::Snapshot => snapshots::write(cx),
         Timer::Deadline(key) => answer::deadline(cx, key),
         Timer::Step {
             key,
--- /dev/null
+++ b/crates/core/src/tables/follow.rs
@@ -0,0 +1,136 @@
+//! How this node follows the configuration: the log, the peers, its start.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::Serialize;
+
+use crate::{
+    config::SnapshotReader,
+    ids::{Revision, VmId},
+    time::Timestamp,
+};
+
+/// How the log stands to this node.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogState {
+    /// It was not read yet.
+    #[default]
+    Unread,
+    /// Its records are folded.
+    Following,
+    /// It does not answer.
+    Unreachable,
+    /// It ends below this node's revision; nothing is folded from it.
+    Shorter,
+    /// It holds other records than this node folded; nothing is folded from it.
+    OtherHistory,
+    /// It no longer keeps the next record; a snapshot is looked for.
+    Expired,
+}
+
+/// The time in which the node must not serve yet, because peers may hold a
+/// newer revision.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Join {
+    /// Whether peers were asked for their revisions.
+    pub asked: bool,
+    /// Peers that have not answered.
+    pub pending: BTreeSet<VmId>,
+    /// What the others have said.
+    pub heard: BTreeMap<VmId, Revision>,
+    /// Whether the log was read to its end meanwhile.
+    pub log_read: bool,
+    /// Rounds of asking.
+    pub rounds: u32,
+}
+
+/// What was counted while following.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct FollowCounters {
+    /// Times at which a log was found that would have reverted the node.
+    pub reverts_refused: u64,
+    /// Digests or records of others that differ from this node's.
+    pub divergences: u64,
+    /// Records that came from peers.
+    pub records_from_peers: u64,
+    /// Records that were given to peers.
+    pub records_to_peers: u64,
+    /// Snapshots that this node wrote.
+    pub snapshots_written: u64,
+    /// Snapshots that this node started from.
+    pub snapshots_loaded: u64,
+    /// Snapshots whose content is not what they say.
+    pub snapshots_refused: u64,
+    /// Times at which the node asked its peers before it served on.
+    pub joins: u64,
+}
+
+/// How this node follows the configuration.
+#[derive(Debug, Serialize)]
+pub struct FollowTable {
+    /// How the log stands.
+    pub log: LogState,
+    /// When the log answered last.
+    pub read: Option<Timestamp>,
+    /// Reads that failed since then.
+    pub failures: u32,
+    /// Whether the last read brought records.
+    pub busy: bool,
+    /// Whether the next read must show the record before the next one.
+    pub verify: bool,
+    /// The offset from which snapshots are looked for.
+    pub scan: Option<u64>,
+    /// The snapshot that is being read from the log.
+    #[serde(skip)]
+    pub log_snapshot: SnapshotReader,
+    /// The snapshot that is being read from a peer.
+    #[serde(skip)]
+    pub peer_snapshot: SnapshotReader,
+    /// When the log or a peer was heard.
+    pub contact: Timestamp,
+    /// When the last event came.
+    pub handled: Timestamp,
+    /// The node's start or return, while it lasts.
+    pub join: Option<Join>,
+    /// The peer that was asked for records, and until when its answer is awaited.
+    pub ask: Option<(VmId, Timestamp)>,
+    /// Whether the node will soon ask a peer.
+    pub catch_up: bool,
+    /// The newest snapshot that was seen in the log.
+    pub newest_snapshot: Revision,
+    /// When it was seen.
+    pub snapshot_seen: Timestamp,
+    /// Whether the node waits for its turn to write a snapshot.
+    pub snapshot_waiting: bool,
+    /// The snapshot that was given to peers last.
+    #[serde(skip)]
+    pub relayed: Option<(Revision, Vec<String>)>,
+    /// What was counted.
+    pub counters: FollowCounters,
+}
+
+impl Default for FollowTable {
+    fn default() -> Self {
+        Self {
+            log: LogState::default(),
+            read: None,
+            failures: 0,
+            busy: false,
+            verify: false,
+            scan: None,
+            log_snapshot: SnapshotReader::default(),
+            peer_snapshot: SnapshotReader::default(),
+            contact: Timestamp::default(),
+            handled: Timestamp::default(),
+            join: Some(Join::default()),
+            ask: None,
+            catch_up: false,
+            newest_snapshot: Revision(0),
+            snapshot_seen: Timestamp::default(),
+            snapshot_waiting: false,
+            relayed: None,
+            counters: FollowCounters::default(),
+        }
+    }
+}
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -2,12 +2,16 @@
 
 mod backends;
 mod counters;
+mod follow;
+mod history;
 mod members;
 mod requests;
 mod vms;
 
 pub use backends::{BackendRow, BackendTable};
 pub use counters::Counters;
+pub use follow::{FollowCounters, FollowTable, Join, LogState};
+pub use history::History;
 pub use members::{MemberRow, MemberTable};
 pub use requests::{CallState, CompletionState, RequestRow, RequestTable, Stage, Work};
 pub use vms::VmTable;
@@ -23,6 +27,10 @@
 pub struct Tables {
     /// The configuration in force.
     pub config: Config,
+    /// Records that were folded lately.
+    pub history: History,
+    /// How the configuration is followed.
+    pub follow: FollowTable,
     /// The VM list as last heard.
     pub vms: VmTable,
     /// Other entry nodes, as heard from themselves.
@@ -37,6 +45,8 @@
     pub counters: Counters,
     /// When a graceful shutdown began.
     pub draining: Option<Timestamp>,
-    /// True once the log and the VM list were read for the first time.
+    /// True while the node may serve: it has seen the VM list, and no peer
+    /// that it can reach holds a newer configuration than it had when it
+    /// started or returned.
     pub ready: bool,
 }
--- /dev/null
+++ b/crates/daemon/src/configs/dissemination.rs
@@ -0,0 +1,31 @@
+//! Reads `[dissemination]`.
+
+use radishhaven_core::configs::DisseminationConfig;
+
+use crate::settings::Section;
+
+pub(crate) fn read_dissemination(section: &mut Section<'_>) -> DisseminationConfig {
+    let d = DisseminationConfig::default();
+    DisseminationConfig {
+        readers: section.number("readers", 1..=100).unwrap_or(d.readers),
+        fallback: section
+            .millis("fallback_ms", 100..=600_000)
+            .unwrap_or(d.fallback),
+        pace: section.millis("pace_ms", 1..=10_000).unwrap_or(d.pace),
+        backoff_min: section
+            .millis("backoff_min_ms", 10..=60_000)
+            .unwrap_or(d.backoff_min),
+        backoff_max: section
+            .millis("backoff_max_ms", 10..=600_000)
+            .unwrap_or(d.backoff_max),
+        catch_up: section
+            .millis("catch_up_ms", 1..=10_000)
+            .unwrap_or(d.catch_up),
+        join_wait: section
+            .millis("join_wait_ms", 10..=60_000)
+            .unwrap_or(d.join_wait),
+        rejoin_after: section
+            .millis("rejoin_after_ms", 1_000..=600_000)
+            .unwrap_or(d.rejoin_after),
+    }
+}
--- a/crates/daemon/src/configs/mod.rs
+++ b/crates/daemon/src/configs/mod.rs
@@ -3,20 +3,24 @@
 
 mod admission;
 mod directory;
+mod dissemination;
 mod log;
 mod membership;
 mod node;
+mod operators;
 mod peers;
 mod platform;
 mod retry;
+mod snapshots;
 
 pub(crate) use self::{
-    admission::read_admission, directory::read_directory, membership::read_membership,
-    retry::read_retry,
+    admission::read_admission, directory::read_directory, dissemination::read_dissemination,
+    membership::read_membership, retry::read_retry, snapshots::read_snapshots,
 };
 pub use self::{
     log::{LogConfig, LogFormat},
     node::NodeConfig,
+    operators::{OperatorsConfig, TokenDigest},
     peers::{PeerKey, PeersConfig},
     platform::PlatformConfig,
 };
--- a/crates/daemon/src/edges/operators.rs
+++ b/crates/daemon/src/edges/operators.rs
@@ -1,11 +1,17 @@
-//! Serves operators: health, metrics, the state dump and what is in force.
+//! Serves operators: health, metrics, queries, changes and the state dump.
 
 use std::{convert::Infallible, sync::Arc};
 
-use http::{Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode, header::AUTHORIZATION};
 use http_body_util::{BodyExt, Limited};
-use radishhaven_core::{config::Batch, node::Node};
-use radishhaven_proto::operator::{APPLY_PATH, CONFIG_PATH, STATE_PATH};
+use radishhaven_core::{
+    language::{MAX_TEXT_BYTES, answer, parse_query, statuses},
+    node::Node,
+};
+use radishhaven_proto::operator::{
+    APPLY_PATH, CONFIG_PATH, Mistakes, NODES_PATH, Nodes, PLAN_PATH, QUERY_PATH, STATE_PATH,
+};
+use serde::Serialize;
 use serde_json::json;
 use tokio::net::TcpListener;
 use volo::service::Service;
@@ -22,9 +28,6 @@
     serve_http("operators", listener, Operators { host }).await;
 }
 
-/// Largest batch that is read, in bytes.
-const MAX_BATCH_BYTES: usize = 8 * 1024 * 1024;
-
 struct Operators {
     host: Arc<Host>,
 }
@@ -34,40 +37,107 @@
     type Error = Infallible;
 
     async fn call(&self, _cx: &mut ServerContext, req: Request) -> Result<Response, Infallible> {
-        if req.method() == Method::POST && req.uri().path() == APPLY_PATH {
-            return Ok(self.apply(req.into_body()).await);
+        let (method, path) = (req.method().clone(), req.uri().path().to_owned());
+        if let Some(page) = self.open_page(&method, &path) {
+            return Ok(page);
+        }
+        if !self.admits(req.headers()) {
+            let message = json!({ "message": "the operators' token is absent or wrong" });
+            return Ok(json(StatusCode::UNAUTHORIZED, &message));
         }
-        Ok(self.answer(req.method(), req.uri().path()))
+        if method == Method::POST {
+            return Ok(self.post(&path, req.into_body()).await);
+        }
+        Ok(self.get(&method, &path))
+    }
+}
+
+fn not_found() -> Response {
+    json(StatusCode::NOT_FOUND, &json!({ "message": "no such path" }))
+}
+
+fn result<T: Serialize>(result: Result<T, Mistakes>) -> Response {
+    match result {
+        Ok(value) => json(StatusCode::OK, &value),
+        Err(mistakes) => json(StatusCode::UNPROCESSABLE_ENTITY, &mistakes),
     }
 }
 
 impl Operators {
-    fn answer(&self, method: &Method, path: &str) -> Response {
+    /// Answers what needs no token.
+    fn open_page(&self, method: &Method, path: &str) -> Option<Response> {
+        match (method, path) {
+            (&Method::GET, "/health") => Some(text(StatusCode::OK, "ok\n".to_owned())),
+            (&Method::GET, "/ready") => Some(self.ready()),
+            (&Method::GET, "/metrics") => Some(self.metrics()),
+            _ => None,
+        }
+    }
+
+    fn admits(&self, headers: &HeaderMap) -> bool {
+        let Some(token) = &self.host.settings.operators.token else {
+            return true;
+        };
+        let shown = headers.get(AUTHORIZATION).and_then(|v| v.to_str().ok());
+        let shown = shown.and_then(|value| value.strip_prefix("Bearer "));
+        shown.is_some_and(|shown| token.admits(shown))
+    }
+
+    fn get(&self, method: &Method, path: &str) -> Response {
         match (method, path) {
-            (&Method::GET, "/health") => text(StatusCode::OK, "ok\n".to_owned()),
-            (&Method::GET, "/ready") => self.ready(),
-            (&Method::GET, "/metrics") => self.metrics(),
-            (&Method::GET, STATE_PATH) => json(StatusCode::OK, &self.host.read(state)),
+            (&Method::GET, STATE_PATH) => {
+                let now = self.host.now();
+                json(StatusCode::OK, &self.host.read(|node| state(node, now)))
+            }
             (&Method::GET, CONFIG_PATH) => {
                 let parts = self.host.read(|node| node.tables().config.snapshot());
                 json(StatusCode::OK, &parts)
             }
-            _ => json(StatusCode::NOT_FOUND, &json!({ "message": "no such path" })),
+            (&Method::GET, NODES_PATH) => json(StatusCode::OK, &self.nodes()),
+            _ => not_found(),
         }
     }
 
-    async fn apply(&self, body: Body) -> Response {
+    async fn post(&self, path: &str, body: Body) -> Response {
         let bad = |message: String| json(StatusCode::BAD_REQUEST, &json!({ "message": message }));
-        let body = match Limited::new(body, MAX_BATCH_BYTES).collect().await {
+        let body = match Limited::new(body, MAX_TEXT_BYTES).collect().await {
             Ok(body) => body.to_bytes(),
             Err(error) => return bad(error.to_string()),
         };
-        match serde_json::from_slice::<Batch>(&body) {
-            Ok(batch) => json(StatusCode::OK, &apply::run(&self.host, batch).await),
-            Err(error) => bad(error.to_string()),
+        let body = match std::str::from_utf8(&body) {
+            Ok(body) => body,
+            Err(error) => return bad(error.to_string()),
+        };
+        match path {
+            QUERY_PATH => result(self.query(body)),
+            PLAN_PATH => result(apply::plan(&self.host, body)),
+            APPLY_PATH => result(apply::run(&self.host, body).await),
+            _ => not_found(),
         }
     }
 
+    fn query(&self, body: &str) -> Result<radishhaven_core::language::Answer, Mistakes> {
+        let now = self.host.now();
+        let answered = parse_query(body).and_then(|query| {
+            self.host
+                .read(|node| answer(&node.configs().identity, node.tables(), now, &query))
+        });
+        answered.map_err(|mistake| Mistakes {
+            mistakes: vec![mistake],
+        })
+    }
+
+    fn nodes(&self) -> Nodes {
+        let now = self.host.now();
+        self.host.read(|node| {
+            let identity = &node.configs().identity;
+            Nodes {
+                node: identity.vm.clone(),
+                nodes: statuses(identity, node.tables(), now),
+            }
+        })
+    }
+
     fn ready(&self) -> Response {
         let ready = self.host.read(|node| {
             let tables = node.tables();
@@ -82,14 +152,15 @@
     }
 
     fn metrics(&self) -> Response {
-        match self.host.read(metrics::render) {
+        let now = self.host.now();
+        match self.host.read(|node| metrics::render(node, now)) {
             Ok(page) => text(StatusCode::OK, page),
             Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
         }
     }
 }
 
-fn state(node: &Node) -> serde_json::Value {
+fn state(node: &Node, now: radishhaven_core::time::Timestamp) -> serde_json::Value {
     let tables = node.tables();
     let identity = &node.configs().identity;
     json!({
@@ -98,12 +169,15 @@
         "incarnation": identity.incarnation,
         "ready": tables.ready,
         "draining": tables.draining.is_some(),
+        "now": now,
         "config": {
             "revision": tables.config.revision(),
             "digest": tables.config.digest(),
             "objects": tables.config.objects().len(),
+            "decisions": tables.config.decision_count(),
             "broken_records": tables.config.broken_records(),
         },
+        "follow": tables.follow,
         "vms": tables.vms,
         "members": tables.members,
         "backends": tables.backends,
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -17,6 +17,7 @@
     message::{Action, Event, Reply, Submission},
     node::Node,
     peer::Sender,
+    time::Timestamp,
 };
 use tokio::{net::TcpListener, sync::mpsc};
 
@@ -95,6 +96,8 @@
             directory: settings.directory.clone(),
             membership: settings.membership.clone(),
             retry: settings.retry.clone(),
+            dissemination: settings.dissemination.clone(),
+            snapshots: settings.snapshots.clone(),
         };
         Ok(Self {
             node: Mutex::new(Node::new(cfg, seed)),
@@ -121,6 +124,11 @@
         }
     }
 
+    /// Returns the current time as the decisions see it.
+    pub(crate) fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
     /// Looks at the decisions' state.
     pub fn read<T>(&self, look: impl FnOnce(&Node) -> T) -> T {
         look(&locked(&self.node))
@@ -204,6 +212,7 @@
                     self.peer_stream_failed();
                 }
             }
+            Action::AppendConfig { bodies } => platform::append_all(self, bodies),
             Action::EndSession { address, session } => engines::end(self, address, session),
             Action::Call {
                 key,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -5,14 +5,14 @@
     metrics::{counter::ConstCounter, gauge::ConstGauge},
     registry::{Registry, Unit},
 };
-use radishhaven_core::node::Node;
+use radishhaven_core::{node::Node, tables::LogState, time::Timestamp};
 
 /// Renders a node's metrics.
 ///
 /// # Errors
 ///
 /// Fails if the encoder refuses a value.
-pub fn render(node: &Node) -> Result<String, std::fmt::Error> {
+pub fn render(node: &Node, now: Timestamp) -> Result<String, std::fmt::Error> {
     let tables = node.tables();
     let counters = &tables.counters;
     let mut registry = Registry::with_prefix("radishhaven");
@@ -52,6 +52,52 @@
         "Records that can't be read",
         tables.config.broken_records(),
     );
+    let follow = &tables.follow;
+    let counted = &follow.counters;
+    for (name, help, value) in [
+        (
+            "config_reverts_refused",
+            "Times at which a log that would revert the node was refused",
+            counted.reverts_refused,
+        ),
+        (
+            "config_divergences",
+            "Digests or records of others that differ",
+            counted.divergences,
+        ),
+        (
+            "config_records_from_peers",
+            "Records that came from peers",
+            counted.records_from_peers,
+        ),
+        (
+            "config_records_to_peers",
+            "Records that were given to peers",
+            counted.records_to_peers,
+        ),
+        (
+            "config_snapshots_written",
+            "Snapshots that this node wrote",
+            counted.snapshots_written,
+        ),
+        (
+            "config_snapshots_loaded",
+            "Snapshots that this node started from",
+            counted.snapshots_loaded,
+        ),
+        (
+            "config_snapshots_refused",
+            "Snapshots whose content is not what they say",
+            counted.snapshots_refused,
+        ),
+        (
+            "config_joins",
+            "Times at which peers were asked before serving",
+            counted.joins,
+        ),
+    ] {
+        count(name, help, value);
+    }
     for (outcome, &value) in &counters.outcomes {
         let name = format!("outcome_{}", outcome.replace([' ', '-', '(', ')'], "_"));
         count(&name, "Answers with this outcome", value);
@@ -75,7 +121,33 @@
         "Revision in force",
         tables.config.revision().0,
     );
+    gauge(
+        "config_lag",
+        "Revisions that the newest known node is ahead",
+        lag(node),
+    );
+    gauge(
+        "config_log_following",
+        "1 while the log is followed, 0 while it is out or refused",
+        u64::from(follow.log == LogState::Following),
+    );
+    let age = follow.read.map_or(now.as_millis(), |read| {
+        u64::try_from(now.since(read).as_millis()).unwrap_or(u64::MAX)
+    });
+    gauge(
+        "config_log_age_ms",
+        "Milliseconds since the log answered this node",
+        age,
+    );
+    gauge("ready", "1 while the node serves", u64::from(tables.ready));
     let mut text = String::new();
     encode(&mut text, &registry)?;
     Ok(text)
 }
+
+fn lag(node: &Node) -> u64 {
+    let tables = node.tables();
+    let heard = tables.members.iter().map(|(_, row)| row.said.revision.0);
+    let newest = heard.max().unwrap_or_default();
+    newest.saturating_sub(tables.config.revision().0)
+}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -13,11 +13,14 @@
 };
 
 use ini::Ini;
-use radishhaven_core::configs::{AdmissionConfig, DirectoryConfig, MembershipConfig, RetryConfig};
+use radishhaven_core::configs::{
+    AdmissionConfig, DirectoryConfig, DisseminationConfig, MembershipConfig, RetryConfig,
+    SnapshotsConfig,
+};
 
 use crate::configs::{
-    LogConfig, NodeConfig, PeersConfig, PlatformConfig, read_admission, read_directory,
-    read_membership, read_retry,
+    LogConfig, NodeConfig, OperatorsConfig, PeersConfig, PlatformConfig, read_admission,
+    read_directory, read_dissemination, read_membership, read_retry, read_snapshots,
 };
 
 /// A file with every setting, its default and its unit.
@@ -42,6 +45,12 @@
     pub membership: MembershipConfig,
     /// `[retry]`.
     pub retry: RetryConfig,
+    /// `[operators]`.
+    pub operators: OperatorsConfig,
+    /// `[dissemination]`.
+    pub dissemination: DisseminationConfig,
+    /// `[snapshots]`.
+    pub snapshots: SnapshotsConfig,
 }
 
 /// One mistake in a settings file.
@@ -132,6 +141,16 @@
 }
 
 impl Section<'_> {
+    /// Tells whether a key is given.
+    pub(crate) fn has(&self, key: &str) -> bool {
+        self.values.contains_key(key)
+    }
+
+    /// Notes a key that may be left out.
+    pub(crate) fn know(&mut self, key: &'static str) {
+        self.known.push(key);
+    }
+
     /// Takes a value, if it is there and valid.
     pub(crate) fn take<T>(
         &mut self,
@@ -335,18 +354,29 @@
         let directory = reader.section("directory", read_directory);
         let membership = reader.section("membership", read_membership);
         let retry = reader.section("retry", read_retry);
+        let listen = node.as_ref().map(|node| node.operators);
+        let operators = reader.section("operators", |s| OperatorsConfig::read(s, listen));
+        let dissemination = reader.section("dissemination", read_dissemination);
+        let snapshots = reader.section("snapshots", read_snapshots);
         reader.reject_other_sections();
-        match (node, peers, platform) {
-            (Some(node), Some(peers), Some(platform)) if reader.errors.is_empty() => Ok(Self {
-                node,
-                peers,
-                platform,
-                log,
-                admission,
-                directory,
-                membership,
-                retry,
-            }),
+        match (node, peers, platform, operators) {
+            (Some(node), Some(peers), Some(platform), Some(operators))
+                if reader.errors.is_empty() =>
+            {
+                Ok(Self {
+                    node,
+                    peers,
+                    platform,
+                    log,
+                    admission,
+                    directory,
+                    membership,
+                    retry,
+                    operators,
+                    dissemination,
+                    snapshots,
+                })
+            }
             _ => Err(SettingsErrors(reader.errors)),
         }
     }
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -76,3 +76,16 @@
     let found = messages(&DEFAULTS.replace(key, &format!("{key}\nkey = another-secret-of-24-b")));
     assert_eq!(found, ["node.ini: [peers] key is given more than once"]);
 }
+
+#[test]
+fn operators_off_the_loopback_need_a_token_which_is_not_shown() {
+    let public = DEFAULTS.replace("operators = 127.0.0.1:8081", "operators = 10.0.0.1:8081");
+    let found = messages(&public);
+    assert_eq!(found.len(), 1, "{found:#?}");
+    assert!(found[0].contains("[operators] token_sha256 is missing"));
+    let short = public.replace("; token_sha256 = 000", "token_sha256 = 12");
+    assert!(messages(&short)[0].contains("[operators] token_sha256 = (hidden)"));
+    let whole = public.replace("; token_sha256", "token_sha256");
+    let settings = Settings::parse("node.ini", &whole).expect("the token is valid");
+    assert!(!format!("{settings:?}").contains("000000"));
+}
--- a/crates/proto/src/operator.rs
+++ b/crates/proto/src/operator.rs
@@ -1,17 +1,31 @@
 //! The protocol between the operators' command and a node.
+//!
+//! All paths but health, readiness and metrics want the operators' token as
+//! a bearer token, where the node's settings have one.
 
 use radishhaven_core::{
-    config::BatchResult,
+    config::{BatchResult, RefusedBatch},
     ids::{BatchId, Revision, VmId},
+    language::{Difference, LanguageError, NodeStatus},
 };
 use serde::{Deserialize, Serialize};
 
 /// `GET`: the whole state of the node as JSON.
 pub const STATE_PATH: &str = "/state";
-/// `GET`: the configuration in force at the node.
+/// `GET`: the configuration in force at the node, in parts of a snapshot.
 pub const CONFIG_PATH: &str = "/config";
-/// `POST`: appends a batch, body `Batch`, answer [`Applied`].
+/// `POST`: answers a query in the operators' language, sent as plain text,
+/// with `Answer`, or with [`Mistakes`] and status 422.
+pub const QUERY_PATH: &str = "/query";
+/// `POST`: tells what a batch would change, answer [`Planned`]; the body is
+/// as for [`APPLY_PATH`].
+pub const PLAN_PATH: &str = "/plan";
+/// `POST`: appends a batch, answer [`Applied`]; the body is plain text in the
+/// operators' language, or a `Batch` as JSON if it begins with a brace. What
+/// can't be understood is answered with [`Mistakes`] and status 422.
 pub const APPLY_PATH: &str = "/apply";
+/// `GET`: which revision is in force where, answer [`Nodes`].
+pub const NODES_PATH: &str = "/nodes";
 
 /// What became of a batch that was handed in.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,3 +51,32 @@
     /// The revision that this node has in force.
     pub revision: Revision,
 }
+
+/// What a batch would change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Planned {
+    /// The batch.
+    pub batch: BatchId,
+    /// The revision at which this was found.
+    pub revision: Revision,
+    /// Why it would be refused, if it would.
+    pub refusal: Option<RefusedBatch>,
+    /// For each object, its fields before and after.
+    pub differences: Vec<Difference>,
+}
+
+/// Mistakes in a text.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mistakes {
+    /// The mistakes, in the order of the text.
+    pub mistakes: Vec<LanguageError>,
+}
+
+/// Which revision is in force where.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Nodes {
+    /// The node that answers.
+    pub node: VmId,
+    /// All nodes of the VM list.
+    pub nodes: Vec<NodeStatus>,
+}
