feat(slopes): measure how a node's costs grow with each size

Cause: docs/CAPACITY.md must be worked out from measured slopes. Ruled out: figures at one size, which hide what grows. Before: no figures.

--- /dev/null
+++ b/crates/standin/examples/slopes/sample.rs
@@ -0,0 +1,220 @@
+//! What the measurements share: a node without edges, and its inputs.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::{Ipv4Addr, SocketAddr},
+    time::{Duration, Instant},
+};
+
+use radishhaven_core::{
+    config::{
+        BATCH_FORMAT, Backend, Batch, Carries, Change, Model, Object, Organisation, Pipeline,
+    },
+    configs::{Configs, Identity},
+    ids::{Incarnation, Priority, RequestKey, Revision},
+    message::{Demand, Event, Submission},
+    node::Node,
+    platform::{Record, Vm, VmList, VmRole, VmState},
+    time::Timestamp,
+};
+use radishhaven_standin::deployment::id;
+use sha2::{Digest, Sha256};
+
+use crate::{ALLOCATED, target};
+
+/// Layers of each model.
+const LAYERS: u16 = 24;
+/// Stages over these layers.
+const STAGES: u16 = 3;
+/// Failure domains.
+const DOMAINS: usize = 17;
+/// Longest batch that is published, in changes.
+const BATCH_CHANGES: usize = 1_000;
+
+/// A node without edges, with a log and a clock of its own.
+#[derive(Debug)]
+pub struct Sample {
+    /// The node.
+    pub node: Node,
+    /// The current time.
+    pub now: Timestamp,
+    next_offset: u64,
+    next_key: u64,
+}
+
+impl Sample {
+    /// Makes a node that serves `workers` engines and `organisations`.
+    pub fn new(workers: usize, organisations: usize) -> Self {
+        let identity = Identity {
+            vm: id("node-0"),
+            failure_domain: id("domain-0"),
+            address: address(0),
+            incarnation: Incarnation(1),
+        };
+        let mut sample = Self {
+            node: Node::new(Configs::new(identity), 1),
+            now: Timestamp::from_millis(1),
+            next_offset: 0,
+            next_key: 0,
+        };
+        sample.handle(Event::VmList(VmList {
+            vms: (0..workers).map(vm).collect(),
+        }));
+        let objects: Vec<Object> = models()
+            .chain((0..organisations).map(organisation))
+            .chain((0..workers).map(backend))
+            .collect();
+        for (n, part) in objects.chunks(BATCH_CHANGES).enumerate() {
+            let batch = batch(&format!("first-{n}"), part.to_vec(), BTreeMap::new());
+            sample.publish(&batch);
+        }
+        sample
+    }
+
+    /// Hands an event to the node; returns the number of actions.
+    pub fn handle(&mut self, event: Event) -> usize {
+        self.node.handle(self.now, event).len()
+    }
+
+    /// Appends a batch to the log and lets the node read it.
+    pub fn publish(&mut self, batch: &Batch) {
+        let body = serde_json::to_string(batch).expect("a batch can be written");
+        let record = Record {
+            offset: self.next_offset,
+            body,
+        };
+        self.next_offset += 1;
+        let end = self.next_offset;
+        self.handle(Event::ConfigRecords {
+            first: 0,
+            end,
+            records: vec![record],
+        });
+    }
+
+    /// Submits a completion of organisation `n`; returns its key.
+    pub fn submit(&mut self, n: usize) -> RequestKey {
+        let key = RequestKey(self.next_key);
+        self.next_key += 1;
+        let submission = Submission {
+            token_sha256: Sha256::digest(organisation_name(n).as_bytes()).into(),
+            id: None,
+            priority: None,
+            within: Some(Duration::from_secs(60)),
+            idempotent: None,
+            demand: Demand::Completion {
+                pipeline: id(&model_name(n)),
+                prompt: vec![97; 64],
+                max_tokens: 425,
+            },
+        };
+        self.handle(Event::Submit {
+            key,
+            submission: Box::new(submission),
+        });
+        key
+    }
+
+    /// Returns the revision that the node has in force.
+    pub fn revision(&self) -> Revision {
+        self.node.tables().config.revision()
+    }
+}
+
+/// Makes a batch.
+pub fn batch(name: &str, objects: Vec<Object>, base: BTreeMap<String, Revision>) -> Batch {
+    Batch {
+        format: BATCH_FORMAT,
+        batch: id(name),
+        base: base.into_iter().map(|(key, at)| (id(&key), at)).collect(),
+        changes: objects.into_iter().map(Change::Put).collect(),
+    }
+}
+
+fn address(n: usize) -> SocketAddr {
+    let [.., a, b] = (n as u32).to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(127, 1, a, b), 80))
+}
+
+/// Makes the entry of one engine on the VM list.
+pub fn vm(n: usize) -> Vm {
+    Vm {
+        vm: id(&format!("engine-{n}")),
+        role: VmRole::Backend,
+        address: address(n),
+        peer_address: None,
+        failure_domain: id(&format!("domain-{}", n % DOMAINS)),
+        state: VmState::Live,
+    }
+}
+
+fn model_name(n: usize) -> String {
+    format!("model-{}", n % usize::from(target::MODELS))
+}
+
+fn organisation_name(n: usize) -> String {
+    format!("organisation-{n}")
+}
+
+fn models() -> impl Iterator<Item = Object> {
+    (0..usize::from(target::MODELS)).flat_map(|n| {
+        let model = Object::Model(Model {
+            id: id(&model_name(n)),
+            layers: LAYERS,
+        });
+        let pipeline = Object::Pipeline(Pipeline {
+            id: id(&model_name(n)),
+            model: id(&model_name(n)),
+            version: id("v1"),
+            adapters: BTreeSet::new(),
+        });
+        [model, pipeline]
+    })
+}
+
+/// Makes an organisation.
+pub fn organisation(n: usize) -> Object {
+    let token = Sha256::digest(organisation_name(n).as_bytes());
+    Object::Organisation(Organisation {
+        id: id(&organisation_name(n)),
+        token_sha256: token.iter().map(|b| format!("{b:02x}")).collect(),
+        priority: Priority(5),
+        max_in_flight: 100_000,
+        share: 1,
+    })
+}
+
+fn backend(n: usize) -> Object {
+    let per_stage = LAYERS / STAGES;
+    let stage = (n / usize::from(target::MODELS)) as u16 % STAGES;
+    let layers = format!("{}..{}", stage * per_stage, (stage + 1) * per_stage);
+    Object::Backend(Backend {
+        id: id(&format!("engine-{n}")),
+        carries: Carries::Layers {
+            model: id(&model_name(n)),
+            version: id("v1"),
+            layers: id(&layers),
+            adapters: BTreeSet::new(),
+        },
+        checks_tokens: n.is_multiple_of(2),
+    })
+}
+
+/// Returns the allocated bytes that `make` leaves behind, with its value.
+pub fn allocated_by<T>(make: impl FnOnce() -> T) -> (T, f64) {
+    let before = ALLOCATED.allocated();
+    let made = make();
+    let after = ALLOCATED.allocated();
+    (made, after as f64 - before as f64)
+}
+
+/// Returns the least time, in microseconds, that one of `times` runs takes.
+pub fn least_micros(times: usize, mut run: impl FnMut()) -> f64 {
+    let mut least = f64::INFINITY;
+    for _ in 0..times {
+        let begun = Instant::now();
+        run();
+        least = least.min(begun.elapsed().as_secs_f64() * 1e6);
+    }
+    least
+}
