feat(recovery): replace only the stage that failed

A request kept one attempt for its whole chain: any failure ended all sessions and recomputed every layer from the prompt. Now each stage has a session with an attempt number of its own. A failed stage is replaced by one engine or a chain of engines over its layers, from KV cache that was exported or by running the inputs that the node kept; only when these were dropped do the stages before it run again. Exchanges are numbered, so a late reply is told from the open one whatever stage it came from.

The bound of a step follows the engine's pace; each refusal is handled by what it proves; a lost reply is asked for again at the same engine first, which runs nothing twice; retries in doubt draw on a budget and wait with full jitter.

--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -94,6 +94,7 @@
             admission: settings.admission.clone(),
             directory: settings.directory.clone(),
             membership: settings.membership.clone(),
+            recovery: settings.recovery.clone(),
             retry: settings.retry.clone(),
         };
         Ok(Self {
@@ -188,13 +189,24 @@
             Action::Reply { key, reply } => self.reply(key, reply),
             Action::Step {
                 key,
-                attempt,
-                stage,
+                step,
                 address,
                 order,
-            } => {
-                engines::step(self, key, attempt, stage, address, *order);
-            }
+            } => engines::step(self, key, step, address, *order),
+            Action::Import {
+                key,
+                step,
+                address,
+                session,
+                cache,
+                within,
+            } => engines::import(self, key, step, address, session, *cache, within),
+            Action::Export {
+                key,
+                address,
+                session,
+                within,
+            } => engines::export(self, key, address, session, within),
             Action::Peer {
                 to,
                 address,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod checker;
 pub mod control;
+pub mod cpu;
 pub mod deployment;
 pub mod engine;
 pub mod log;
