--- a/crates/core/src/systems/completion.rs
+++ b/crates/core/src/systems/completion.rs
@@ -1,19 +1,27 @@
-//! Runs completions: steps over the stages of a chain, token by token.
+//! Runs completions: steps over the sessions of a chain, token by token.
 //!
-//! The node carries activations from stage to stage. Each attempt has sessions
-//! of its own, so the output of an abandoned attempt can't join the answer.
+//! The node carries activations from stage to stage. A session always takes
+//! all positions that it has not run yet, so that a session which took over
+//! from a failed one catches up by its first step; see
+//! `docs/design/recovery.md`. One exchange is open at a time, and its number
+//! tells replies to it from late ones.
 
-use super::{Context, Timer, answer, routing};
+use std::time::Duration;
+
+use super::{
+    Context, Timer, answer, export,
+    recovery::{self, Failure},
+    routing,
+};
 use crate::{
-    engine::{END_TOKEN, SessionRef, StageInput, StageOutput, StepReply},
-    ids::{Attempt, Position, RequestKey, VmId},
+    engine::{END_TOKEN, SessionRef, StageOutput, StepReply},
+    ids::{Position, RequestKey, StepId, VmId},
     message::{Action, AttemptError, Reply, StepOrder},
     outcome::{NotRun, Outcome},
-    tables::{RequestRow, Stage, Work},
+    tables::{CompletionState, Exchange, RequestRow, StageSession, Work},
 };
 
-/// Chooses a chain and sends the first step; runs at admission and for each
-/// further attempt, which recomputes all positions.
+/// Chooses a chain and sends the first step; runs once, at admission.
 pub fn start(cx: &mut Context<'_>, key: RequestKey) {
     let Some(row) = cx.tables.requests.get(key) else {
         return;
@@ -21,122 +29,251 @@
     let Work::Completion(work) = &row.work else {
         return;
     };
+    let attempt = row.attempt;
     let Some(chain) = routing::chain(cx, &work.model, &work.version, &row.failed) else {
         return answer::give_up(cx, key, NotRun::NoCapacity, "no chain covers all layers");
     };
     for stage in &chain {
-        if let Some(backend) = cx.tables.backends.get_mut(&stage.vm) {
-            backend.in_flight += 1;
-        }
+        occupy(cx, &stage.vm);
     }
-    let Some(row) = cx.tables.requests.get_mut(key) else {
+    if let Some(work) = completion_mut(cx, key) {
+        let session = |stage| StageSession::new(stage, attempt);
+        work.chain = chain.into_iter().map(session).collect();
+        work.open.stage = 0;
+    }
+    proceed(cx, key);
+}
+
+/// Returns the state of an open completion.
+pub(super) fn completion<'a>(cx: &'a Context<'_>, key: RequestKey) -> Option<&'a CompletionState> {
+    match &cx.tables.requests.get(key)?.work {
+        Work::Completion(work) => Some(work),
+        Work::Call(_) => None,
+    }
+}
+
+/// Returns the state of an open completion for a change.
+pub(super) fn completion_mut<'a>(
+    cx: &'a mut Context<'_>,
+    key: RequestKey,
+) -> Option<&'a mut CompletionState> {
+    match &mut cx.tables.requests.get_mut(key)?.work {
+        Work::Completion(work) => Some(work),
+        Work::Call(_) => None,
+    }
+}
+
+/// Counts a session at a backend server.
+pub(super) fn occupy(cx: &mut Context<'_>, vm: &VmId) {
+    if let Some(backend) = cx.tables.backends.get_mut(vm) {
+        backend.in_flight += 1;
+    }
+}
+
+/// Counts a session less at a backend server.
+pub(super) fn vacate(cx: &mut Context<'_>, vm: &VmId) {
+    if let Some(backend) = cx.tables.backends.get_mut(vm) {
+        backend.in_flight = backend.in_flight.saturating_sub(1);
+    }
+}
+
+/// Sends what the open stage needs next: an import, or a step with all
+/// positions that its session has not run.
+pub(super) fn proceed(cx: &mut Context<'_>, key: RequestKey) {
+    let importing = completion(cx, key)
+        .and_then(CompletionState::open_session)
+        .map(|session| session.import.is_some());
+    match importing {
+        Some(true) => send_import(cx, key),
+        Some(false) => send_step(cx, key),
+        None => {}
+    }
+}
+
+fn send_step(cx: &mut Context<'_>, key: RequestKey) {
+    let Some(work) = completion(cx, key) else {
         return;
     };
-    row.started = true;
-    let Work::Completion(work) = &mut row.work else {
-        return;
+    let (Some(input), Some(session)) = (work.open_input(), work.open_session()) else {
+        return recovery::fail(cx, key, Failure::InputsDropped);
     };
-    work.chain = chain;
-    work.first = Position(0);
-    let input = StageInput::Tokens(work.tokens.clone());
-    send(cx, key, 0, input);
-}
-
-fn send(cx: &mut Context<'_>, key: RequestKey, stage: usize, input: StageInput) {
+    let (stage, first) = (session.stage.clone(), session.next);
+    let positions = input.len() as u32;
+    let bound = step_bound(cx, &stage.vm, positions);
+    let step = open(cx, key, Exchange::Step, positions, bound);
     let now = cx.now;
     let Some(row) = cx.tables.requests.get_mut(key) else {
         return;
     };
-    let within = row.deadline.since(now);
-    let session = SessionRef {
-        request: row.id.clone(),
-        attempt: row.attempt,
-    };
-    let (attempt, priority) = (row.attempt, row.priority);
-    let Work::Completion(work) = &mut row.work else {
+    row.started = true;
+    let Work::Completion(work) = &row.work else {
         return;
     };
-    work.stage = stage;
-    let Stage {
-        address, layers, ..
-    } = work.chain[stage].clone();
-    let first = work.first;
-    let timer = Timer::Step {
-        key,
-        attempt,
-        stage,
-        first,
+    let Some(session) = work.open_session() else {
+        return;
     };
-    let bound = now + cx.cfg.retry.step_timeout;
-    work.step_timer = Some(cx.tables.timers.subscribe(bound, timer));
     let order = StepOrder {
-        session,
+        session: session_ref(row, session),
         model: work.model.clone(),
         version: work.version.clone(),
-        layers,
+        layers: stage.layers,
         first,
         input,
-        priority,
-        within,
+        priority: row.priority,
+        within: row.deadline.since(now),
     };
     cx.tables.counters.steps += 1;
     cx.out.push(Action::Step {
         key,
-        attempt,
-        stage,
-        address,
+        step,
+        address: stage.address,
         order: Box::new(order),
     });
 }
 
-/// Takes the end of a step; runs once for each step that was sent.
+fn send_import(cx: &mut Context<'_>, key: RequestKey) {
+    let bound = cx.cfg.retry.step_timeout;
+    let step = open(cx, key, Exchange::Import, 0, bound);
+    let Some(row) = cx.tables.requests.get(key) else {
+        return;
+    };
+    let Work::Completion(work) = &row.work else {
+        return;
+    };
+    let Some(session) = work.open_session() else {
+        return;
+    };
+    let Some(cache) = session.import.clone() else {
+        return;
+    };
+    cx.out.push(Action::Import {
+        key,
+        step,
+        address: session.stage.address,
+        session: session_ref(row, session),
+        cache: Box::new(cache),
+        within: row.deadline.since(cx.now),
+    });
+}
+
+/// Names a session of a request.
+pub(super) fn session_ref(row: &RequestRow, session: &StageSession) -> SessionRef {
+    SessionRef {
+        request: row.id.clone(),
+        attempt: session.attempt,
+    }
+}
+
+/// Returns the time after which a step counts as lost: a multiple of what
+/// steps of this size take at this engine, within the bounds of the settings.
+fn step_bound(cx: &Context<'_>, vm: &VmId, positions: u32) -> Duration {
+    let cfg = &cx.cfg.retry;
+    let bound = match cx.tables.pace.expected(vm, positions) {
+        Some(expected) => (expected * cfg.step_factor).max(cfg.step_timeout),
+        None => cfg.step_timeout + cfg.position_timeout * positions,
+    };
+    bound.min(cfg.max_step_timeout)
+}
+
+/// Opens an exchange, or a wait, that ends after `bound` at the latest.
+pub(super) fn open(
+    cx: &mut Context<'_>,
+    key: RequestKey,
+    exchange: Exchange,
+    positions: u32,
+    bound: Duration,
+) -> StepId {
+    close_exchange(cx, key);
+    let now = cx.now;
+    let Some(work) = completion_mut(cx, key) else {
+        return StepId::default();
+    };
+    work.open.id.0 += 1;
+    work.open.exchange = exchange;
+    work.open.sent = now;
+    work.open.positions = positions;
+    let step = work.open.id;
+    let due = Timer::Exchange { key, step };
+    let timer = cx.tables.timers.subscribe(now + bound, due);
+    if let Some(work) = completion_mut(cx, key) {
+        work.open.timer = Some(timer);
+    }
+    step
+}
+
+fn close_exchange(cx: &mut Context<'_>, key: RequestKey) {
+    let Some(work) = completion_mut(cx, key) else {
+        return;
+    };
+    work.open.exchange = Exchange::Nothing;
+    if let Some(timer) = work.open.timer.take() {
+        cx.tables.timers.cancel(timer);
+    }
+}
+
+fn is_open(cx: &Context<'_>, key: RequestKey, step: StepId, exchange: Exchange) -> bool {
+    completion(cx, key).is_some_and(|w| w.open.id == step && w.open.exchange == exchange)
+}
+
+/// Takes the end of a step; late and repeated ones are dropped.
 pub fn step_done(
     cx: &mut Context<'_>,
     key: RequestKey,
-    attempt: Attempt,
-    stage: usize,
+    step: StepId,
     result: Result<StepReply, AttemptError>,
 ) {
-    if !is_open(cx, key, attempt, stage) {
+    if !is_open(cx, key, step, Exchange::Step) {
         cx.tables.counters.stale_replies += 1;
         return;
     }
     match result {
-        Ok(reply) if answers(cx, key, &reply) => advance(cx, key, stage, reply.output),
+        Ok(reply) if answers(cx, key, &reply) => advance(cx, key, reply.output),
         Ok(_) => {
             cx.tables.counters.crossed_replies += 1;
-            replace(cx, key, stage, false);
+            recovery::fail(cx, key, Failure::Crossed);
         }
-        Err(error) => replace(cx, key, stage, proves_not_run(error)),
+        Err(error) => recovery::fail(cx, key, Failure::Error(error)),
     }
 }
 
-/// Takes the bound on a step that was not answered.
-pub fn step_timeout(
+/// Takes the end of an import; late and repeated ones are dropped.
+pub fn import_done(
     cx: &mut Context<'_>,
     key: RequestKey,
-    attempt: Attempt,
-    stage: usize,
-    first: Position,
+    step: StepId,
+    result: Result<(), AttemptError>,
 ) {
-    let same = |row: &RequestRow| match &row.work {
-        Work::Completion(work) => work.first == first,
-        Work::Call(_) => false,
-    };
-    if is_open(cx, key, attempt, stage) && cx.tables.requests.get(key).is_some_and(same) {
-        cx.tables.counters.step_timeouts += 1;
-        replace(cx, key, stage, false);
+    if !is_open(cx, key, step, Exchange::Import) {
+        cx.tables.counters.stale_replies += 1;
+        return;
+    }
+    if let Err(error) = result {
+        return recovery::fail(cx, key, Failure::Error(error));
     }
+    close_exchange(cx, key);
+    if let Some(session) = completion_mut(cx, key).and_then(CompletionState::open_session_mut)
+        && let Some(cache) = session.import.take()
+    {
+        session.next = cache.next;
+        session.export = Some(cache);
+    }
+    proceed(cx, key);
 }
 
-fn is_open(cx: &Context<'_>, key: RequestKey, attempt: Attempt, stage: usize) -> bool {
-    let Some(row) = cx.tables.requests.get(key) else {
-        return false;
-    };
-    let Work::Completion(work) = &row.work else {
-        return false;
+/// Takes the bound of an exchange, or the end of a wait.
+pub fn exchange_due(cx: &mut Context<'_>, key: RequestKey, step: StepId) {
+    let Some(work) = completion(cx, key).filter(|w| w.open.id == step) else {
+        return;
     };
-    row.attempt == attempt && work.stage == stage && !work.chain.is_empty()
+    match work.open.exchange {
+        Exchange::Nothing => {}
+        Exchange::Step | Exchange::Import => {
+            cx.tables.counters.step_timeouts += 1;
+            recovery::fail(cx, key, Failure::Timeout);
+        }
+        Exchange::RepeatLater => proceed(cx, key),
+        Exchange::ReplaceLater => recovery::replace(cx, key, false),
+    }
 }
 
 /// Tells whether a reply answers the open step of the request.
@@ -147,42 +284,60 @@
     let Work::Completion(work) = &row.work else {
         return false;
     };
-    let last = work.stage + 1 == work.chain.len();
-    let positions = work.tokens.len() - work.first.0 as usize;
+    let Some(session) = work.open_session() else {
+        return false;
+    };
+    let last = work.open.stage + 1 == work.chain.len();
     let shape = match &reply.output {
         StageOutput::Token(_) => last,
-        StageOutput::Activations(values) => !last && values.len() == positions,
+        StageOutput::Activations(values) => !last && values.len() == work.open.positions as usize,
     };
-    let session = &reply.session;
-    shape
-        && session.request == row.id
-        && session.attempt == row.attempt
-        && reply.first == work.first
+    shape && reply.session == session_ref(row, session) && reply.first == session.next
 }
 
-fn advance(cx: &mut Context<'_>, key: RequestKey, stage: usize, output: StageOutput) {
-    stop_timer(cx, key);
+fn advance(cx: &mut Context<'_>, key: RequestKey, output: StageOutput) {
+    close_exchange(cx, key);
+    let (now, most) = (cx.now, cx.cfg.recovery.max_kept_positions);
+    let Some(row) = cx.tables.requests.get_mut(key) else {
+        return;
+    };
+    row.doubt = true;
+    let Work::Completion(work) = &mut row.work else {
+        return;
+    };
+    let end = work.end();
+    let (sent, positions, stage) = (work.open.sent, work.open.positions, work.open.stage);
+    (work.open.repeats, work.open.waits) = (0, 0);
+    let Some(session) = work.open_session_mut() else {
+        return;
+    };
+    let first = session.next;
+    session.next = end;
+    export::trim(session, most);
+    let vm = session.stage.vm.clone();
+    cx.tables.pace.observe(&vm, positions, now.since(sent));
     match output {
         StageOutput::Activations(values) => {
-            send(cx, key, stage + 1, StageInput::Activations(values));
+            if let Some(work) = completion_mut(cx, key) {
+                work.open.stage = stage + 1;
+                work.chain[stage + 1].kept.extend(first, &values);
+            }
+            proceed(cx, key);
         }
         StageOutput::Token(token) => take_token(cx, key, token),
     }
 }
 
 fn take_token(cx: &mut Context<'_>, key: RequestKey, token: u32) {
-    let Some(row) = cx.tables.requests.get_mut(key) else {
-        return;
-    };
-    let Work::Completion(work) = &mut row.work else {
-        return;
-    };
     if token == END_TOKEN {
         return answer::finish(cx, key, Outcome::Completed, None, "");
     }
+    let Some(work) = completion_mut(cx, key) else {
+        return;
+    };
     let index = work.generated();
-    work.first = Position(work.tokens.len() as u32);
     work.tokens.push(token);
+    work.open.stage = 0;
     let whole = work.generated() >= work.max_tokens;
     let text = answer::text(&[token]);
     cx.tables.counters.tokens += 1;
@@ -193,85 +348,34 @@
     if whole {
         return answer::finish(cx, key, Outcome::Completed, None, "");
     }
-    send(cx, key, 0, StageInput::Tokens(vec![token]));
-}
-
-fn proves_not_run(error: AttemptError) -> bool {
-    matches!(error, AttemptError::NotSent | AttemptError::Refused(_))
-}
-
-/// Abandons the attempt whose stage failed and begins another one.
-fn replace(cx: &mut Context<'_>, key: RequestKey, stage: usize, step_not_run: bool) {
-    release(cx, key);
-    let (now, avoid) = (cx.now, cx.cfg.retry.avoid);
-    let max_attempts = cx.cfg.retry.max_attempts;
-    let Some(row) = cx.tables.requests.get_mut(key) else {
-        return;
-    };
-    let Work::Completion(work) = &mut row.work else {
-        return;
-    };
-    let failed: VmId = work.chain[stage].vm.clone();
-    let attempt_not_run = step_not_run && stage == 0 && work.first == Position(0);
-    work.chain.clear();
-    work.stage = 0;
-    row.doubt |= !attempt_not_run;
-    row.started = row.doubt;
-    row.failed.push(failed.clone());
-    row.attempt.0 += 1;
-    let again = row.attempt.0 < max_attempts;
-    if let Some(backend) = cx.tables.backends.get_mut(&failed) {
-        backend.avoid_until = now + avoid;
-    }
-    if !again {
-        return answer::give_up(
-            cx,
-            key,
-            NotRun::NoCapacity,
-            "too many backend servers failed",
-        );
-    }
-    cx.tables.counters.retries += 1;
-    start(cx, key);
-}
-
-fn stop_timer(cx: &mut Context<'_>, key: RequestKey) {
-    let Some(row) = cx.tables.requests.get_mut(key) else {
-        return;
-    };
-    let Work::Completion(work) = &mut row.work else {
-        return;
-    };
-    if let Some(timer) = work.step_timer.take() {
-        cx.tables.timers.cancel(timer);
-    }
+    export::run(cx, key);
+    proceed(cx, key);
 }
 
-/// Ends the sessions of a request's current attempt and gives back its
-/// places at the backend servers.
+/// Ends the sessions of a request and gives back its places at the backend
+/// servers.
 pub fn release(cx: &mut Context<'_>, key: RequestKey) {
-    stop_timer(cx, key);
+    close_exchange(cx, key);
     let Some(row) = cx.tables.requests.get(key) else {
         return;
     };
-    let session = SessionRef {
-        request: row.id.clone(),
-        attempt: row.attempt,
-    };
     let held: Vec<VmId> = match &row.work {
         Work::Completion(work) => {
-            let end = |s: &Stage| Action::EndSession {
-                address: s.address,
-                session: session.clone(),
+            let end = |session: &StageSession| Action::EndSession {
+                address: session.stage.address,
+                session: session_ref(row, session),
             };
             cx.out.extend(work.chain.iter().map(end));
-            work.chain.iter().map(|s| s.vm.clone()).collect()
+            work.chain.iter().map(|s| s.stage.vm.clone()).collect()
         }
         Work::Call(call) => call.vm.iter().cloned().collect(),
     };
     for vm in held {
-        if let Some(backend) = cx.tables.backends.get_mut(&vm) {
-            backend.in_flight = backend.in_flight.saturating_sub(1);
-        }
+        vacate(cx, &vm);
     }
 }
+
+/// Returns the position from which a stage's session goes on.
+pub(super) fn begin_of(session: &StageSession) -> Position {
+    session.import.as_ref().map_or(session.next, |c| c.next)
+}
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -1,15 +1,21 @@
 //! The entities that a node keeps, each kind in a table of its own.
 
 mod backends;
+mod completions;
 mod counters;
 mod members;
+mod pace;
 mod requests;
+mod retry_budget;
 mod vms;
 
 pub use backends::{BackendRow, BackendTable};
+pub use completions::{CompletionState, Exchange, KeptInputs, OpenExchange, Stage, StageSession};
 pub use counters::Counters;
 pub use members::{MemberRow, MemberTable};
-pub use requests::{CallState, CompletionState, RequestRow, RequestTable, Stage, Work};
+pub use pace::{Pace, PaceTable};
+pub use requests::{CallState, RequestRow, RequestTable, Work};
+pub use retry_budget::RetryBudget;
 pub use vms::VmTable;
 
 use crate::{
@@ -31,6 +37,10 @@
     pub backends: BackendTable,
     /// Requests: open ones and recent outcomes.
     pub requests: RequestTable,
+    /// How long steps take at each engine.
+    pub pace: PaceTable,
+    /// The retry budget.
+    pub retries: RetryBudget,
     /// Subscriptions to moments.
     pub timers: Timers<Timer>,
     /// What was counted.
--- a/crates/daemon/src/configs/mod.rs
+++ b/crates/daemon/src/configs/mod.rs
@@ -8,11 +8,12 @@
 mod node;
 mod peers;
 mod platform;
+mod recovery;
 mod retry;
 
 pub(crate) use self::{
     admission::read_admission, directory::read_directory, membership::read_membership,
-    retry::read_retry,
+    recovery::read_recovery, retry::read_retry,
 };
 pub use self::{
     log::{LogConfig, LogFormat},
--- a/crates/daemon/src/edges/engines.rs
+++ b/crates/daemon/src/edges/engines.rs
@@ -4,11 +4,13 @@
 
 use radishhaven_client::HttpError;
 use radishhaven_core::{
-    engine::{EngineRefusal, SessionRef, StepReply},
-    ids::{Attempt, RequestKey},
+    engine::{EngineRefusal, KvCache, SessionRef, StepReply},
+    ids::{RequestKey, StepId},
     message::{AttemptError, Event, StepOrder},
 };
-use radishhaven_proto::engine::{CANCEL_PATH, STEP_PATH, StepRequest};
+use radishhaven_proto::engine::{
+    CANCEL_PATH, KV_EXPORT_PATH, KV_IMPORT_PATH, KvImport, STEP_PATH, StepRequest,
+};
 
 use crate::host::Host;
 
@@ -19,8 +21,7 @@
 pub(crate) fn step(
     host: &Arc<Host>,
     key: RequestKey,
-    attempt: Attempt,
-    stage: usize,
+    step: StepId,
     address: SocketAddr,
     order: StepOrder,
 ) {
@@ -42,11 +43,50 @@
             .post::<_, StepReply>(address, STEP_PATH, &req, within)
             .await;
         let result = sent.map_err(attempt_error);
-        host.handle(Event::StepDone {
+        host.handle(Event::StepDone { key, step, result });
+    });
+}
+
+/// Opens a session from KV cache and hands the end to the decisions.
+pub(crate) fn import(
+    host: &Arc<Host>,
+    key: RequestKey,
+    step: StepId,
+    address: SocketAddr,
+    session: SessionRef,
+    cache: KvCache,
+    within: Duration,
+) {
+    let host = host.clone();
+    tokio::spawn(async move {
+        let req = KvImport { session, cache };
+        let sent = host
+            .http
+            .post::<_, ()>(address, KV_IMPORT_PATH, &req, within)
+            .await;
+        let result = sent.map_err(attempt_error);
+        host.handle(Event::ImportDone { key, step, result });
+    });
+}
+
+/// Exports a session's KV cache and hands it to the decisions.
+pub(crate) fn export(
+    host: &Arc<Host>,
+    key: RequestKey,
+    address: SocketAddr,
+    session: SessionRef,
+    within: Duration,
+) {
+    let host = host.clone();
+    tokio::spawn(async move {
+        let sent = host
+            .http
+            .post::<_, KvCache>(address, KV_EXPORT_PATH, &session, within)
+            .await;
+        host.handle(Event::ExportDone {
             key,
-            attempt,
-            stage,
-            result,
+            session,
+            result: sent.map_err(attempt_error),
         });
     });
 }
