--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -11,8 +11,8 @@
 
 use radishhaven_core::{
     config::{
-        BATCH_FORMAT, Backend, Batch, Carries, Change, Model, Object, Organisation, Pipeline,
-        Service,
+        BATCH_FORMAT, Backend, Batch, Carries, Change, Deployment as DeploymentObject, Link, Model,
+        Object, Organisation, Pipeline, RoutingPolicy, Service,
     },
     ids::{
         BatchId, FailureDomain, LayerRange, ModelId, PipelineId, Priority, ServiceId, VersionId,
@@ -38,6 +38,9 @@
 
 /// Time within which nodes should have read log and VM list.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Name of the threads of entry nodes, by which their processor time is told
+/// from that of the stand-ins.
+pub const NODE_THREAD: &str = "entry-node";
 /// Time between two looks at whether nodes are ready.
 const READY_POLL: Duration = Duration::from_millis(5);
 
@@ -125,6 +128,14 @@
     pub log: LogCfg,
     /// Lag of the VM list in milliseconds.
     pub vms_lag_ms: u64,
+    /// Factor by which the time of every batch grows.
+    pub slowdown: u64,
+    /// Steps in a batch of an engine at most.
+    pub max_batch: usize,
+    /// How nodes choose backend servers.
+    pub routing: RoutingPolicy,
+    /// Links between failure domains that are configured.
+    pub links: Vec<Link>,
 }
 
 /// The version that all engines of a plan hold.
@@ -192,6 +203,10 @@
             settings: String::new(),
             log: LogCfg::default(),
             vms_lag_ms: 0,
+            slowdown: 1,
+            max_batch: 16,
+            routing: RoutingPolicy::default(),
+            links: Vec::new(),
         }
     }
 
@@ -226,7 +241,11 @@
                 id: self.service.clone(),
                 idempotent: self.idempotent.clone(),
             }),
+            Object::Deployment(DeploymentObject {
+                routing: self.routing,
+            }),
         ];
+        objects.extend(self.links.iter().cloned().map(Object::Link));
         objects.extend(
             self.organisations
                 .iter()
@@ -290,6 +309,7 @@
     pub fn start(settings: Settings) -> Result<Self, DeploymentError> {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(2)
+            .thread_name(NODE_THREAD)
             .enable_all()
             .build()?;
         // The caller may be inside another runtime, which must not be blocked on.
@@ -397,7 +417,8 @@
         let model = id(self.plan.pipeline.as_str());
         let cfg = EngineCfg {
             total_layers: self.plan.layers,
-            cost: plan.accelerator.cost(),
+            cost: plan.accelerator.cost().times(self.plan.slowdown),
+            max_batch: self.plan.max_batch,
             checks_tokens: plan.checks_tokens,
             link_delay_us: plan.link_delay_us,
             ..EngineCfg::new(plan.vm.clone(), model, id(VERSION), plan.layers)
--- a/crates/standin/src/engine/cfg.rs
+++ b/crates/standin/src/engine/cfg.rs
@@ -68,6 +68,16 @@
 }
 
 impl StepCost {
+    /// Returns this cost, `factor` times as long.
+    pub fn times(self, factor: u64) -> Self {
+        Self {
+            base_us: self.base_us * factor,
+            per_layer_us: self.per_layer_us * factor,
+            per_position_us: self.per_position_us * factor,
+            per_member_us: self.per_member_us * factor,
+        }
+    }
+
     /// Returns the time of one batch.
     pub fn batch_time(&self, layers: u64, positions: u64, members: u64) -> Duration {
         let us = self.base_us
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 //! saw. A stand-in runs inside a test by [`runtime::Running`], or as a process
 //! by the `standin` example.
 
+pub mod bound;
 pub mod control;
 pub mod deployment;
 pub mod engine;
