--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,7 +7,9 @@
 //! by the `standin` example.
 
 pub mod bound;
+pub mod checker;
 pub mod control;
+pub mod cpu;
 pub mod deployment;
 pub mod engine;
 pub mod log;
