--- a/crates/core/src/systems/admission.rs
+++ b/crates/core/src/systems/admission.rs
@@ -10,15 +10,16 @@
 use super::{Context, Timer, answer, calls, completion, minting};
 use crate::{
     config::Organisation,
-    ids::{Attempt, Position, RequestKey},
+    ids::{Attempt, RequestKey},
     message::{Action, Demand, Reply, Submission},
     outcome::NotRun,
-    tables::{CallState, CompletionState, RequestRow, Work},
+    tables::{CallState, CompletionState, OpenExchange, RequestRow, Work},
 };
 
 /// Takes a request on or rejects it; runs once for each request.
 pub fn run(cx: &mut Context<'_>, key: RequestKey, submission: Submission) {
     cx.tables.counters.submitted += 1;
+    cx.tables.retries.credit(cx.now, &cx.cfg.retry);
     match check(cx, submission) {
         Ok(row) => start(cx, key, row),
         Err((reason, message)) => answer::reject(cx, key, None, reason, message),
@@ -126,9 +127,7 @@
                 tokens: prompt.clone(),
                 max_tokens: *max_tokens,
                 chain: Vec::new(),
-                stage: 0,
-                first: Position(0),
-                step_timer: None,
+                open: OpenExchange::default(),
             }))
         }
         Demand::Call {
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -9,16 +9,18 @@
 pub mod completion;
 pub mod directory;
 pub mod drain;
+pub mod export;
 pub mod membership;
 pub mod minting;
 pub mod platform;
+pub mod recovery;
 pub mod routing;
 
 use rand::rngs::StdRng;
 
 use crate::{
     configs::Configs,
-    ids::{Attempt, Position, RequestKey},
+    ids::{RequestKey, StepId},
     message::{Action, Event},
     peer::{PeerMessage, Sender},
     tables::Tables,
@@ -47,16 +49,12 @@
     Deadline(RequestKey),
     /// The next round of heartbeats.
     Heartbeat,
-    /// The bound on a step without an answer.
-    Step {
+    /// The bound on an exchange with an engine, or the end of a wait.
+    Exchange {
         /// The request.
         key: RequestKey,
-        /// The attempt.
-        attempt: Attempt,
-        /// The stage.
-        stage: usize,
-        /// The step's first position.
-        first: Position,
+        /// The exchange.
+        step: StepId,
     },
 }
 
@@ -69,14 +67,13 @@
         Event::Tick => {}
         Event::Submit { key, submission } => admission::run(cx, key, *submission),
         Event::CallerGone { key } => answer::abandon(cx, key),
-        Event::StepDone {
+        Event::StepDone { key, step, result } => completion::step_done(cx, key, step, result),
+        Event::ImportDone { key, step, result } => completion::import_done(cx, key, step, result),
+        Event::ExportDone {
             key,
-            attempt,
-            stage,
+            session,
             result,
-        } => {
-            completion::step_done(cx, key, attempt, stage, result);
-        }
+        } => export::done(cx, key, &session, result),
         Event::CallDone {
             key,
             attempt,
@@ -108,13 +105,6 @@
     match timer {
         Timer::Heartbeat => membership::round(cx),
         Timer::Deadline(key) => answer::deadline(cx, key),
-        Timer::Step {
-            key,
-            attempt,
-            stage,
-            first,
-        } => {
-            completion::step_timeout(cx, key, attempt, stage, first);
-        }
+        Timer::Exchange { key, step } => completion::exchange_due(cx, key, step),
     }
 }
--- a/crates/core/src/tables/counters.rs
+++ b/crates/core/src/tables/counters.rs
@@ -21,6 +21,18 @@
     pub stale_replies: u64,
     /// Replies of engines that answered another question.
     pub crossed_replies: u64,
+    /// Stages that were replaced and went on from KV cache.
+    pub imports: u64,
+    /// Stages that were replaced and ran kept inputs anew.
+    pub replays: u64,
+    /// Stages that were replaced together with all stages before them.
+    pub restarts: u64,
+    /// Positions that were run again by engines that took a stage over.
+    pub repeated_positions: u64,
+    /// Exports of KV cache that were asked for.
+    pub exports: u64,
+    /// Retries that waited because the budget was used up.
+    pub budget_waits: u64,
     /// Steps that were not answered in time.
     pub step_timeouts: u64,
     /// Reads of the log that failed.
