--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -8,6 +8,7 @@
 mod dissemination;
 mod identity;
 mod membership;
+mod recovery;
 mod retry;
 mod snapshots;
 
@@ -16,6 +17,7 @@
 pub use dissemination::DisseminationConfig;
 pub use identity::Identity;
 pub use membership::MembershipConfig;
+pub use recovery::RecoveryConfig;
 pub use retry::RetryConfig;
 pub use snapshots::SnapshotsConfig;
 
@@ -30,6 +32,8 @@
     pub directory: DirectoryConfig,
     /// `[membership]`.
     pub membership: MembershipConfig,
+    /// `[recovery]`.
+    pub recovery: RecoveryConfig,
     /// `[retry]`.
     pub retry: RetryConfig,
     /// `[dissemination]`.
@@ -46,6 +50,7 @@
             admission: AdmissionConfig::default(),
             directory: DirectoryConfig::default(),
             membership: MembershipConfig::default(),
+            recovery: RecoveryConfig::default(),
             retry: RetryConfig::default(),
             dissemination: DisseminationConfig::default(),
             snapshots: SnapshotsConfig::default(),
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -5,10 +5,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    engine::{EngineRefusal, SessionRef, StageInput, StepReply},
+    engine::{EngineRefusal, KvCache, SessionRef, StageInput, StepReply},
     ids::{
         Attempt, LayerRange, ModelId, PipelineId, Position, Priority, RequestId, RequestKey,
-        ServiceId, VersionId, VmId,
+        ServiceId, StepId, VersionId, VmId,
     },
     outcome::Outcome,
     peer::{PeerMessage, Sender},
@@ -91,13 +91,29 @@
     StepDone {
         /// The request.
         key: RequestKey,
-        /// The attempt that the step belonged to.
-        attempt: Attempt,
-        /// The stage, counted from 0.
-        stage: usize,
+        /// The exchange.
+        step: StepId,
         /// The reply, or why there is none.
         result: Result<StepReply, AttemptError>,
     },
+    /// An import of KV cache ended.
+    ImportDone {
+        /// The request.
+        key: RequestKey,
+        /// The exchange.
+        step: StepId,
+        /// Nothing, or why the session was not opened.
+        result: Result<(), AttemptError>,
+    },
+    /// An export of KV cache ended.
+    ExportDone {
+        /// The request.
+        key: RequestKey,
+        /// The session that was exported.
+        session: SessionRef,
+        /// The cache, or why there is none.
+        result: Result<KvCache, AttemptError>,
+    },
     /// A call to a plain service ended.
     CallDone {
         /// The request.
@@ -202,15 +218,39 @@
     Step {
         /// The request.
         key: RequestKey,
-        /// The attempt.
-        attempt: Attempt,
-        /// The stage, counted from 0.
-        stage: usize,
+        /// The exchange.
+        step: StepId,
         /// Where the engine serves.
         address: SocketAddr,
         /// The step.
         order: Box<StepOrder>,
     },
+    /// Open a session from KV cache; the end comes back as [`Event::ImportDone`].
+    Import {
+        /// The request.
+        key: RequestKey,
+        /// The exchange.
+        step: StepId,
+        /// Where the engine serves.
+        address: SocketAddr,
+        /// The session to open.
+        session: SessionRef,
+        /// The cache.
+        cache: Box<KvCache>,
+        /// The time that is left.
+        within: Duration,
+    },
+    /// Export a session's KV cache; the end comes back as [`Event::ExportDone`].
+    Export {
+        /// The request.
+        key: RequestKey,
+        /// Where the engine serves.
+        address: SocketAddr,
+        /// The session.
+        session: SessionRef,
+        /// The time that is left.
+        within: Duration,
+    },
     /// Tell an engine that a session is over; no answer is awaited.
     EndSession {
         /// Where the engine serves.
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -10,9 +10,11 @@
 pub mod directory;
 pub mod dissemination;
 pub mod drain;
+pub mod export;
 pub mod membership;
 pub mod minting;
 pub mod platform;
+pub mod recovery;
 pub mod routing;
 pub mod snapshots;
 
@@ -20,7 +22,7 @@
 
 use crate::{
     configs::Configs,
-    ids::{Attempt, Position, RequestKey},
+    ids::{RequestKey, StepId},
     message::{Action, Event},
     peer::{PeerMessage, Sender},
     tables::Tables,
@@ -57,16 +59,12 @@
     SnapshotCheck,
     /// This node's turn to write a snapshot.
     Snapshot,
-    /// The bound on a step without an answer.
-    Step {
+    /// The bound on an exchange with an engine, or the end of a wait.
+    Exchange {
         /// The request.
         key: RequestKey,
-        /// The attempt.
-        attempt: Attempt,
-        /// The stage.
-        stage: usize,
-        /// The step's first position.
-        first: Position,
+        /// The exchange.
+        step: StepId,
     },
 }
 
@@ -80,14 +78,13 @@
         Event::Tick => {}
         Event::Submit { key, submission } => admission::run(cx, key, *submission),
         Event::CallerGone { key } => answer::abandon(cx, key),
-        Event::StepDone {
+        Event::StepDone { key, step, result } => completion::step_done(cx, key, step, result),
+        Event::ImportDone { key, step, result } => completion::import_done(cx, key, step, result),
+        Event::ExportDone {
             key,
-            attempt,
-            stage,
+            session,
             result,
-        } => {
-            completion::step_done(cx, key, attempt, stage, result);
-        }
+        } => export::done(cx, key, &session, result),
         Event::CallDone {
             key,
             attempt,
@@ -131,13 +128,6 @@
         Timer::SnapshotCheck => snapshots::check(cx),
         Timer::Snapshot => snapshots::write(cx),
         Timer::Deadline(key) => answer::deadline(cx, key),
-        Timer::Step {
-            key,
-            attempt,
-            stage,
-            first,
-        } => {
-            completion::step_timeout(cx, key, attempt, stage, first);
-        }
+        Timer::Exchange { key, step } => completion::exchange_due(cx, key, step),
     }
 }
--- a/crates/core/src/tables/requests.rs
+++ b/crates/core/src/tables/requests.rs
@@ -1,69 +1,19 @@
 //! Requests: the open ones, and the outcomes of recent ones.
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    net::SocketAddr,
-};
+use std::collections::{BTreeMap, VecDeque};
 
 use serde::Serialize;
 
 use crate::{
-    ids::{
-        Attempt, LayerRange, ModelId, OrganisationId, PipelineId, Position, Priority, RequestId,
-        RequestKey, ServiceId, VersionId, VmId,
-    },
+    ids::{Attempt, OrganisationId, Priority, RequestId, RequestKey, ServiceId, VmId},
     outcome::Outcome,
+    tables::CompletionState,
     time::{TimerId, Timestamp},
 };
 
 /// Number of outcomes that a node remembers.
 const MAX_REMEMBERED_OUTCOMES: usize = 100_000;
 
-/// One stage of a chain.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct Stage {
-    /// The backend server.
-    pub vm: VmId,
-    /// Where it serves.
-    pub address: SocketAddr,
-    /// The layers that it runs for this request.
-    pub layers: LayerRange,
-}
-
-/// The state of a completion.
-#[derive(Debug, Clone, Serialize)]
-pub struct CompletionState {
-    /// The pipeline.
-    pub pipeline: PipelineId,
-    /// The model.
-    pub model: ModelId,
-    /// Its version.
-    pub version: VersionId,
-    /// Prompt and generated tokens.
-    #[serde(skip)]
-    pub tokens: Vec<u32>,
-    /// Number of tokens of the prompt.
-    pub prompt_len: usize,
-    /// The largest number of tokens to generate.
-    pub max_tokens: u32,
-    /// The chain of the current attempt.
-    pub chain: Vec<Stage>,
-    /// The stage whose step is open.
-    pub stage: usize,
-    /// The first position of the open step.
-    pub first: Position,
-    /// The subscription that bounds the open step.
-    #[serde(skip)]
-    pub step_timer: Option<TimerId>,
-}
-
-impl CompletionState {
-    /// Returns the number of tokens that were generated.
-    pub fn generated(&self) -> u32 {
-        (self.tokens.len() - self.prompt_len) as u32
-    }
-}
-
 /// The state of a call.
 #[derive(Debug, Clone, Serialize)]
 pub struct CallState {
--- a/crates/daemon/src/configs/mod.rs
+++ b/crates/daemon/src/configs/mod.rs
@@ -10,12 +10,14 @@
 mod operators;
 mod peers;
 mod platform;
+mod recovery;
 mod retry;
 mod snapshots;
 
 pub(crate) use self::{
     admission::read_admission, directory::read_directory, dissemination::read_dissemination,
-    membership::read_membership, retry::read_retry, snapshots::read_snapshots,
+    membership::read_membership, recovery::read_recovery, retry::read_retry,
+    snapshots::read_snapshots,
 };
 pub use self::{
     log::{LogConfig, LogFormat},
--- a/crates/daemon/src/configs/retry.rs
+++ b/crates/daemon/src/configs/retry.rs
@@ -1,11 +1,14 @@
 //! Reads `[retry]`.
 
+use std::time::Duration;
+
 use radishhaven_core::configs::RetryConfig;
 
 use crate::settings::Section;
 
 pub(crate) fn read_retry(section: &mut Section<'_>) -> RetryConfig {
     let d = RetryConfig::default();
+    let micros = |us: u32| Duration::from_micros(us.into());
     RetryConfig {
         max_attempts: section
             .number("max_attempts", 1..=100)
@@ -13,6 +16,30 @@
         step_timeout: section
             .millis("step_timeout_ms", 1..=600_000)
             .unwrap_or(d.step_timeout),
+        position_timeout: section
+            .number("position_timeout_us", 0..=1_000_000)
+            .map_or(d.position_timeout, micros),
+        max_step_timeout: section
+            .millis("max_step_timeout_ms", 1..=600_000)
+            .unwrap_or(d.max_step_timeout),
+        step_factor: section
+            .number("step_factor", 1..=1_000)
+            .unwrap_or(d.step_factor),
         avoid: section.millis("avoid_ms", 0..=600_000).unwrap_or(d.avoid),
+        backoff: section
+            .millis("backoff_ms", 1..=60_000)
+            .unwrap_or(d.backoff),
+        max_backoff: section
+            .millis("max_backoff_ms", 1..=60_000)
+            .unwrap_or(d.max_backoff),
+        budget_burst: section
+            .number("budget_burst", 0..=1_000_000)
+            .unwrap_or(d.budget_burst),
+        budget_per_s: section
+            .number("budget_per_s", 0..=1_000_000)
+            .unwrap_or(d.budget_per_s),
+        budget_percent: section
+            .number("budget_percent", 0..=100)
+            .unwrap_or(d.budget_percent),
     }
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,13 +14,13 @@
 
 use ini::Ini;
 use radishhaven_core::configs::{
-    AdmissionConfig, DirectoryConfig, DisseminationConfig, MembershipConfig, RetryConfig,
-    SnapshotsConfig,
+    AdmissionConfig, DirectoryConfig, DisseminationConfig, MembershipConfig, RecoveryConfig,
+    RetryConfig, SnapshotsConfig,
 };
 
 use crate::configs::{
     LogConfig, NodeConfig, OperatorsConfig, PeersConfig, PlatformConfig, read_admission,
-    read_directory, read_dissemination, read_membership, read_retry, read_snapshots,
+    read_directory, read_dissemination, read_membership, read_recovery, read_retry, read_snapshots,
 };
 
 /// A file with every setting, its default and its unit.
@@ -43,6 +43,8 @@
     pub directory: DirectoryConfig,
     /// `[membership]`.
     pub membership: MembershipConfig,
+    /// `[recovery]`.
+    pub recovery: RecoveryConfig,
     /// `[retry]`.
     pub retry: RetryConfig,
     /// `[operators]`.
@@ -353,6 +355,7 @@
         let admission = reader.section("admission", read_admission);
         let directory = reader.section("directory", read_directory);
         let membership = reader.section("membership", read_membership);
+        let recovery = reader.section("recovery", read_recovery);
         let retry = reader.section("retry", read_retry);
         let listen = node.as_ref().map(|node| node.operators);
         let operators = reader.section("operators", |s| OperatorsConfig::read(s, listen));
@@ -371,6 +374,7 @@
                     admission,
                     directory,
                     membership,
+                    recovery,
                     retry,
                     operators,
                     dissemination,
