--- a/crates/standin/examples/slopes/changes.rs
+++ b/crates/standin/examples/slopes/changes.rs
@@ -27,7 +27,7 @@
         for n in 0..changes {
             let object = sample::organisation(0);
             let base = BTreeMap::from([(object.key().to_string(), changed)]);
-            let batch = sample::batch(&format!("change-{round}-{n}"), vec![object], base);
+            let batch = sample::batch(&format!("change-{round}-{n}"), vec![object], base, changed);
             sent += serde_json::to_vec(&batch).map_or(0, |body| body.len());
             node.publish(&batch);
             changed = node.revision();
--- a/crates/standin/examples/slopes/sample.rs
+++ b/crates/standin/examples/slopes/sample.rs
@@ -65,7 +65,12 @@
             .chain((0..workers).map(backend))
             .collect();
         for (n, part) in objects.chunks(BATCH_CHANGES).enumerate() {
-            let batch = batch(&format!("first-{n}"), part.to_vec(), BTreeMap::new());
+            let batch = batch(
+                &format!("first-{n}"),
+                part.to_vec(),
+                BTreeMap::new(),
+                sample.revision(),
+            );
             sample.publish(&batch);
         }
         sample
@@ -122,11 +127,18 @@
 }
 
 /// Makes a batch.
-pub fn batch(name: &str, objects: Vec<Object>, base: BTreeMap<String, Revision>) -> Batch {
+pub fn batch(
+    name: &str,
+    objects: Vec<Object>,
+    base: BTreeMap<String, Revision>,
+    planned: Revision,
+) -> Batch {
     Batch {
         format: BATCH_FORMAT,
         batch: id(name),
         base: base.into_iter().map(|(key, at)| (id(&key), at)).collect(),
+        planned,
+        source: None,
         changes: objects.into_iter().map(Change::Put).collect(),
     }
 }
