--- a/crates/core/src/config/batch.rs
+++ b/crates/core/src/config/batch.rs
@@ -68,10 +68,10 @@
     }
 }
 
-/// The first bytes of a SHA-256; tells apart batches under one id.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+/// The first bytes of a SHA-256; tells apart batches under one id, and records.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct Fingerprint(u64);
+pub struct Fingerprint(pub(super) u64);
 
 impl Fingerprint {
     /// Takes the fingerprint of some bytes.
--- a/crates/core/src/config/fold.rs
+++ b/crates/core/src/config/fold.rs
@@ -6,7 +6,7 @@
 use sha2::{Digest, Sha256};
 
 use super::{
-    batch::{Batch, Change},
+    batch::{Batch, Change, Fingerprint},
     digest::{ConfigDigest, SetDigest},
     objects::{Kind, Object, ObjectKey},
     record::{LogRecord, Unreadable},
@@ -121,6 +121,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Config {
     revision: Revision,
+    tail: Fingerprint,
     objects: BTreeMap<ObjectKey, Entry>,
     objects_digest: SetDigest,
     references: References,
@@ -136,12 +137,14 @@
 
     pub(super) fn restore(
         revision: Revision,
+        tail: Fingerprint,
         broken_records: u64,
         entries: impl IntoIterator<Item = Entry>,
         decisions: impl IntoIterator<Item = Decision>,
     ) -> Self {
         let mut config = Self {
             revision,
+            tail,
             broken_records,
             ..Self::default()
         };
@@ -159,6 +162,11 @@
         self.revision
     }
 
+    /// Returns the fingerprint of the record that was folded last.
+    pub fn tail(&self) -> Fingerprint {
+        self.tail
+    }
+
     /// Returns the number of records that could not be read.
     pub fn broken_records(&self) -> u64 {
         self.broken_records
@@ -198,6 +206,7 @@
     pub fn digest(&self) -> ConfigDigest {
         let mut hash = Sha256::new();
         hash.update(self.revision.0.to_be_bytes());
+        hash.update(self.tail.0.to_be_bytes());
         hash.update(self.broken_records.to_be_bytes());
         self.objects_digest.update(&mut hash);
         self.results.digest().update(&mut hash);
@@ -222,6 +231,7 @@
             });
         }
         self.revision = Revision(record.offset + 1);
+        self.tail = Fingerprint::of(record.body.as_bytes());
         self.results.expire(self.revision);
         Ok(match LogRecord::parse(&record.body) {
             Ok(LogRecord::Batch(batch)) => self.decide(batch),
--- a/crates/core/src/config/snapshot.rs
+++ b/crates/core/src/config/snapshot.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
+    batch::Fingerprint,
     digest::ConfigDigest,
     fold::{Config, Entry},
     results::Decision,
@@ -44,6 +45,8 @@
     pub snapshot: SnapshotId,
     /// The part's number, counted from 0.
     pub part: u32,
+    /// The fingerprint of the record before the revision.
+    pub tail: Fingerprint,
     /// Records that could not be read up to the revision.
     pub broken_records: u64,
     /// Objects.
@@ -98,6 +101,7 @@
                 parts: 0,
             },
             part: 0,
+            tail: self.tail(),
             broken_records: self.broken_records(),
             entries: Vec::new(),
             decisions: Vec::new(),
@@ -166,13 +170,14 @@
 }
 
 fn assemble(id: SnapshotId, parts: BTreeMap<u32, SnapshotPart>) -> Config {
-    let broken = parts.get(&0).map_or(0, |part| part.broken_records);
+    let first = parts.get(&0);
+    let (tail, broken) = first.map_or_else(Default::default, |p| (p.tail, p.broken_records));
     let (mut entries, mut decisions) = (Vec::new(), Vec::new());
     for part in parts.into_values() {
         entries.extend(part.entries);
         decisions.extend(part.decisions);
     }
-    Config::restore(id.revision, broken, entries, decisions)
+    Config::restore(id.revision, tail, broken, entries, decisions)
 }
 
 /// Why a snapshot is not used.
--- a/crates/core/src/configs/dissemination.rs
+++ b/crates/core/src/configs/dissemination.rs
@@ -21,6 +21,8 @@
     pub catch_up: Duration,
     /// Time for which a node that starts waits for its peers' answers. Default: 1 s.
     pub join_wait: Duration,
+    /// Records that a node keeps for its peers. Default: 4096.
+    pub kept_records: u32,
     /// Time without a sign of the log or of peers after which a node asks
     /// its peers before it serves on. Default: 5 s.
     pub rejoin_after: Duration,
@@ -36,6 +38,7 @@
             backoff_max: Duration::from_secs(5),
             catch_up: Duration::from_millis(100),
             join_wait: Duration::from_secs(1),
+            kept_records: 4_096,
             rejoin_after: Duration::from_secs(5),
         }
     }
--- a/crates/core/src/systems/dissemination.rs
+++ b/crates/core/src/systems/dissemination.rs
@@ -88,7 +88,9 @@
             continue;
         };
         folded += 1;
-        cx.tables.history.push(record.clone(), &cx.tables.config);
+        let kept = cx.cfg.dissemination.kept_records as usize;
+        let tables = &mut *cx.tables;
+        tables.history.push(record.clone(), &tables.config, kept);
         match done {
             Folded::Decided { changed, .. } => {
                 backends_changed |= changed.iter().any(|key| key.kind == Kind::Backend);
--- a/crates/core/src/systems/dissemination/join.rs
+++ b/crates/core/src/systems/dissemination/join.rs
@@ -8,9 +8,6 @@
     tables::Join,
 };
 
-/// Most doublings of the time between two rounds.
-const MAX_DOUBLINGS: u32 = 4;
-
 /// Begins to ask the peers; nothing is served until that is over.
 pub(super) fn begin(cx: &mut Context<'_>) {
     if cx.tables.follow.join.is_some() {
@@ -54,11 +51,8 @@
     join.asked = true;
     join.heard.clear();
     join.pending = peers.iter().cloned().collect();
-    let doublings = join.rounds.min(MAX_DOUBLINGS);
-    join.rounds += 1;
-    let wait = cx.cfg.dissemination.join_wait * 2u32.pow(doublings);
-    let timers = &mut cx.tables.timers;
-    timers.subscribe(cx.now + wait, Timer::JoinRound);
+    let at = cx.now + cx.cfg.dissemination.join_wait;
+    cx.tables.timers.subscribe(at, Timer::JoinRound);
     for peer in &peers {
         send(cx, peer, ConfigMessage::AskRevision);
     }
@@ -95,7 +89,7 @@
     let newest = join.heard.values().max().copied().unwrap_or_default();
     let log_read = join.log_read;
     if cx.tables.config.revision() < newest {
-        relay::catch_up(cx);
+        relay::catch_up_soon(cx);
         return;
     }
     let log_refused = !matches!(
--- a/crates/core/src/systems/dissemination/log.rs
+++ b/crates/core/src/systems/dissemination/log.rs
@@ -2,7 +2,7 @@
 
 use super::{Context, adopt, contact, fold, join, relay};
 use crate::{
-    config::{LogRecord, SnapshotPart},
+    config::{Fingerprint, LogRecord, SnapshotPart},
     platform::Record,
     tables::LogState,
 };
@@ -71,6 +71,10 @@
 }
 
 fn conflicts(cx: &Context<'_>, record: &Record) -> bool {
+    let config = &cx.tables.config;
+    if record.offset + 1 == config.revision().0 {
+        return Fingerprint::of(record.body.as_bytes()) != config.tail();
+    }
     let own = cx.tables.history.get(record.offset);
     own.is_some_and(|own| own.body != record.body)
 }
--- a/crates/core/src/systems/dissemination/relay.rs
+++ b/crates/core/src/systems/dissemination/relay.rs
@@ -4,7 +4,7 @@
 
 use super::{Context, adopt, fold, join, readers, send};
 use crate::{
-    config::LogRecord,
+    config::{LogRecord, SnapshotPart},
     ids::{Revision, VmId},
     language::DigestMatch,
     peer::ConfigMessage,
@@ -52,19 +52,20 @@
 }
 
 fn give_snapshot(cx: &mut Context<'_>, to: &VmId) {
-    let recent = |(at, _): &(Revision, Vec<String>)| cx.tables.history.digest(*at).is_some();
-    let bodies = match cx.tables.follow.relayed.take().filter(recent) {
-        Some((_, bodies)) => bodies,
-        None => {
-            let parts = cx.tables.config.snapshot();
-            parts.iter().map(|part| part.to_body()).collect()
-        }
+    let end = cx.tables.config.revision();
+    // What came after it must still be kept.
+    let recent = |(at, _): &(Revision, Vec<String>)| {
+        *at == end || !cx.tables.history.since(*at, 1, 0).is_empty()
     };
+    let relayed = cx.tables.follow.relayed.take().filter(recent);
+    let (at, bodies) = relayed.unwrap_or_else(|| {
+        let parts = cx.tables.config.snapshot();
+        (end, parts.iter().map(SnapshotPart::to_body).collect())
+    });
     for body in &bodies {
         let body = body.clone();
         send(cx, to, ConfigMessage::Snapshot { body });
     }
-    let at = cx.tables.config.revision();
     cx.tables.follow.relayed = Some((at, bodies));
 }
 
@@ -84,14 +85,20 @@
         cx.tables.follow.counters.divergences += 1;
         return;
     }
+    let mut folded = 0;
     if cx.tables.history.compare(begin, digest) == DigestMatch::Same {
-        cx.tables.follow.counters.records_from_peers += fold(cx, records);
+        folded = fold(cx, records);
+        cx.tables.follow.counters.records_from_peers += folded;
     }
     if let Some(join) = &mut cx.tables.follow.join {
         join.heard.insert(from.clone(), end);
     }
     if cx.tables.config.revision() < end {
-        catch_up_soon(cx);
+        // Only an answer that helped is followed by the next question at once.
+        match folded {
+            0 => catch_up_soon(cx),
+            _ => catch_up(cx),
+        }
     }
     join::finish(cx);
 }
--- /dev/null
+++ b/crates/core/src/systems/dissemination/tests/oracle.rs
@@ -0,0 +1,73 @@
+//! The same rules written the plain way: clone everything, check everything.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    config::{Batch, Carries, Change, Kind, Object, ObjectKey},
+    ids::{BatchId, Revision},
+};
+
+/// Objects, and the revision that changed each.
+pub type Objects = BTreeMap<ObjectKey, (Object, Revision)>;
+
+/// Folds all records ever appended.
+#[derive(Debug, Default, Clone)]
+pub struct Oracle {
+    pub objects: Objects,
+    seen: BTreeSet<BatchId>,
+    revision: u64,
+}
+
+impl Oracle {
+    pub fn fold(&mut self, body: &str) {
+        self.revision += 1;
+        let Ok(batch) = serde_json::from_str::<Batch>(body) else {
+            return;
+        };
+        if !self.seen.insert(batch.batch.clone()) {
+            return;
+        }
+        let at = Revision(self.revision);
+        let expected = |key: &ObjectKey| batch.base.get(key).copied().unwrap_or_default();
+        let found = |key: &ObjectKey| self.objects.get(key).map(|(_, at)| *at).unwrap_or_default();
+        let mut objects = self.objects.clone();
+        for change in &batch.changes {
+            if expected(&change.key()) != found(&change.key()) {
+                return;
+            }
+            match change {
+                Change::Put(object) => drop(objects.insert(object.key(), (object.clone(), at))),
+                Change::Delete(key) => drop(objects.remove(key)),
+            }
+        }
+        if objects.values().all(|(object, _)| holds(&objects, object)) {
+            self.objects = objects;
+        }
+    }
+}
+
+fn holds(objects: &Objects, object: &Object) -> bool {
+    let layers = |name: &str| {
+        let name = name.to_owned();
+        let key = ObjectKey {
+            kind: Kind::Model,
+            name,
+        };
+        match objects.get(&key) {
+            Some((Object::Model(model), _)) => Some(model.layers),
+            _ => None,
+        }
+    };
+    match object {
+        Object::Pipeline(p) => layers(p.model.as_str()).is_some(),
+        Object::Backend(b) => match &b.carries {
+            Carries::Layers {
+                model,
+                layers: held,
+                ..
+            } => layers(model.as_str()).is_some_and(|count| held.end() <= count),
+            Carries::Service(_) => false,
+        },
+        _ => true,
+    }
+}
--- a/crates/core/src/systems/snapshots.rs
+++ b/crates/core/src/systems/snapshots.rs
@@ -48,7 +48,7 @@
 }
 
 /// Maps a uniform number to a wait with a truncated exponential density.
-fn wait(uniform: f64, spread: Duration) -> Duration {
+pub(super) fn wait(uniform: f64, spread: Duration) -> Duration {
     let grown = uniform.mul_add(STEEPNESS.exp() - 1.0, 1.0);
     spread.mul_f64((grown.ln() / STEEPNESS).clamp(0.0, 1.0))
 }
--- a/crates/core/src/tables/follow.rs
+++ b/crates/core/src/tables/follow.rs
@@ -41,8 +41,6 @@
     pub heard: BTreeMap<VmId, Revision>,
     /// Whether the log was read to its end meanwhile.
     pub log_read: bool,
-    /// Rounds of asking.
-    pub rounds: u32,
 }
 
 /// What was counted while following.
--- a/crates/core/src/tables/history.rs
+++ b/crates/core/src/tables/history.rs
@@ -4,8 +4,6 @@
 
 use crate::{config::Config, ids::Revision, language::DigestMatch, platform::Record};
 
-/// Most records that are kept.
-const MAX_RECORDS: usize = 4_096;
 /// Most bytes of records that are kept.
 const MAX_BYTES: usize = 8 * 1024 * 1024;
 /// Most digests that are kept.
@@ -35,11 +33,12 @@
         }
     }
 
-    /// Notes a record; `config` is the configuration after it.
-    pub fn push(&mut self, record: Record, config: &Config) {
+    /// Notes a record and keeps at most `max_records`; `config` is the
+    /// configuration after it.
+    pub fn push(&mut self, record: Record, config: &Config, max_records: usize) {
         self.bytes += record.body.len();
         self.records.push_back(record);
-        while self.records.len() > MAX_RECORDS || self.bytes > MAX_BYTES {
+        while self.records.len() > max_records || self.bytes > MAX_BYTES {
             let oldest = self.records.pop_front();
             self.bytes -= oldest.map_or(0, |record| record.body.len());
         }
--- a/crates/daemon/src/configs/dissemination.rs
+++ b/crates/daemon/src/configs/dissemination.rs
@@ -24,6 +24,9 @@
         join_wait: section
             .millis("join_wait_ms", 10..=60_000)
             .unwrap_or(d.join_wait),
+        kept_records: section
+            .number("kept_records", 16..=1_000_000)
+            .unwrap_or(d.kept_records),
         rejoin_after: section
             .millis("rejoin_after_ms", 1_000..=600_000)
             .unwrap_or(d.rejoin_after),
--- a/crates/standin/examples/slopes/sample.rs
+++ b/crates/standin/examples/slopes/sample.rs
@@ -136,8 +136,6 @@
     Batch {
         format: BATCH_FORMAT,
         batch: id(name),
-        planned: Revision(0),
-        source: None,
         base: base.into_iter().map(|(key, at)| (id(&key), at)).collect(),
         planned,
         source: None,
