feat(once): dispatch non-idempotent requests from one home with witnesses

Before, each node kept its own table of request ids: the same id through two nodes ran twice, and nobody could tell what became of an id whose node was lost. A minted id now names its home (VM and incarnation), a number, its mint time and its witnesses, with a check under the peers' key. Any node hands such a request to the home; the home dispatches only after every witness has recorded its intent; a node that can't reach the home asks the witnesses to seal the id, and one seal proves that it never runs. Nothing is stored outside the nodes' memory and nothing is appended to the log.

A caller-chosen id on a non-idempotent request is refused and the endpoint named.

--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -7,12 +7,14 @@
 mod directory;
 mod identity;
 mod membership;
+mod once;
 mod retry;
 
 pub use admission::AdmissionConfig;
 pub use directory::DirectoryConfig;
 pub use identity::Identity;
 pub use membership::MembershipConfig;
+pub use once::OnceConfig;
 pub use retry::RetryConfig;
 
 /// All settings of the decisions.
@@ -26,6 +28,8 @@
     pub directory: DirectoryConfig,
     /// `[membership]`.
     pub membership: MembershipConfig,
+    /// `[once]`.
+    pub once: OnceConfig,
     /// `[retry]`.
     pub retry: RetryConfig,
 }
@@ -38,6 +42,7 @@
             admission: AdmissionConfig::default(),
             directory: DirectoryConfig::default(),
             membership: MembershipConfig::default(),
+            once: OnceConfig::default(),
             retry: RetryConfig::default(),
         }
     }
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -9,28 +9,32 @@
 
 /// Longest identifier that is accepted, in bytes.
 pub const MAX_ID_BYTES: usize = 96;
+/// Longest request id that is accepted, in bytes; a minted one names nodes.
+pub const MAX_REQUEST_ID_BYTES: usize = 640;
 
 /// Says why a text is not an identifier.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[error("{kind} {text:?} is not valid: use 1 to {MAX_ID_BYTES} of a-z A-Z 0-9 . _ : -")]
+#[error("{kind} {text:?} is not valid: use 1 to {max} of a-z A-Z 0-9 . _ : -")]
 pub struct IdError {
     /// The kind of identifier that was expected.
     pub kind: &'static str,
     /// The text that was refused, cut to the longest accepted length.
     pub text: String,
+    /// The longest accepted length, in bytes.
+    pub max: usize,
 }
 
-fn check(kind: &'static str, text: &str) -> Result<(), IdError> {
+fn check(kind: &'static str, max: usize, text: &str) -> Result<(), IdError> {
     let allowed = |b: u8| b.is_ascii_alphanumeric() || b"._:-".contains(&b);
-    if !text.is_empty() && text.len() <= MAX_ID_BYTES && text.bytes().all(allowed) {
+    if !text.is_empty() && text.len() <= max && text.bytes().all(allowed) {
         return Ok(());
     }
-    let text = text.chars().take(MAX_ID_BYTES).collect();
-    Err(IdError { kind, text })
+    let text = text.chars().take(max).collect();
+    Err(IdError { kind, text, max })
 }
 
 macro_rules! text_id {
-    ($($(#[$doc:meta])* $name:ident = $kind:literal;)+) => {$(
+    ($($(#[$doc:meta])* $name:ident = $kind:literal, $max:expr;)+) => {$(
         $(#[$doc])*
         #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
         #[serde(try_from = "String", into = "String")]
@@ -53,7 +57,7 @@
             type Err = IdError;
 
             fn from_str(text: &str) -> Result<Self, IdError> {
-                check($kind, text)?;
+                check($kind, $max, text)?;
                 Ok(Self(text.to_owned()))
             }
         }
@@ -62,7 +66,7 @@
             type Error = IdError;
 
             fn try_from(text: String) -> Result<Self, IdError> {
-                check($kind, &text)?;
+                check($kind, $max, &text)?;
                 Ok(Self(text))
             }
         }
@@ -77,25 +81,25 @@
 
 text_id! {
     /// Names a VM; an entry node and a backend server are named by their VM.
-    VmId = "VM";
+    VmId = "VM", MAX_ID_BYTES;
     /// Names a failure domain.
-    FailureDomain = "failure domain";
+    FailureDomain = "failure domain", MAX_ID_BYTES;
     /// Names an organisation.
-    OrganisationId = "organisation";
+    OrganisationId = "organisation", MAX_ID_BYTES;
     /// Names a model.
-    ModelId = "model";
+    ModelId = "model", MAX_ID_BYTES;
     /// Names a version of a model.
-    VersionId = "version";
+    VersionId = "version", MAX_ID_BYTES;
     /// Names an adapter of a model.
-    AdapterId = "adapter";
+    AdapterId = "adapter", MAX_ID_BYTES;
     /// Names a pipeline that callers address.
-    PipelineId = "pipeline";
+    PipelineId = "pipeline", MAX_ID_BYTES;
     /// Names a plain service that callers address.
-    ServiceId = "service";
+    ServiceId = "service", MAX_ID_BYTES;
     /// Names a batch of configuration changes, chosen by the operator.
-    BatchId = "batch";
+    BatchId = "batch", MAX_ID_BYTES;
     /// Names a request; minted by a node or, for idempotent requests, by the caller.
-    RequestId = "request id";
+    RequestId = "request id", MAX_REQUEST_ID_BYTES;
 }
 
 macro_rules! number_id {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod ids;
 pub mod message;
 pub mod node;
+pub mod once;
 pub mod outcome;
 pub mod peer;
 pub mod platform;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -10,6 +10,7 @@
         Attempt, LayerRange, ModelId, PipelineId, Position, Priority, RequestId, RequestKey,
         ServiceId, VersionId, VmId,
     },
+    node::Known,
     outcome::Outcome,
     peer::{PeerMessage, Sender},
     platform::{Record, VmList},
@@ -132,6 +133,13 @@
         /// The node's VM.
         vm: VmId,
     },
+    /// A caller asks what became of a request.
+    Inquire {
+        /// Numbers the question; chosen by the edge as for a request.
+        key: RequestKey,
+        /// The request.
+        id: RequestId,
+    },
     /// The node was told to shut down gracefully.
     Drain,
 }
@@ -174,6 +182,8 @@
     },
     /// The end: every request gets exactly one.
     Done(Done),
+    /// The answer to [`Event::Inquire`].
+    Status(Known),
 }
 
 /// The end of an answer.
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rand::{SeedableRng, rngs::StdRng};
+use serde::{Deserialize, Serialize};
 
 use crate::{
     configs::Configs,
@@ -26,7 +27,7 @@
 }
 
 /// What became of a request, as far as a node knows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Known {
     /// It runs here.
     Open,
@@ -49,20 +50,24 @@
     /// Handles one event and returns what is to be done.
     pub fn handle(&mut self, now: Timestamp, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
-        let mut cx = Context {
+        systems::dispatch(&mut self.context(now, &mut out), event);
+        out
+    }
+
+    /// Mints an id for one request, which may be a non-idempotent one.
+    pub fn mint(&mut self, now: Timestamp) -> RequestId {
+        let mut out = Vec::new();
+        systems::once::mint(&mut self.context(now, &mut out), true)
+    }
+
+    fn context<'a>(&'a mut self, now: Timestamp, out: &'a mut Vec<Action>) -> Context<'a> {
+        Context {
             now,
             cfg: &self.cfg,
             tables: &mut self.tables,
             rng: &mut self.rng,
-            out: &mut out,
-        };
-        systems::dispatch(&mut cx, event);
-        out
-    }
-
-    /// Mints an id for one request.
-    pub fn mint(&mut self) -> RequestId {
-        systems::minting::mint(&self.cfg.identity, &mut self.tables.requests)
+            out,
+        }
     }
 
     /// Tells what this node knows of a request.
--- /dev/null
+++ b/crates/core/src/once/ids.rs
@@ -0,0 +1,168 @@
+//! Minted ids: text that names a home, its witnesses and a number.
+
+use std::fmt;
+
+use hmac::{Hmac, Mac};
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+
+use crate::{
+    ids::{Incarnation, RequestId, VmId},
+    peer::Sender,
+    time::Timestamp,
+};
+
+/// What every minted id begins with; the digit is the format's version.
+const PREFIX: &str = "m1:";
+/// Bytes of the check at an id's end.
+const CHECK_BYTES: usize = 16;
+
+/// The secret that the nodes of a deployment check ids with; never shown.
+#[derive(Clone, Default)]
+pub struct IdKey(Vec<u8>);
+
+impl IdKey {
+    /// Makes a key of the deployment's shared secret.
+    pub fn new(secret: &[u8]) -> Self {
+        Self(secret.to_vec())
+    }
+
+    fn mac(&self, text: &str) -> Hmac<Sha256> {
+        let mut mac = Hmac::<Sha256>::new_from_slice(&self.0).expect("any key length is taken");
+        // The words keep these checks apart from other uses of the secret.
+        mac.update(b"radishhaven request id\n");
+        mac.update(text.as_bytes());
+        mac
+    }
+}
+
+impl fmt::Debug for IdKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("IdKey(hidden)")
+    }
+}
+
+/// One process of a node: a restart on the same VM is another instance.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Instance {
+    /// The node's VM.
+    pub vm: VmId,
+    /// The process's incarnation.
+    pub incarnation: Incarnation,
+}
+
+impl From<Sender> for Instance {
+    fn from(sender: Sender) -> Self {
+        Self {
+            vm: sender.vm,
+            incarnation: sender.incarnation,
+        }
+    }
+}
+
+/// Names a request among nodes: its home and the home's own number for it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct IntentId {
+    /// The one instance that may dispatch the request.
+    pub home: Instance,
+    /// Counts the ids that the home has minted.
+    pub number: u64,
+}
+
+/// What a minted id says.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MintedId {
+    /// The request's home and number.
+    pub intent: IntentId,
+    /// When it was minted, on the home's clock.
+    pub minted: Timestamp,
+    /// The instances that must record the home's intent.
+    pub witnesses: Vec<Instance>,
+}
+
+/// Why a text is not a minted id.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum IdRefused {
+    /// The text has another form.
+    #[error("this id was not minted: get one from POST /v1/request-ids")]
+    NotMinted,
+    /// The check does not fit the text or the key.
+    #[error("this id was altered or is of another deployment: get one from POST /v1/request-ids")]
+    Altered,
+}
+
+impl MintedId {
+    /// Writes the id as text, with a check under the key.
+    pub fn encode(&self, key: &IdKey) -> RequestId {
+        let mut text = format!(
+            "{PREFIX}{:x}:{:x}:",
+            self.intent.number,
+            self.minted.as_millis()
+        );
+        for instance in std::iter::once(&self.intent.home).chain(&self.witnesses) {
+            let vm = instance.vm.as_str();
+            // The length lets a VM's name hold the separator.
+            text += &format!("{}:{vm}:{:x}:", vm.len(), instance.incarnation.0);
+        }
+        let check = key.mac(&text).finalize().into_bytes();
+        text.extend(check[..CHECK_BYTES].iter().map(|b| format!("{b:02x}")));
+        RequestId::try_from(text).expect("VM names and numbers make a valid id")
+    }
+
+    /// Reads an id and checks that a node with the key has minted it.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a text of another form or with a wrong check.
+    pub fn parse(id: &RequestId, key: &IdKey) -> Result<Self, IdRefused> {
+        let text = id.as_str();
+        let minted = Self::read(text).ok_or(IdRefused::NotMinted)?;
+        // Text that means the same but is written otherwise has another check.
+        let same =
+            subtle::ConstantTimeEq::ct_eq(minted.encode(key).as_str().as_bytes(), text.as_bytes());
+        if bool::from(same) {
+            Ok(minted)
+        } else {
+            Err(IdRefused::Altered)
+        }
+    }
+
+    fn read(text: &str) -> Option<Self> {
+        let rest = text.strip_prefix(PREFIX)?;
+        let (number, rest) = hex_field(rest)?;
+        let (minted, mut rest) = hex_field(rest)?;
+        let mut instances = Vec::new();
+        while rest.len() != 2 * CHECK_BYTES || rest.contains(':') {
+            let (instance, after) = instance(rest)?;
+            instances.push(instance);
+            rest = after;
+        }
+        if instances.is_empty() {
+            return None;
+        }
+        let home = instances.remove(0);
+        Some(Self {
+            intent: IntentId { home, number },
+            minted: Timestamp::from_millis(minted),
+            witnesses: instances,
+        })
+    }
+}
+
+fn hex_field(text: &str) -> Option<(u64, &str)> {
+    let (field, rest) = text.split_once(':')?;
+    Some((u64::from_str_radix(field, 16).ok()?, rest))
+}
+
+fn instance(text: &str) -> Option<(Instance, &str)> {
+    let (length, rest) = text.split_once(':')?;
+    let length: usize = length.parse().ok()?;
+    let vm = rest.get(..length)?.parse().ok()?;
+    let rest = rest.get(length..)?.strip_prefix(':')?;
+    let (incarnation, rest) = hex_field(rest)?;
+    let incarnation = Incarnation(incarnation);
+    Some((Instance { vm, incarnation }, rest))
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -6,7 +6,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{Incarnation, Revision, VmId};
+use crate::{
+    ids::{Incarnation, Revision, VmId},
+    once::OnceMessage,
+};
 
 /// Version of the messages; nodes of another version are refused.
 pub const PEER_VERSION: u16 = 1;
@@ -16,6 +19,8 @@
 pub enum PeerMessage {
     /// Says that the sender lives and what it has in force.
     Heartbeat(Heartbeat),
+    /// Runs a request at most once.
+    Once(OnceMessage),
 }
 
 /// What a node says of itself.
--- a/crates/core/src/systems/admission.rs
+++ b/crates/core/src/systems/admission.rs
@@ -7,7 +7,7 @@
 
 use subtle::ConstantTimeEq;
 
-use super::{Context, Timer, answer, calls, completion, minting};
+use super::{Context, Timer, answer, calls, completion, once};
 use crate::{
     config::Organisation,
     ids::{Attempt, Position, RequestKey},
@@ -16,10 +16,18 @@
     tables::{CallState, CompletionState, RequestRow, Work},
 };
 
-/// Takes a request on or rejects it; runs once for each request.
+/// Takes a request on, rejects it or leaves it to its home; runs once for each
+/// request.
 pub fn run(cx: &mut Context<'_>, key: RequestKey, submission: Submission) {
     cx.tables.counters.submitted += 1;
-    match check(cx, submission) {
+    if let Some(submission) = once::arrive(cx, key, submission) {
+        take_on(cx, key, submission);
+    }
+}
+
+/// Takes a request on or rejects it, once it is known that it goes on here.
+pub fn take_on(cx: &mut Context<'_>, key: RequestKey, submission: Submission) {
+    match check(cx, key, submission) {
         Ok(row) => start(cx, key, row),
         Err((reason, message)) => answer::reject(cx, key, None, reason, message),
     }
@@ -27,7 +35,11 @@
 
 type Rejection = (NotRun, String);
 
-fn check(cx: &mut Context<'_>, submission: Submission) -> Result<RequestRow, Rejection> {
+fn check(
+    cx: &mut Context<'_>,
+    key: RequestKey,
+    submission: Submission,
+) -> Result<RequestRow, Rejection> {
     let organisation = organisation(cx, &submission.token_sha256).ok_or_else(|| {
         (
             NotRun::Unauthorised,
@@ -45,9 +57,11 @@
     if within.is_zero() {
         return Err((NotRun::Late, "the deadline has passed".to_owned()));
     }
+    let idempotent = is_idempotent(cx, &submission);
     let id = match submission.id {
         Some(id) => id,
-        None => minting::mint(&cx.cfg.identity, &mut cx.tables.requests),
+        None if idempotent => once::mint(cx, false),
+        None => once::adopt(cx, key, organisation.id.clone(), &submission.demand),
     };
     Ok(RequestRow {
         id,
@@ -57,9 +71,7 @@
             .min(organisation.priority),
         deadline: cx.now + within.min(cx.cfg.admission.max_deadline),
         admitted: cx.now,
-        idempotent: submission
-            .idempotent
-            .unwrap_or_else(|| idempotent(cx, &submission.demand)),
+        idempotent,
         organisation: organisation.id,
         attempt: Attempt(0),
         started: false,
@@ -70,7 +82,8 @@
     })
 }
 
-fn organisation(cx: &Context<'_>, token_sha256: &[u8; 32]) -> Option<Organisation> {
+/// Returns the organisation whose bearer token has this digest.
+pub fn organisation(cx: &Context<'_>, token_sha256: &[u8; 32]) -> Option<Organisation> {
     let hex: String = token_sha256.iter().map(|b| format!("{b:02x}")).collect();
     let same = |o: &&Organisation| bool::from(o.token_sha256.as_bytes().ct_eq(hex.as_bytes()));
     cx.tables.config.organisations().find(same).cloned()
@@ -88,6 +101,13 @@
     Ok(())
 }
 
+/// Tells whether a request may run more than once: by the caller's word, or
+/// else by the configuration.
+pub fn is_idempotent(cx: &Context<'_>, submission: &Submission) -> bool {
+    let stated = submission.idempotent;
+    stated.unwrap_or_else(|| idempotent(cx, &submission.demand))
+}
+
 fn idempotent(cx: &Context<'_>, demand: &Demand) -> bool {
     match demand {
         Demand::Completion { .. } => true,
@@ -165,6 +185,9 @@
         key,
         reply: Reply::Admitted { id },
     });
+    if once::begin(cx, key) {
+        return;
+    }
     if call {
         calls::start(cx, key)
     } else {
--- a/crates/core/src/systems/answer.rs
+++ b/crates/core/src/systems/answer.rs
@@ -21,14 +21,16 @@
     bytes.collect()
 }
 
-fn hex_digest(text: &str) -> String {
+/// Returns the SHA-256 of a text, in hex.
+pub fn hex_digest(text: &str) -> String {
     Sha256::digest(text.as_bytes())
         .iter()
         .map(|b| format!("{b:02x}"))
         .collect()
 }
 
-fn give(cx: &mut Context<'_>, key: RequestKey, done: Done) {
+/// Gives a caller the end of its answer.
+pub fn give(cx: &mut Context<'_>, key: RequestKey, done: Done) {
     *cx.tables
         .counters
         .outcomes
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -10,7 +10,7 @@
 pub mod directory;
 pub mod drain;
 pub mod membership;
-pub mod minting;
+pub mod once;
 pub mod platform;
 pub mod routing;
 
@@ -47,6 +47,8 @@
     Deadline(RequestKey),
     /// The next round of heartbeats.
     Heartbeat,
+    /// A question for running a request at most once.
+    Once(once::OnceTimer),
     /// The bound on a step without an answer.
     Step {
         /// The request.
@@ -68,7 +70,12 @@
     match event {
         Event::Tick => {}
         Event::Submit { key, submission } => admission::run(cx, key, *submission),
-        Event::CallerGone { key } => answer::abandon(cx, key),
+        Event::CallerGone { key } => {
+            if !once::caller_gone(cx, key) {
+                answer::abandon(cx, key);
+            }
+        }
+        Event::Inquire { key, id } => once::status(cx, key, id),
         Event::StepDone {
             key,
             attempt,
@@ -92,21 +99,24 @@
         Event::ConfigReadFailed => cx.tables.counters.log_failures += 1,
         Event::VmList(list) => platform::vm_list(cx, list),
         Event::Peer { from, message } => peer_message(cx, from, message),
-        Event::PeerUnreachable { .. } => {}
+        Event::PeerUnreachable { vm } => once::unreachable(cx, &vm),
         Event::Start => membership::round(cx),
         Event::Drain => drain::run(cx),
     }
+    once::deliver(cx);
 }
 
 fn peer_message(cx: &mut Context<'_>, from: Sender, message: PeerMessage) {
     match message {
         PeerMessage::Heartbeat(said) => membership::heard(cx, from, said),
+        PeerMessage::Once(message) => once::message(cx, from, message),
     }
 }
 
 fn expire(cx: &mut Context<'_>, timer: Timer) {
     match timer {
         Timer::Heartbeat => membership::round(cx),
+        Timer::Once(timer) => once::expire(cx, timer),
         Timer::Deadline(key) => answer::deadline(cx, key),
         Timer::Step {
             key,
--- a/crates/core/src/tables/counters.rs
+++ b/crates/core/src/tables/counters.rs
@@ -23,6 +23,12 @@
     pub crossed_replies: u64,
     /// Steps that were not answered in time.
     pub step_timeouts: u64,
+    /// Messages of other nodes for running requests at most once.
+    pub once_messages: u64,
+    /// Requests that were not run because a witness did not consent.
+    pub once_unwitnessed: u64,
+    /// Requests whose home did not answer, so that witnesses were asked.
+    pub once_seals: u64,
     /// Reads of the log that failed.
     pub log_failures: u64,
 }
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     config::Config,
+    once::OnceTable,
     systems::Timer,
     time::{Timers, Timestamp},
 };
@@ -31,6 +32,8 @@
     pub backends: BackendTable,
     /// Requests: open ones and recent outcomes.
     pub requests: RequestTable,
+    /// What is kept to run requests at most once.
+    pub once: OnceTable,
     /// Subscriptions to moments.
     pub timers: Timers<Timer>,
     /// What was counted.
--- a/crates/daemon/src/configs/mod.rs
+++ b/crates/daemon/src/configs/mod.rs
@@ -6,13 +6,14 @@
 mod log;
 mod membership;
 mod node;
+mod once;
 mod peers;
 mod platform;
 mod retry;
 
 pub(crate) use self::{
     admission::read_admission, directory::read_directory, membership::read_membership,
-    retry::read_retry,
+    once::read_once, retry::read_retry,
 };
 pub use self::{
     log::{LogConfig, LogFormat},
--- a/crates/daemon/src/edges/callers.rs
+++ b/crates/daemon/src/edges/callers.rs
@@ -97,7 +97,7 @@
                 self.call_service(req, &target).await
             }
             (&Method::GET, path) if path.starts_with(REQUESTS_PATH) => {
-                self.status(&path[REQUESTS_PATH.len()..])
+                self.status(&path[REQUESTS_PATH.len()..]).await
             }
             _ => Err(Refusal {
                 status: StatusCode::NOT_FOUND,
@@ -133,20 +133,20 @@
                 .filter(|n| (1..=MAX_MINTED_IDS).contains(n))
                 .ok_or_else(|| Refusal::bad(format!("count is 1 to {MAX_MINTED_IDS}")))?,
         };
-        let ids = self
-            .host
-            .with(|node| (0..count).map(|_| node.mint()).collect());
+        let ids = (0..count).map(|_| self.host.mint()).collect();
         Ok(json(StatusCode::OK, &MintedIds { ids }))
     }
 
-    fn status(&self, id: &str) -> Result<Response, Refusal> {
+    async fn status(&self, id: &str) -> Result<Response, Refusal> {
         let id: RequestId = id
             .parse()
             .map_err(|e: radishhaven_core::ids::IdError| Refusal::bad(e.to_string()))?;
-        let outcome = match self.host.read(|node| node.known(&id)) {
-            Known::Open => None,
-            Known::Ended(outcome) => Some(outcome),
-            Known::Nothing => Some(Outcome::Unknown),
+        let (key, rx) = self.host.inquire(id.clone());
+        let mut answer = AnswerReader::new(self.host.clone(), key, rx);
+        let outcome = match answer.next().await {
+            Some(Reply::Status(Known::Open)) => None,
+            Some(Reply::Status(Known::Ended(outcome))) => Some(outcome),
+            _ => Some(Outcome::Unknown),
         };
         Ok(json(StatusCode::OK, &RequestStatus { id, outcome }))
     }
@@ -175,7 +175,7 @@
             match reply {
                 Reply::Delta { text: part, .. } => text.push_str(&part),
                 Reply::Done(done) => return Ok(whole(done, text)),
-                Reply::Admitted { .. } => {}
+                Reply::Admitted { .. } | Reply::Status(_) => {}
             }
         }
         Ok(cut())
@@ -214,7 +214,7 @@
             id: header(
                 headers,
                 REQUEST_ID_HEADER,
-                "an id of 1 to 96 letters, digits or . _ : -",
+                "an id of 1 to 640 letters, digits or . _ : -",
             )?,
             priority: header(headers, PRIORITY_HEADER, "a number from 0 to 255")?,
             within: header(headers, DEADLINE_HEADER, "milliseconds")?.map(Duration::from_millis),
@@ -222,12 +222,7 @@
             demand,
         };
         let (key, rx) = self.host.submit(submission);
-        self.host.answer_opened();
-        Ok(AnswerReader {
-            host: self.host.clone(),
-            key,
-            rx,
-        })
+        Ok(AnswerReader::new(self.host.clone(), key, rx))
     }
 }
 
@@ -239,6 +234,11 @@
 }
 
 impl AnswerReader {
+    fn new(host: Arc<Host>, key: RequestKey, rx: mpsc::UnboundedReceiver<Reply>) -> Self {
+        host.answer_opened();
+        Self { host, key, rx }
+    }
+
     async fn next(&mut self) -> Option<Reply> {
         self.rx.recv().await
     }
@@ -392,7 +392,7 @@
                     false,
                 ),
                 Reply::Done(done) => (event(DONE_EVENT, &last_event(&id, done)), true),
-                Reply::Admitted { .. } => return None,
+                Reply::Admitted { .. } | Reply::Status(_) => return None,
             };
             Some((Ok(frame), (answer, id, over)))
         });
--- a/crates/daemon/src/edges/operators.rs
+++ b/crates/daemon/src/edges/operators.rs
@@ -108,6 +108,7 @@
         "members": tables.members,
         "backends": tables.backends,
         "requests": tables.requests,
+        "once": tables.once,
         "subscriptions": tables.timers.len(),
         "counters": tables.counters,
     })
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -12,10 +12,11 @@
 
 use radishhaven_client::{HttpError, JsonClient};
 use radishhaven_core::{
-    configs::{Configs, Identity},
-    ids::RequestKey,
+    configs::{Configs, Identity, OnceConfig},
+    ids::{RequestId, RequestKey},
     message::{Action, Event, Reply, Submission},
     node::Node,
+    once::IdKey,
     peer::Sender,
 };
 use tokio::{net::TcpListener, sync::mpsc};
@@ -94,6 +95,10 @@
             admission: settings.admission.clone(),
             directory: settings.directory.clone(),
             membership: settings.membership.clone(),
+            once: OnceConfig {
+                key: IdKey::new(settings.peers.key.as_bytes()),
+                ..settings.once.clone()
+            },
             retry: settings.retry.clone(),
         };
         Ok(Self {
@@ -126,23 +131,36 @@
         look(&locked(&self.node))
     }
 
-    /// Changes the decisions' state where no event is needed.
-    pub(crate) fn with<T>(&self, work: impl FnOnce(&mut Node) -> T) -> T {
-        work(&mut locked(&self.node))
-    }
-
     /// Submits a request; its answer comes over the channel.
     pub fn submit(
         self: &Arc<Self>,
         submission: Submission,
     ) -> (RequestKey, mpsc::UnboundedReceiver<Reply>) {
+        let (key, rx) = self.open_answer();
+        let submission = Box::new(submission);
+        self.handle(Event::Submit { key, submission });
+        (key, rx)
+    }
+
+    /// Asks what became of a request; the answer comes over the channel.
+    pub fn inquire(
+        self: &Arc<Self>,
+        id: RequestId,
+    ) -> (RequestKey, mpsc::UnboundedReceiver<Reply>) {
+        let (key, rx) = self.open_answer();
+        self.handle(Event::Inquire { key, id });
+        (key, rx)
+    }
+
+    /// Mints an id for one request.
+    pub fn mint(&self) -> RequestId {
+        locked(&self.node).mint(self.clock.now())
+    }
+
+    fn open_answer(&self) -> (RequestKey, mpsc::UnboundedReceiver<Reply>) {
         let key = RequestKey(self.next_key.fetch_add(1, Ordering::Relaxed));
         let (tx, rx) = mpsc::unbounded_channel();
         locked(&self.replies).insert(key, tx);
-        self.handle(Event::Submit {
-            key,
-            submission: Box::new(submission),
-        });
         (key, rx)
     }
 
@@ -222,7 +240,7 @@
 
     fn reply(&self, key: RequestKey, reply: Reply) {
         let mut replies = locked(&self.replies);
-        let last = matches!(reply, Reply::Done(_));
+        let last = matches!(reply, Reply::Done(_) | Reply::Status(_));
         // A caller that went away is seen by its edge, which says so itself.
         if let Some(tx) = replies.get(&key) {
             let _ = tx.send(reply);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -42,6 +42,21 @@
         "Steps that were not answered in time",
         counters.step_timeouts,
     );
+    count(
+        "once_messages",
+        "Messages of nodes for running requests at most once",
+        counters.once_messages,
+    );
+    count(
+        "once_unwitnessed",
+        "Requests not run because a witness did not consent",
+        counters.once_unwitnessed,
+    );
+    count(
+        "once_seals",
+        "Requests whose home did not answer, so that witnesses were asked",
+        counters.once_seals,
+    );
     count(
         "log_failures",
         "Reads of the log that failed",
@@ -70,6 +85,21 @@
         "Requests that run here",
         tables.requests.len() as u64,
     );
+    gauge(
+        "once_open",
+        "Requests of this home that may run once and are open",
+        tables.once.home.open_count() as u64,
+    );
+    gauge(
+        "once_remembered",
+        "Ended requests of this home that are remembered",
+        tables.once.home.ended_count() as u64,
+    );
+    gauge(
+        "once_witnessed",
+        "Ids that this node remembers as a witness",
+        tables.once.witness.len() as u64,
+    );
     gauge(
         "config_revision",
         "Revision in force",
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -8,11 +8,13 @@
 };
 
 use ini::Ini;
-use radishhaven_core::configs::{AdmissionConfig, DirectoryConfig, MembershipConfig, RetryConfig};
+use radishhaven_core::configs::{
+    AdmissionConfig, DirectoryConfig, MembershipConfig, OnceConfig, RetryConfig,
+};
 
 use crate::configs::{
     LogConfig, NodeConfig, PeersConfig, PlatformConfig, read_admission, read_directory,
-    read_membership, read_retry,
+    read_membership, read_once, read_retry,
 };
 
 /// A file with every setting, its default and its unit.
@@ -35,6 +37,8 @@
     pub directory: DirectoryConfig,
     /// `[membership]`.
     pub membership: MembershipConfig,
+    /// `[once]`.
+    pub once: OnceConfig,
     /// `[retry]`.
     pub retry: RetryConfig,
 }
@@ -299,6 +303,7 @@
         let admission = reader.section("admission", read_admission);
         let directory = reader.section("directory", read_directory);
         let membership = reader.section("membership", read_membership);
+        let once = reader.section("once", read_once);
         let retry = reader.section("retry", read_retry);
         reader.reject_other_sections();
         match (node, peers, platform) {
@@ -310,6 +315,7 @@
                 admission,
                 directory,
                 membership,
+                once,
                 retry,
             }),
             _ => Err(SettingsErrors(reader.errors)),
