test(once): judge at most once over generated faults, and see it fail

Four nodes, callers that retry through any of them and a service that runs what it is asked stand in one thread on an injected clock.

--- /dev/null
+++ b/crates/core/tests/world/mod.rs
@@ -0,0 +1,421 @@
+//! Several nodes, a plain service and callers in one thread, on an injected
+//! clock, with faults between them.
+//!
+//! What is judged is only what callers were told and what the service itself
+//! recorded.
+
+mod net;
+mod setup;
+mod steps;
+
+pub use net::Rates;
+pub use setup::NODES;
+pub use steps::Case;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+
+use radishhaven_core::{
+    ids::{Attempt, Incarnation, RequestId, RequestKey},
+    message::{Action, AttemptError, Event, Reply},
+    node::{Known, Node},
+    outcome::Outcome,
+    time::Timestamp,
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+/// One process of a node.
+pub struct Process {
+    pub incarnation: Incarnation,
+    node: Node,
+    /// World time at which its own clock read zero; a pause may move it.
+    clock_start: Timestamp,
+    paused: bool,
+    held: VecDeque<Event>,
+    tick_at: Option<Timestamp>,
+}
+
+/// Something that happens at a moment.
+enum Happening {
+    /// An event reaches a node, if this process of it still lives.
+    ToProcess(usize, Incarnation, Event),
+    /// An event reaches whatever process of a node lives.
+    ToNode(usize, Event),
+    /// A process's own subscription may be due.
+    Tick(usize, Incarnation),
+    /// A call reaches the service.
+    Call(Call),
+    /// A caller tries again.
+    Retry(usize, u8),
+}
+
+/// A call on its way.
+struct Call {
+    node: usize,
+    incarnation: Incarnation,
+    key: RequestKey,
+    attempt: Attempt,
+    id: RequestId,
+}
+
+/// What one caller has in hand.
+#[derive(Default)]
+pub struct Caller {
+    /// The request's id; none before it was minted.
+    id: Option<RequestId>,
+    retries_left: u8,
+}
+
+/// What callers and the service saw.
+#[derive(Default)]
+pub struct Seen {
+    /// Starts at the service, by id.
+    pub runs: BTreeMap<RequestId, u32>,
+    /// What callers were told, by id.
+    pub told: BTreeMap<RequestId, BTreeSet<Outcome>>,
+    /// Bodies that callers were given, by id.
+    pub bodies: BTreeMap<RequestId, BTreeSet<String>>,
+    /// Ends that callers were given for one exchange, by key.
+    ends: BTreeMap<RequestKey, u32>,
+}
+
+/// Everything.
+pub struct World {
+    pub now: Timestamp,
+    pub seen: Seen,
+    rates: Rates,
+    forgetful: bool,
+    rng: StdRng,
+    processes: Vec<Option<Process>>,
+    cuts: BTreeMap<(usize, usize), Timestamp>,
+    queue: BTreeMap<(Timestamp, u64), Happening>,
+    callers: Vec<Caller>,
+    /// Who waits for the answer to a key, and where.
+    exchanges: BTreeMap<RequestKey, (usize, usize)>,
+    next: u64,
+}
+
+impl World {
+    pub fn new(seed: u64, rates: Rates, callers: usize, forgetful: bool) -> Self {
+        let mut world = Self {
+            now: Timestamp(0),
+            seen: Seen::default(),
+            rates,
+            forgetful,
+            rng: StdRng::seed_from_u64(seed),
+            processes: (0..NODES).map(|_| None).collect(),
+            cuts: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            callers: (0..callers).map(|_| Caller::default()).collect(),
+            exchanges: BTreeMap::new(),
+            next: 1,
+        };
+        for n in 0..NODES {
+            world.start(n);
+        }
+        world
+    }
+
+    /// Starts a node empty, as a new process.
+    pub fn start(&mut self, n: usize) {
+        if self.processes[n].is_some() {
+            return;
+        }
+        let incarnation = Incarnation(self.next());
+        self.processes[n] = Some(Process {
+            incarnation,
+            node: Node::new(
+                setup::configs(n, incarnation, self.forgetful),
+                incarnation.0,
+            ),
+            clock_start: self.now,
+            paused: false,
+            held: VecDeque::new(),
+            tick_at: None,
+        });
+        for event in setup::first_events() {
+            self.event(n, event);
+        }
+    }
+
+    /// Ends a node's process at once.
+    pub fn kill(&mut self, n: usize) {
+        self.processes[n] = None;
+        let waiting = self.exchanges.iter().filter(|(_, at)| at.1 == n);
+        let cut: Vec<(RequestKey, usize)> = waiting.map(|(key, at)| (*key, at.0)).collect();
+        for (key, caller) in cut {
+            self.exchanges.remove(&key);
+            self.retry_later(caller);
+        }
+    }
+
+    /// Stops a node's process for a while; its clock may stop with it.
+    pub fn pause(&mut self, n: usize) {
+        if let Some(process) = &mut self.processes[n] {
+            process.paused = true;
+        }
+    }
+
+    /// Lets a paused process go on with what has come in since.
+    pub fn resume(&mut self, n: usize, paused_for: Duration, clock_stopped: bool) {
+        let Some(process) = &mut self.processes[n] else {
+            return;
+        };
+        if !std::mem::take(&mut process.paused) {
+            return;
+        }
+        if clock_stopped {
+            process.clock_start = process.clock_start + paused_for;
+        }
+        for event in std::mem::take(&mut process.held) {
+            self.event(n, event);
+        }
+        self.event(n, Event::Tick);
+    }
+
+    /// Lets a caller send its request through a node, and mint an id first.
+    pub fn submit(&mut self, caller: usize, n: usize) {
+        if self.callers[caller].id.is_none() {
+            let now = self.now;
+            let Some(process) = self.alive(n) else {
+                return;
+            };
+            let id = process.node.mint(process.clock(now));
+            self.callers[caller] = Caller {
+                id: Some(id),
+                retries_left: 4,
+            };
+        }
+        let id = self.callers[caller].id.clone();
+        self.send_request(caller, n, id);
+    }
+
+    /// Lets a caller send a request without an id.
+    pub fn submit_without_id(&mut self, caller: usize, n: usize) {
+        self.send_request(caller, n, None);
+    }
+
+    fn send_request(&mut self, caller: usize, n: usize, id: Option<RequestId>) {
+        let key = RequestKey(self.next());
+        if self.processes[n].is_none() {
+            return self.retry_later(caller);
+        }
+        self.exchanges.insert(key, (caller, n));
+        let submission = Box::new(setup::submission(id));
+        self.event(n, Event::Submit { key, submission });
+    }
+
+    /// Lets a caller ask what became of its request.
+    pub fn inquire(&mut self, caller: usize, n: usize) {
+        let Some(id) = self.callers[caller].id.clone() else {
+            return;
+        };
+        let key = RequestKey(self.next());
+        if self.processes[n].is_some() {
+            self.exchanges.insert(key, (caller, n));
+            self.event(n, Event::Inquire { key, id });
+        }
+    }
+
+    /// Lets a caller go away in the middle of its exchanges, to try again.
+    pub fn hang_up(&mut self, caller: usize) {
+        let gone = self.exchanges.iter().filter(|(_, at)| at.0 == caller);
+        let gone: Vec<(RequestKey, usize)> = gone.map(|(key, at)| (*key, at.1)).collect();
+        for (key, n) in gone {
+            self.exchanges.remove(&key);
+            self.event(n, Event::CallerGone { key });
+        }
+        self.retry_later(caller);
+    }
+
+    /// Lets everything happen that is due within a time.
+    pub fn run_for(&mut self, time: Duration) {
+        let until = self.now + time;
+        while let Some((&(at, _), _)) = self.queue.first_key_value() {
+            if at > until {
+                break;
+            }
+            let Some((_, happening)) = self.queue.pop_first() else {
+                break;
+            };
+            self.now = at;
+            self.happen(happening);
+        }
+        self.now = until;
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::ToNode(n, event) => self.event(n, event),
+            Happening::ToProcess(n, incarnation, event) => {
+                if self.alive(n).is_some_and(|p| p.incarnation == incarnation) {
+                    self.event(n, event);
+                }
+            }
+            Happening::Tick(n, incarnation) => {
+                let now = self.now;
+                let Some(process) = self.alive(n).filter(|p| p.incarnation == incarnation) else {
+                    return;
+                };
+                if process.tick_at == Some(now) {
+                    process.tick_at = None;
+                    self.event(n, Event::Tick);
+                }
+            }
+            Happening::Call(call) => self.serve(call),
+            Happening::Retry(caller, n) => self.submit(caller, n as usize % NODES),
+        }
+    }
+
+    /// Gives a process an event and carries out what it answers.
+    fn event(&mut self, n: usize, event: Event) {
+        let now = self.now;
+        let Some(process) = self.alive(n) else {
+            return;
+        };
+        if process.paused {
+            process.held.push_back(event);
+            return;
+        }
+        let at = process.clock(now);
+        let incarnation = process.incarnation;
+        let actions = process.node.handle(at, event);
+        for action in actions {
+            self.perform(n, incarnation, action);
+        }
+        self.subscribe(n);
+    }
+
+    fn subscribe(&mut self, n: usize) {
+        let now = self.now;
+        let Some(process) = self.alive(n) else {
+            return;
+        };
+        let Some(due) = process.node.next_due() else {
+            return;
+        };
+        let at =
+            (process.clock_start + due.since(Timestamp(0))).max(now + Duration::from_micros(1));
+        if process.tick_at.is_some_and(|tick| tick > now && tick <= at) {
+            return;
+        }
+        process.tick_at = Some(at);
+        let incarnation = process.incarnation;
+        self.schedule(at, Happening::Tick(n, incarnation));
+    }
+
+    fn perform(&mut self, n: usize, incarnation: Incarnation, action: Action) {
+        match action {
+            Action::Peer { to, message, .. } => self.carry(n, incarnation, &to, message),
+            Action::Call {
+                key, attempt, id, ..
+            } => {
+                let call = Call {
+                    node: n,
+                    incarnation,
+                    key,
+                    attempt,
+                    id,
+                };
+                self.carry_call(call);
+            }
+            Action::Reply { key, reply } => self.hear(key, reply),
+            // Nothing else that a node does starts a call at the service.
+            _ => {}
+        }
+    }
+
+    /// Takes what a caller is told.
+    fn hear(&mut self, key: RequestKey, reply: Reply) {
+        let Some(&(caller, _)) = self.exchanges.get(&key) else {
+            return;
+        };
+        match reply {
+            Reply::Done(done) => {
+                self.exchanges.remove(&key);
+                *self.seen.ends.entry(key).or_default() += 1;
+                let id = done.id.or_else(|| self.callers[caller].id.clone());
+                let Some(id) = id else { return };
+                if let Some(body) = done.body {
+                    let bodies = self.seen.bodies.entry(id.clone()).or_default();
+                    bodies.insert(body.to_string());
+                }
+                self.told(id, done.outcome);
+                if done.outcome == Outcome::Unknown || self.rng.random_ratio(1, 4) {
+                    self.retry_later(caller);
+                }
+            }
+            Reply::Status(known) => {
+                self.exchanges.remove(&key);
+                if let (Known::Ended(outcome), Some(id)) = (known, self.callers[caller].id.clone())
+                {
+                    self.told(id, outcome);
+                }
+            }
+            Reply::Admitted { .. } | Reply::Delta { .. } => {}
+        }
+    }
+
+    fn told(&mut self, id: RequestId, outcome: Outcome) {
+        self.seen.told.entry(id).or_default().insert(outcome);
+    }
+
+    fn retry_later(&mut self, caller: usize) {
+        let row = &mut self.callers[caller];
+        if row.retries_left == 0 || row.id.is_none() {
+            return;
+        }
+        row.retries_left -= 1;
+        let wait = Duration::from_millis(self.rng.random_range(0..300));
+        let n = self.rng.random();
+        self.schedule(self.now + wait, Happening::Retry(caller, n));
+    }
+
+    fn alive(&mut self, n: usize) -> Option<&mut Process> {
+        self.processes[n].as_mut()
+    }
+
+    fn schedule(&mut self, at: Timestamp, happening: Happening) {
+        let next = self.next();
+        self.queue.insert((at, next), happening);
+    }
+
+    fn next(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    /// Says what of I3 and I4 is broken, if anything.
+    pub fn violation(&self) -> Option<String> {
+        for (id, runs) in &self.seen.runs {
+            if *runs > 1 {
+                return Some(format!("I4: {id} started {runs} times"));
+            }
+            let told = self.seen.told.get(id);
+            let denied = |o: &Outcome| matches!(o, Outcome::NotRun(_));
+            if told.is_some_and(|told| told.iter().any(denied)) {
+                return Some(format!("I3: {id} started, and a caller was told {told:?}"));
+            }
+        }
+        for (id, bodies) in &self.seen.bodies {
+            if bodies.len() > 1 || bodies.iter().any(|body| !body.contains(id.as_str())) {
+                return Some(format!("I2: {id} was answered by {bodies:?}"));
+            }
+        }
+        let twice = self.seen.ends.iter().find(|(_, ends)| **ends > 1);
+        twice.map(|(key, ends)| format!("I2: exchange {key} ended {ends} times"))
+    }
+}
+
+impl Process {
+    fn clock(&self, now: Timestamp) -> Timestamp {
+        Timestamp(0) + now.since(self.clock_start)
+    }
+}
+
+/// The result that the service gives.
+fn result(id: &RequestId, run: u32) -> Result<serde_json::Value, AttemptError> {
+    Ok(serde_json::json!({ "request": id, "run": run }))
+}
--- /dev/null
+++ b/crates/core/tests/world/setup.rs
@@ -0,0 +1,147 @@
+//! The deployment that the nodes of a world see.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::OnceLock,
+    time::Duration,
+};
+
+use radishhaven_core::{
+    config::{BATCH_FORMAT, Backend, Batch, Carries, Change, Object, Organisation, Service},
+    configs::{Configs, Identity},
+    ids::{Incarnation, Priority, RequestId, VmId},
+    message::{Demand, Event, Submission},
+    once::IdKey,
+    platform::{Record, Vm, VmList, VmRole, VmState},
+};
+use sha2::{Digest, Sha256};
+
+/// Entry nodes, in three failure domains.
+pub const NODES: usize = 4;
+/// The plain service; none of its operations may be repeated.
+const SERVICE: &str = "roster-desk";
+const SERVERS: usize = 2;
+const TOKEN: &[u8] = b"small-firm";
+const DEADLINE: Duration = Duration::from_secs(3);
+
+pub fn vm(n: usize) -> VmId {
+    id(&format!("node-{n}"))
+}
+
+fn id<T: std::str::FromStr>(name: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    name.parse().expect("the name is valid")
+}
+
+fn address(port: usize) -> SocketAddr {
+    let port = u16::try_from(port).expect("ports are few");
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+pub fn configs(n: usize, incarnation: Incarnation, forgetful: bool) -> Configs {
+    let identity = Identity {
+        vm: vm(n),
+        failure_domain: id(&format!("domain-{}", n % 3)),
+        address: address(1_000 + n),
+        incarnation,
+    };
+    let mut cfg = Configs::new(identity);
+    cfg.once.key = IdKey::new(b"the key of a world in a test");
+    cfg.once.home_timeout = Duration::from_millis(300);
+    cfg.membership.heartbeat = Duration::from_secs(1);
+    if forgetful {
+        cfg.once.id_life = Duration::from_millis(900);
+        cfg.once.remember = Duration::from_millis(400);
+        cfg.once.max_remembered = 3;
+        cfg.once.max_witnessed = 3;
+    }
+    cfg
+}
+
+/// What a node learns when it starts.
+pub fn first_events() -> Vec<Event> {
+    static RECORD: OnceLock<Record> = OnceLock::new();
+    let record = RECORD.get_or_init(|| Record {
+        offset: 0,
+        body: serde_json::to_string(&batch()).expect("a batch has a JSON form"),
+    });
+    let records = Event::ConfigRecords {
+        first: 0,
+        end: 1,
+        records: vec![record.clone()],
+    };
+    vec![records, Event::VmList(vm_list()), Event::Start]
+}
+
+fn batch() -> Batch {
+    let service = Service {
+        id: id(SERVICE),
+        idempotent: BTreeSet::new(),
+    };
+    let organisation = Organisation {
+        id: id("small-firm"),
+        token_sha256: Sha256::digest(TOKEN)
+            .iter()
+            .map(|b| format!("{b:02x}"))
+            .collect(),
+        priority: Priority(1),
+        max_in_flight: 100,
+        share: 1,
+    };
+    let backend = |n: usize| {
+        Object::Backend(Backend {
+            id: id(&format!("server-{n}")),
+            carries: Carries::Service(id(SERVICE)),
+            checks_tokens: false,
+        })
+    };
+    let mut objects = vec![Object::Service(service), Object::Organisation(organisation)];
+    objects.extend((0..SERVERS).map(backend));
+    Batch {
+        format: BATCH_FORMAT,
+        batch: id("first"),
+        base: BTreeMap::new(),
+        changes: objects.into_iter().map(Change::Put).collect(),
+    }
+}
+
+fn vm_list() -> VmList {
+    let node = |n: usize| Vm {
+        vm: vm(n),
+        role: VmRole::Node,
+        address: address(1_000 + n),
+        peer_address: Some(address(2_000 + n)),
+        failure_domain: id(&format!("domain-{}", n % 3)),
+        state: VmState::Live,
+    };
+    let server = |n: usize| Vm {
+        vm: id(&format!("server-{n}")),
+        role: VmRole::Backend,
+        address: address(3_000 + n),
+        peer_address: None,
+        failure_domain: id("domain-0"),
+        state: VmState::Live,
+    };
+    let nodes = (0..NODES).map(node);
+    VmList {
+        vms: nodes.chain((0..SERVERS).map(server)).collect(),
+    }
+}
+
+pub fn submission(id_of_request: Option<RequestId>) -> Submission {
+    Submission {
+        token_sha256: Sha256::digest(TOKEN).into(),
+        id: id_of_request,
+        priority: None,
+        within: Some(DEADLINE),
+        idempotent: None,
+        demand: Demand::Call {
+            service: id(SERVICE),
+            operation: "book".to_owned(),
+            body: serde_json::json!({ "hearing": 12 }),
+        },
+    }
+}
