--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -8,6 +8,7 @@
 mod identity;
 mod membership;
 mod once;
+mod recovery;
 mod retry;
 
 pub use admission::AdmissionConfig;
@@ -15,6 +16,7 @@
 pub use identity::Identity;
 pub use membership::MembershipConfig;
 pub use once::OnceConfig;
+pub use recovery::RecoveryConfig;
 pub use retry::RetryConfig;
 
 /// All settings of the decisions.
@@ -30,6 +32,8 @@
     pub membership: MembershipConfig,
     /// `[once]`.
     pub once: OnceConfig,
+    /// `[recovery]`.
+    pub recovery: RecoveryConfig,
     /// `[retry]`.
     pub retry: RetryConfig,
 }
@@ -43,6 +47,7 @@
             directory: DirectoryConfig::default(),
             membership: MembershipConfig::default(),
             once: OnceConfig::default(),
+            recovery: RecoveryConfig::default(),
             retry: RetryConfig::default(),
         }
     }
--- a/crates/core/src/systems/admission.rs
+++ b/crates/core/src/systems/admission.rs
@@ -10,10 +10,10 @@
 use super::{Context, Timer, answer, calls, completion, once};
 use crate::{
     config::Organisation,
-    ids::{Attempt, Position, RequestKey},
+    ids::{Attempt, RequestKey},
     message::{Action, Demand, Reply, Submission},
     outcome::NotRun,
-    tables::{CallState, CompletionState, RequestRow, Work},
+    tables::{CallState, CompletionState, OpenExchange, RequestRow, Work},
 };
 
 /// Takes a request on, rejects it or leaves it to its home; runs once for each
@@ -27,6 +27,7 @@
 
 /// Takes a request on or rejects it, once it is known that it goes on here.
 pub fn take_on(cx: &mut Context<'_>, key: RequestKey, submission: Submission) {
+    cx.tables.retries.credit(cx.now, &cx.cfg.retry);
     match check(cx, key, submission) {
         Ok(row) => start(cx, key, row),
         Err((reason, message)) => answer::reject(cx, key, None, reason, message),
@@ -146,9 +147,7 @@
                 tokens: prompt.clone(),
                 max_tokens: *max_tokens,
                 chain: Vec::new(),
-                stage: 0,
-                first: Position(0),
-                step_timer: None,
+                open: OpenExchange::default(),
             }))
         }
         Demand::Call {
--- a/crates/core/tests/world/setup.rs
+++ b/crates/core/tests/world/setup.rs
@@ -1,16 +1,11 @@
 //! The deployment that the nodes of a world see.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-    sync::OnceLock,
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::OnceLock, time::Duration};
 
 use radishhaven_core::{
-    config::{BATCH_FORMAT, Backend, Batch, Carries, Change, Object, Organisation, Service},
+    config::BATCH_FORMAT,
     configs::{Configs, Identity},
-    ids::{Incarnation, Priority, RequestId, VmId},
+    ids::{Incarnation, RequestId, VmId},
     message::{Demand, Event, Submission},
     once::IdKey,
     platform::{Record, Vm, VmList, VmRole, VmState},
@@ -66,7 +61,7 @@
     static RECORD: OnceLock<Record> = OnceLock::new();
     let record = RECORD.get_or_init(|| Record {
         offset: 0,
-        body: serde_json::to_string(&batch()).expect("a batch has a JSON form"),
+        body: batch(),
     });
     let records = Event::ConfigRecords {
         first: 0,
@@ -76,36 +71,32 @@
     vec![records, Event::VmList(vm_list()), Event::Start]
 }
 
-fn batch() -> Batch {
-    let service = Service {
-        id: id(SERVICE),
-        idempotent: BTreeSet::new(),
-    };
-    let organisation = Organisation {
-        id: id("small-firm"),
-        token_sha256: Sha256::digest(TOKEN)
-            .iter()
-            .map(|b| format!("{b:02x}"))
-            .collect(),
-        priority: Priority(1),
-        max_in_flight: 100,
-        share: 1,
-    };
+/// The batch is text, as an operator's would be.
+fn batch() -> String {
+    let token: String = Sha256::digest(TOKEN)
+        .iter()
+        .map(|b| format!("{b:02x}"))
+        .collect();
+    let service = serde_json::json!({ "id": SERVICE });
+    let organisation = serde_json::json!({
+        "id": "small-firm",
+        "token_sha256": token,
+        "priority": 1,
+        "max_in_flight": 100,
+        "share": 1,
+    });
     let backend = |n: usize| {
-        Object::Backend(Backend {
-            id: id(&format!("server-{n}")),
-            carries: Carries::Service(id(SERVICE)),
-            checks_tokens: false,
-        })
+        let carries = serde_json::json!({ "service": SERVICE });
+        let id = format!("server-{n}");
+        serde_json::json!({ "put": { "backend": { "id": id, "carries": carries, "checks_tokens": false } } })
     };
-    let mut objects = vec![Object::Service(service), Object::Organisation(organisation)];
-    objects.extend((0..SERVERS).map(backend));
-    Batch {
-        format: BATCH_FORMAT,
-        batch: id("first"),
-        base: BTreeMap::new(),
-        changes: objects.into_iter().map(Change::Put).collect(),
-    }
+    let mut changes = vec![
+        serde_json::json!({ "put": { "service": service } }),
+        serde_json::json!({ "put": { "organisation": organisation } }),
+    ];
+    changes.extend((0..SERVERS).map(backend));
+    let batch = serde_json::json!({ "format": BATCH_FORMAT, "batch": "first", "changes": changes });
+    batch.to_string()
 }
 
 fn vm_list() -> VmList {
--- a/crates/daemon/src/configs/mod.rs
+++ b/crates/daemon/src/configs/mod.rs
@@ -9,11 +9,12 @@
 mod once;
 mod peers;
 mod platform;
+mod recovery;
 mod retry;
 
 pub(crate) use self::{
     admission::read_admission, directory::read_directory, membership::read_membership,
-    once::read_once, retry::read_retry,
+    once::read_once, recovery::read_recovery, retry::read_retry,
 };
 pub use self::{
     log::{LogConfig, LogFormat},
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -99,6 +99,7 @@
                 key: IdKey::new(settings.peers.key.as_bytes()),
                 ..settings.once.clone()
             },
+            recovery: settings.recovery.clone(),
             retry: settings.retry.clone(),
         };
         Ok(Self {
@@ -206,13 +207,24 @@
             Action::Reply { key, reply } => self.reply(key, reply),
             Action::Step {
                 key,
-                attempt,
-                stage,
+                step,
                 address,
                 order,
-            } => {
-                engines::step(self, key, attempt, stage, address, *order);
-            }
+            } => engines::step(self, key, step, address, *order),
+            Action::Import {
+                key,
+                step,
+                address,
+                session,
+                cache,
+                within,
+            } => engines::import(self, key, step, address, session, *cache, within),
+            Action::Export {
+                key,
+                address,
+                session,
+                within,
+            } => engines::export(self, key, address, session, within),
             Action::Peer {
                 to,
                 address,
