--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,3 +16,8 @@
 pub mod systems;
 pub mod tables;
 pub mod time;
+
+/// The embedders' page, whose examples run as tests.
+#[cfg(doctest)]
+#[doc = include_str!("../../../docs/EMBEDDING.md")]
+pub struct EmbeddingPage;
--- a/crates/standin/examples/slopes/main.rs
+++ b/crates/standin/examples/slopes/main.rs
@@ -14,7 +14,7 @@
 mod tokens;
 mod workers;
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{error::Error, path::PathBuf, process::ExitCode};
 
 use clap::{Arg, Command, value_parser};
 
@@ -24,24 +24,42 @@
 #[global_allocator]
 static ALLOCATED: cap::Cap<std::alloc::System> = cap::Cap::new(std::alloc::System, usize::MAX);
 
+/// What can be measured over.
+const MEASURES: [&str; 5] = ["workers", "organisations", "changes", "requests", "tokens"];
+
+fn measure(name: &str, report: &mut Report) -> Result<(), Box<dyn Error>> {
+    match name {
+        "workers" => workers::measure(report),
+        "organisations" => organisations::measure(report),
+        "changes" => changes::measure(report),
+        "requests" => requests::measure(report),
+        _ => tokens::measure(report)?,
+    }
+    Ok(())
+}
+
 fn main() -> ExitCode {
     let report = Arg::new("report")
         .long("report")
         .value_name("FILE.json")
         .value_parser(value_parser!(PathBuf))
         .help("Writes the figures as JSON");
-    let command = Command::new("slopes")
-        .about("Measures how costs grow")
-        .arg(report);
-    let matches = command.get_matches();
+    let only = Arg::new("only")
+        .long("only")
+        .value_parser(MEASURES)
+        .help("Measures over one size only");
+    let command = Command::new("slopes").about("Measures how costs grow");
+    let matches = command.arg(report).arg(only).get_matches();
+    let only = matches.get_one::<String>("only").map(String::as_str);
     let mut report = Report::default();
-    workers::measure(&mut report);
-    organisations::measure(&mut report);
-    changes::measure(&mut report);
-    requests::measure(&mut report);
-    if let Err(error) = tokens::measure(&mut report) {
-        eprintln!("slopes: {error}");
-        return ExitCode::FAILURE;
+    for name in MEASURES {
+        if only.is_some_and(|only| only != name) {
+            continue;
+        }
+        if let Err(error) = measure(name, &mut report) {
+            eprintln!("slopes: {error}");
+            return ExitCode::FAILURE;
+        }
     }
     report.print();
     let Some(path) = matches.get_one::<PathBuf>("report") else {
