feat(membership): probe few nodes, spread facts, and answer the directory from them

Each node is probed by four others, chosen on a hash ring with unlike failure domains; facts travel with the probes and changes are told on at once. Facts of a node are ordered by incarnation, beat and status, so that all nodes end at the same one. Messages of an older life are dropped before any system sees them. The directory names nodes that were heard, live and aren't draining, by weighted rendezvous hashing of the caller and in turn over failure domains.

All-to-all heartbeats, which this replaces, grow with the square of the nodes.

--- a/crates/core/src/configs/directory.rs
+++ b/crates/core/src/configs/directory.rs
@@ -8,12 +8,15 @@
 pub struct DirectoryConfig {
     /// How long a caller may keep the answer. Default: 10 s.
     pub keep: Duration,
+    /// Nodes that one answer names. Default: 8.
+    pub max_nodes: u32,
 }
 
 impl Default for DirectoryConfig {
     fn default() -> Self {
         Self {
             keep: Duration::from_secs(10),
+            max_nodes: 8,
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod outcome;
 pub mod peer;
 pub mod platform;
+pub mod rendezvous;
 pub mod systems;
 pub mod tables;
 pub mod time;
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -4,9 +4,11 @@
 //! lost, late or doubled, and the receiver must bear that. The daemon carries
 //! them in the order in which they were sent, while a connection lasts.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{Incarnation, Revision, VmId};
+use crate::ids::{FailureDomain, Incarnation, Revision, VmId};
 
 /// Version of the messages; nodes of another version are refused.
 pub const PEER_VERSION: u16 = 1;
@@ -14,12 +16,12 @@
 /// A message.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
-    /// Says that the sender lives and what it has in force.
-    Heartbeat(Heartbeat),
+    /// Membership: a probe, its answer, or news of nodes.
+    Gossip(Gossip),
 }
 
 /// What a node says of itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The revision that it has in force.
     pub revision: Revision,
@@ -37,3 +39,87 @@
     /// The node's life.
     pub incarnation: Incarnation,
 }
+
+/// Whether a node is believed to live.
+///
+/// The order matters: of two facts about the same beat the worse one wins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum MemberStatus {
+    /// It says that it lives.
+    Alive,
+    /// It did not answer; it may be paused or its link broken.
+    Suspect,
+    /// It was suspect for too long.
+    Dead,
+}
+
+/// Where a node is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Place {
+    /// Where it serves callers.
+    pub address: SocketAddr,
+    /// Where it listens for peers.
+    pub peer_address: SocketAddr,
+    /// The failure domain that it runs in.
+    pub failure_domain: FailureDomain,
+}
+
+/// What is known of one node. Facts of a node are ordered by incarnation,
+/// beat and status, and the greatest one holds; see `docs/design/membership.md`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberFact {
+    /// The node's VM.
+    pub vm: VmId,
+    /// The node's life; 0 for one that was never heard.
+    pub incarnation: Incarnation,
+    /// Counts what the node said of itself in this life; only the node
+    /// itself raises it.
+    pub beat: u32,
+    /// Whether it is believed to live.
+    pub status: MemberStatus,
+    /// What it said with this beat.
+    pub said: Heartbeat,
+    /// Where it is; left out where the receiver should know it.
+    pub place: Option<Place>,
+}
+
+/// What a gossip message asks for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GossipKind {
+    /// Asks for an [`GossipKind::Ack`].
+    Probe,
+    /// Asks for an [`GossipKind::Ack`] on behalf of a node that had none; the
+    /// receiver raises its beat, so that its answer is news to all.
+    RelayedProbe,
+    /// Asks the receiver to probe another node and to pass on the answer.
+    ProbeFor {
+        /// The node to probe.
+        target: VmId,
+    },
+    /// Asks for all that the receiver knows; sent by a node that has heard
+    /// of nobody.
+    Join,
+    /// Answers a probe.
+    Ack,
+    /// Asks for nothing.
+    News,
+}
+
+/// A message of membership.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Gossip {
+    /// What is asked for.
+    pub kind: GossipKind,
+    /// The sender's own fact.
+    pub own: MemberFact,
+    /// Facts of other nodes, bounded in number.
+    pub facts: Vec<MemberFact>,
+    /// What other parts of the node send along.
+    pub piggyback: Vec<Piggyback>,
+}
+
+/// What other parts send along with membership's messages; a part that needs
+/// a slot adds a variant and fills it in `systems::membership::piggyback`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Piggyback {}
--- /dev/null
+++ b/crates/core/src/systems/membership/spread.rs
@@ -0,0 +1,107 @@
+//! Makes and sends membership's messages, bounded in size.
+
+use std::net::SocketAddr;
+
+use super::{Context, own_fact, piggyback, view};
+use crate::{
+    ids::VmId,
+    message::Action,
+    peer::{Gossip, GossipKind, MemberFact, MemberStatus, PeerMessage},
+};
+
+/// Times that a fact is sent along, for each doubling of the number of nodes.
+const SENDS_PER_DOUBLING: u32 = 3;
+
+/// Sends a message with the facts that were sent least.
+pub(super) fn send(cx: &mut Context<'_>, to: &VmId, kind: GossipKind) {
+    let Some(address) = address(cx, to) else {
+        return;
+    };
+    let nodes = u32::try_from(cx.tables.members.rows().len()).unwrap_or(u32::MAX);
+    let doublings = u32::BITS - nodes.leading_zeros();
+    let max = cx.cfg.membership.facts as usize;
+    let mut facts = cx
+        .tables
+        .members
+        .take_news(max, SENDS_PER_DOUBLING * doublings.max(1));
+    facts.extend(correction(cx, to));
+    post(cx, to, address, kind, facts);
+}
+
+/// Returns what is held of the receiver, if that isn't that it lives.
+fn correction(cx: &Context<'_>, to: &VmId) -> Option<MemberFact> {
+    let fact = cx.tables.members.fact(to, false);
+    fact.filter(|fact| fact.status != MemberStatus::Alive)
+}
+
+/// Answers a node that has heard of nobody with all facts.
+pub(super) fn send_all(cx: &mut Context<'_>, to: &VmId) {
+    let Some(address) = address(cx, to) else {
+        return;
+    };
+    let members = &cx.tables.members;
+    let known = members.iter().filter(|(vm, _)| *vm != to);
+    let mut facts: Vec<MemberFact> = known.filter_map(|(vm, _)| members.fact(vm, true)).collect();
+    facts.extend(correction(cx, to));
+    post(cx, to, address, GossipKind::Ack, facts);
+}
+
+/// Tells a node what is known of another one.
+pub(super) fn send_fact(cx: &mut Context<'_>, to: &VmId, about: &VmId) {
+    let Some(address) = address(cx, to) else {
+        return;
+    };
+    let facts = cx.tables.members.fact(about, true).into_iter().collect();
+    post(cx, to, address, GossipKind::News, facts);
+}
+
+/// Tells some nodes at once what has changed.
+pub(super) fn flush(cx: &mut Context<'_>) {
+    let probes = &mut cx.tables.probes;
+    if probes.urgent.is_empty() && !probes.own_urgent {
+        return;
+    }
+    probes.own_urgent = false;
+    let urgent = std::mem::take(&mut probes.urgent);
+    let members = &cx.tables.members;
+    let facts = urgent.iter().filter_map(|vm| members.fact(vm, true));
+    let facts: Vec<MemberFact> = facts.collect();
+    view::renew(cx);
+    for vm in choose(cx, cx.cfg.membership.fanout as usize) {
+        if let Some(address) = address(cx, &vm) {
+            post(cx, &vm, address, GossipKind::News, facts.clone());
+        }
+    }
+}
+
+/// Chooses live nodes at random.
+pub(super) fn choose(cx: &mut Context<'_>, count: usize) -> Vec<VmId> {
+    let live = &cx.tables.probes.view.live;
+    let chosen = rand::seq::index::sample(cx.rng, live.len(), count.min(live.len()));
+    chosen.into_iter().map(|at| live[at].clone()).collect()
+}
+
+fn address(cx: &Context<'_>, vm: &VmId) -> Option<SocketAddr> {
+    let row = cx.tables.members.rows().get(vm)?;
+    row.place.as_ref().map(|place| place.peer_address)
+}
+
+fn post(
+    cx: &mut Context<'_>,
+    to: &VmId,
+    address: SocketAddr,
+    kind: GossipKind,
+    facts: Vec<MemberFact>,
+) {
+    let gossip = Gossip {
+        kind,
+        own: own_fact(cx),
+        facts,
+        piggyback: piggyback(cx),
+    };
+    cx.out.push(Action::Peer {
+        to: to.clone(),
+        address,
+        message: PeerMessage::Gossip(gossip),
+    });
+}
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     configs::Configs,
-    ids::{Attempt, Position, RequestKey},
+    ids::{Attempt, Position, RequestKey, VmId},
     message::{Action, Event},
     peer::{PeerMessage, Sender},
     tables::Tables,
@@ -45,8 +45,10 @@
 pub enum Timer {
     /// A request's deadline.
     Deadline(RequestKey),
-    /// The next round of heartbeats.
+    /// The next round of membership's probes.
     Heartbeat,
+    /// The end of the time for which a node may be suspect.
+    Suspicion(VmId),
     /// The bound on a step without an answer.
     Step {
         /// The request.
@@ -94,19 +96,26 @@
         Event::Peer { from, message } => peer_message(cx, from, message),
         Event::PeerUnreachable { .. } => {}
         Event::Start => membership::round(cx),
-        Event::Drain => drain::run(cx),
+        Event::Drain => {
+            drain::run(cx);
+            membership::announce(cx);
+        }
     }
 }
 
 fn peer_message(cx: &mut Context<'_>, from: Sender, message: PeerMessage) {
+    if !membership::admits(cx, &from) {
+        return;
+    }
     match message {
-        PeerMessage::Heartbeat(said) => membership::heard(cx, from, said),
+        PeerMessage::Gossip(gossip) => membership::heard(cx, &from, gossip),
     }
 }
 
 fn expire(cx: &mut Context<'_>, timer: Timer) {
     match timer {
         Timer::Heartbeat => membership::round(cx),
+        Timer::Suspicion(vm) => membership::suspicion_over(cx, &vm),
         Timer::Deadline(key) => answer::deadline(cx, key),
         Timer::Step {
             key,
--- a/crates/core/src/systems/platform.rs
+++ b/crates/core/src/systems/platform.rs
@@ -1,6 +1,6 @@
 //! Takes in what the platform says: configuration records and the VM list.
 
-use super::Context;
+use super::{Context, membership};
 use crate::platform::{Record, VmList};
 
 /// Folds configuration records; runs each time the log has answered.
@@ -23,6 +23,7 @@
 /// Takes over the VM list; runs each time the platform has given it.
 pub fn vm_list(cx: &mut Context<'_>, list: VmList) {
     if cx.tables.vms.replace(list) {
+        membership::listed(cx);
         rebuild(cx);
     }
 }
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -3,12 +3,14 @@
 mod backends;
 mod counters;
 mod members;
+mod probes;
 mod requests;
 mod vms;
 
 pub use backends::{BackendRow, BackendTable};
 pub use counters::Counters;
-pub use members::{MemberRow, MemberTable};
+pub use members::{MemberRow, MemberTable, Merged};
+pub use probes::{MemberView, ProbeTable};
 pub use requests::{CallState, CompletionState, RequestRow, RequestTable, Stage, Work};
 pub use vms::VmTable;
 
@@ -27,6 +29,8 @@
     pub vms: VmTable,
     /// Other entry nodes, as heard from themselves.
     pub members: MemberTable,
+    /// This node's own part in membership.
+    pub probes: ProbeTable,
     /// Backend servers: the VM list joined with the configuration.
     pub backends: BackendTable,
     /// Requests: open ones and recent outcomes.
--- a/crates/daemon/src/configs/membership.rs
+++ b/crates/daemon/src/configs/membership.rs
@@ -10,5 +10,20 @@
         heartbeat: section
             .millis("heartbeat_ms", 10..=60_000)
             .unwrap_or(d.heartbeat),
+        suspect_after: section
+            .number("suspect_after", 2..=100)
+            .unwrap_or(d.suspect_after),
+        suspicion: section
+            .millis("suspicion_ms", 10..=600_000)
+            .unwrap_or(d.suspicion),
+        stale: section
+            .millis("stale_ms", 100..=3_600_000)
+            .unwrap_or(d.stale),
+        forget: section
+            .millis("forget_ms", 1_000..=86_400_000)
+            .unwrap_or(d.forget),
+        facts: section.number("facts", 1..=1_000).unwrap_or(d.facts),
+        fanout: section.number("fanout", 1..=100).unwrap_or(d.fanout),
+        peer_address: d.peer_address,
     }
 }
--- a/crates/daemon/src/edges/callers.rs
+++ b/crates/daemon/src/edges/callers.rs
@@ -22,7 +22,7 @@
 use serde::Serialize;
 use sha2::{Digest, Sha256};
 use tokio::{net::TcpListener, sync::mpsc};
-use volo::service::Service;
+use volo::{context::Context, net::Address, service::Service};
 use volo_http::{body::Body, context::ServerContext, request::Request, response::Response};
 
 use super::http::{json, query_value, serve as serve_http};
@@ -48,9 +48,10 @@
     type Response = Response;
     type Error = Infallible;
 
-    async fn call(&self, _cx: &mut ServerContext, req: Request) -> Result<Response, Infallible> {
+    async fn call(&self, cx: &mut ServerContext, req: Request) -> Result<Response, Infallible> {
+        let caller = cx.rpc_info().caller().address();
         Ok(self
-            .answer(req)
+            .answer(req, caller)
             .await
             .unwrap_or_else(|refusal| refusal.response()))
     }
@@ -86,10 +87,10 @@
 }
 
 impl Callers {
-    async fn answer(&self, req: Request) -> Result<Response, Refusal> {
+    async fn answer(&self, req: Request, caller: Option<Address>) -> Result<Response, Refusal> {
         let path = req.uri().path().to_owned();
         match (req.method(), path.as_str()) {
-            (&Method::GET, DIRECTORY_PATH) => Ok(self.directory()),
+            (&Method::GET, DIRECTORY_PATH) => Ok(self.directory(req.headers(), caller)),
             (&Method::POST, REQUEST_IDS_PATH) => self.mint(req.uri().query()),
             (&Method::POST, COMPLETIONS_PATH) => self.complete(req).await,
             (&Method::POST, path) if path.starts_with(SERVICES_PATH) => {
@@ -107,13 +108,22 @@
         }
     }
 
-    fn directory(&self) -> Response {
+    fn directory(&self, headers: &HeaderMap, caller: Option<Address>) -> Response {
+        // Callers of one VM and organisation use the same nodes, whatever
+        // port they come from; the token is only hashed.
+        let mut caller = match caller {
+            Some(Address::Ip(address)) => address.ip().to_string(),
+            _ => String::new(),
+        };
+        if let Some(token) = headers.get(AUTHORIZATION).and_then(|v| v.to_str().ok()) {
+            caller.push_str(token);
+        }
         let answer = self.host.read(|node| {
-            let identity = &node.configs().identity;
-            let nodes = directory::nodes(node.tables(), &identity.vm, &identity.failure_domain);
-            let entry = |v: &radishhaven_core::platform::Vm| DirectoryNode {
-                vm: v.vm.clone(),
-                address: v.address,
+            let cfg = node.configs();
+            let nodes = directory::answer(node.tables(), &cfg.identity, &cfg.directory, &caller);
+            let entry = |entry: directory::DirectoryEntry| DirectoryNode {
+                vm: entry.vm,
+                address: entry.address,
             };
             Directory {
                 nodes: nodes.into_iter().map(entry).collect(),
--- a/crates/daemon/src/edges/operators.rs
+++ b/crates/daemon/src/edges/operators.rs
@@ -106,6 +106,7 @@
         },
         "vms": tables.vms,
         "members": tables.members,
+        "probes": tables.probes,
         "backends": tables.backends,
         "requests": tables.requests,
         "subscriptions": tables.timers.len(),
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -12,7 +12,7 @@
 
 use radishhaven_client::{HttpError, JsonClient};
 use radishhaven_core::{
-    configs::{Configs, Identity},
+    configs::{Configs, Identity, MembershipConfig},
     ids::RequestKey,
     message::{Action, Event, Reply, Submission},
     node::Node,
@@ -93,7 +93,10 @@
             identity,
             admission: settings.admission.clone(),
             directory: settings.directory.clone(),
-            membership: settings.membership.clone(),
+            membership: MembershipConfig {
+                peer_address: Some(settings.peers.listen),
+                ..settings.membership.clone()
+            },
             retry: settings.retry.clone(),
         };
         Ok(Self {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod deployment;
 pub mod engine;
 pub mod log;
+pub mod net;
 pub mod reference;
 pub mod runtime;
 pub mod service;
