--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -11,7 +11,7 @@
 pub mod drain;
 pub mod export;
 pub mod membership;
-pub mod minting;
+pub mod once;
 pub mod platform;
 pub mod recovery;
 pub mod routing;
@@ -51,6 +51,8 @@
     Heartbeat,
     /// The end of the time for which a node may be suspect.
     Suspicion(VmId),
+    /// A question for running a request at most once.
+    Once(once::OnceTimer),
     /// The bound on an exchange with an engine, or the end of a wait.
     Exchange {
         /// The request.
@@ -68,7 +70,12 @@
     match event {
         Event::Tick => {}
         Event::Submit { key, submission } => admission::run(cx, key, *submission),
-        Event::CallerGone { key } => answer::abandon(cx, key),
+        Event::CallerGone { key } => {
+            if !once::caller_gone(cx, key) {
+                answer::abandon(cx, key);
+            }
+        }
+        Event::Inquire { key, id } => once::status(cx, key, id),
         Event::StepDone { key, step, result } => completion::step_done(cx, key, step, result),
         Event::ImportDone { key, step, result } => completion::import_done(cx, key, step, result),
         Event::ExportDone {
@@ -91,13 +98,14 @@
         Event::ConfigReadFailed => cx.tables.counters.log_failures += 1,
         Event::VmList(list) => platform::vm_list(cx, list),
         Event::Peer { from, message } => peer_message(cx, from, message),
-        Event::PeerUnreachable { .. } => {}
+        Event::PeerUnreachable { vm } => once::unreachable(cx, &vm),
         Event::Start => membership::round(cx),
         Event::Drain => {
             drain::run(cx);
             membership::announce(cx);
         }
     }
+    once::deliver(cx);
 }
 
 fn peer_message(cx: &mut Context<'_>, from: Sender, message: PeerMessage) {
@@ -106,6 +114,7 @@
     }
     match message {
         PeerMessage::Gossip(gossip) => membership::heard(cx, &from, gossip),
+        PeerMessage::Once(message) => once::message(cx, from, message),
     }
 }
 
@@ -113,6 +122,7 @@
     match timer {
         Timer::Heartbeat => membership::round(cx),
         Timer::Suspicion(vm) => membership::suspicion_over(cx, &vm),
+        Timer::Once(timer) => once::expire(cx, timer),
         Timer::Deadline(key) => answer::deadline(cx, key),
         Timer::Exchange { key, step } => completion::exchange_due(cx, key, step),
     }
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::{
     config::Config,
+    once::OnceTable,
     systems::Timer,
     time::{Timers, Timestamp},
 };
@@ -41,6 +42,8 @@
     pub backends: BackendTable,
     /// Requests: open ones and recent outcomes.
     pub requests: RequestTable,
+    /// What is kept to run requests at most once.
+    pub once: OnceTable,
     /// How long steps take at each engine.
     pub pace: PaceTable,
     /// The retry budget.
--- a/crates/daemon/src/configs/mod.rs
+++ b/crates/daemon/src/configs/mod.rs
@@ -6,6 +6,7 @@
 mod log;
 mod membership;
 mod node;
+mod once;
 mod peers;
 mod platform;
 mod recovery;
@@ -13,7 +14,7 @@
 
 pub(crate) use self::{
     admission::read_admission, directory::read_directory, membership::read_membership,
-    recovery::read_recovery, retry::read_retry,
+    once::read_once, recovery::read_recovery, retry::read_retry,
 };
 pub use self::{
     log::{LogConfig, LogFormat},
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,12 +14,12 @@
 
 use ini::Ini;
 use radishhaven_core::configs::{
-    AdmissionConfig, DirectoryConfig, MembershipConfig, RecoveryConfig, RetryConfig,
+    AdmissionConfig, DirectoryConfig, MembershipConfig, OnceConfig, RecoveryConfig, RetryConfig,
 };
 
 use crate::configs::{
     LogConfig, NodeConfig, PeersConfig, PlatformConfig, read_admission, read_directory,
-    read_membership, read_recovery, read_retry,
+    read_membership, read_once, read_recovery, read_retry,
 };
 
 /// A file with every setting, its default and its unit.
@@ -42,6 +42,8 @@
     pub directory: DirectoryConfig,
     /// `[membership]`.
     pub membership: MembershipConfig,
+    /// `[once]`.
+    pub once: OnceConfig,
     /// `[recovery]`.
     pub recovery: RecoveryConfig,
     /// `[retry]`.
@@ -338,6 +340,7 @@
         let admission = reader.section("admission", read_admission);
         let directory = reader.section("directory", read_directory);
         let membership = reader.section("membership", read_membership);
+        let once = reader.section("once", read_once);
         let recovery = reader.section("recovery", read_recovery);
         let retry = reader.section("retry", read_retry);
         reader.reject_other_sections();
@@ -350,6 +353,7 @@
                 admission,
                 directory,
                 membership,
+                once,
                 recovery,
                 retry,
             }),
