test(recovery): judge 10000 random histories with faults on any exchange

A fake engine with a small model that needs every layer, and one node, run in one thread with a clock that the test moves. Engines die, come back empty, stall, leave and are busy at any moment; any reply is lost, late, doubled, crossed, malformed, refused or never sent. Judged once all is quiet: one outcome each, the text is the right one, what is told as not run never ran, no run took in what belongs to another, no place, subscription or session is left.

Each session now has an attempt number of its own.

An import that goes on from a wrong position is not found, as the engine refuses the position and the stage is replaced again: work is lost, not truth.

--- a/crates/core/src/systems/admission.rs
+++ b/crates/core/src/systems/admission.rs
@@ -127,6 +127,7 @@
                 tokens: prompt.clone(),
                 max_tokens: *max_tokens,
                 chain: Vec::new(),
+                sessions: 0,
                 open: OpenExchange::default(),
             }))
         }
--- a/crates/core/src/systems/completion.rs
+++ b/crates/core/src/systems/completion.rs
@@ -29,7 +29,6 @@
     let Work::Completion(work) = &row.work else {
         return;
     };
-    let attempt = row.attempt;
     let Some(chain) = routing::chain(cx, &work.model, &work.version, &row.failed) else {
         return answer::give_up(cx, key, NotRun::NoCapacity, "no chain covers all layers");
     };
@@ -37,8 +36,10 @@
         occupy(cx, &stage.vm);
     }
     if let Some(work) = completion_mut(cx, key) {
-        let session = |stage| StageSession::new(stage, attempt);
-        work.chain = chain.into_iter().map(session).collect();
+        for stage in chain {
+            let attempt = work.next_attempt();
+            work.chain.push(StageSession::new(stage, attempt));
+        }
         work.open.stage = 0;
     }
     proceed(cx, key);
--- a/crates/core/src/systems/export.rs
+++ b/crates/core/src/systems/export.rs
@@ -77,22 +77,16 @@
         return;
     };
     let (model, version) = (work.model.clone(), work.version.clone());
-    let of_attempt = |s: &&mut StageSession| s.attempt == session.attempt && s.exporting;
-    let Ok(cache) = result else {
-        // All exports of the attempt may be asked for again.
-        let failed = work.chain.iter_mut().filter(of_attempt);
-        failed.for_each(|s| s.exporting = false);
-        return;
-    };
-    let same = |s: &StageSession| s.stage.layers == cache.layers && cache.next <= s.next;
-    let mut exporting = work.chain.iter_mut().filter(of_attempt);
-    let Some(found) = exporting.find(|s| s.stage.layers == cache.layers) else {
+    let exporting = |s: &&mut StageSession| s.attempt == session.attempt && s.exporting;
+    let Some(found) = work.chain.iter_mut().find(exporting) else {
         cx.tables.counters.stale_replies += 1;
         return;
     };
     found.exporting = false;
+    let Ok(cache) = result else { return };
+    let fits = found.stage.layers == cache.layers && cache.next <= found.next;
     let whole = cache.state.len() == usize::from(cache.layers.count());
-    if same(found) && whole && cache.model == model && cache.version == version {
+    if fits && whole && cache.model == model && cache.version == version {
         found.export = Some(cache);
         trim(found, most);
     }
--- a/crates/core/src/systems/recovery.rs
+++ b/crates/core/src/systems/recovery.rs
@@ -247,10 +247,11 @@
     let start = work.chain.get(from)?.stage.layers.start();
     let layers = LayerRange::new(start, failed.stage.layers.end()).ok()?;
     let stages = routing::cover(cx, &work.model, &work.version, layers, &row.failed)?;
-    let attempt = Attempt(row.attempt.0 + 1);
+    let attempts = (work.sessions..).map(Attempt);
     let sessions = stages
         .into_iter()
-        .map(|stage| session(stage, attempt, export));
+        .zip(attempts)
+        .map(|(stage, attempt)| session(stage, attempt, export));
     let mut sessions: Vec<StageSession> = sessions.collect();
     if alone && let Some(first) = sessions.first_mut() {
         first.kept = failed.kept.clone();
@@ -294,6 +295,7 @@
         .open_session()
         .map_or(0, |s| s.next.0.saturating_sub(begun.0));
     let taken: Vec<VmId> = plan.sessions.iter().map(|s| s.stage.vm.clone()).collect();
+    work.sessions += taken.len() as u32;
     work.open.stage = plan.from;
     work.open.repeats = 0;
     let restarted = plan.from < *replaced.end();
--- a/crates/core/src/tables/completions.rs
+++ b/crates/core/src/tables/completions.rs
@@ -73,8 +73,8 @@
 pub struct StageSession {
     /// The stage.
     pub stage: Stage,
-    /// The attempt that the session belongs to; a replaced session's output
-    /// can't join, because its attempt is another one.
+    /// The session's own attempt number, so that no reply of another stage or
+    /// of a replaced session can join.
     pub attempt: Attempt,
     /// The position after the last one whose output has arrived.
     pub next: Position,
@@ -162,6 +162,8 @@
     pub max_tokens: u32,
     /// The sessions, by rising layers.
     pub chain: Vec<StageSession>,
+    /// Number of sessions that were opened; each has an attempt number of its own.
+    pub sessions: u32,
     /// The open exchange.
     pub open: OpenExchange,
 }
@@ -187,6 +189,13 @@
         self.chain.get_mut(self.open.stage)
     }
 
+    /// Returns the attempt number of the next session, and counts it.
+    pub fn next_attempt(&mut self) -> Attempt {
+        let attempt = Attempt(self.sessions);
+        self.sessions += 1;
+        attempt
+    }
+
     /// Tells whether a session can be brought to the end from `next` on with
     /// the inputs that are kept.
     pub fn has_inputs(&self, stage: usize, next: Position) -> bool {
--- a/crates/core/src/tables/counters.rs
+++ b/crates/core/src/tables/counters.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 /// Counts since the node's start.
-#[derive(Debug, Default, Serialize)]
+#[derive(Debug, Clone, Default, Serialize)]
 pub struct Counters {
     /// Requests that arrived.
     pub submitted: u64,
--- /dev/null
+++ b/crates/core/tests/fakes/engine.rs
@@ -0,0 +1,286 @@
+//! A fake engine: a small model that needs every layer, sessions and refusals.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use radishhaven_core::{
+    engine::{EngineRefusal, KvCache, SessionRef, StageInput, StageOutput, StepReply},
+    ids::{LayerRange, Position, VmId},
+    message::StepOrder,
+};
+
+/// Layers of the fake model.
+pub const LAYERS: u16 = 6;
+/// The end token comes once in this many tokens on average.
+const END_ONE_IN: u64 = 24;
+
+fn mix(a: u64, b: u64) -> u64 {
+    let z = a.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ b.wrapping_add(0x7f4a_7c15);
+    let z = (z ^ (z >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z ^ (z >> 32)
+}
+
+fn embed(token: u32, position: u32) -> u64 {
+    mix(u64::from(token), u64::from(position))
+}
+
+fn sample(value: u64) -> u32 {
+    match value % END_ONE_IN {
+        0 => 0,
+        _ => u32::from(b'a') + ((value >> 8) % 26) as u32,
+    }
+}
+
+fn run_layer(layer: u16, kv: &mut u64, input: u64) -> u64 {
+    let out = mix(input ^ *kv, u64::from(layer));
+    *kv = mix(*kv ^ out, u64::from(layer) + 100);
+    out
+}
+
+/// All right values of one request: what enters each layer at each position.
+#[derive(Debug)]
+pub struct Reference {
+    pub prompt: Vec<u32>,
+    pub answer: Vec<u32>,
+    values: Vec<Vec<u64>>,
+}
+
+impl Reference {
+    pub fn new(prompt: &[u32], max_tokens: u32) -> Self {
+        let mut kv = [0; LAYERS as usize];
+        let mut values: Vec<Vec<u64>> = Vec::new();
+        let mut run = |token: u32| {
+            let mut entering = vec![embed(token, values.len() as u32)];
+            for (layer, kv) in (0..).zip(&mut kv) {
+                let input = *entering.last().expect("the embedding is there");
+                entering.push(run_layer(layer, kv, input));
+            }
+            let last = *entering.last().expect("the embedding is there");
+            values.push(entering);
+            sample(last)
+        };
+        let mut token = 0;
+        for t in prompt {
+            token = run(*t);
+        }
+        let mut answer = Vec::new();
+        while token != 0 && answer.len() < max_tokens as usize {
+            answer.push(token);
+            token = run(token);
+        }
+        Self {
+            prompt: prompt.to_vec(),
+            answer,
+            values,
+        }
+    }
+
+    pub fn text(&self) -> String {
+        let letters = self.answer.iter().filter_map(|t| char::from_u32(*t));
+        letters.collect()
+    }
+
+    /// Tells whether a run took in what belongs at its place.
+    pub fn allows(&self, run: &Run) -> bool {
+        let all = || self.prompt.iter().chain(&self.answer);
+        match &run.input {
+            StageInput::Tokens(given) => {
+                all().skip(run.first.0 as usize).take(given.len()).eq(given)
+            }
+            StageInput::Activations(given) => given.iter().enumerate().all(|(i, value)| {
+                let entering = self.values.get(run.first.0 as usize + i);
+                let right = entering.and_then(|v| v.get(usize::from(run.layers.start())));
+                right == Some(value)
+            }),
+        }
+    }
+}
+
+/// One run, as the engine recorded it.
+#[derive(Debug, Clone)]
+pub struct Run {
+    pub session: SessionRef,
+    pub layers: LayerRange,
+    pub first: Position,
+    pub input: StageInput,
+}
+
+#[derive(Debug)]
+struct Session {
+    layers: LayerRange,
+    next: u32,
+    kv: Vec<u64>,
+    newest: Option<(StepOrder, StepReply)>,
+}
+
+/// One fake engine.
+#[derive(Debug)]
+pub struct Engine {
+    pub vm: VmId,
+    pub address: SocketAddr,
+    pub layers: LayerRange,
+    pub alive: bool,
+    /// Whether it ever died, and with that forgot which sessions had ended.
+    pub died: bool,
+    pub stalled: bool,
+    pub leaving: bool,
+    pub busy: bool,
+    /// Runs of all lives.
+    pub runs: Vec<Run>,
+    sessions: BTreeMap<SessionRef, Session>,
+    ended: BTreeSet<SessionRef>,
+}
+
+impl Engine {
+    pub fn new(vm: VmId, address: SocketAddr, layers: LayerRange) -> Self {
+        Self {
+            vm,
+            address,
+            layers,
+            alive: true,
+            died: false,
+            stalled: false,
+            leaving: false,
+            busy: false,
+            runs: Vec::new(),
+            sessions: BTreeMap::new(),
+            ended: BTreeSet::new(),
+        }
+    }
+
+    /// Loses all sessions, as a new life of the engine has none.
+    pub fn die(&mut self) {
+        self.alive = false;
+        self.died = true;
+        self.sessions.clear();
+        self.ended.clear();
+    }
+
+    pub fn open_sessions(&self) -> usize {
+        self.sessions.len()
+    }
+
+    pub fn end(&mut self, session: &SessionRef) {
+        self.sessions.remove(session);
+        self.ended.insert(session.clone());
+    }
+
+    pub fn step(&mut self, order: &StepOrder) -> Result<StepReply, EngineRefusal> {
+        if self.ended.contains(&order.session) {
+            return Err(EngineRefusal::NoSession);
+        }
+        let repeated = |s: &Session| {
+            let (known, reply) = s.newest.as_ref()?;
+            let same = known.first == order.first && known.input == order.input;
+            (same && known.layers == order.layers).then(|| reply.clone())
+        };
+        if let Some(reply) = self.sessions.get(&order.session).and_then(repeated) {
+            return Ok(reply);
+        }
+        if !self.holds(order.layers) {
+            return Err(EngineRefusal::NotHeld);
+        }
+        if let Some(session) = self.sessions.get(&order.session)
+            && session.next != order.first.0
+        {
+            let next = Position(session.next);
+            return Err(EngineRefusal::WrongPosition { next });
+        }
+        if self.busy {
+            return Err(EngineRefusal::Busy);
+        }
+        if !self.sessions.contains_key(&order.session) {
+            self.check_new(order.first)?;
+        }
+        Ok(self.run(order))
+    }
+
+    fn holds(&self, layers: LayerRange) -> bool {
+        self.layers.start() <= layers.start() && layers.end() <= self.layers.end()
+    }
+
+    fn check_new(&self, first: Position) -> Result<(), EngineRefusal> {
+        match (first, self.leaving) {
+            (Position(0), false) => Ok(()),
+            (Position(0), true) => Err(EngineRefusal::Leaving),
+            _ => Err(EngineRefusal::NoSession),
+        }
+    }
+
+    fn run(&mut self, order: &StepOrder) -> StepReply {
+        self.runs.push(Run {
+            session: order.session.clone(),
+            layers: order.layers,
+            first: order.first,
+            input: order.input.clone(),
+        });
+        let opened = Session {
+            layers: order.layers,
+            next: 0,
+            kv: vec![0; usize::from(order.layers.count())],
+            newest: None,
+        };
+        let session = self.sessions.entry(order.session.clone()).or_insert(opened);
+        let entering: Vec<u64> = match &order.input {
+            StageInput::Tokens(tokens) => (order.first.0..)
+                .zip(tokens)
+                .map(|(position, token)| embed(*token, position))
+                .collect(),
+            StageInput::Activations(values) => values.clone(),
+        };
+        session.next += entering.len() as u32;
+        let mut values = entering;
+        for value in &mut values {
+            for (layer, kv) in (order.layers.start()..).zip(&mut session.kv) {
+                *value = run_layer(layer, kv, *value);
+            }
+        }
+        let last = *values.last().expect("a step has a position");
+        let reply = StepReply {
+            run: "run".to_owned(),
+            session: order.session.clone(),
+            first: order.first,
+            output: match order.layers.end() {
+                LAYERS => StageOutput::Token(sample(last)),
+                _ => StageOutput::Activations(values),
+            },
+        };
+        session.newest = Some((order.clone(), reply.clone()));
+        reply
+    }
+
+    pub fn export(&self, session: &SessionRef, order: &KvCache) -> Result<KvCache, EngineRefusal> {
+        let known = self.sessions.get(session).ok_or(EngineRefusal::NoSession)?;
+        Ok(KvCache {
+            layers: known.layers,
+            next: Position(known.next),
+            state: known.kv.clone(),
+            ..order.clone()
+        })
+    }
+
+    pub fn import(&mut self, session: &SessionRef, cache: &KvCache) -> Result<(), EngineRefusal> {
+        if self.ended.contains(session) {
+            return Err(EngineRefusal::NoSession);
+        }
+        if !self.holds(cache.layers) {
+            return Err(EngineRefusal::NotHeld);
+        }
+        if self.busy {
+            return Err(EngineRefusal::Busy);
+        }
+        if self.leaving {
+            return Err(EngineRefusal::Leaving);
+        }
+        let opened = Session {
+            layers: cache.layers,
+            next: cache.next.0,
+            kv: cache.state.clone(),
+            newest: None,
+        };
+        self.sessions.insert(session.clone(), opened);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/core/tests/fakes/trace.rs
@@ -0,0 +1,176 @@
+//! Writes the events and actions of a session, one line each.
+
+use radishhaven_core::{
+    engine::{StageInput, StageOutput, StepReply},
+    message::{Action, AttemptError, Demand, Event, Reply, StepOrder},
+    time::Timestamp,
+};
+
+fn values<T: std::fmt::Display>(values: &[T]) -> String {
+    let all: Vec<String> = values.iter().map(ToString::to_string).collect();
+    all.join(",")
+}
+
+fn input(input: &StageInput) -> String {
+    match input {
+        StageInput::Tokens(v) => format!("tokens {}", values(v)),
+        StageInput::Activations(v) => format!("{} activations", v.len()),
+    }
+}
+
+fn reply(reply: &StepReply) -> String {
+    let output = match &reply.output {
+        StageOutput::Token(token) => format!("token {token}"),
+        StageOutput::Activations(v) => format!("{} activations", v.len()),
+    };
+    let session = &reply.session;
+    format!(
+        "{}/{} at {}: {output}",
+        session.request, session.attempt, reply.first
+    )
+}
+
+fn order(order: &StepOrder) -> String {
+    let (session, ms) = (&order.session, order.within.as_millis());
+    let place = format!(
+        "{}/{} layers {} at {}",
+        session.request, session.attempt, order.layers, order.first
+    );
+    format!("{place}: {} within {ms} ms", input(&order.input))
+}
+
+fn result<T>(result: &Result<T, AttemptError>, show: impl Fn(&T) -> String) -> String {
+    match result {
+        Ok(value) => show(value),
+        Err(error) => format!("{error:?}"),
+    }
+}
+
+/// Writes an event that goes into a node.
+pub fn event(now: Timestamp, event: &Event) -> String {
+    let text = match event {
+        Event::Submit { key, submission } => match &submission.demand {
+            Demand::Completion {
+                pipeline,
+                prompt,
+                max_tokens,
+            } => {
+                format!(
+                    "submit {key} {pipeline} {} max {max_tokens}",
+                    values(prompt)
+                )
+            }
+            Demand::Call {
+                service,
+                operation,
+                body,
+            } => {
+                format!("submit {key} {service}/{operation} {body}")
+            }
+        },
+        Event::StepDone {
+            key,
+            step,
+            result: r,
+        } => format!("step-done {key}/{step} {}", result(r, reply)),
+        Event::ImportDone {
+            key,
+            step,
+            result: r,
+        } => format!(
+            "import-done {key}/{step} {}",
+            result(r, |()| "ok".to_owned())
+        ),
+        Event::ExportDone {
+            key,
+            session,
+            result: r,
+        } => {
+            let show = result(r, |c| format!("layers {} next {}", c.layers, c.next));
+            format!(
+                "export-done {key} {}/{} {show}",
+                session.request, session.attempt
+            )
+        }
+        Event::CallDone { key, result: r, .. } => {
+            format!("call-done {key} {}", result(r, ToString::to_string))
+        }
+        Event::VmList(list) => {
+            let all: Vec<String> = list
+                .vms
+                .iter()
+                .map(|v| format!("{} {:?}", v.vm, v.state))
+                .collect();
+            format!("vm-list {}", all.join(", "))
+        }
+        Event::CallerGone { key } => format!("caller-gone {key}"),
+        Event::Tick => "tick".to_owned(),
+        Event::Drain => "drain".to_owned(),
+        other => format!("{other:?}")
+            .split([' ', '{'])
+            .next()
+            .unwrap_or_default()
+            .to_owned(),
+    };
+    format!("{:>6} > {text}", now.as_millis())
+}
+
+/// Writes an action that a node wants done; messages to peers are left out.
+pub fn action(now: Timestamp, action: &Action) -> Option<String> {
+    let text = match action {
+        Action::Step {
+            key,
+            step,
+            address,
+            order: o,
+        } => format!("step {key}/{step} to {address} {}", order(o)),
+        Action::Import {
+            key,
+            step,
+            address,
+            session,
+            cache,
+            ..
+        } => {
+            let place = format!("{}/{}", session.request, session.attempt);
+            format!(
+                "import {key}/{step} to {address} {place} layers {} next {}",
+                cache.layers, cache.next
+            )
+        }
+        Action::Export {
+            key,
+            address,
+            session,
+            ..
+        } => format!(
+            "export {key} at {address} {}/{}",
+            session.request, session.attempt
+        ),
+        Action::EndSession { address, session } => format!(
+            "end-session at {address} {}/{}",
+            session.request, session.attempt
+        ),
+        Action::Call {
+            key,
+            vm,
+            id,
+            operation,
+            body,
+            ..
+        } => format!("call {key} to {vm} {id} {operation} {body}"),
+        Action::Reply { key, reply } => match reply {
+            Reply::Admitted { id } => format!("admitted {key} {id}"),
+            Reply::Delta { index, text } => format!("delta {key} {index} {text:?}"),
+            Reply::Done(done) => format!(
+                "done {key} {} tokens {} digest {} {:?}",
+                done.outcome,
+                done.tokens,
+                &done.digest[..8],
+                done.message
+            ),
+        },
+        _ => return None,
+    };
+    Some(format!("{:>6} < {text}", now.as_millis()))
+}
