--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod log;
 pub mod reference;
 pub mod runtime;
+pub mod scenarios;
 pub mod service;
 pub mod vms;
 pub mod weights;
--- /dev/null
+++ b/crates/standin/src/scenarios/load.rs
@@ -0,0 +1,159 @@
+//! Callers that keep a deployment busy and take down what they see.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use radishhaven_client::{Answer, Ask, Caller};
+use radishhaven_core::{ids::RequestId, outcome::Outcome};
+use serde_json::json;
+
+use super::Size;
+use crate::{
+    checker::{AnswerRecord, Asked, CallerRecord},
+    deployment::{Deployment, VERSION, id},
+    wire::wall_clock_us,
+};
+
+/// One request with the times of its tokens.
+#[derive(Debug, Clone)]
+pub(super) struct Stream {
+    pub(super) record: CallerRecord,
+    token_us: Vec<u64>,
+}
+
+impl Stream {
+    pub(super) fn completed(&self) -> bool {
+        let outcomes = self.record.answers.iter().map(|a| a.outcome);
+        outcomes.into_iter().any(|o| o == Some(Outcome::Completed))
+    }
+
+    /// Returns when the first token after `at_us` came, if tokens came before.
+    pub(super) fn next_token_us(&self, at_us: u64) -> Option<u64> {
+        let begun = self.token_us.first().is_some_and(|first| *first < at_us);
+        let mut later = self.token_us.iter().filter(|us| **us >= at_us);
+        later.next().copied().filter(|_| begun)
+    }
+}
+
+/// What one caller sends.
+struct Client {
+    caller: Caller,
+    node: SocketAddr,
+    asked: Asked,
+    service: String,
+}
+
+/// Starts the callers; the result is there when all of them have ended.
+pub(super) fn start(
+    deployment: &Deployment,
+    size: &Size,
+    seed: u64,
+    lasting: Duration,
+) -> impl Future<Output = Vec<Stream>> + use<> {
+    let plan = &deployment.plan;
+    let nodes: Vec<SocketAddr> = deployment
+        .nodes
+        .values()
+        .map(|node| node.node.callers_address)
+        .collect();
+    let tasks: Vec<_> = (0..size.callers)
+        .map(|n| {
+            let letters = (0..size.prompt).map(|i| char::from(b'a' + ((i * 7 + n + seed as usize) % 26) as u8));
+            let client = Client {
+                caller: Caller::new("small-firm").expect("a caller can be made"),
+                node: nodes[n % nodes.len()],
+                asked: Asked::Completion {
+                    model: id(plan.pipeline.as_str()),
+                    version: id(VERSION),
+                    layers: plan.layers,
+                    prompt: letters.collect(),
+                    max_tokens: size.max_tokens,
+                },
+                service: plan.service.to_string(),
+            };
+            tokio::spawn(client.run(n, lasting))
+        })
+        .collect();
+    async move {
+        let mut streams = Vec::new();
+        for task in tasks {
+            streams.extend(task.await.expect("a caller doesn't panic"));
+        }
+        streams
+    }
+}
+
+impl Client {
+    async fn run(self, n: usize, lasting: Duration) -> Vec<Stream> {
+        let begun = Instant::now();
+        let mut streams = Vec::new();
+        let mut count = 0;
+        while begun.elapsed() < lasting {
+            count += 1;
+            if (count + n).is_multiple_of(4) {
+                streams.extend(self.book(n * 1_000 + count).await);
+            } else {
+                streams.extend(self.dictate().await);
+            }
+        }
+        streams
+    }
+
+    async fn dictate(&self) -> Option<Stream> {
+        let Asked::Completion {
+            model,
+            prompt,
+            max_tokens,
+            ..
+        } = &self.asked
+        else {
+            return None;
+        };
+        let pipeline = id(model.as_str());
+        let sent_us = wall_clock_us();
+        let ask = Ask::default();
+        let asked = self.caller.complete(self.node, &ask, &pipeline, prompt, *max_tokens);
+        let answer = asked.await.ok()?;
+        let mut token_us = Vec::new();
+        let mut at = Duration::ZERO;
+        for part in answer.first_token.iter().chain(&answer.gaps) {
+            at += *part;
+            token_us.push(sent_us + at.as_micros() as u64);
+        }
+        let id = answer.id.clone();
+        Some(stream(id, self.asked.clone(), true, answer, token_us))
+    }
+
+    async fn book(&self, number: usize) -> Option<Stream> {
+        let ids = self.caller.mint(self.node, 1).await.ok()?.ids;
+        let ask = Ask {
+            id: ids.first().cloned(),
+            ..Ask::default()
+        };
+        let body = json!({ "trip": number });
+        let called = self.caller.call(self.node, &ask, &self.service, "book", &body);
+        let answer = called.await.ok()?;
+        let asked = Asked::Call {
+            operation: "book".to_owned(),
+        };
+        Some(stream(ask.id, asked, false, answer, Vec::new()))
+    }
+}
+
+fn stream(
+    id: Option<RequestId>,
+    asked: Asked,
+    idempotent: bool,
+    answer: Answer,
+    token_us: Vec<u64>,
+) -> Stream {
+    let record = CallerRecord {
+        id,
+        asked,
+        idempotent,
+        answers: vec![AnswerRecord::new(answer)],
+    };
+    Stream { record, token_us }
+}
