--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     configs::Configs,
-    ids::{RequestKey, StepId},
+    ids::{RequestKey, StepId, VmId},
     message::{Action, Event},
     peer::{PeerMessage, Sender},
     tables::Tables,
@@ -47,8 +47,10 @@
 pub enum Timer {
     /// A request's deadline.
     Deadline(RequestKey),
-    /// The next round of heartbeats.
+    /// The next round of membership's probes.
     Heartbeat,
+    /// The end of the time for which a node may be suspect.
+    Suspicion(VmId),
     /// A question for running a request at most once.
     Once(once::OnceTimer),
     /// The bound on an exchange with an engine, or the end of a wait.
@@ -98,14 +100,20 @@
         Event::Peer { from, message } => peer_message(cx, from, message),
         Event::PeerUnreachable { vm } => once::unreachable(cx, &vm),
         Event::Start => membership::round(cx),
-        Event::Drain => drain::run(cx),
+        Event::Drain => {
+            drain::run(cx);
+            membership::announce(cx);
+        }
     }
     once::deliver(cx);
 }
 
 fn peer_message(cx: &mut Context<'_>, from: Sender, message: PeerMessage) {
+    if !membership::admits(cx, &from) {
+        return;
+    }
     match message {
-        PeerMessage::Heartbeat(said) => membership::heard(cx, from, said),
+        PeerMessage::Gossip(gossip) => membership::heard(cx, &from, gossip),
         PeerMessage::Once(message) => once::message(cx, from, message),
     }
 }
@@ -113,6 +121,7 @@
 fn expire(cx: &mut Context<'_>, timer: Timer) {
     match timer {
         Timer::Heartbeat => membership::round(cx),
+        Timer::Suspicion(vm) => membership::suspicion_over(cx, &vm),
         Timer::Once(timer) => once::expire(cx, timer),
         Timer::Deadline(key) => answer::deadline(cx, key),
         Timer::Exchange { key, step } => completion::exchange_due(cx, key, step),
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -12,7 +12,7 @@
 
 use radishhaven_client::{HttpError, JsonClient};
 use radishhaven_core::{
-    configs::{Configs, Identity, OnceConfig},
+    configs::{Configs, Identity, MembershipConfig, OnceConfig},
     ids::{RequestId, RequestKey},
     message::{Action, Event, Reply, Submission},
     node::Node,
@@ -94,7 +94,10 @@
             identity,
             admission: settings.admission.clone(),
             directory: settings.directory.clone(),
-            membership: settings.membership.clone(),
+            membership: MembershipConfig {
+                peer_address: Some(settings.peers.listen),
+                ..settings.membership.clone()
+            },
             once: OnceConfig {
                 key: IdKey::new(settings.peers.key.as_bytes()),
                 ..settings.once.clone()
