--- a/crates/core/tests/fakes/world.rs
+++ b/crates/core/tests/fakes/world.rs
@@ -13,7 +13,7 @@
     },
     configs::{Configs, Identity},
     engine::{EngineRefusal, KvCache, SessionRef, StepReply},
-    ids::{Incarnation, LayerRange, Position, Priority, RequestKey},
+    ids::{Incarnation, LayerRange, Position, Priority, RequestKey, Revision},
     message::{Action, AttemptError, Demand, Event, Reply, Submission},
     node::Node,
     outcome::Outcome,
@@ -55,7 +55,7 @@
 #[derive(Debug)]
 enum Delivery {
     /// A message reaches the node.
-    ToNode(Event),
+    ToNode(Box<Event>),
     /// An action reaches an engine, and its answer leaves.
     ToEngine(Box<Action>),
 }
@@ -140,6 +140,8 @@
         format: BATCH_FORMAT,
         batch: id("first"),
         base: BTreeMap::new(),
+        planned: Revision(0),
+        source: None,
         changes: objects.into_iter().map(Change::Put).collect(),
     }
 }
@@ -298,7 +300,7 @@
         if queued == Some(at) {
             let (_, delivery) = self.queue.pop_first().expect("it is there");
             match delivery {
-                Delivery::ToNode(event) => self.give(event),
+                Delivery::ToNode(event) => self.give(*event),
                 Delivery::ToEngine(action) => self.arrive(*action),
             }
         } else {
@@ -329,7 +331,7 @@
                     attempt: *attempt,
                     result: Ok(serde_json::json!({ "call": 0 })),
                 };
-                self.later(Duration::from_millis(2), Delivery::ToNode(event));
+                self.later(Duration::from_millis(2), Delivery::ToNode(Box::new(event)));
             }
             Action::Step { address, order, .. } => {
                 self.opened.insert((*address, order.session.clone()));
@@ -386,6 +388,7 @@
                 seen.text.push_str(&text);
             }
             Reply::Done(done) => seen.outcomes.push(done.outcome),
+            Reply::Status(_) => panic!("{key}: nobody inquired"),
         }
     }
 
@@ -469,7 +472,7 @@
                     session: session.clone(),
                     result,
                 };
-                self.later(Duration::from_millis(1), Delivery::ToNode(event));
+                self.later(Duration::from_millis(1), Delivery::ToNode(Box::new(event)));
             }
             other => panic!("{other:?} doesn't go to an engine"),
         }
@@ -519,7 +522,7 @@
                     session: session.clone(),
                     result,
                 };
-                self.later(Duration::from_millis(1), Delivery::ToNode(event));
+                self.later(Duration::from_millis(1), Delivery::ToNode(Box::new(event)));
             }
             _ => {}
         }
@@ -537,14 +540,14 @@
                 step: *step,
                 result,
             };
-            self.later(delay, Delivery::ToNode(event));
+            self.later(delay, Delivery::ToNode(Box::new(event)));
         }
     }
 
     fn imported(&mut self, action: Action, result: Result<(), AttemptError>) {
         if let Action::Import { key, step, .. } = action {
             let event = Event::ImportDone { key, step, result };
-            self.later(Duration::from_millis(1), Delivery::ToNode(event));
+            self.later(Duration::from_millis(1), Delivery::ToNode(Box::new(event)));
         }
     }
 
--- a/crates/standin/src/scenarios/load.rs
+++ b/crates/standin/src/scenarios/load.rs
@@ -60,7 +60,8 @@
         .collect();
     let tasks: Vec<_> = (0..size.callers)
         .map(|n| {
-            let letters = (0..size.prompt).map(|i| char::from(b'a' + ((i * 7 + n + seed as usize) % 26) as u8));
+            let letters = (0..size.prompt)
+                .map(|i| char::from(b'a' + ((i * 7 + n + seed as usize) % 26) as u8));
             let client = Client {
                 caller: Caller::new("small-firm").expect("a caller can be made"),
                 node: nodes[n % nodes.len()],
@@ -114,7 +115,9 @@
         let pipeline = id(model.as_str());
         let sent_us = wall_clock_us();
         let ask = Ask::default();
-        let asked = self.caller.complete(self.node, &ask, &pipeline, prompt, *max_tokens);
+        let asked = self
+            .caller
+            .complete(self.node, &ask, &pipeline, prompt, *max_tokens);
         let answer = asked.await.ok()?;
         let mut token_us = Vec::new();
         let mut at = Duration::ZERO;
@@ -133,7 +136,9 @@
             ..Ask::default()
         };
         let body = json!({ "trip": number });
-        let called = self.caller.call(self.node, &ask, &self.service, "book", &body);
+        let called = self
+            .caller
+            .call(self.node, &ask, &self.service, "book", &body);
         let answer = called.await.ok()?;
         let asked = Asked::Call {
             operation: "book".to_owned(),
--- a/crates/standin/src/scenarios/mod.rs
+++ b/crates/standin/src/scenarios/mod.rs
@@ -154,7 +154,9 @@
 /// Injects the fault; returns the engines that it hit.
 async fn inject(scenario: Scenario, deployment: &mut Deployment, rng: &mut StdRng) -> Vec<VmId> {
     let count = deployment.plan.engines.len();
-    let vm = deployment.plan.engines[rng.random_range(0..count)].vm.clone();
+    let vm = deployment.plan.engines[rng.random_range(0..count)]
+        .vm
+        .clone();
     match scenario {
         Scenario::StageDeath => kill(deployment, &vm),
         Scenario::SilentStall => fault(deployment, &vm, vec![EngineFault::Stall]),
@@ -241,13 +243,13 @@
             .flat_map(|life| &life.records)
             .any(|record| match record {
                 EngineRecord::Run(run) => {
-                    Some(&run.session.request) == stream.record.id.as_ref()
-                        && run.at_us <= fault_us
+                    Some(&run.session.request) == stream.record.id.as_ref() && run.at_us <= fault_us
                 }
                 _ => false,
             });
         if on_hit && let Some(next_us) = stream.next_token_us(fault_us) {
-            out.recoveries.push(Duration::from_micros(next_us - fault_us));
+            out.recoveries
+                .push(Duration::from_micros(next_us - fault_us));
         }
     }
     for node in deployment.nodes.values() {
