--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -8,6 +8,7 @@
 mod dissemination;
 mod identity;
 mod membership;
+mod once;
 mod recovery;
 mod retry;
 mod snapshots;
@@ -17,6 +18,7 @@
 pub use dissemination::DisseminationConfig;
 pub use identity::Identity;
 pub use membership::MembershipConfig;
+pub use once::OnceConfig;
 pub use recovery::RecoveryConfig;
 pub use retry::RetryConfig;
 pub use snapshots::SnapshotsConfig;
@@ -32,6 +34,8 @@
     pub directory: DirectoryConfig,
     /// `[membership]`.
     pub membership: MembershipConfig,
+    /// `[once]`.
+    pub once: OnceConfig,
     /// `[recovery]`.
     pub recovery: RecoveryConfig,
     /// `[retry]`.
@@ -50,6 +54,7 @@
             admission: AdmissionConfig::default(),
             directory: DirectoryConfig::default(),
             membership: MembershipConfig::default(),
+            once: OnceConfig::default(),
             recovery: RecoveryConfig::default(),
             retry: RetryConfig::default(),
             dissemination: DisseminationConfig::default(),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,9 +11,16 @@
 pub mod language;
 pub mod message;
 pub mod node;
+pub mod once;
 pub mod outcome;
 pub mod peer;
 pub mod platform;
+pub mod rendezvous;
 pub mod systems;
 pub mod tables;
 pub mod time;
+
+/// The embedders' page, whose examples run as tests.
+#[cfg(doctest)]
+#[doc = include_str!("../../../docs/EMBEDDING.md")]
+pub struct EmbeddingPage;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rand::{SeedableRng, rngs::StdRng};
+use serde::{Deserialize, Serialize};
 
 use crate::{
     config::{Batch, RefusedBatch},
@@ -27,7 +28,7 @@
 }
 
 /// What became of a request, as far as a node knows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Known {
     /// It runs here.
     Open,
@@ -50,28 +51,30 @@
     /// Handles one event and returns what is to be done.
     pub fn handle(&mut self, now: Timestamp, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
-        let mut cx = Context {
+        systems::dispatch(&mut self.context(now, &mut out), event);
+        out
+    }
+
+    /// Mints an id for one request, which may be a non-idempotent one.
+    pub fn mint(&mut self, now: Timestamp) -> RequestId {
+        let mut out = Vec::new();
+        systems::once::mint(&mut self.context(now, &mut out), true)
+    }
+
+    fn context<'a>(&'a mut self, now: Timestamp, out: &'a mut Vec<Action>) -> Context<'a> {
+        Context {
             now,
             cfg: &self.cfg,
             tables: &mut self.tables,
             rng: &mut self.rng,
-            out: &mut out,
-        };
-        systems::dispatch(&mut cx, event);
-        out
+            out,
+        }
     }
 
     /// Returns the read of the log that should come next.
     pub fn next_log_read(&mut self, now: Timestamp) -> LogRead {
         let mut out = Vec::new();
-        let mut cx = Context {
-            now,
-            cfg: &self.cfg,
-            tables: &mut self.tables,
-            rng: &mut self.rng,
-            out: &mut out,
-        };
-        systems::dissemination::next_read(&mut cx)
+        systems::dissemination::next_read(&mut self.context(now, &mut out))
     }
 
     /// Tells what would become of a batch if it were the log's next record.
@@ -83,11 +86,6 @@
         self.tables.config.preview(batch)
     }
 
-    /// Mints an id for one request.
-    pub fn mint(&mut self) -> RequestId {
-        systems::minting::mint(&self.cfg.identity, &mut self.tables.requests)
-    }
-
     /// Tells what this node knows of a request.
     pub fn known(&self, id: &RequestId) -> Known {
         if self.tables.requests.open(id).is_some() {
--- a/crates/core/src/systems/dissemination/join.rs
+++ b/crates/core/src/systems/dissemination/join.rs
@@ -52,7 +52,11 @@
     join.heard.clear();
     join.pending = peers.iter().cloned().collect();
     let at = cx.now + cx.cfg.dissemination.join_wait;
-    cx.tables.timers.subscribe(at, Timer::JoinRound);
+    let timers = &mut cx.tables.timers;
+    if let Some(timer) = join.timer.take() {
+        timers.cancel(timer);
+    }
+    join.timer = Some(timers.subscribe(at, Timer::JoinRound));
     for peer in &peers {
         send(cx, peer, ConfigMessage::AskRevision);
     }
@@ -97,6 +101,9 @@
         crate::tables::LogState::Following | crate::tables::LogState::Unread
     );
     if log_read || log_refused && newest > Revision(0) {
+        if let Some(timer) = join.timer {
+            cx.tables.timers.cancel(timer);
+        }
         cx.tables.follow.join = None;
         cx.tables.ready = true;
     }
--- a/crates/core/src/systems/dissemination/readers.rs
+++ b/crates/core/src/systems/dissemination/readers.rs
@@ -8,12 +8,11 @@
 use super::{Context, relay::log_is_out};
 use crate::{
     ids::VmId,
+    peer::MemberStatus,
     platform::{Vm, VmState},
     tables::LogState,
 };
 
-/// Time after which a silent node is not counted on to read the log.
-const SILENCE: Duration = Duration::from_secs(3);
 /// Most doublings of the pause after a read that failed.
 const MAX_DOUBLINGS: u32 = 10;
 
@@ -79,7 +78,7 @@
 
 fn is_heard(cx: &Context<'_>, vm: &Vm) -> bool {
     let row = cx.tables.members.get(&vm.vm);
-    row.is_some_and(|row| cx.now.since(row.heard) < SILENCE)
+    row.is_some_and(|row| row.status == MemberStatus::Alive)
 }
 
 fn rank(vm: &VmId) -> u64 {
--- a/crates/core/src/systems/dissemination/tests.rs
+++ b/crates/core/src/systems/dissemination/tests.rs
@@ -180,6 +180,50 @@
     assert_eq!(tables.follow.counters.divergences, 1);
 }
 
+#[test]
+fn a_snapshot_that_comes_late_does_not_take_the_node_back() {
+    let mut world = World::new(6);
+    world.batch(0, 1, false);
+    world.settle(3_000);
+    let late = world.node(0).tables().config.snapshot();
+    world.batch(0, 2, false);
+    world.read(0);
+    // The push is lost, so that node 1 hears of the record and asks for it.
+    world.drop_mail();
+    for _ in 0..10 {
+        if world.node(1).tables().follow.ask.is_none() {
+            world.deliver_all();
+            world.pass(300);
+        }
+    }
+    assert!(world.node(1).tables().follow.ask.is_some());
+    world.read(1);
+    world.drop_mail();
+    let body = late[0].to_body();
+    for from in [0, 2] {
+        let message = ConfigMessage::Snapshot { body: body.clone() };
+        world.hand(from, 1, PeerMessage::Config(message));
+    }
+    assert_eq!(world.node(1).tables().config.revision(), Revision(2));
+}
+
+#[test]
+fn a_shorter_log_is_told_and_the_node_serves_on() {
+    let mut world = World::new(7);
+    for object in 0..3 {
+        world.batch(0, object, false);
+    }
+    world.settle(3_000);
+    world.set_fault(Fault::Shorter as u8, 1);
+    world.settle(6_000);
+    for node in 0..NODES {
+        let tables = world.node(node).tables();
+        assert_eq!(tables.follow.log, LogState::Shorter);
+        assert_eq!(tables.config.revision(), Revision(3));
+        assert!(tables.ready);
+    }
+}
+
 #[test]
 fn one_node_of_many_writes_a_due_snapshot() {
     for nodes in [9, 360] {
--- a/crates/core/src/systems/dissemination/tests/world.rs
+++ b/crates/core/src/systems/dissemination/tests/world.rs
@@ -342,6 +342,10 @@
         self.handle(to, Event::Peer { from, message });
     }
 
+    pub fn drop_mail(&mut self) {
+        self.mail.clear();
+    }
+
     pub fn deliver_all(&mut self) {
         let mut left = 10_000;
         while !self.mail.is_empty() && left > 0 {
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -12,7 +12,7 @@
 pub mod drain;
 pub mod export;
 pub mod membership;
-pub mod minting;
+pub mod once;
 pub mod platform;
 pub mod recovery;
 pub mod routing;
@@ -22,7 +22,7 @@
 
 use crate::{
     configs::Configs,
-    ids::{RequestKey, StepId},
+    ids::{RequestKey, StepId, VmId},
     message::{Action, Event},
     peer::{PeerMessage, Sender},
     tables::Tables,
@@ -49,8 +49,12 @@
 pub enum Timer {
     /// A request's deadline.
     Deadline(RequestKey),
-    /// The next round of heartbeats.
+    /// The next round of membership's probes.
     Heartbeat,
+    /// The end of the time for which a node may be suspect.
+    Suspicion(VmId),
+    /// A question for running a request at most once.
+    Once(once::OnceTimer),
     /// The moment to ask a peer for records, if they did not come.
     CatchUp,
     /// The end of the time in which peers should say their revisions.
@@ -77,7 +81,12 @@
     match event {
         Event::Tick => {}
         Event::Submit { key, submission } => admission::run(cx, key, *submission),
-        Event::CallerGone { key } => answer::abandon(cx, key),
+        Event::CallerGone { key } => {
+            if !once::caller_gone(cx, key) {
+                answer::abandon(cx, key);
+            }
+        }
+        Event::Inquire { key, id } => once::status(cx, key, id),
         Event::StepDone { key, step, result } => completion::step_done(cx, key, step, result),
         Event::ImportDone { key, step, result } => completion::import_done(cx, key, step, result),
         Event::ExportDone {
@@ -104,18 +113,29 @@
             peer_message(cx, from, message);
             dissemination::heard(cx, &vm);
         }
-        Event::PeerUnreachable { vm } => dissemination::unreachable(cx, &vm),
+        Event::PeerUnreachable { vm } => {
+            once::unreachable(cx, &vm);
+            dissemination::unreachable(cx, &vm);
+        }
         Event::Start => {
             membership::round(cx);
             snapshots::start(cx);
         }
-        Event::Drain => drain::run(cx),
+        Event::Drain => {
+            drain::run(cx);
+            membership::announce(cx);
+        }
     }
+    once::deliver(cx);
 }
 
 fn peer_message(cx: &mut Context<'_>, from: Sender, message: PeerMessage) {
+    if !membership::admits(cx, &from) {
+        return;
+    }
     match message {
-        PeerMessage::Heartbeat(said) => membership::heard(cx, from, said),
+        PeerMessage::Gossip(gossip) => membership::heard(cx, &from, gossip),
+        PeerMessage::Once(message) => once::message(cx, from, message),
         PeerMessage::Config(message) => dissemination::message(cx, &from.vm, message),
     }
 }
@@ -123,6 +143,8 @@
 fn expire(cx: &mut Context<'_>, timer: Timer) {
     match timer {
         Timer::Heartbeat => membership::round(cx),
+        Timer::Suspicion(vm) => membership::suspicion_over(cx, &vm),
+        Timer::Once(timer) => once::expire(cx, timer),
         Timer::CatchUp => dissemination::catch_up_due(cx),
         Timer::JoinRound => dissemination::join_round(cx),
         Timer::SnapshotCheck => snapshots::check(cx),
--- a/crates/core/src/tables/follow.rs
+++ b/crates/core/src/tables/follow.rs
@@ -7,7 +7,7 @@
 use crate::{
     config::SnapshotReader,
     ids::{Revision, VmId},
-    time::Timestamp,
+    time::{TimerId, Timestamp},
 };
 
 /// How the log stands to this node.
@@ -41,6 +41,9 @@
     pub heard: BTreeMap<VmId, Revision>,
     /// Whether the log was read to its end meanwhile.
     pub log_read: bool,
+    /// The subscription to the end of the round.
+    #[serde(skip)]
+    pub timer: Option<TimerId>,
 }
 
 /// What was counted while following.
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -7,6 +7,7 @@
 mod history;
 mod members;
 mod pace;
+mod probes;
 mod requests;
 mod retry_budget;
 mod vms;
@@ -16,14 +17,16 @@
 pub use counters::Counters;
 pub use follow::{FollowCounters, FollowTable, Join, LogState};
 pub use history::History;
-pub use members::{MemberRow, MemberTable};
+pub use members::{MemberRow, MemberTable, Merged};
 pub use pace::{Pace, PaceTable};
+pub use probes::{MemberView, ProbeTable};
 pub use requests::{CallState, RequestRow, RequestTable, Work};
 pub use retry_budget::RetryBudget;
 pub use vms::VmTable;
 
 use crate::{
     config::Config,
+    once::OnceTable,
     systems::Timer,
     time::{Timers, Timestamp},
 };
@@ -41,10 +44,14 @@
     pub vms: VmTable,
     /// Other entry nodes, as heard from themselves.
     pub members: MemberTable,
+    /// This node's own part in membership.
+    pub probes: ProbeTable,
     /// Backend servers: the VM list joined with the configuration.
     pub backends: BackendTable,
     /// Requests: open ones and recent outcomes.
     pub requests: RequestTable,
+    /// What is kept to run requests at most once.
+    pub once: OnceTable,
     /// How long steps take at each engine.
     pub pace: PaceTable,
     /// The retry budget.
--- a/crates/daemon/src/configs/mod.rs
+++ b/crates/daemon/src/configs/mod.rs
@@ -7,6 +7,7 @@
 mod log;
 mod membership;
 mod node;
+mod once;
 mod operators;
 mod peers;
 mod platform;
@@ -16,7 +17,7 @@
 
 pub(crate) use self::{
     admission::read_admission, directory::read_directory, dissemination::read_dissemination,
-    membership::read_membership, recovery::read_recovery, retry::read_retry,
+    membership::read_membership, once::read_once, recovery::read_recovery, retry::read_retry,
     snapshots::read_snapshots,
 };
 pub use self::{
--- a/crates/daemon/src/edges/callers.rs
+++ b/crates/daemon/src/edges/callers.rs
@@ -22,7 +22,7 @@
 use serde::Serialize;
 use sha2::{Digest, Sha256};
 use tokio::{net::TcpListener, sync::mpsc};
-use volo::service::Service;
+use volo::{context::Context, net::Address, service::Service};
 use volo_http::{body::Body, context::ServerContext, request::Request, response::Response};
 
 use super::http::{json, query_value, serve as serve_http};
@@ -48,9 +48,10 @@
     type Response = Response;
     type Error = Infallible;
 
-    async fn call(&self, _cx: &mut ServerContext, req: Request) -> Result<Response, Infallible> {
+    async fn call(&self, cx: &mut ServerContext, req: Request) -> Result<Response, Infallible> {
+        let caller = cx.rpc_info().caller().address();
         Ok(self
-            .answer(req)
+            .answer(req, caller)
             .await
             .unwrap_or_else(|refusal| refusal.response()))
     }
@@ -86,10 +87,10 @@
 }
 
 impl Callers {
-    async fn answer(&self, req: Request) -> Result<Response, Refusal> {
+    async fn answer(&self, req: Request, caller: Option<Address>) -> Result<Response, Refusal> {
         let path = req.uri().path().to_owned();
         match (req.method(), path.as_str()) {
-            (&Method::GET, DIRECTORY_PATH) => Ok(self.directory()),
+            (&Method::GET, DIRECTORY_PATH) => Ok(self.directory(req.headers(), caller)),
             (&Method::POST, REQUEST_IDS_PATH) => self.mint(req.uri().query()),
             (&Method::POST, COMPLETIONS_PATH) => self.complete(req).await,
             (&Method::POST, path) if path.starts_with(SERVICES_PATH) => {
@@ -97,7 +98,7 @@
                 self.call_service(req, &target).await
             }
             (&Method::GET, path) if path.starts_with(REQUESTS_PATH) => {
-                self.status(&path[REQUESTS_PATH.len()..])
+                self.status(&path[REQUESTS_PATH.len()..]).await
             }
             _ => Err(Refusal {
                 status: StatusCode::NOT_FOUND,
@@ -107,13 +108,22 @@
         }
     }
 
-    fn directory(&self) -> Response {
+    fn directory(&self, headers: &HeaderMap, caller: Option<Address>) -> Response {
+        // Callers of one VM and organisation use the same nodes, whatever
+        // port they come from; the token is only hashed.
+        let mut caller = match caller {
+            Some(Address::Ip(address)) => address.ip().to_string(),
+            _ => String::new(),
+        };
+        if let Some(token) = headers.get(AUTHORIZATION).and_then(|v| v.to_str().ok()) {
+            caller.push_str(token);
+        }
         let answer = self.host.read(|node| {
-            let identity = &node.configs().identity;
-            let nodes = directory::nodes(node.tables(), &identity.vm, &identity.failure_domain);
-            let entry = |v: &radishhaven_core::platform::Vm| DirectoryNode {
-                vm: v.vm.clone(),
-                address: v.address,
+            let cfg = node.configs();
+            let nodes = directory::answer(node.tables(), &cfg.identity, &cfg.directory, &caller);
+            let entry = |entry: directory::DirectoryEntry| DirectoryNode {
+                vm: entry.vm,
+                address: entry.address,
             };
             Directory {
                 nodes: nodes.into_iter().map(entry).collect(),
@@ -133,20 +143,20 @@
                 .filter(|n| (1..=MAX_MINTED_IDS).contains(n))
                 .ok_or_else(|| Refusal::bad(format!("count is 1 to {MAX_MINTED_IDS}")))?,
         };
-        let ids = self
-            .host
-            .with(|node| (0..count).map(|_| node.mint()).collect());
+        let ids = (0..count).map(|_| self.host.mint()).collect();
         Ok(json(StatusCode::OK, &MintedIds { ids }))
     }
 
-    fn status(&self, id: &str) -> Result<Response, Refusal> {
+    async fn status(&self, id: &str) -> Result<Response, Refusal> {
         let id: RequestId = id
             .parse()
             .map_err(|e: radishhaven_core::ids::IdError| Refusal::bad(e.to_string()))?;
-        let outcome = match self.host.read(|node| node.known(&id)) {
-            Known::Open => None,
-            Known::Ended(outcome) => Some(outcome),
-            Known::Nothing => Some(Outcome::Unknown),
+        let (key, rx) = self.host.inquire(id.clone());
+        let mut answer = AnswerReader::new(self.host.clone(), key, rx);
+        let outcome = match answer.next().await {
+            Some(Reply::Status(Known::Open)) => None,
+            Some(Reply::Status(Known::Ended(outcome))) => Some(outcome),
+            _ => Some(Outcome::Unknown),
         };
         Ok(json(StatusCode::OK, &RequestStatus { id, outcome }))
     }
@@ -175,7 +185,7 @@
             match reply {
                 Reply::Delta { text: part, .. } => text.push_str(&part),
                 Reply::Done(done) => return Ok(whole(done, text)),
-                Reply::Admitted { .. } => {}
+                Reply::Admitted { .. } | Reply::Status(_) => {}
             }
         }
         Ok(cut())
@@ -214,7 +224,7 @@
             id: header(
                 headers,
                 REQUEST_ID_HEADER,
-                "an id of 1 to 96 letters, digits or . _ : -",
+                "an id of 1 to 640 letters, digits or . _ : -",
             )?,
             priority: header(headers, PRIORITY_HEADER, "a number from 0 to 255")?,
             within: header(headers, DEADLINE_HEADER, "milliseconds")?.map(Duration::from_millis),
@@ -222,12 +232,7 @@
             demand,
         };
         let (key, rx) = self.host.submit(submission);
-        self.host.answer_opened();
-        Ok(AnswerReader {
-            host: self.host.clone(),
-            key,
-            rx,
-        })
+        Ok(AnswerReader::new(self.host.clone(), key, rx))
     }
 }
 
@@ -239,6 +244,11 @@
 }
 
 impl AnswerReader {
+    fn new(host: Arc<Host>, key: RequestKey, rx: mpsc::UnboundedReceiver<Reply>) -> Self {
+        host.answer_opened();
+        Self { host, key, rx }
+    }
+
     async fn next(&mut self) -> Option<Reply> {
         self.rx.recv().await
     }
@@ -392,7 +402,7 @@
                     false,
                 ),
                 Reply::Done(done) => (event(DONE_EVENT, &last_event(&id, done)), true),
-                Reply::Admitted { .. } => return None,
+                Reply::Admitted { .. } | Reply::Status(_) => return None,
             };
             Some((Ok(frame), (answer, id, over)))
         });
--- a/crates/daemon/src/edges/operators.rs
+++ b/crates/daemon/src/edges/operators.rs
@@ -180,8 +180,10 @@
         "follow": tables.follow,
         "vms": tables.vms,
         "members": tables.members,
+        "probes": tables.probes,
         "backends": tables.backends,
         "requests": tables.requests,
+        "once": tables.once,
         "subscriptions": tables.timers.len(),
         "counters": tables.counters,
     })
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -12,10 +12,11 @@
 
 use radishhaven_client::{HttpError, JsonClient};
 use radishhaven_core::{
-    configs::{Configs, Identity},
-    ids::RequestKey,
+    configs::{Configs, Identity, MembershipConfig, OnceConfig},
+    ids::{RequestId, RequestKey},
     message::{Action, Event, Reply, Submission},
     node::Node,
+    once::IdKey,
     peer::Sender,
     time::Timestamp,
 };
@@ -94,7 +95,14 @@
             identity,
             admission: settings.admission.clone(),
             directory: settings.directory.clone(),
-            membership: settings.membership.clone(),
+            membership: MembershipConfig {
+                peer_address: Some(settings.peers.listen),
+                ..settings.membership.clone()
+            },
+            once: OnceConfig {
+                key: IdKey::new(settings.peers.key.as_bytes()),
+                ..settings.once.clone()
+            },
             recovery: settings.recovery.clone(),
             retry: settings.retry.clone(),
             dissemination: settings.dissemination.clone(),
@@ -125,6 +133,11 @@
         }
     }
 
+    /// Asks the decisions for something that needs no event and causes no action.
+    pub(crate) fn with<T>(&self, work: impl FnOnce(&mut Node) -> T) -> T {
+        work(&mut locked(&self.node))
+    }
+
     /// Returns the current time as the decisions see it.
     pub(crate) fn now(&self) -> Timestamp {
         self.clock.now()
@@ -135,23 +148,36 @@
         look(&locked(&self.node))
     }
 
-    /// Changes the decisions' state where no event is needed.
-    pub(crate) fn with<T>(&self, work: impl FnOnce(&mut Node) -> T) -> T {
-        work(&mut locked(&self.node))
-    }
-
     /// Submits a request; its answer comes over the channel.
     pub fn submit(
         self: &Arc<Self>,
         submission: Submission,
     ) -> (RequestKey, mpsc::UnboundedReceiver<Reply>) {
+        let (key, rx) = self.open_answer();
+        let submission = Box::new(submission);
+        self.handle(Event::Submit { key, submission });
+        (key, rx)
+    }
+
+    /// Asks what became of a request; the answer comes over the channel.
+    pub fn inquire(
+        self: &Arc<Self>,
+        id: RequestId,
+    ) -> (RequestKey, mpsc::UnboundedReceiver<Reply>) {
+        let (key, rx) = self.open_answer();
+        self.handle(Event::Inquire { key, id });
+        (key, rx)
+    }
+
+    /// Mints an id for one request.
+    pub fn mint(&self) -> RequestId {
+        locked(&self.node).mint(self.clock.now())
+    }
+
+    fn open_answer(&self) -> (RequestKey, mpsc::UnboundedReceiver<Reply>) {
         let key = RequestKey(self.next_key.fetch_add(1, Ordering::Relaxed));
         let (tx, rx) = mpsc::unbounded_channel();
         locked(&self.replies).insert(key, tx);
-        self.handle(Event::Submit {
-            key,
-            submission: Box::new(submission),
-        });
         (key, rx)
     }
 
@@ -243,7 +269,7 @@
 
     fn reply(&self, key: RequestKey, reply: Reply) {
         let mut replies = locked(&self.replies);
-        let last = matches!(reply, Reply::Done(_));
+        let last = matches!(reply, Reply::Done(_) | Reply::Status(_));
         // A caller that went away is seen by its edge, which says so itself.
         if let Some(tx) = replies.get(&key) {
             let _ = tx.send(reply);
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,13 +14,14 @@
 
 use ini::Ini;
 use radishhaven_core::configs::{
-    AdmissionConfig, DirectoryConfig, DisseminationConfig, MembershipConfig, RecoveryConfig,
-    RetryConfig, SnapshotsConfig,
+    AdmissionConfig, DirectoryConfig, DisseminationConfig, MembershipConfig, OnceConfig,
+    RecoveryConfig, RetryConfig, SnapshotsConfig,
 };
 
 use crate::configs::{
     LogConfig, NodeConfig, OperatorsConfig, PeersConfig, PlatformConfig, read_admission,
-    read_directory, read_dissemination, read_membership, read_recovery, read_retry, read_snapshots,
+    read_directory, read_dissemination, read_membership, read_once, read_recovery, read_retry,
+    read_snapshots,
 };
 
 /// A file with every setting, its default and its unit.
@@ -43,6 +44,8 @@
     pub directory: DirectoryConfig,
     /// `[membership]`.
     pub membership: MembershipConfig,
+    /// `[once]`.
+    pub once: OnceConfig,
     /// `[recovery]`.
     pub recovery: RecoveryConfig,
     /// `[retry]`.
@@ -355,6 +358,7 @@
         let admission = reader.section("admission", read_admission);
         let directory = reader.section("directory", read_directory);
         let membership = reader.section("membership", read_membership);
+        let once = reader.section("once", read_once);
         let recovery = reader.section("recovery", read_recovery);
         let retry = reader.section("retry", read_retry);
         let listen = node.as_ref().map(|node| node.operators);
@@ -374,6 +378,7 @@
                     admission,
                     directory,
                     membership,
+                    once,
                     recovery,
                     retry,
                     operators,
--- a/crates/daemon/tests/frames.rs
+++ b/crates/daemon/tests/frames.rs
@@ -75,23 +75,27 @@
 /// message, and never a panic or more bytes than there were.
 #[test]
 fn any_bytes_are_read_or_refused() {
-    check(72, INVARIANT_CASES, |(any, noise, at): (Any, [u8; 24], u16)| {
-        let frame = encode(&message(any)).expect("it fits");
-        let mut changed = frame.to_vec();
-        let at = usize::from(at) % changed.len();
-        changed[at] ^= noise[0] | 1;
-        let mut short = vec![0, 0, 0, noise[0] % 24];
-        short.extend_from_slice(&noise);
-        for bytes in [changed, short, noise.to_vec()] {
-            let mut buf = BytesMut::from(bytes.as_slice());
-            let before = buf.len();
-            let read = decode(&mut buf);
-            assert!(buf.len() <= before);
-            if let Ok(Some(message)) = read {
-                assert!(encode(&message).is_ok());
+    check(
+        72,
+        INVARIANT_CASES,
+        |(any, noise, at): (Any, [u8; 24], u16)| {
+            let frame = encode(&message(any)).expect("it fits");
+            let mut changed = frame.to_vec();
+            let at = usize::from(at) % changed.len();
+            changed[at] ^= noise[0] | 1;
+            let mut short = vec![0, 0, 0, noise[0] % 24];
+            short.extend_from_slice(&noise);
+            for bytes in [changed, short, noise.to_vec()] {
+                let mut buf = BytesMut::from(bytes.as_slice());
+                let before = buf.len();
+                let read = decode(&mut buf);
+                assert!(buf.len() <= before);
+                if let Ok(Some(message)) = read {
+                    assert!(encode(&message).is_ok());
+                }
             }
-        }
-    });
+        },
+    );
 }
 
 #[test]
--- a/crates/standin/examples/freeze_lift.rs
+++ b/crates/standin/examples/freeze_lift.rs
@@ -41,7 +41,11 @@
     let matches = Command::new("freeze_lift")
         .about("Racing batches over nodes on loopback")
         .arg(number("batches", "500", "Number of batches"))
-        .arg(number("operators", "20", "Operators that apply at one time"))
+        .arg(number(
+            "operators",
+            "20",
+            "Operators that apply at one time",
+        ))
         .get_matches();
     let value = |name| matches.get_one::<u64>(name).copied().unwrap_or_default();
     let runtime = tokio::runtime::Runtime::new().expect("a runtime can be made");
@@ -85,7 +89,8 @@
             outcomes
         });
     }
-    let outcomes: Vec<Option<ApplyOutcome>> = tasks.join_all().await.into_iter().flatten().collect();
+    let outcomes: Vec<Option<ApplyOutcome>> =
+        tasks.join_all().await.into_iter().flatten().collect();
     let took = begun.elapsed();
     tokio::time::sleep(Duration::from_secs(1)).await;
     looks.abort();
@@ -108,7 +113,10 @@
             .map(|host| host.read(|node| node.tables().config.revision().0));
         let lowest = revisions.min().unwrap_or_default();
         let at = Instant::now();
-        LOOKS.lock().expect("nobody panicked").push(Look { at, end, lowest });
+        LOOKS
+            .lock()
+            .expect("nobody panicked")
+            .push(Look { at, end, lowest });
         tokio::time::sleep(LOOK_EVERY).await;
     }
 }
@@ -116,7 +124,10 @@
 async fn apply(http: &JsonClient, node: SocketAddr, n: u64) -> Option<ApplyOutcome> {
     // Each tenth batch races with the one before for the same object.
     let model = n - u64::from(n % 10 == 9);
-    let text = format!("batch lift-{n} {{ put model m-{model} {{ layers = {} }} }}", n % 7 + 1);
+    let text = format!(
+        "batch lift-{n} {{ put model m-{model} {{ layers = {} }} }}",
+        n % 7 + 1
+    );
     let headers = HeaderMap::new();
     let sent = http.exchange_with::<Applied>(
         Method::POST,
@@ -152,7 +163,8 @@
     );
     let mut delays: Vec<Duration> = accepted.iter().filter_map(|at| delay(looks, *at)).collect();
     delays.sort();
-    let quantile = |q: usize| delays.get((delays.len() * q / 100).min(delays.len().saturating_sub(1)));
+    let quantile =
+        |q: usize| delays.get((delays.len() * q / 100).min(delays.len().saturating_sub(1)));
     println!(
         "from the log to all {NODES} nodes: p50 {:?}, p99 {:?}, longest {:?}",
         quantile(50),
@@ -160,10 +172,24 @@
         delays.last()
     );
     let digest = |host: &Arc<Host>| host.read(|n| n.tables().config.digest().to_string());
-    let digests: BTreeSet<String> = deployment.nodes.values().map(|n| digest(&n.node.host)).collect();
-    let records = deployment.log.state.read(CONFIG_STREAM, 0, u64::MAX).records;
-    let appended = records.iter().filter(|r| r.body.contains("\"lift-")).count();
-    println!("{appended} records in the log, {} digest(s) at the nodes", digests.len());
+    let digests: BTreeSet<String> = deployment
+        .nodes
+        .values()
+        .map(|n| digest(&n.node.host))
+        .collect();
+    let records = deployment
+        .log
+        .state
+        .read(CONFIG_STREAM, 0, u64::MAX)
+        .records;
+    let appended = records
+        .iter()
+        .filter(|r| r.body.contains("\"lift-"))
+        .count();
+    println!(
+        "{appended} records in the log, {} digest(s) at the nodes",
+        digests.len()
+    );
     digests.len() == 1 && doubt == 0 && decided == outcomes.len() && delays.len() == accepted.len()
 }
 
--- a/crates/standin/tests/configuration.rs
+++ b/crates/standin/tests/configuration.rs
@@ -33,7 +33,11 @@
     deployment.nodes[&id(vm)].node.operators_address
 }
 
-async fn post<T: DeserializeOwned>(node: SocketAddr, path: &str, text: &str) -> Result<T, HttpError> {
+async fn post<T: DeserializeOwned>(
+    node: SocketAddr,
+    path: &str,
+    text: &str,
+) -> Result<T, HttpError> {
     let http = JsonClient::new().expect("a client can be made");
     let (headers, body) = (HeaderMap::new(), text.as_bytes().to_vec());
     http.exchange_with(Method::POST, node, path, headers, body, WITHIN)
@@ -41,7 +45,9 @@
 }
 
 async fn apply(node: SocketAddr, text: &str) -> ApplyOutcome {
-    let applied: Applied = post(node, APPLY_PATH, text).await.expect("the node answers");
+    let applied: Applied = post(node, APPLY_PATH, text)
+        .await
+        .expect("the node answers");
     applied.outcome
 }
 
@@ -58,7 +64,10 @@
     let begun = Instant::now();
     loop {
         let nodes: Nodes = http.get(node, NODES_PATH, WITHIN).await.expect("nodes");
-        let has = nodes.nodes.iter().all(|n| n.revision.is_some_and(|r| r >= at));
+        let has = nodes
+            .nodes
+            .iter()
+            .all(|n| n.revision.is_some_and(|r| r >= at));
         if has && !nodes.nodes.is_empty() {
             return nodes;
         }
@@ -69,7 +78,9 @@
 
 fn digests(deployment: &Deployment) -> BTreeSet<String> {
     let digest = |n: &radishhaven_standin::deployment::NodeProcess| {
-        n.node.host.read(|node| node.tables().config.digest().to_string())
+        n.node
+            .host
+            .read(|node| node.tables().config.digest().to_string())
     };
     deployment.nodes.values().map(digest).collect()
 }
@@ -90,7 +101,11 @@
     // The same file again, through another node, is the same batch.
     let again = apply(operators(&deployment, "node-0"), text).await;
     assert_eq!(revision(&again), Some(at));
-    let other = apply(node, "batch lift { set organisation small-firm { share = 8 } }").await;
+    let other = apply(
+        node,
+        "batch lift { set organisation small-firm { share = 8 } }",
+    )
+    .await;
     assert!(matches!(
         other,
         ApplyOutcome::Decided(BatchResult::Refused(_, RefusedBatch::IdTaken(_)))
@@ -154,7 +169,10 @@
     // Each tenth batch changes the same object as the one before.
     let text = |n: usize| {
         let model = n - usize::from(n % 10 == 9);
-        format!("batch lift-{n} {{ put model m-{model} {{ layers = {} }} }}", n % 7 + 1)
+        format!(
+            "batch lift-{n} {{ put model m-{model} {{ layers = {} }} }}",
+            n % 7 + 1
+        )
     };
     let mut tasks = tokio::task::JoinSet::new();
     for n in 0..60 {
@@ -162,9 +180,16 @@
         tasks.spawn(async move { (n, apply(node, &text).await) });
     }
     let outcomes = tasks.join_all().await;
-    assert!(outcomes.iter().all(|(_, o)| matches!(o, ApplyOutcome::Decided(_))));
+    assert!(
+        outcomes
+            .iter()
+            .all(|(_, o)| matches!(o, ApplyOutcome::Decided(_)))
+    );
     let accepted: BTreeSet<Revision> = outcomes.iter().filter_map(|(_, o)| revision(o)).collect();
-    let count = outcomes.iter().filter(|(_, o)| revision(o).is_some()).count();
+    let count = outcomes
+        .iter()
+        .filter(|(_, o)| revision(o).is_some())
+        .count();
     assert_eq!(accepted.len(), count, "a revision belongs to one batch");
     assert!(count >= 54, "{count} were accepted");
     let last = accepted.last().copied().expect("some were accepted");
@@ -172,7 +197,8 @@
     assert_eq!(digests(&deployment).len(), 1);
     let models = |node: &radishhaven_core::node::Node| {
         let keys = node.tables().config.objects().keys();
-        keys.filter(|key| key.to_string().starts_with("model/m-")).count()
+        keys.filter(|key| key.to_string().starts_with("model/m-"))
+            .count()
     };
     let found = deployment.nodes[&id("node-0")].node.host.read(models);
     assert_eq!(found, 54);
