feat(routing): choose engines by predicted waiting and by the request's time

A choice looks at a few engines of each stage, drawn at random, through an index of slots by version, layers and adapters. Each costs what a step would wait there over the time that the engine itself needs (learned from this node's own steps, corrected by what was sent since) and the part of the request's time that its steps take. The baselines of the configuration are kept, and a chain now needs the pipeline's adapters.

--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -9,6 +9,7 @@
 mod membership;
 mod recovery;
 mod retry;
+mod routing;
 
 pub use admission::AdmissionConfig;
 pub use directory::DirectoryConfig;
@@ -16,6 +17,7 @@
 pub use membership::MembershipConfig;
 pub use recovery::RecoveryConfig;
 pub use retry::RetryConfig;
+pub use routing::RoutingConfig;
 
 /// All settings of the decisions.
 #[derive(Debug, Clone)]
@@ -32,6 +34,8 @@
     pub recovery: RecoveryConfig,
     /// `[retry]`.
     pub retry: RetryConfig,
+    /// `[routing]`.
+    pub routing: RoutingConfig,
 }
 
 impl Configs {
@@ -44,6 +48,7 @@
             membership: MembershipConfig::default(),
             recovery: RecoveryConfig::default(),
             retry: RetryConfig::default(),
+            routing: RoutingConfig::default(),
         }
     }
 }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -39,9 +39,12 @@
 impl Node {
     /// Makes a node; `seed` feeds all its random choices.
     pub fn new(cfg: Configs, seed: u64) -> Self {
+        let mut tables = Tables::default();
+        let home = cfg.identity.failure_domain.clone();
+        tables.backends.set_home(home);
         Self {
             cfg,
-            tables: Tables::default(),
+            tables,
             rng: StdRng::seed_from_u64(seed),
         }
     }
--- a/crates/core/src/systems/admission.rs
+++ b/crates/core/src/systems/admission.rs
@@ -123,6 +123,7 @@
                 pipeline: pipeline.clone(),
                 model: found.model.clone(),
                 version: found.version.clone(),
+                adapters: found.adapters.clone(),
                 prompt_len: prompt.len(),
                 tokens: prompt.clone(),
                 max_tokens: *max_tokens,
--- a/crates/core/src/systems/completion.rs
+++ b/crates/core/src/systems/completion.rs
@@ -30,9 +30,10 @@
         return;
     };
     let attempt = row.attempt;
-    let Some(chain) = routing::chain(cx, &work.model, &work.version, &row.failed) else {
+    let Some(chain) = routing::chain(cx, row, work) else {
         return answer::give_up(cx, key, NotRun::NoCapacity, "no chain covers all layers");
     };
+    let chain = chain.stages;
     for stage in &chain {
         occupy(cx, &stage.vm);
     }
@@ -66,14 +67,14 @@
 /// Counts a session at a backend server.
 pub(super) fn occupy(cx: &mut Context<'_>, vm: &VmId) {
     if let Some(backend) = cx.tables.backends.get_mut(vm) {
-        backend.in_flight += 1;
+        backend.begin();
     }
 }
 
 /// Counts a session less at a backend server.
 pub(super) fn vacate(cx: &mut Context<'_>, vm: &VmId) {
     if let Some(backend) = cx.tables.backends.get_mut(vm) {
-        backend.in_flight = backend.in_flight.saturating_sub(1);
+        backend.end();
     }
 }
 
@@ -316,6 +317,7 @@
     export::trim(session, most);
     let vm = session.stage.vm.clone();
     cx.tables.pace.observe(&vm, positions, now.since(sent));
+    routing::observe(cx, &vm, positions, now.since(sent));
     match output {
         StageOutput::Activations(values) => {
             if let Some(work) = completion_mut(cx, key) {
--- a/crates/core/src/systems/recovery.rs
+++ b/crates/core/src/systems/recovery.rs
@@ -246,7 +246,7 @@
     let from = if alone { open } else { 0 };
     let start = work.chain.get(from)?.stage.layers.start();
     let layers = LayerRange::new(start, failed.stage.layers.end()).ok()?;
-    let stages = routing::cover(cx, &work.model, &work.version, layers, &row.failed)?;
+    let stages = routing::cover(cx, row, work, layers)?.stages;
     let attempt = Attempt(row.attempt.0 + 1);
     let sessions = stages
         .into_iter()
--- a/crates/core/src/systems/routing.rs
+++ b/crates/core/src/systems/routing.rs
@@ -1,66 +1,107 @@
 //! Chooses the backend servers of a request.
 //!
 //! For a pipeline, a chain of stages must cover the model's layers without a
-//! gap; the choice is a shortest path over layer boundaries. The design note
-//! is `docs/design/routing.md`.
+//! gap; the choice is a shortest path over layer boundaries. Each stage costs
+//! what the request would wait there, against the time that the engine itself
+//! needs, and the part of the request's time that its steps would take. The
+//! design note is `docs/design/routing.md`.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::{BTreeMap, btree_map::Entry},
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use super::Context;
 use crate::{
-    config::Carries,
-    ids::{LayerRange, ModelId, ServiceId, VersionId, VmId},
-    tables::{BackendRow, Stage},
+    config::RoutingPolicy,
+    ids::{LayerRange, ServiceId, VmId},
+    tables::{BackendRow, CompletionState, RequestRow, Stage, StageKey},
+    time::Timestamp,
 };
 
-/// Cost of one stage more, against cost of one request in flight.
-const STAGE_COST: u64 = 4;
+/// Waiting that one more request adds for the next, over the service time.
+const WAIT_PER_REQUEST: f64 = 0.25;
+/// Largest part by which a cost is raised at random, so that nodes that know
+/// the same do not choose the same.
+const NOISE: f64 = 0.1;
+/// Cost of one stage more for the baselines, against one request in flight.
+const STAGE_COST: f64 = 4.0;
 
-/// Chooses a chain over all layers of a version, avoiding `failed` ones.
-pub fn chain(
-    cx: &Context<'_>,
-    model: &ModelId,
-    version: &VersionId,
-    failed: &[VmId],
-) -> Option<Vec<Stage>> {
-    let layers = cx.tables.config.model(model)?.layers;
-    let all = LayerRange::new(0, layers).ok()?;
-    cover(cx, model, version, all, failed)
+/// A chain and what it is likely to take.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Chain {
+    /// The stages by rising layers.
+    pub stages: Vec<Stage>,
+    /// Likely time to the first token.
+    pub first_token: Duration,
+    /// Likely time between tokens.
+    pub token: Duration,
+    cost: f64,
+}
+
+/// What a choice goes by.
+struct Chooser<'a, 'c> {
+    cx: &'a Context<'c>,
+    policy: RoutingPolicy,
+    failed: &'a [VmId],
+    draws: StdRng,
+    /// Positions of the first step.
+    positions: u32,
+    /// Time that is left for each token, in microseconds.
+    token_budget_us: f64,
 }
 
-/// Chooses a chain over some layers of a version, avoiding `failed` ones.
+/// Chooses a chain over all layers of a request's version.
+pub fn chain(cx: &Context<'_>, row: &RequestRow, work: &CompletionState) -> Option<Chain> {
+    let layers = cx.tables.config.model(&work.model)?.layers;
+    cover(cx, row, work, LayerRange::new(0, layers).ok()?)
+}
+
+/// Chooses a chain over some layers of a request's version, without the
+/// backend servers that failed it.
 pub fn cover(
     cx: &Context<'_>,
-    model: &ModelId,
-    version: &VersionId,
+    row: &RequestRow,
+    work: &CompletionState,
     layers: LayerRange,
-    failed: &[VmId],
-) -> Option<Vec<Stage>> {
-    let usable = |row: &&BackendRow| row.takes_work(cx.now) && !failed.contains(&row.vm);
-    let begin = (layers.start(), (0, Vec::new()));
-    let mut best: BTreeMap<u16, (u64, Vec<Stage>)> = BTreeMap::from([begin]);
-    while let Some((at, (cost, path))) = best.pop_first() {
-        if at == layers.end() {
-            return Some(path);
+) -> Option<Chain> {
+    let stages = cx.tables.backends.stages(&work.model, &work.version)?;
+    let left = f64::from(work.max_tokens.saturating_sub(work.generated()).max(1));
+    let time = row.deadline.since(cx.now).as_secs_f64() * 1e6;
+    let mut chooser = Chooser {
+        cx,
+        policy: cx.tables.config.deployment().routing,
+        failed: &row.failed,
+        draws: draws(cx),
+        positions: u32::try_from(work.tokens.len()).unwrap_or(u32::MAX),
+        token_budget_us: (time / left).max(1.0),
+    };
+    let mut best = BTreeMap::from([(layers.start(), Chain::default())]);
+    while let Some((at, chain)) = best.pop_first() {
+        if at >= layers.end() {
+            return Some(chain);
         }
-        for row in cx.tables.backends.of_version(model, version).filter(usable) {
-            let Carries::Layers { layers: held, .. } = &row.carries else {
+        let covers = |key: &StageKey| {
+            key.layers.start() <= at
+                && key.layers.end() > at
+                && key.adapters.is_superset(&work.adapters)
+        };
+        for (key, slots) in stages.iter().filter(|(key, _)| covers(key)) {
+            let Some((cost, row)) = chooser.cheapest(slots) else {
                 continue;
             };
-            if held.start() > at || held.end() <= at {
-                continue;
-            }
-            let end = held.end().min(layers.end());
-            let cost = cost + STAGE_COST + u64::from(row.in_flight);
-            let known = best.get(&end).map(|(cost, _)| *cost);
-            if known.is_none_or(|known| cost < known) {
-                let mut path = path.clone();
-                path.push(Stage {
-                    vm: row.vm.clone(),
-                    address: row.address,
-                    layers: LayerRange::new(at, end).ok()?,
-                });
-                best.insert(end, (cost, path));
+            let end = key.layers.end().min(layers.end());
+            let longer = chooser.extend(&chain, cost, row, LayerRange::new(at, end).ok()?);
+            match best.entry(end) {
+                Entry::Vacant(entry) => {
+                    entry.insert(longer);
+                }
+                Entry::Occupied(mut entry) if longer.cost < entry.get().cost => {
+                    entry.insert(longer);
+                }
+                Entry::Occupied(_) => {}
             }
         }
     }
@@ -73,7 +114,128 @@
     service: &ServiceId,
     failed: &[VmId],
 ) -> Option<&'a BackendRow> {
-    let usable = |row: &&BackendRow| row.takes_work(cx.now) && !failed.contains(&row.vm);
-    let rows = cx.tables.backends.of_service(service).filter(usable);
-    rows.min_by_key(|row| row.in_flight)
+    let mut chooser = Chooser {
+        cx,
+        policy: cx.tables.config.deployment().routing,
+        failed,
+        draws: draws(cx),
+        positions: 1,
+        token_budget_us: f64::INFINITY,
+    };
+    let slots = cx.tables.backends.servers(service);
+    let (_, row) = chooser.cheapest(slots)?;
+    cx.tables.backends.get(&row.vm)
+}
+
+/// Makes a source of draws for one choice. A choice changes nothing, so the
+/// node's own generator stays as it is.
+fn draws(cx: &Context<'_>) -> StdRng {
+    let life = cx.cfg.identity.incarnation.0;
+    let counters = &cx.tables.counters;
+    let count = counters
+        .steps
+        .wrapping_add(counters.submitted.rotate_left(32));
+    StdRng::seed_from_u64(life ^ cx.now.0.rotate_left(16) ^ count)
+}
+
+impl<'a> Chooser<'a, '_> {
+    /// Returns the cheapest of some backend servers with its cost.
+    fn cheapest(&mut self, slots: &[usize]) -> Option<(f64, &'a BackendRow)> {
+        let sample = self.cx.cfg.routing.candidates as usize;
+        let scan = self.policy != RoutingPolicy::Predicted || slots.len() <= sample;
+        let mut best = None;
+        if scan {
+            for &slot in slots {
+                self.consider(slot, &mut best);
+            }
+            return best;
+        }
+        for _ in 0..sample {
+            let slot = slots[self.draws.random_range(0..slots.len())];
+            self.consider(slot, &mut best);
+        }
+        if best.is_none() {
+            let from = self.draws.random_range(0..slots.len());
+            let turned = slots[from..].iter().chain(&slots[..from]);
+            for &slot in turned {
+                self.consider(slot, &mut best);
+                if best.is_some() {
+                    break;
+                }
+            }
+        }
+        best
+    }
+
+    fn consider(&mut self, slot: usize, best: &mut Option<(f64, &'a BackendRow)>) {
+        let Some(row) = self.cx.tables.backends.slot(slot) else {
+            return;
+        };
+        if !row.takes_work(self.cx.now) || self.failed.contains(&row.vm) {
+            return;
+        }
+        let cost = self.cost(row);
+        if best.as_ref().is_none_or(|(known, _)| cost < *known) {
+            *best = Some((cost, row));
+        }
+    }
+
+    fn cost(&mut self, row: &BackendRow) -> f64 {
+        match self.policy {
+            RoutingPolicy::Predicted => {
+                let noise = self.draws.random_range(1.0..1.0 + NOISE);
+                let share = decode_us(row, self.cx.now) / self.token_budget_us;
+                (waiting(row, self.cx.now) + share) * noise
+            }
+            RoutingPolicy::LeastInFlight => {
+                let tie = self.draws.random::<f64>();
+                STAGE_COST + f64::from(row.in_flight) + tie
+            }
+            RoutingPolicy::RoundRobin => row.begun as f64,
+        }
+    }
+
+    fn extend(&self, chain: &Chain, cost: f64, row: &BackendRow, layers: LayerRange) -> Chain {
+        let now = self.cx.now;
+        let us = |us: f64| Duration::from_secs_f64(us.max(0.0) / 1e6);
+        let mut stages = chain.stages.clone();
+        stages.push(Stage {
+            vm: row.vm.clone(),
+            address: row.address,
+            layers,
+        });
+        let first = row.latency.step_us(now, self.positions).max(row.link_us);
+        Chain {
+            stages,
+            first_token: chain.first_token + us(first),
+            token: chain.token + us(decode_us(row, now)),
+            cost: chain.cost + cost,
+        }
+    }
+}
+
+/// Returns the time that a step is likely to wait, over the time that the
+/// engine itself needs for it. What this node sent since the last observation
+/// counts on top, because the observation can't show it yet.
+pub fn waiting(row: &BackendRow, now: Timestamp) -> f64 {
+    let latency = &row.latency;
+    if !latency.known() {
+        return f64::from(row.in_flight) * WAIT_PER_REQUEST;
+    }
+    let since = row.in_flight.saturating_sub(latency.in_flight);
+    let observed = latency.wait_at(now) / latency.service_us(row.link_us);
+    observed + f64::from(since) * WAIT_PER_REQUEST
+}
+
+fn decode_us(row: &BackendRow, now: Timestamp) -> f64 {
+    row.latency.step_us(now, 1).max(row.link_us)
+}
+
+/// Learns from a step or call that was answered.
+pub fn observe(cx: &mut Context<'_>, vm: &VmId, positions: u32, took: Duration) {
+    let now = cx.now;
+    if let Some(row) = cx.tables.backends.get_mut(vm) {
+        let in_flight = row.in_flight;
+        row.latency.observe(now, positions, took, in_flight);
+    }
 }
--- a/crates/core/src/tables/backends.rs
+++ b/crates/core/src/tables/backends.rs
@@ -1,17 +1,21 @@
 //! Backend servers: the VM list joined with the configuration.
+//!
+//! Rows stand in slots, and indexes name the slots, so that a choice among
+//! thousands of backend servers looks at a few of them; see
+//! `docs/design/routing.md`.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
 };
 
-use serde::Serialize;
+use serde::{Serialize, Serializer};
 
-use super::VmTable;
+use super::{Latency, VmTable};
 use crate::{
-    config::{Carries, Config},
-    ids::{FailureDomain, ModelId, ServiceId, VersionId, VmId},
-    platform::VmState,
+    config::{Backend, Carries, Config, Kind, Object, ObjectKey},
+    ids::{AdapterId, FailureDomain, LayerRange, ModelId, ServiceId, VersionId, VmId},
+    platform::{Vm, VmState},
     time::Timestamp,
 };
 
@@ -32,6 +36,13 @@
     pub in_flight: u32,
     /// Until when it gets no new work, after a failure.
     pub avoid_until: Timestamp,
+    /// Round trip in microseconds of the configured link to it; 0 if none is
+    /// configured.
+    pub link_us: f64,
+    /// How long its steps take.
+    pub latency: Latency,
+    /// Sessions and calls that this node has ever begun there.
+    pub begun: u64,
 }
 
 impl BackendRow {
@@ -39,73 +50,227 @@
     pub fn takes_work(&self, now: Timestamp) -> bool {
         self.state == VmState::Live && self.avoid_until <= now
     }
+
+    /// Counts work that begins there.
+    pub fn begin(&mut self) {
+        self.in_flight += 1;
+        self.begun += 1;
+    }
+
+    /// Counts work that ended there.
+    pub fn end(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+}
+
+/// What engines of a version have in common for routing.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StageKey {
+    /// The layers that they hold.
+    pub layers: LayerRange,
+    /// The adapters that they carry.
+    pub adapters: BTreeSet<AdapterId>,
 }
 
-/// Backend servers by VM, with an index by what they carry.
-#[derive(Debug, Default, Serialize)]
+/// The engines of one version, by what they hold.
+pub type Stages = BTreeMap<StageKey, Vec<usize>>;
+
+/// Backend servers by VM, with indexes by what they carry.
+#[derive(Debug, Default)]
 pub struct BackendTable {
-    rows: BTreeMap<VmId, BackendRow>,
-    #[serde(skip)]
-    by_version: BTreeMap<(ModelId, VersionId), BTreeSet<VmId>>,
-    #[serde(skip)]
-    by_service: BTreeMap<ServiceId, BTreeSet<VmId>>,
+    slots: Vec<Option<BackendRow>>,
+    free: Vec<usize>,
+    by_vm: BTreeMap<VmId, usize>,
+    by_version: BTreeMap<ModelId, BTreeMap<VersionId, Stages>>,
+    by_service: BTreeMap<ServiceId, Vec<usize>>,
+    home: Option<FailureDomain>,
 }
 
 impl BackendTable {
+    /// Sets the failure domain from which links are counted.
+    pub fn set_home(&mut self, home: FailureDomain) {
+        self.home = Some(home);
+    }
+
     /// Joins the VM list with the configuration anew, keeping what was
     /// learned of backend servers that are still there.
     pub fn rebuild(&mut self, config: &Config, vms: &VmTable) {
-        let mut old = std::mem::take(&mut self.rows);
-        self.by_version.clear();
-        self.by_service.clear();
+        let gone: Vec<VmId> = self.by_vm.keys().cloned().collect();
+        let mut gone: BTreeSet<VmId> = gone.into_iter().collect();
+        let links = self.links(config);
         for backend in config.backends() {
-            let Some(vm) = vms.get(&backend.id) else {
-                continue;
-            };
-            let learned = old.remove(&backend.id);
-            let row = BackendRow {
-                vm: backend.id.clone(),
-                address: vm.address,
-                failure_domain: vm.failure_domain.clone(),
-                carries: backend.carries.clone(),
-                state: vm.state,
-                in_flight: learned.as_ref().map_or(0, |row| row.in_flight),
-                avoid_until: learned.map_or(Timestamp::default(), |row| row.avoid_until),
+            gone.remove(&backend.id);
+            self.join(backend, vms.get(&backend.id), &links);
+        }
+        for vm in gone {
+            self.remove(&vm);
+        }
+    }
+
+    /// Joins one backend server anew, after its configuration or its VM changed.
+    pub fn update(&mut self, config: &Config, vms: &VmTable, vm: &VmId) {
+        let key = ObjectKey {
+            kind: Kind::Backend,
+            name: vm.to_string(),
+        };
+        let links = self.links(config);
+        match config.objects().get(&key).map(|entry| &entry.object) {
+            Some(Object::Backend(backend)) => self.join(backend, vms.get(vm), &links),
+            _ => self.remove(vm),
+        }
+    }
+
+    /// Returns the round trips of the links that begin or end at home.
+    fn links(&self, config: &Config) -> BTreeMap<FailureDomain, f64> {
+        let mut links = BTreeMap::new();
+        let first = ObjectKey {
+            kind: Kind::Link,
+            name: String::new(),
+        };
+        for entry in config.objects().range(first..).map(|(_, entry)| entry) {
+            let Object::Link(link) = &entry.object else {
+                break;
             };
-            self.index(&row);
-            self.rows.insert(row.vm.clone(), row);
+            let one_way = link.one_way_us as f64;
+            if self.home.as_ref() == Some(&link.from) {
+                *links.entry(link.to.clone()).or_default() += one_way;
+            }
+            if self.home.as_ref() == Some(&link.to) {
+                *links.entry(link.from.clone()).or_default() += one_way;
+            }
         }
+        links
     }
 
-    fn index(&mut self, row: &BackendRow) {
-        let vm = row.vm.clone();
-        match &row.carries {
-            Carries::Layers { model, version, .. } => {
-                let key = (model.clone(), version.clone());
-                self.by_version.entry(key).or_default().insert(vm);
+    fn join(&mut self, backend: &Backend, vm: Option<&Vm>, links: &BTreeMap<FailureDomain, f64>) {
+        let Some(vm) = vm else {
+            return self.remove(&backend.id);
+        };
+        let link_us = links.get(&vm.failure_domain).copied().unwrap_or(0.0);
+        if let Some(row) = self.get_mut(&backend.id) {
+            let same_life = row.address == vm.address;
+            if !same_life {
+                row.latency = Latency::default();
+            }
+            row.address = vm.address;
+            row.state = vm.state;
+            row.link_us = link_us;
+            row.failure_domain = vm.failure_domain.clone();
+            if row.carries == backend.carries {
+                return;
+            }
+        }
+        let old = self.take(&backend.id);
+        let old = old.as_ref();
+        self.insert(BackendRow {
+            vm: backend.id.clone(),
+            address: vm.address,
+            failure_domain: vm.failure_domain.clone(),
+            carries: backend.carries.clone(),
+            state: vm.state,
+            in_flight: old.map_or(0, |row| row.in_flight),
+            avoid_until: old.map_or(Timestamp::default(), |row| row.avoid_until),
+            link_us,
+            latency: Latency::default(),
+            begun: 0,
+        });
+    }
+
+    fn insert(&mut self, row: BackendRow) {
+        let slot = self.free.pop().unwrap_or(self.slots.len());
+        self.by_vm.insert(row.vm.clone(), slot);
+        self.index(&row.carries).push(slot);
+        if slot == self.slots.len() {
+            self.slots.push(Some(row));
+        } else {
+            self.slots[slot] = Some(row);
+        }
+    }
+
+    fn remove(&mut self, vm: &VmId) {
+        self.take(vm);
+    }
+
+    fn take(&mut self, vm: &VmId) -> Option<BackendRow> {
+        let slot = self.by_vm.remove(vm)?;
+        let row = self.slots[slot].take()?;
+        self.free.push(slot);
+        let index = self.index(&row.carries);
+        if let Some(at) = index.iter().position(|&s| s == slot) {
+            index.swap_remove(at);
+        }
+        self.drop_empty(&row.carries);
+        Some(row)
+    }
+
+    /// Returns the slots of backend servers that carry the same.
+    fn index(&mut self, carries: &Carries) -> &mut Vec<usize> {
+        match carries {
+            Carries::Layers {
+                model,
+                version,
+                layers,
+                adapters,
+            } => {
+                let versions = self.by_version.entry(model.clone()).or_default();
+                let stages = versions.entry(version.clone()).or_default();
+                let key = StageKey {
+                    layers: *layers,
+                    adapters: adapters.clone(),
+                };
+                stages.entry(key).or_default()
             }
-            Carries::Service(service) => {
-                self.by_service
-                    .entry(service.clone())
-                    .or_default()
-                    .insert(vm);
+            Carries::Service(service) => self.by_service.entry(service.clone()).or_default(),
+        }
+    }
+
+    fn drop_empty(&mut self, carries: &Carries) {
+        match carries {
+            Carries::Layers { model, version, .. } => {
+                let Some(versions) = self.by_version.get_mut(model) else {
+                    return;
+                };
+                if let Some(stages) = versions.get_mut(version) {
+                    stages.retain(|_, slots| !slots.is_empty());
+                }
+                versions.retain(|_, stages| !stages.is_empty());
+                if versions.is_empty() {
+                    self.by_version.remove(model);
+                }
             }
+            Carries::Service(_) => self.by_service.retain(|_, slots| !slots.is_empty()),
         }
     }
 
     /// Returns a backend server.
     pub fn get(&self, vm: &VmId) -> Option<&BackendRow> {
-        self.rows.get(vm)
+        self.by_vm.get(vm).and_then(|&slot| self.slot(slot))
     }
 
     /// Returns a backend server for a change of what was learned.
     pub fn get_mut(&mut self, vm: &VmId) -> Option<&mut BackendRow> {
-        self.rows.get_mut(vm)
+        let slot = *self.by_vm.get(vm)?;
+        self.slots[slot].as_mut()
+    }
+
+    /// Returns the backend server of a slot that an index named.
+    pub fn slot(&self, slot: usize) -> Option<&BackendRow> {
+        self.slots.get(slot).and_then(Option::as_ref)
     }
 
     /// Returns all backend servers.
     pub fn iter(&self) -> impl Iterator<Item = &BackendRow> {
-        self.rows.values()
+        self.by_vm.values().filter_map(|&slot| self.slot(slot))
+    }
+
+    /// Returns the engines of a version by what they hold.
+    pub fn stages(&self, model: &ModelId, version: &VersionId) -> Option<&Stages> {
+        self.by_version.get(model)?.get(version)
+    }
+
+    /// Returns the slots of the servers of a plain service.
+    pub fn servers(&self, service: &ServiceId) -> &[usize] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
     /// Returns the backend servers that carry layers of a version.
@@ -114,14 +279,26 @@
         model: &ModelId,
         version: &VersionId,
     ) -> impl Iterator<Item = &BackendRow> {
-        let key = (model.clone(), version.clone());
-        let vms = self.by_version.get(&key).into_iter().flatten();
-        vms.filter_map(|vm| self.rows.get(vm))
+        let stages = self.stages(model, version).into_iter();
+        let slots = stages.flat_map(|stages| stages.values().flatten());
+        slots.filter_map(|&slot| self.slot(slot))
     }
 
     /// Returns the backend servers that carry a plain service.
     pub fn of_service(&self, service: &ServiceId) -> impl Iterator<Item = &BackendRow> {
-        let vms = self.by_service.get(service).into_iter().flatten();
-        vms.filter_map(|vm| self.rows.get(vm))
+        let slots = self.servers(service).iter();
+        slots.filter_map(|&slot| self.slot(slot))
+    }
+}
+
+impl Serialize for BackendTable {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let rows = self.iter().map(|row| (&row.vm, row)).collect();
+        Dump { rows }.serialize(serializer)
     }
 }
+
+#[derive(Serialize)]
+struct Dump<'a> {
+    rows: BTreeMap<&'a VmId, &'a BackendRow>,
+}
--- a/crates/core/src/tables/completions.rs
+++ b/crates/core/src/tables/completions.rs
@@ -3,13 +3,13 @@
 //! What a request keeps so that a stage can be replaced is bounded; see
 //! `docs/design/recovery.md`.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use serde::Serialize;
 
 use crate::{
     engine::{KvCache, StageInput},
-    ids::{Attempt, LayerRange, ModelId, PipelineId, Position, StepId, VersionId, VmId},
+    ids::{AdapterId, Attempt, LayerRange, ModelId, PipelineId, Position, StepId, VersionId, VmId},
     time::{TimerId, Timestamp},
 };
 
@@ -153,6 +153,8 @@
     pub model: ModelId,
     /// Its version.
     pub version: VersionId,
+    /// The adapters that its engines must carry.
+    pub adapters: BTreeSet<AdapterId>,
     /// Prompt and generated tokens.
     #[serde(skip)]
     pub tokens: Vec<u32>,
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -3,15 +3,17 @@
 mod backends;
 mod completions;
 mod counters;
+mod latency;
 mod members;
 mod pace;
 mod requests;
 mod retry_budget;
 mod vms;
 
-pub use backends::{BackendRow, BackendTable};
+pub use backends::{BackendRow, BackendTable, StageKey, Stages};
 pub use completions::{CompletionState, Exchange, KeptInputs, OpenExchange, Stage, StageSession};
 pub use counters::Counters;
+pub use latency::Latency;
 pub use members::{MemberRow, MemberTable};
 pub use pace::{Pace, PaceTable};
 pub use requests::{CallState, RequestRow, RequestTable, Work};
--- a/crates/daemon/src/configs/mod.rs
+++ b/crates/daemon/src/configs/mod.rs
@@ -10,10 +10,11 @@
 mod platform;
 mod recovery;
 mod retry;
+mod routing;
 
 pub(crate) use self::{
     admission::read_admission, directory::read_directory, membership::read_membership,
-    recovery::read_recovery, retry::read_retry,
+    recovery::read_recovery, retry::read_retry, routing::read_routing,
 };
 pub use self::{
     log::{LogConfig, LogFormat},
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -96,6 +96,7 @@
             membership: settings.membership.clone(),
             recovery: settings.recovery.clone(),
             retry: settings.retry.clone(),
+            routing: settings.routing.clone(),
         };
         Ok(Self {
             node: Mutex::new(Node::new(cfg, seed)),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -9,12 +9,12 @@
 
 use ini::Ini;
 use radishhaven_core::configs::{
-    AdmissionConfig, DirectoryConfig, MembershipConfig, RecoveryConfig, RetryConfig,
+    AdmissionConfig, DirectoryConfig, MembershipConfig, RecoveryConfig, RetryConfig, RoutingConfig,
 };
 
 use crate::configs::{
     LogConfig, NodeConfig, PeersConfig, PlatformConfig, read_admission, read_directory,
-    read_membership, read_recovery, read_retry,
+    read_membership, read_recovery, read_retry, read_routing,
 };
 
 /// A file with every setting, its default and its unit.
@@ -41,6 +41,8 @@
     pub recovery: RecoveryConfig,
     /// `[retry]`.
     pub retry: RetryConfig,
+    /// `[routing]`.
+    pub routing: RoutingConfig,
 }
 
 /// One mistake in a settings file.
@@ -305,6 +307,7 @@
         let membership = reader.section("membership", read_membership);
         let recovery = reader.section("recovery", read_recovery);
         let retry = reader.section("retry", read_retry);
+        let routing = reader.section("routing", read_routing);
         reader.reject_other_sections();
         match (node, peers, platform) {
             (Some(node), Some(peers), Some(platform)) if reader.errors.is_empty() => Ok(Self {
@@ -317,6 +320,7 @@
                 membership,
                 recovery,
                 retry,
+                routing,
             }),
             _ => Err(SettingsErrors(reader.errors)),
         }
