--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,12 @@
 pub mod outcome;
 pub mod peer;
 pub mod platform;
+pub mod rendezvous;
 pub mod systems;
 pub mod tables;
 pub mod time;
+
+/// The embedders' page, whose examples run as tests.
+#[cfg(doctest)]
+#[doc = include_str!("../../../docs/EMBEDDING.md")]
+pub struct EmbeddingPage;
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -6,6 +6,7 @@
 mod latency;
 mod members;
 mod pace;
+mod probes;
 mod requests;
 mod retry_budget;
 mod vms;
@@ -14,8 +15,9 @@
 pub use completions::{CompletionState, Exchange, KeptInputs, OpenExchange, Stage, StageSession};
 pub use counters::Counters;
 pub use latency::Latency;
-pub use members::{MemberRow, MemberTable};
+pub use members::{MemberRow, MemberTable, Merged};
 pub use pace::{Pace, PaceTable};
+pub use probes::{MemberView, ProbeTable};
 pub use requests::{CallState, RequestRow, RequestTable, Work};
 pub use retry_budget::RetryBudget;
 pub use vms::VmTable;
@@ -35,6 +37,8 @@
     pub vms: VmTable,
     /// Other entry nodes, as heard from themselves.
     pub members: MemberTable,
+    /// This node's own part in membership.
+    pub probes: ProbeTable,
     /// Backend servers: the VM list joined with the configuration.
     pub backends: BackendTable,
     /// Requests: open ones and recent outcomes.
--- a/crates/standin/examples/load/drive.rs
+++ b/crates/standin/examples/load/drive.rs
@@ -12,7 +12,7 @@
 use radishhaven_core::outcome::Outcome;
 use radishhaven_standin::{
     cpu,
-    deployment::{Deployment, DeploymentError, Plan},
+    deployment::{Deployment, DeploymentError, NODE_THREAD, Plan},
 };
 use serde_json::json;
 use tokio::{task::JoinSet, time::Instant};
@@ -27,8 +27,6 @@
 const PROGRESS: Duration = Duration::from_secs(2);
 /// Time after the last deadline within which every answer should be there.
 const GRACE: Duration = Duration::from_secs(2);
-/// What the names of the nodes' threads begin with.
-const NODE_THREADS: &str = "node-";
 
 /// Why a run was not whole.
 #[derive(Debug, thiserror::Error)]
@@ -205,6 +203,6 @@
 
 /// Returns the processor seconds of the nodes' threads and of all threads.
 fn cpu_seconds() -> std::io::Result<(f64, f64)> {
-    let nodes = cpu::threads(NODE_THREADS)?;
+    let nodes = cpu::threads(NODE_THREAD)?;
     Ok((nodes.as_secs_f64(), cpu::threads("")?.as_secs_f64()))
 }
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -16,8 +16,8 @@
         Object, Organisation, Pipeline, RoutingPolicy, Service,
     },
     ids::{
-        BatchId, FailureDomain, LayerRange, ModelId, PipelineId, Priority, ServiceId, VersionId,
-        VmId,
+        BatchId, FailureDomain, LayerRange, ModelId, PipelineId, Priority, Revision, ServiceId,
+        VersionId, VmId,
     },
     platform::{Vm, VmList, VmRole, VmState},
 };
@@ -42,6 +42,9 @@
 
 /// Time within which nodes should have read log and VM list.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Name of the threads of entry nodes, by which their processor time is told
+/// from that of the stand-ins.
+pub const NODE_THREAD: &str = "node-";
 /// Time between two looks at whether nodes are ready.
 const READY_POLL: Duration = Duration::from_millis(5);
 
@@ -276,6 +279,8 @@
         Batch {
             format: BATCH_FORMAT,
             batch: id::<BatchId>("first"),
+            planned: Revision(0),
+            source: None,
             base: BTreeMap::new(),
             changes: objects.into_iter().map(Change::Put).collect(),
         }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod deployment;
 pub mod engine;
 pub mod log;
+pub mod net;
 pub mod reference;
 pub mod runtime;
 pub mod service;
