--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -10,6 +10,7 @@
 mod once;
 mod recovery;
 mod retry;
+mod routing;
 
 pub use admission::AdmissionConfig;
 pub use directory::DirectoryConfig;
@@ -18,6 +19,7 @@
 pub use once::OnceConfig;
 pub use recovery::RecoveryConfig;
 pub use retry::RetryConfig;
+pub use routing::RoutingConfig;
 
 /// All settings of the decisions.
 #[derive(Debug, Clone)]
@@ -36,6 +38,8 @@
     pub recovery: RecoveryConfig,
     /// `[retry]`.
     pub retry: RetryConfig,
+    /// `[routing]`.
+    pub routing: RoutingConfig,
 }
 
 impl Configs {
@@ -49,6 +53,7 @@
             once: OnceConfig::default(),
             recovery: RecoveryConfig::default(),
             retry: RetryConfig::default(),
+            routing: RoutingConfig::default(),
         }
     }
 }
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -104,6 +104,7 @@
             },
             recovery: settings.recovery.clone(),
             retry: settings.retry.clone(),
+            routing: settings.routing.clone(),
         };
         Ok(Self {
             node: Mutex::new(Node::new(cfg, seed)),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -15,11 +15,12 @@
 use ini::Ini;
 use radishhaven_core::configs::{
     AdmissionConfig, DirectoryConfig, MembershipConfig, OnceConfig, RecoveryConfig, RetryConfig,
+    RoutingConfig,
 };
 
 use crate::configs::{
     LogConfig, NodeConfig, PeersConfig, PlatformConfig, read_admission, read_directory,
-    read_membership, read_once, read_recovery, read_retry,
+    read_membership, read_once, read_recovery, read_retry, read_routing,
 };
 
 /// A file with every setting, its default and its unit.
@@ -48,6 +49,8 @@
     pub recovery: RecoveryConfig,
     /// `[retry]`.
     pub retry: RetryConfig,
+    /// `[routing]`.
+    pub routing: RoutingConfig,
 }
 
 /// One mistake in a settings file.
@@ -343,6 +346,7 @@
         let once = reader.section("once", read_once);
         let recovery = reader.section("recovery", read_recovery);
         let retry = reader.section("retry", read_retry);
+        let routing = reader.section("routing", read_routing);
         reader.reject_other_sections();
         match (node, peers, platform) {
             (Some(node), Some(peers), Some(platform)) if reader.errors.is_empty() => Ok(Self {
@@ -356,6 +360,7 @@
                 once,
                 recovery,
                 retry,
+                routing,
             }),
             _ => Err(SettingsErrors(reader.errors)),
         }
