--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -3,6 +3,7 @@
 mod backends;
 mod completions;
 mod counters;
+mod latency;
 mod members;
 mod pace;
 mod probes;
@@ -10,9 +11,10 @@
 mod retry_budget;
 mod vms;
 
-pub use backends::{BackendRow, BackendTable};
+pub use backends::{BackendRow, BackendTable, StageKey, Stages};
 pub use completions::{CompletionState, Exchange, KeptInputs, OpenExchange, Stage, StageSession};
 pub use counters::Counters;
+pub use latency::Latency;
 pub use members::{MemberRow, MemberTable, Merged};
 pub use pace::{Pace, PaceTable};
 pub use probes::{MemberView, ProbeTable};
