--- a/crates/core/src/configs/admission.rs
+++ b/crates/core/src/configs/admission.rs
@@ -17,6 +17,18 @@
     pub max_deadline: Duration,
     /// Shortest time after which a rejected caller should ask again. Default: 200 ms.
     pub retry_after: Duration,
+    /// Longest time after which a rejected caller should ask again. Default: 10 s.
+    pub max_retry_after: Duration,
+    /// Time between two adjustments of the limits. Default: 50 ms.
+    pub control_interval: Duration,
+    /// Requests for one version that a node runs at one time before it has
+    /// learned its limit. Default: 16.
+    pub initial_limit: u32,
+    /// Time that steps should wait at engines when there is more work than
+    /// room, in percent of the time that the engines need. Default: 150.
+    pub target_wait_percent: u32,
+    /// Longest time that a request waits for room at the node. Default: 500 ms.
+    pub max_wait: Duration,
 }
 
 impl Default for AdmissionConfig {
@@ -28,6 +40,11 @@
             default_deadline: Duration::from_secs(60),
             max_deadline: Duration::from_secs(600),
             retry_after: Duration::from_millis(200),
+            max_retry_after: Duration::from_secs(10),
+            control_interval: Duration::from_millis(50),
+            initial_limit: 16,
+            target_wait_percent: 150,
+            max_wait: Duration::from_millis(500),
         }
     }
 }
--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -7,6 +7,7 @@
 mod directory;
 mod identity;
 mod membership;
+mod once;
 mod recovery;
 mod retry;
 mod routing;
@@ -15,6 +16,7 @@
 pub use directory::DirectoryConfig;
 pub use identity::Identity;
 pub use membership::MembershipConfig;
+pub use once::OnceConfig;
 pub use recovery::RecoveryConfig;
 pub use retry::RetryConfig;
 pub use routing::RoutingConfig;
@@ -30,6 +32,8 @@
     pub directory: DirectoryConfig,
     /// `[membership]`.
     pub membership: MembershipConfig,
+    /// `[once]`.
+    pub once: OnceConfig,
     /// `[recovery]`.
     pub recovery: RecoveryConfig,
     /// `[retry]`.
@@ -46,6 +50,7 @@
             admission: AdmissionConfig::default(),
             directory: DirectoryConfig::default(),
             membership: MembershipConfig::default(),
+            once: OnceConfig::default(),
             recovery: RecoveryConfig::default(),
             retry: RetryConfig::default(),
             routing: RoutingConfig::default(),
--- a/crates/core/src/systems/admission.rs
+++ b/crates/core/src/systems/admission.rs
@@ -7,7 +7,7 @@
 
 use subtle::ConstantTimeEq;
 
-use super::{Context, Timer, answer, calls, completion, minting};
+use super::{Context, Timer, answer, calls, completion, limits, once};
 use crate::{
     config::Organisation,
     ids::{Attempt, RequestKey},
@@ -16,11 +16,19 @@
     tables::{CallState, CompletionState, OpenExchange, RequestRow, Work},
 };
 
-/// Takes a request on or rejects it; runs once for each request.
+/// Takes a request on, rejects it or leaves it to its home; runs once for each
+/// request.
 pub fn run(cx: &mut Context<'_>, key: RequestKey, submission: Submission) {
     cx.tables.counters.submitted += 1;
+    if let Some(submission) = once::arrive(cx, key, submission) {
+        take_on(cx, key, submission);
+    }
+}
+
+/// Takes a request on or rejects it, once it is known that it goes on here.
+pub fn take_on(cx: &mut Context<'_>, key: RequestKey, submission: Submission) {
     cx.tables.retries.credit(cx.now, &cx.cfg.retry);
-    match check(cx, submission) {
+    match check(cx, key, submission) {
         Ok(row) => start(cx, key, row),
         Err((reason, message)) => answer::reject(cx, key, None, reason, message),
     }
@@ -28,7 +36,11 @@
 
 type Rejection = (NotRun, String);
 
-fn check(cx: &mut Context<'_>, submission: Submission) -> Result<RequestRow, Rejection> {
+fn check(
+    cx: &mut Context<'_>,
+    key: RequestKey,
+    submission: Submission,
+) -> Result<RequestRow, Rejection> {
     let organisation = organisation(cx, &submission.token_sha256).ok_or_else(|| {
         (
             NotRun::Unauthorised,
@@ -46,9 +58,11 @@
     if within.is_zero() {
         return Err((NotRun::Late, "the deadline has passed".to_owned()));
     }
+    let idempotent = is_idempotent(cx, &submission);
     let id = match submission.id {
         Some(id) => id,
-        None => minting::mint(&cx.cfg.identity, &mut cx.tables.requests),
+        None if idempotent => once::mint(cx, false),
+        None => once::adopt(cx, key, organisation.id.clone(), &submission.demand),
     };
     Ok(RequestRow {
         id,
@@ -58,11 +72,10 @@
             .min(organisation.priority),
         deadline: cx.now + within.min(cx.cfg.admission.max_deadline),
         admitted: cx.now,
-        idempotent: submission
-            .idempotent
-            .unwrap_or_else(|| idempotent(cx, &submission.demand)),
+        idempotent,
         organisation: organisation.id,
         attempt: Attempt(0),
+        waiting: false,
         started: false,
         doubt: false,
         failed: Vec::new(),
@@ -71,7 +84,8 @@
     })
 }
 
-fn organisation(cx: &Context<'_>, token_sha256: &[u8; 32]) -> Option<Organisation> {
+/// Returns the organisation whose bearer token has this digest.
+pub fn organisation(cx: &Context<'_>, token_sha256: &[u8; 32]) -> Option<Organisation> {
     let hex: String = token_sha256.iter().map(|b| format!("{b:02x}")).collect();
     let same = |o: &&Organisation| bool::from(o.token_sha256.as_bytes().ct_eq(hex.as_bytes()));
     cx.tables.config.organisations().find(same).cloned()
@@ -79,7 +93,7 @@
 
 fn check_limits(cx: &Context<'_>, organisation: &Organisation) -> Result<(), Rejection> {
     let own = cx.tables.requests.in_flight(&organisation.id);
-    if own >= organisation.max_in_flight {
+    if own >= cx.tables.limits.part(organisation.max_in_flight) {
         let message = format!("{} requests of {} are in flight", own, organisation.id);
         return Err((NotRun::OverLimit, message));
     }
@@ -89,6 +103,13 @@
     Ok(())
 }
 
+/// Tells whether a request may run more than once: by the caller's word, or
+/// else by the configuration.
+pub fn is_idempotent(cx: &Context<'_>, submission: &Submission) -> bool {
+    let stated = submission.idempotent;
+    stated.unwrap_or_else(|| idempotent(cx, &submission.demand))
+}
+
 fn idempotent(cx: &Context<'_>, demand: &Demand) -> bool {
     match demand {
         Demand::Completion { .. } => true,
@@ -128,6 +149,7 @@
                 tokens: prompt.clone(),
                 max_tokens: *max_tokens,
                 chain: Vec::new(),
+                sessions: 0,
                 open: OpenExchange::default(),
             }))
         }
@@ -160,11 +182,22 @@
     );
     let id = row.id.clone();
     let call = matches!(row.work, Work::Call(_));
+    row.waiting = !call && row.idempotent;
+    let waiting = row.waiting;
+    let organisation = cx.tables.config.organisation(&row.organisation);
+    let share = organisation.map_or(1, |o| o.share);
     cx.tables.requests.insert(key, row);
+    if waiting {
+        return limits::admit(cx, key, share);
+    }
     cx.out.push(Action::Reply {
         key,
         reply: Reply::Admitted { id },
     });
+    limits::count(cx, key);
+    if once::begin(cx, key) {
+        return;
+    }
     if call {
         calls::start(cx, key)
     } else {
@@ -172,12 +205,15 @@
     }
 }
 
-/// Spreads the time at which a rejected caller should come back, between once
-/// and twice the shortest time, so that callers don't return together.
+/// Tells a rejected caller when to come back: the later, the more of the
+/// arriving work finds no room, and spread between once and twice that time,
+/// so that callers don't return together.
 pub fn retry_after(cx: &mut Context<'_>) -> Duration {
     use rand::Rng;
-    cx.cfg
-        .admission
-        .retry_after
-        .mul_f64(cx.rng.random_range(1.0..2.0))
+    let cfg = &cx.cfg.admission;
+    let limits = &cx.tables.limits;
+    let surplus = limits.rejected_per_s / limits.admitted_per_s.max(1.0);
+    let after = cfg.retry_after.mul_f64(1.0 + surplus);
+    let after = after.mul_f64(cx.rng.random_range(1.0..2.0));
+    after.min(cfg.max_retry_after)
 }
--- a/crates/core/src/systems/answer.rs
+++ b/crates/core/src/systems/answer.rs
@@ -3,7 +3,7 @@
 
 use sha2::{Digest, Sha256};
 
-use super::{Context, admission, completion};
+use super::{Context, admission, completion, limits};
 use crate::{
     engine::END_TOKEN,
     ids::{RequestId, RequestKey},
@@ -21,14 +21,16 @@
     bytes.collect()
 }
 
-fn hex_digest(text: &str) -> String {
+/// Returns the SHA-256 of a text, in hex.
+pub fn hex_digest(text: &str) -> String {
     Sha256::digest(text.as_bytes())
         .iter()
         .map(|b| format!("{b:02x}"))
         .collect()
 }
 
-fn give(cx: &mut Context<'_>, key: RequestKey, done: Done) {
+/// Gives a caller the end of its answer.
+pub fn give(cx: &mut Context<'_>, key: RequestKey, done: Done) {
     *cx.tables
         .counters
         .outcomes
@@ -167,6 +169,7 @@
 fn close(cx: &mut Context<'_>, key: RequestKey, outcome: Outcome) -> Option<RequestRow> {
     completion::release(cx, key);
     let row = cx.tables.requests.finish(key, outcome)?;
+    limits::left(cx, key, &row);
     if let Some(timer) = row.deadline_timer {
         cx.tables.timers.cancel(timer);
     }
--- a/crates/core/src/systems/completion.rs
+++ b/crates/core/src/systems/completion.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use super::{
-    Context, Timer, answer, export,
+    Context, Timer, answer, export, limits,
     recovery::{self, Failure},
     routing,
 };
@@ -29,7 +29,6 @@
     let Work::Completion(work) = &row.work else {
         return;
     };
-    let attempt = row.attempt;
     let Some(chain) = routing::chain(cx, row, work) else {
         return answer::give_up(cx, key, NotRun::NoCapacity, "no chain covers all layers");
     };
@@ -38,8 +37,10 @@
         occupy(cx, &stage.vm);
     }
     if let Some(work) = completion_mut(cx, key) {
-        let session = |stage| StageSession::new(stage, attempt);
-        work.chain = chain.into_iter().map(session).collect();
+        for stage in chain {
+            let attempt = work.next_attempt();
+            work.chain.push(StageSession::new(stage, attempt));
+        }
         work.open.stage = 0;
     }
     proceed(cx, key);
@@ -317,7 +318,9 @@
     export::trim(session, most);
     let vm = session.stage.vm.clone();
     cx.tables.pace.observe(&vm, positions, now.since(sent));
-    routing::observe(cx, &vm, positions, now.since(sent));
+    if let Some((wait, service)) = routing::observe(cx, &vm, positions, now.since(sent)) {
+        limits::observe(cx, key, wait, service);
+    }
     match output {
         StageOutput::Activations(values) => {
             if let Some(work) = completion_mut(cx, key) {
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -10,8 +10,9 @@
 pub mod directory;
 pub mod drain;
 pub mod export;
+pub mod limits;
 pub mod membership;
-pub mod minting;
+pub mod once;
 pub mod platform;
 pub mod recovery;
 pub mod routing;
@@ -47,10 +48,16 @@
 pub enum Timer {
     /// A request's deadline.
     Deadline(RequestKey),
+    /// The next adjustment of the limits.
+    Limits,
+    /// The end of the time that a request may wait for room.
+    Waiting(RequestKey),
     /// The next round of membership's probes.
     Heartbeat,
     /// The end of the time for which a node may be suspect.
     Suspicion(VmId),
+    /// A question for running a request at most once.
+    Once(once::OnceTimer),
     /// The bound on an exchange with an engine, or the end of a wait.
     Exchange {
         /// The request.
@@ -68,7 +75,12 @@
     match event {
         Event::Tick => {}
         Event::Submit { key, submission } => admission::run(cx, key, *submission),
-        Event::CallerGone { key } => answer::abandon(cx, key),
+        Event::CallerGone { key } => {
+            if !once::caller_gone(cx, key) {
+                answer::abandon(cx, key);
+            }
+        }
+        Event::Inquire { key, id } => once::status(cx, key, id),
         Event::StepDone { key, step, result } => completion::step_done(cx, key, step, result),
         Event::ImportDone { key, step, result } => completion::import_done(cx, key, step, result),
         Event::ExportDone {
@@ -91,13 +103,18 @@
         Event::ConfigReadFailed => cx.tables.counters.log_failures += 1,
         Event::VmList(list) => platform::vm_list(cx, list),
         Event::Peer { from, message } => peer_message(cx, from, message),
-        Event::PeerUnreachable { .. } => {}
-        Event::Start => membership::round(cx),
+        Event::PeerUnreachable { vm } => once::unreachable(cx, &vm),
+        Event::Start => {
+            membership::round(cx);
+            limits::tick(cx);
+        }
         Event::Drain => {
             drain::run(cx);
             membership::announce(cx);
         }
     }
+    limits::pump(cx);
+    once::deliver(cx);
 }
 
 fn peer_message(cx: &mut Context<'_>, from: Sender, message: PeerMessage) {
@@ -106,6 +123,7 @@
     }
     match message {
         PeerMessage::Gossip(gossip) => membership::heard(cx, &from, gossip),
+        PeerMessage::Once(message) => once::message(cx, from, message),
     }
 }
 
@@ -113,7 +131,10 @@
     match timer {
         Timer::Heartbeat => membership::round(cx),
         Timer::Suspicion(vm) => membership::suspicion_over(cx, &vm),
+        Timer::Once(timer) => once::expire(cx, timer),
         Timer::Deadline(key) => answer::deadline(cx, key),
+        Timer::Limits => limits::tick(cx),
+        Timer::Waiting(key) => limits::waited(cx, key),
         Timer::Exchange { key, step } => completion::exchange_due(cx, key, step),
     }
 }
--- a/crates/core/src/tables/counters.rs
+++ b/crates/core/src/tables/counters.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 /// Counts since the node's start.
-#[derive(Debug, Default, Serialize)]
+#[derive(Debug, Clone, Default, Serialize)]
 pub struct Counters {
     /// Requests that arrived.
     pub submitted: u64,
@@ -35,6 +35,12 @@
     pub budget_waits: u64,
     /// Steps that were not answered in time.
     pub step_timeouts: u64,
+    /// Messages of other nodes for running requests at most once.
+    pub once_messages: u64,
+    /// Requests that were not run because a witness did not consent.
+    pub once_unwitnessed: u64,
+    /// Requests whose home did not answer, so that witnesses were asked.
+    pub once_seals: u64,
     /// Reads of the log that failed.
     pub log_failures: u64,
 }
--- a/crates/core/src/tables/requests.rs
+++ b/crates/core/src/tables/requests.rs
@@ -55,6 +55,8 @@
     pub idempotent: bool,
     /// The current attempt.
     pub attempt: Attempt,
+    /// Whether it waits for room at this node; nothing was sent yet.
+    pub waiting: bool,
     /// Whether any backend server may have started it.
     pub started: bool,
     /// Whether an earlier attempt may have started it.
--- a/crates/daemon/src/configs/mod.rs
+++ b/crates/daemon/src/configs/mod.rs
@@ -6,6 +6,7 @@
 mod log;
 mod membership;
 mod node;
+mod once;
 mod peers;
 mod platform;
 mod recovery;
@@ -14,7 +15,7 @@
 
 pub(crate) use self::{
     admission::read_admission, directory::read_directory, membership::read_membership,
-    recovery::read_recovery, retry::read_retry, routing::read_routing,
+    once::read_once, recovery::read_recovery, retry::read_retry, routing::read_routing,
 };
 pub use self::{
     log::{LogConfig, LogFormat},
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,12 +14,13 @@
 
 use ini::Ini;
 use radishhaven_core::configs::{
-    AdmissionConfig, DirectoryConfig, MembershipConfig, RecoveryConfig, RetryConfig, RoutingConfig,
+    AdmissionConfig, DirectoryConfig, MembershipConfig, OnceConfig, RecoveryConfig, RetryConfig,
+    RoutingConfig,
 };
 
 use crate::configs::{
     LogConfig, NodeConfig, PeersConfig, PlatformConfig, read_admission, read_directory,
-    read_membership, read_recovery, read_retry, read_routing,
+    read_membership, read_once, read_recovery, read_retry, read_routing,
 };
 
 /// A file with every setting, its default and its unit.
@@ -42,6 +43,8 @@
     pub directory: DirectoryConfig,
     /// `[membership]`.
     pub membership: MembershipConfig,
+    /// `[once]`.
+    pub once: OnceConfig,
     /// `[recovery]`.
     pub recovery: RecoveryConfig,
     /// `[retry]`.
@@ -340,6 +343,7 @@
         let admission = reader.section("admission", read_admission);
         let directory = reader.section("directory", read_directory);
         let membership = reader.section("membership", read_membership);
+        let once = reader.section("once", read_once);
         let recovery = reader.section("recovery", read_recovery);
         let retry = reader.section("retry", read_retry);
         let routing = reader.section("routing", read_routing);
@@ -353,6 +357,7 @@
                 admission,
                 directory,
                 membership,
+                once,
                 recovery,
                 retry,
                 routing,
