--- a/crates/core/src/systems/admission.rs
+++ b/crates/core/src/systems/admission.rs
@@ -7,7 +7,7 @@
 
 use subtle::ConstantTimeEq;
 
-use super::{Context, Timer, answer, calls, completion, once};
+use super::{Context, Timer, answer, calls, completion, limits, once};
 use crate::{
     config::Organisation,
     ids::{Attempt, RequestKey},
@@ -75,6 +75,7 @@
         idempotent,
         organisation: organisation.id,
         attempt: Attempt(0),
+        waiting: false,
         started: false,
         doubt: false,
         failed: Vec::new(),
@@ -92,7 +93,7 @@
 
 fn check_limits(cx: &Context<'_>, organisation: &Organisation) -> Result<(), Rejection> {
     let own = cx.tables.requests.in_flight(&organisation.id);
-    if own >= organisation.max_in_flight {
+    if own >= cx.tables.limits.part(organisation.max_in_flight) {
         let message = format!("{} requests of {} are in flight", own, organisation.id);
         return Err((NotRun::OverLimit, message));
     }
@@ -181,11 +182,19 @@
     );
     let id = row.id.clone();
     let call = matches!(row.work, Work::Call(_));
+    row.waiting = !call && row.idempotent;
+    let waiting = row.waiting;
+    let organisation = cx.tables.config.organisation(&row.organisation);
+    let share = organisation.map_or(1, |o| o.share);
     cx.tables.requests.insert(key, row);
+    if waiting {
+        return limits::admit(cx, key, share);
+    }
     cx.out.push(Action::Reply {
         key,
         reply: Reply::Admitted { id },
     });
+    limits::count(cx, key);
     if once::begin(cx, key) {
         return;
     }
@@ -196,12 +205,15 @@
     }
 }
 
-/// Spreads the time at which a rejected caller should come back, between once
-/// and twice the shortest time, so that callers don't return together.
+/// Tells a rejected caller when to come back: the later, the more of the
+/// arriving work finds no room, and spread between once and twice that time,
+/// so that callers don't return together.
 pub fn retry_after(cx: &mut Context<'_>) -> Duration {
     use rand::Rng;
-    cx.cfg
-        .admission
-        .retry_after
-        .mul_f64(cx.rng.random_range(1.0..2.0))
+    let cfg = &cx.cfg.admission;
+    let limits = &cx.tables.limits;
+    let surplus = limits.rejected_per_s / limits.admitted_per_s.max(1.0);
+    let after = cfg.retry_after.mul_f64(1.0 + surplus);
+    let after = after.mul_f64(cx.rng.random_range(1.0..2.0));
+    after.min(cfg.max_retry_after)
 }
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -10,6 +10,7 @@
 pub mod directory;
 pub mod drain;
 pub mod export;
+pub mod limits;
 pub mod membership;
 pub mod once;
 pub mod platform;
@@ -47,6 +48,10 @@
 pub enum Timer {
     /// A request's deadline.
     Deadline(RequestKey),
+    /// The next adjustment of the limits.
+    Limits,
+    /// The end of the time that a request may wait for room.
+    Waiting(RequestKey),
     /// The next round of membership's probes.
     Heartbeat,
     /// The end of the time for which a node may be suspect.
@@ -99,12 +104,16 @@
         Event::VmList(list) => platform::vm_list(cx, list),
         Event::Peer { from, message } => peer_message(cx, from, message),
         Event::PeerUnreachable { vm } => once::unreachable(cx, &vm),
-        Event::Start => membership::round(cx),
+        Event::Start => {
+            membership::round(cx);
+            limits::tick(cx);
+        }
         Event::Drain => {
             drain::run(cx);
             membership::announce(cx);
         }
     }
+    limits::pump(cx);
     once::deliver(cx);
 }
 
@@ -124,6 +133,8 @@
         Timer::Suspicion(vm) => membership::suspicion_over(cx, &vm),
         Timer::Once(timer) => once::expire(cx, timer),
         Timer::Deadline(key) => answer::deadline(cx, key),
+        Timer::Limits => limits::tick(cx),
+        Timer::Waiting(key) => limits::waited(cx, key),
         Timer::Exchange { key, step } => completion::exchange_due(cx, key, step),
     }
 }
--- a/crates/core/src/tables/latency.rs
+++ b/crates/core/src/tables/latency.rs
@@ -34,23 +34,32 @@
 }
 
 impl Latency {
-    /// Takes in the time of a step or call that was answered.
-    pub fn observe(&mut self, now: Timestamp, positions: u32, took: Duration, in_flight: u32) {
+    /// Takes in the time of a step or call that was answered; returns the time
+    /// in microseconds that it waited.
+    ///
+    /// A long step tells as much of waiting as a short one: an engine that
+    /// serves begun requests first lets just those wait that begin.
+    pub fn observe(
+        &mut self,
+        now: Timestamp,
+        positions: u32,
+        took: Duration,
+        in_flight: u32,
+    ) -> f64 {
         let us = took.as_secs_f64() * 1e6;
-        if positions > SHORT_STEP_POSITIONS {
-            let short = self.floor_us + self.wait_at(now);
-            let further = (us - short).max(0.0) / f64::from(positions);
-            self.position_us = mean(self.position_us, further);
-            return;
-        }
-        self.floor_us = if self.floor_us == 0.0 || us < self.floor_us {
-            us
+        let needed = if positions > SHORT_STEP_POSITIONS {
+            let further = (us - self.floor_us).max(0.0) / f64::from(positions);
+            self.position_us = lowest(self.position_us, further);
+            self.floor_us + self.position_us * f64::from(positions)
         } else {
-            self.floor_us + (us - self.floor_us) * FLOOR_RISE
+            self.floor_us = lowest(self.floor_us, us);
+            self.floor_us
         };
-        self.wait_us += (us - self.floor_us - self.wait_us) * MEAN_GAIN;
+        let wait = (us - needed).max(0.0);
+        self.wait_us += (wait - self.wait_us) * MEAN_GAIN;
         self.observed = now;
         self.in_flight = in_flight;
+        wait
     }
 
     /// Tells whether any step was observed.
@@ -81,10 +90,11 @@
     }
 }
 
-fn mean(old: f64, new: f64) -> f64 {
-    if old == 0.0 {
+/// Follows the lowest value at once, and higher ones slowly.
+fn lowest(old: f64, new: f64) -> f64 {
+    if old == 0.0 || new < old {
         new
     } else {
-        old + (new - old) * MEAN_GAIN
+        old + (new - old) * FLOOR_RISE
     }
 }
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -4,6 +4,7 @@
 mod completions;
 mod counters;
 mod latency;
+mod limits;
 mod members;
 mod pace;
 mod probes;
@@ -15,6 +16,7 @@
 pub use completions::{CompletionState, Exchange, KeptInputs, OpenExchange, Stage, StageSession};
 pub use counters::Counters;
 pub use latency::Latency;
+pub use limits::{Limit, LimitKey, LimitTable, OrganisationUse, WaitKey};
 pub use members::{MemberRow, MemberTable, Merged};
 pub use pace::{Pace, PaceTable};
 pub use probes::{MemberView, ProbeTable};
@@ -42,6 +44,8 @@
     pub probes: ProbeTable,
     /// Backend servers: the VM list joined with the configuration.
     pub backends: BackendTable,
+    /// How much of each version's work runs here at one time.
+    pub limits: LimitTable,
     /// Requests: open ones and recent outcomes.
     pub requests: RequestTable,
     /// What is kept to run requests at most once.
