--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -11,6 +11,7 @@
 mod once;
 mod recovery;
 mod retry;
+mod routing;
 mod snapshots;
 
 pub use admission::AdmissionConfig;
@@ -21,6 +22,7 @@
 pub use once::OnceConfig;
 pub use recovery::RecoveryConfig;
 pub use retry::RetryConfig;
+pub use routing::RoutingConfig;
 pub use snapshots::SnapshotsConfig;
 
 /// All settings of the decisions.
@@ -40,6 +42,8 @@
     pub recovery: RecoveryConfig,
     /// `[retry]`.
     pub retry: RetryConfig,
+    /// `[routing]`.
+    pub routing: RoutingConfig,
     /// `[dissemination]`.
     pub dissemination: DisseminationConfig,
     /// `[snapshots]`.
@@ -57,6 +61,7 @@
             once: OnceConfig::default(),
             recovery: RecoveryConfig::default(),
             retry: RetryConfig::default(),
+            routing: RoutingConfig::default(),
             dissemination: DisseminationConfig::default(),
             snapshots: SnapshotsConfig::default(),
         }
--- a/crates/core/src/systems/answer.rs
+++ b/crates/core/src/systems/answer.rs
@@ -3,7 +3,7 @@
 
 use sha2::{Digest, Sha256};
 
-use super::{Context, admission, completion};
+use super::{Context, admission, completion, limits};
 use crate::{
     engine::END_TOKEN,
     ids::{RequestId, RequestKey},
@@ -169,6 +169,7 @@
 fn close(cx: &mut Context<'_>, key: RequestKey, outcome: Outcome) -> Option<RequestRow> {
     completion::release(cx, key);
     let row = cx.tables.requests.finish(key, outcome)?;
+    limits::left(cx, key, &row);
     if let Some(timer) = row.deadline_timer {
         cx.tables.timers.cancel(timer);
     }
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -11,6 +11,7 @@
 pub mod dissemination;
 pub mod drain;
 pub mod export;
+pub mod limits;
 pub mod membership;
 pub mod once;
 pub mod platform;
@@ -49,6 +50,10 @@
 pub enum Timer {
     /// A request's deadline.
     Deadline(RequestKey),
+    /// The next adjustment of the limits.
+    Limits,
+    /// The end of the time that a request may wait for room.
+    Waiting(RequestKey),
     /// The next round of membership's probes.
     Heartbeat,
     /// The end of the time for which a node may be suspect.
@@ -120,12 +125,14 @@
         Event::Start => {
             membership::round(cx);
             snapshots::start(cx);
+            limits::tick(cx);
         }
         Event::Drain => {
             drain::run(cx);
             membership::announce(cx);
         }
     }
+    limits::pump(cx);
     once::deliver(cx);
 }
 
@@ -150,6 +157,8 @@
         Timer::SnapshotCheck => snapshots::check(cx),
         Timer::Snapshot => snapshots::write(cx),
         Timer::Deadline(key) => answer::deadline(cx, key),
+        Timer::Limits => limits::tick(cx),
+        Timer::Waiting(key) => limits::waited(cx, key),
         Timer::Exchange { key, step } => completion::exchange_due(cx, key, step),
     }
 }
--- a/crates/core/src/systems/platform.rs
+++ b/crates/core/src/systems/platform.rs
@@ -1,6 +1,6 @@
 //! Takes in what the platform says: configuration records and the VM list.
 
-use super::{Context, dissemination, membership};
+use super::{Context, dissemination, limits, membership};
 use crate::platform::{Record, VmList};
 
 /// Takes in configuration records; runs each time the log has answered.
@@ -12,6 +12,7 @@
 pub fn vm_list(cx: &mut Context<'_>, list: VmList) {
     if cx.tables.vms.replace(list) {
         membership::listed(cx);
+        limits::nodes_changed(cx);
         rebuild(cx);
     }
     dissemination::vms_known(cx);
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -5,6 +5,8 @@
 mod counters;
 mod follow;
 mod history;
+mod latency;
+mod limits;
 mod members;
 mod pace;
 mod probes;
@@ -12,11 +14,13 @@
 mod retry_budget;
 mod vms;
 
-pub use backends::{BackendRow, BackendTable};
+pub use backends::{BackendRow, BackendTable, StageKey, Stages};
 pub use completions::{CompletionState, Exchange, KeptInputs, OpenExchange, Stage, StageSession};
 pub use counters::Counters;
 pub use follow::{FollowCounters, FollowTable, Join, LogState};
 pub use history::History;
+pub use latency::Latency;
+pub use limits::{Limit, LimitKey, LimitTable, OrganisationUse, WaitKey};
 pub use members::{MemberRow, MemberTable, Merged};
 pub use pace::{Pace, PaceTable};
 pub use probes::{MemberView, ProbeTable};
@@ -48,6 +52,8 @@
     pub probes: ProbeTable,
     /// Backend servers: the VM list joined with the configuration.
     pub backends: BackendTable,
+    /// How much of each version's work runs here at one time.
+    pub limits: LimitTable,
     /// Requests: open ones and recent outcomes.
     pub requests: RequestTable,
     /// What is kept to run requests at most once.
--- a/crates/daemon/src/configs/mod.rs
+++ b/crates/daemon/src/configs/mod.rs
@@ -13,12 +13,13 @@
 mod platform;
 mod recovery;
 mod retry;
+mod routing;
 mod snapshots;
 
 pub(crate) use self::{
     admission::read_admission, directory::read_directory, dissemination::read_dissemination,
     membership::read_membership, once::read_once, recovery::read_recovery, retry::read_retry,
-    snapshots::read_snapshots,
+    routing::read_routing, snapshots::read_snapshots,
 };
 pub use self::{
     log::{LogConfig, LogFormat},
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -105,6 +105,7 @@
             },
             recovery: settings.recovery.clone(),
             retry: settings.retry.clone(),
+            routing: settings.routing.clone(),
             dissemination: settings.dissemination.clone(),
             snapshots: settings.snapshots.clone(),
         };
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -15,13 +15,13 @@
 use ini::Ini;
 use radishhaven_core::configs::{
     AdmissionConfig, DirectoryConfig, DisseminationConfig, MembershipConfig, OnceConfig,
-    RecoveryConfig, RetryConfig, SnapshotsConfig,
+    RecoveryConfig, RetryConfig, RoutingConfig, SnapshotsConfig,
 };
 
 use crate::configs::{
     LogConfig, NodeConfig, OperatorsConfig, PeersConfig, PlatformConfig, read_admission,
     read_directory, read_dissemination, read_membership, read_once, read_recovery, read_retry,
-    read_snapshots,
+    read_routing, read_snapshots,
 };
 
 /// A file with every setting, its default and its unit.
@@ -50,6 +50,8 @@
     pub recovery: RecoveryConfig,
     /// `[retry]`.
     pub retry: RetryConfig,
+    /// `[routing]`.
+    pub routing: RoutingConfig,
     /// `[operators]`.
     pub operators: OperatorsConfig,
     /// `[dissemination]`.
@@ -361,6 +363,7 @@
         let once = reader.section("once", read_once);
         let recovery = reader.section("recovery", read_recovery);
         let retry = reader.section("retry", read_retry);
+        let routing = reader.section("routing", read_routing);
         let listen = node.as_ref().map(|node| node.operators);
         let operators = reader.section("operators", |s| OperatorsConfig::read(s, listen));
         let dissemination = reader.section("dissemination", read_dissemination);
@@ -381,6 +384,7 @@
                     once,
                     recovery,
                     retry,
+                    routing,
                     operators,
                     dissemination,
                     snapshots,
