--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -11,6 +11,7 @@
 use crate::{
     ids::{FailureDomain, Incarnation, Revision, VmId},
     once::OnceMessage,
+    platform::Record,
 };
 
 /// Version of the messages; nodes of another version are refused.
@@ -23,6 +24,39 @@
     Gossip(Gossip),
     /// Runs a request at most once.
     Once(OnceMessage),
+    /// Configuration that goes from node to node.
+    Config(ConfigMessage),
+}
+
+/// Carries the configuration between nodes; see
+/// `docs/design/configuration.md`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ConfigMessage {
+    /// Asks which revision the receiver has.
+    AskRevision,
+    /// Answers [`ConfigMessage::AskRevision`].
+    Revision(Revision),
+    /// Asks for records.
+    AskRecords {
+        /// The revision that the sender has.
+        from: Revision,
+    },
+    /// Gives records, asked for or not.
+    Records {
+        /// The revision at which they begin.
+        from: Revision,
+        /// The first bytes of the sender's digest at that revision.
+        digest: u64,
+        /// The revision that the sender has.
+        end: Revision,
+        /// The records, bounded in number and bytes.
+        records: Vec<Record>,
+    },
+    /// Gives a part of a snapshot, because older records are no longer kept.
+    Snapshot {
+        /// The part, as it would stand in the log.
+        body: String,
+    },
 }
 
 /// What a node says of itself.
@@ -30,6 +64,8 @@
 pub struct Heartbeat {
     /// The revision that it has in force.
     pub revision: Revision,
+    /// The first bytes of the digest of its configuration.
+    pub digest: u64,
     /// Whether it is shutting down.
     pub draining: bool,
     /// Requests that run on it.
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -8,6 +8,7 @@
 pub mod calls;
 pub mod completion;
 pub mod directory;
+pub mod dissemination;
 pub mod drain;
 pub mod export;
 pub mod limits;
@@ -16,6 +17,7 @@
 pub mod platform;
 pub mod recovery;
 pub mod routing;
+pub mod snapshots;
 
 use rand::rngs::StdRng;
 
@@ -58,6 +60,14 @@
     Suspicion(VmId),
     /// A question for running a request at most once.
     Once(once::OnceTimer),
+    /// The moment to ask a peer for records, if they did not come.
+    CatchUp,
+    /// The end of the time in which peers should say their revisions.
+    JoinRound,
+    /// The next look at whether a snapshot is due.
+    SnapshotCheck,
+    /// This node's turn to write a snapshot.
+    Snapshot,
     /// The bound on an exchange with an engine, or the end of a wait.
     Exchange {
         /// The request.
@@ -69,6 +79,7 @@
 
 /// Hands an event to the system that takes it, after all due subscriptions.
 pub fn dispatch(cx: &mut Context<'_>, event: Event) {
+    dissemination::wake(cx);
     while let Some(timer) = cx.tables.timers.pop_due(cx.now) {
         expire(cx, timer);
     }
@@ -100,12 +111,20 @@
         } => {
             platform::records(cx, first, end, records);
         }
-        Event::ConfigReadFailed => cx.tables.counters.log_failures += 1,
+        Event::ConfigReadFailed => dissemination::read_failed(cx),
         Event::VmList(list) => platform::vm_list(cx, list),
-        Event::Peer { from, message } => peer_message(cx, from, message),
-        Event::PeerUnreachable { vm } => once::unreachable(cx, &vm),
+        Event::Peer { from, message } => {
+            let vm = from.vm.clone();
+            peer_message(cx, from, message);
+            dissemination::heard(cx, &vm);
+        }
+        Event::PeerUnreachable { vm } => {
+            once::unreachable(cx, &vm);
+            dissemination::unreachable(cx, &vm);
+        }
         Event::Start => {
             membership::round(cx);
+            snapshots::start(cx);
             limits::tick(cx);
         }
         Event::Drain => {
@@ -124,6 +143,7 @@
     match message {
         PeerMessage::Gossip(gossip) => membership::heard(cx, &from, gossip),
         PeerMessage::Once(message) => once::message(cx, from, message),
+        PeerMessage::Config(message) => dissemination::message(cx, &from.vm, message),
     }
 }
 
@@ -132,6 +152,10 @@
         Timer::Heartbeat => membership::round(cx),
         Timer::Suspicion(vm) => membership::suspicion_over(cx, &vm),
         Timer::Once(timer) => once::expire(cx, timer),
+        Timer::CatchUp => dissemination::catch_up_due(cx),
+        Timer::JoinRound => dissemination::join_round(cx),
+        Timer::SnapshotCheck => snapshots::check(cx),
+        Timer::Snapshot => snapshots::write(cx),
         Timer::Deadline(key) => answer::deadline(cx, key),
         Timer::Limits => limits::tick(cx),
         Timer::Waiting(key) => limits::waited(cx, key),
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -3,6 +3,8 @@
 mod backends;
 mod completions;
 mod counters;
+mod follow;
+mod history;
 mod latency;
 mod limits;
 mod members;
@@ -15,6 +17,8 @@
 pub use backends::{BackendRow, BackendTable, StageKey, Stages};
 pub use completions::{CompletionState, Exchange, KeptInputs, OpenExchange, Stage, StageSession};
 pub use counters::Counters;
+pub use follow::{FollowCounters, FollowTable, Join, LogState};
+pub use history::History;
 pub use latency::Latency;
 pub use limits::{Limit, LimitKey, LimitTable, OrganisationUse, WaitKey};
 pub use members::{MemberRow, MemberTable, Merged};
@@ -36,6 +40,10 @@
 pub struct Tables {
     /// The configuration in force.
     pub config: Config,
+    /// Records that were folded lately.
+    pub history: History,
+    /// How the configuration is followed.
+    pub follow: FollowTable,
     /// The VM list as last heard.
     pub vms: VmTable,
     /// Other entry nodes, as heard from themselves.
@@ -60,6 +68,8 @@
     pub counters: Counters,
     /// When a graceful shutdown began.
     pub draining: Option<Timestamp>,
-    /// True once the log and the VM list were read for the first time.
+    /// True while the node may serve: it has seen the VM list, and no peer
+    /// that it can reach holds a newer configuration than it had when it
+    /// started or returned.
     pub ready: bool,
 }
--- a/crates/daemon/src/configs/mod.rs
+++ b/crates/daemon/src/configs/mod.rs
@@ -3,23 +3,28 @@
 
 mod admission;
 mod directory;
+mod dissemination;
 mod log;
 mod membership;
 mod node;
 mod once;
+mod operators;
 mod peers;
 mod platform;
 mod recovery;
 mod retry;
 mod routing;
+mod snapshots;
 
 pub(crate) use self::{
-    admission::read_admission, directory::read_directory, membership::read_membership,
-    once::read_once, recovery::read_recovery, retry::read_retry, routing::read_routing,
+    admission::read_admission, directory::read_directory, dissemination::read_dissemination,
+    membership::read_membership, once::read_once, recovery::read_recovery, retry::read_retry,
+    routing::read_routing, snapshots::read_snapshots,
 };
 pub use self::{
     log::{LogConfig, LogFormat},
     node::NodeConfig,
+    operators::{OperatorsConfig, TokenDigest},
     peers::{PeerKey, PeersConfig},
     platform::PlatformConfig,
 };
