--- a/crates/core/src/systems/completion.rs
+++ b/crates/core/src/systems/completion.rs
@@ -170,11 +170,16 @@
 /// steps of this size take at this engine, within the bounds of the settings.
 fn step_bound(cx: &Context<'_>, vm: &VmId, positions: u32) -> Duration {
     let cfg = &cx.cfg.retry;
-    let bound = match cx.tables.pace.expected(vm, positions) {
-        Some(expected) => (expected * cfg.step_factor).max(cfg.step_timeout),
-        None => cfg.step_timeout + cfg.position_timeout * positions,
+    let latency = cx.tables.backends.get(vm).map(|row| &row.latency);
+    let known = latency.filter(|latency| latency.known());
+    let expected_us = known.map_or(0.0, |latency| latency.step_us(cx.now, positions));
+    let expected = Duration::from_secs_f64(expected_us / 1e6) * cfg.step_factor;
+    let paced = known.is_some_and(|latency| latency.position_us > 0.0);
+    let further = match paced {
+        true => Duration::ZERO,
+        false => cfg.position_timeout * positions,
     };
-    bound.min(cfg.max_step_timeout)
+    (expected.max(cfg.step_timeout) + further).min(cfg.max_step_timeout)
 }
 
 /// Opens an exchange, or a wait, that ends after `bound` at the latest.
@@ -317,7 +322,6 @@
     session.next = end;
     export::trim(session, most);
     let vm = session.stage.vm.clone();
-    cx.tables.pace.observe(&vm, positions, now.since(sent));
     if let Some((wait, service)) = routing::observe(cx, &vm, positions, now.since(sent)) {
         limits::observe(cx, key, wait, service);
     }
--- a/crates/core/src/systems/recovery.rs
+++ b/crates/core/src/systems/recovery.rs
@@ -158,11 +158,26 @@
     {
         row.failed.push(vm.clone());
     }
+    let avoid = avoid && others_take(cx, key);
     if avoid && let Some(backend) = cx.tables.backends.get_mut(&vm) {
         backend.avoid_until = until;
     }
 }
 
+/// Tells whether the open stage's layers could go to an engine that has not
+/// failed the request; otherwise new work is better off with the last one that
+/// failed than with none.
+fn others_take(cx: &Context<'_>, key: RequestKey) -> bool {
+    let Some(row) = cx.tables.requests.get(key) else {
+        return false;
+    };
+    let Work::Completion(work) = &row.work else {
+        return false;
+    };
+    let layers = work.open_session().map(|session| session.stage.layers);
+    layers.is_some_and(|layers| routing::cover(cx, row, work, layers).is_some())
+}
+
 /// An import that failed is not tried again: the positions are recomputed.
 fn drop_import(cx: &mut Context<'_>, key: RequestKey) {
     if let Some(session) = completion_mut(cx, key).and_then(CompletionState::open_session_mut)
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -8,12 +8,14 @@
 mod latency;
 mod limits;
 mod members;
-mod pace;
 mod probes;
 mod requests;
 mod retry_budget;
 mod vms;
 
+#[cfg(test)]
+mod tests;
+
 pub use backends::{BackendRow, BackendTable, StageKey, Stages};
 pub use completions::{CompletionState, Exchange, KeptInputs, OpenExchange, Stage, StageSession};
 pub use counters::Counters;
@@ -22,7 +24,6 @@
 pub use latency::Latency;
 pub use limits::{Limit, LimitKey, LimitTable, OrganisationUse, WaitKey};
 pub use members::{MemberRow, MemberTable, Merged};
-pub use pace::{Pace, PaceTable};
 pub use probes::{MemberView, ProbeTable};
 pub use requests::{CallState, RequestRow, RequestTable, Work};
 pub use retry_budget::RetryBudget;
@@ -58,8 +59,6 @@
     pub requests: RequestTable,
     /// What is kept to run requests at most once.
     pub once: OnceTable,
-    /// How long steps take at each engine.
-    pub pace: PaceTable,
     /// The retry budget.
     pub retries: RetryBudget,
     /// Subscriptions to moments.
--- a/crates/standin/examples/scenarios.rs
+++ b/crates/standin/examples/scenarios.rs
@@ -22,6 +22,11 @@
             "0",
             "Positions between two exports of KV cache",
         ))
+        .arg(number(
+            "max-kept",
+            "1024",
+            "Positions whose inputs are kept for each stage",
+        ))
         .arg(
             Arg::new("scenario")
                 .num_args(0..)
@@ -34,8 +39,9 @@
         prompt: value("prompt") as usize,
         max_tokens: value("tokens") as u32,
         settings: format!(
-            "[recovery]\nexport_every_tokens = {}\n",
-            value("export-every")
+            "[recovery]\nexport_every_tokens = {}\nmax_kept_positions = {}\n",
+            value("export-every"),
+            value("max-kept"),
         ),
     };
     let asked = matches.get_many::<Scenario>("scenario").unwrap_or_default();
@@ -73,7 +79,9 @@
     sum.violations.extend(out.violations);
     sum.recoveries.extend(out.recoveries);
     sum.completed += out.completed;
-    sum.others += out.others;
+    for (end, count) in out.others {
+        *sum.others.entry(end).or_default() += count;
+    }
     sum.repeated_positions += out.repeated_positions;
     sum.imports += out.imports;
     sum.replays += out.replays;
@@ -90,7 +98,7 @@
         sum.recoveries.get(index).map_or(Duration::ZERO, |d| *d)
     };
     println!(
-        "{scenario}: violations {}, completed {}, others {}; hit {}: next token after p50 {:.1?} p95 {:.1?} max {:.1?}; \
+        "{scenario}: violations {}, completed {}, others {:?}; hit {}: next token after p50 {:.1?} p95 {:.1?} max {:.1?}; \
          imports {} replays {} restarts {} repeated positions {} exports {}",
         sum.violations.len(),
         sum.completed,
--- a/crates/standin/src/scenarios/load.rs
+++ b/crates/standin/src/scenarios/load.rs
@@ -29,6 +29,16 @@
         outcomes.into_iter().any(|o| o == Some(Outcome::Completed))
     }
 
+    /// Returns how the request ended, with what was asked.
+    pub(super) fn end(&self) -> String {
+        let asked = match self.record.asked {
+            Asked::Completion { .. } => "completion",
+            Asked::Call { .. } => "call",
+        };
+        let outcome = self.record.answers.last().and_then(|a| a.outcome);
+        outcome.map_or_else(|| format!("{asked} cut"), |o| format!("{asked} {o}"))
+    }
+
     /// Returns when the first token after `at_us` came, if tokens came before.
     pub(super) fn next_token_us(&self, at_us: u64) -> Option<u64> {
         let begun = self.token_us.first().is_some_and(|first| *first < at_us);
--- a/crates/standin/src/scenarios/mod.rs
+++ b/crates/standin/src/scenarios/mod.rs
@@ -6,7 +6,7 @@
 
 mod load;
 
-use std::{fmt, str::FromStr, time::Duration};
+use std::{collections::BTreeMap, fmt, str::FromStr, time::Duration};
 
 use radishhaven_core::ids::{FailureDomain, VmId};
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -113,8 +113,8 @@
     pub violations: Vec<Violation>,
     /// Requests that completed.
     pub completed: usize,
-    /// Requests that ended otherwise.
-    pub others: usize,
+    /// Requests that ended otherwise, by their end.
+    pub others: BTreeMap<String, usize>,
     /// For each request that the fault hit, the time until its next token.
     pub recoveries: Vec<Duration>,
     /// Positions that were run again.
@@ -234,7 +234,7 @@
         if stream.completed() {
             out.completed += 1;
         } else {
-            out.others += 1;
+            *out.others.entry(stream.end()).or_default() += 1;
         }
         let on_hit = evidence
             .engines
