--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -42,6 +42,31 @@
         "Steps that were not answered in time",
         counters.step_timeouts,
     );
+    count(
+        "imports",
+        "Stages replaced from exported KV cache",
+        counters.imports,
+    );
+    count(
+        "replays",
+        "Stages replaced by running kept inputs again",
+        counters.replays,
+    );
+    count(
+        "restarts",
+        "Stages replaced together with those before them",
+        counters.restarts,
+    );
+    count(
+        "repeated_positions",
+        "Positions run again by engines that took a stage over",
+        counters.repeated_positions,
+    );
+    count(
+        "budget_waits",
+        "Retries that waited because the budget was used up",
+        counters.budget_waits,
+    );
     count(
         "once_messages",
         "Messages of nodes for running requests at most once",
