--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -132,6 +132,8 @@
     FencingToken(u64);
     /// Counts the attempts that a node made at one request.
     Attempt(u32);
+    /// Numbers the exchanges that a node has with engines for one request.
+    StepId(u64);
     /// Counts the positions of a token sequence, prompt included.
     Position(u32);
     /// Ranks requests; a larger number is served first.
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -9,16 +9,18 @@
 pub mod completion;
 pub mod directory;
 pub mod drain;
+pub mod export;
 pub mod membership;
 pub mod minting;
 pub mod platform;
+pub mod recovery;
 pub mod routing;
 
 use rand::rngs::StdRng;
 
 use crate::{
     configs::Configs,
-    ids::{Attempt, Position, RequestKey, VmId},
+    ids::{RequestKey, StepId, VmId},
     message::{Action, Event},
     peer::{PeerMessage, Sender},
     tables::Tables,
@@ -49,16 +51,12 @@
     Heartbeat,
     /// The end of the time for which a node may be suspect.
     Suspicion(VmId),
-    /// The bound on a step without an answer.
-    Step {
+    /// The bound on an exchange with an engine, or the end of a wait.
+    Exchange {
         /// The request.
         key: RequestKey,
-        /// The attempt.
-        attempt: Attempt,
-        /// The stage.
-        stage: usize,
-        /// The step's first position.
-        first: Position,
+        /// The exchange.
+        step: StepId,
     },
 }
 
@@ -71,14 +69,13 @@
         Event::Tick => {}
         Event::Submit { key, submission } => admission::run(cx, key, *submission),
         Event::CallerGone { key } => answer::abandon(cx, key),
-        Event::StepDone {
+        Event::StepDone { key, step, result } => completion::step_done(cx, key, step, result),
+        Event::ImportDone { key, step, result } => completion::import_done(cx, key, step, result),
+        Event::ExportDone {
             key,
-            attempt,
-            stage,
+            session,
             result,
-        } => {
-            completion::step_done(cx, key, attempt, stage, result);
-        }
+        } => export::done(cx, key, &session, result),
         Event::CallDone {
             key,
             attempt,
@@ -117,13 +114,6 @@
         Timer::Heartbeat => membership::round(cx),
         Timer::Suspicion(vm) => membership::suspicion_over(cx, &vm),
         Timer::Deadline(key) => answer::deadline(cx, key),
-        Timer::Step {
-            key,
-            attempt,
-            stage,
-            first,
-        } => {
-            completion::step_timeout(cx, key, attempt, stage, first);
-        }
+        Timer::Exchange { key, step } => completion::exchange_due(cx, key, step),
     }
 }
--- a/crates/core/src/systems/routing.rs
+++ b/crates/core/src/systems/routing.rs
@@ -24,10 +24,23 @@
     failed: &[VmId],
 ) -> Option<Vec<Stage>> {
     let layers = cx.tables.config.model(model)?.layers;
+    let all = LayerRange::new(0, layers).ok()?;
+    cover(cx, model, version, all, failed)
+}
+
+/// Chooses a chain over some layers of a version, avoiding `failed` ones.
+pub fn cover(
+    cx: &Context<'_>,
+    model: &ModelId,
+    version: &VersionId,
+    layers: LayerRange,
+    failed: &[VmId],
+) -> Option<Vec<Stage>> {
     let usable = |row: &&BackendRow| row.takes_work(cx.now) && !failed.contains(&row.vm);
-    let mut best: BTreeMap<u16, (u64, Vec<Stage>)> = BTreeMap::from([(0, (0, Vec::new()))]);
+    let begin = (layers.start(), (0, Vec::new()));
+    let mut best: BTreeMap<u16, (u64, Vec<Stage>)> = BTreeMap::from([begin]);
     while let Some((at, (cost, path))) = best.pop_first() {
-        if at == layers {
+        if at == layers.end() {
             return Some(path);
         }
         for row in cx.tables.backends.of_version(model, version).filter(usable) {
@@ -37,17 +50,17 @@
             if held.start() > at || held.end() <= at {
                 continue;
             }
+            let end = held.end().min(layers.end());
             let cost = cost + STAGE_COST + u64::from(row.in_flight);
-            let known = best.get(&held.end()).map(|(cost, _)| *cost);
+            let known = best.get(&end).map(|(cost, _)| *cost);
             if known.is_none_or(|known| cost < known) {
                 let mut path = path.clone();
-                let layers = LayerRange::new(at, held.end()).ok()?;
                 path.push(Stage {
                     vm: row.vm.clone(),
                     address: row.address,
-                    layers,
+                    layers: LayerRange::new(at, end).ok()?,
                 });
-                best.insert(held.end(), (cost, path));
+                best.insert(end, (cost, path));
             }
         }
     }
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -97,6 +97,7 @@
                 peer_address: Some(settings.peers.listen),
                 ..settings.membership.clone()
             },
+            recovery: settings.recovery.clone(),
             retry: settings.retry.clone(),
         };
         Ok(Self {
@@ -191,13 +192,24 @@
             Action::Reply { key, reply } => self.reply(key, reply),
             Action::Step {
                 key,
-                attempt,
-                stage,
+                step,
                 address,
                 order,
-            } => {
-                engines::step(self, key, attempt, stage, address, *order);
-            }
+            } => engines::step(self, key, step, address, *order),
+            Action::Import {
+                key,
+                step,
+                address,
+                session,
+                cache,
+                within,
+            } => engines::import(self, key, step, address, session, *cache, within),
+            Action::Export {
+                key,
+                address,
+                session,
+                within,
+            } => engines::export(self, key, address, session, within),
             Action::Peer {
                 to,
                 address,
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -6,17 +6,18 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use radishhaven_core::{
     config::{
-        BATCH_FORMAT, Backend, Batch, Carries, Change, Model, Object, Organisation, Pipeline,
-        Service,
+        BATCH_FORMAT, Backend, Batch, Carries, Change, Deployment as DeploymentObject, Link, Model,
+        Object, Organisation, Pipeline, RoutingPolicy, Service,
     },
     ids::{
-        BatchId, FailureDomain, LayerRange, ModelId, PipelineId, Priority, ServiceId, VersionId,
-        VmId,
+        BatchId, FailureDomain, LayerRange, ModelId, PipelineId, Priority, Revision, ServiceId,
+        VersionId, VmId,
     },
     platform::{Vm, VmList, VmRole, VmState},
 };
@@ -29,15 +30,21 @@
 use tokio::runtime::Runtime;
 
 use crate::{
+    checker::{CallerRecord, Evidence, Life, PlannedStop},
+    cpu::MAX_THREAD_NAME_BYTES,
     engine::{Accelerator, Engine, EngineCfg},
     log::{Log, LogCfg},
     runtime::{Running, StartError},
     service::{PlainService, ServiceCfg},
     vms::{Vms, VmsCfg},
+    wire::wall_clock_us,
 };
 
 /// Time within which nodes should have read log and VM list.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Name of the threads of entry nodes, by which their processor time is told
+/// from that of the stand-ins.
+pub const NODE_THREAD: &str = "node-";
 /// Time between two looks at whether nodes are ready.
 const READY_POLL: Duration = Duration::from_millis(5);
 
@@ -125,6 +132,14 @@
     pub log: LogCfg,
     /// Lag of the VM list in milliseconds.
     pub vms_lag_ms: u64,
+    /// Factor by which the time of every batch grows.
+    pub slowdown: u64,
+    /// Steps in a batch of an engine at most.
+    pub max_batch: usize,
+    /// How nodes choose backend servers.
+    pub routing: RoutingPolicy,
+    /// Links between failure domains that are configured.
+    pub links: Vec<Link>,
 }
 
 /// The version that all engines of a plan hold.
@@ -192,6 +207,10 @@
             settings: String::new(),
             log: LogCfg::default(),
             vms_lag_ms: 0,
+            slowdown: 1,
+            max_batch: 16,
+            routing: RoutingPolicy::default(),
+            links: Vec::new(),
         }
     }
 
@@ -226,7 +245,11 @@
                 id: self.service.clone(),
                 idempotent: self.idempotent.clone(),
             }),
+            Object::Deployment(DeploymentObject {
+                routing: self.routing,
+            }),
         ];
+        objects.extend(self.links.iter().cloned().map(Object::Link));
         objects.extend(
             self.organisations
                 .iter()
@@ -256,6 +279,8 @@
         Batch {
             format: BATCH_FORMAT,
             batch: id::<BatchId>("first"),
+            planned: Revision(0),
+            source: None,
             base: BTreeMap::new(),
             changes: objects.into_iter().map(Change::Put).collect(),
         }
@@ -284,12 +309,15 @@
 impl NodeProcess {
     /// Starts a node on new ports of loopback.
     ///
+    /// Its threads carry the VM's name, so that [`crate::cpu`] can tell their cost.
+    ///
     /// # Errors
     ///
     /// Fails if the runtime or the node can't be started.
     pub fn start(settings: Settings) -> Result<Self, DeploymentError> {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(2)
+            .thread_name(thread_name(settings.node.vm.as_str()))
             .enable_all()
             .build()?;
         // The caller may be inside another runtime, which must not be blocked on.
@@ -317,6 +345,10 @@
     }
 }
 
+fn thread_name(name: &str) -> String {
+    name.chars().take(MAX_THREAD_NAME_BYTES).collect()
+}
+
 impl Drop for NodeProcess {
     fn drop(&mut self) {
         if let Some(runtime) = self.runtime.take() {
@@ -341,6 +373,11 @@
     /// Entry nodes by VM.
     pub nodes: BTreeMap<VmId, NodeProcess>,
     list: BTreeMap<VmId, Vm>,
+    /// Every life of every engine, so that records outlast a kill.
+    engine_lives: Vec<(VmId, Arc<Engine>)>,
+    /// Every life of every server of the plain service.
+    service_lives: Vec<(VmId, Arc<PlainService>)>,
+    stops: Vec<PlannedStop>,
 }
 
 const PEER_KEY: &str = "key-of-a-deployment-on-loopback";
@@ -366,6 +403,9 @@
             services: BTreeMap::new(),
             nodes: BTreeMap::new(),
             list: BTreeMap::new(),
+            engine_lives: Vec::new(),
+            service_lives: Vec::new(),
+            stops: Vec::new(),
             plan,
         };
         deployment.publish(&deployment.plan.batch());
@@ -397,13 +437,16 @@
         let model = id(self.plan.pipeline.as_str());
         let cfg = EngineCfg {
             total_layers: self.plan.layers,
-            cost: plan.accelerator.cost(),
+            cost: plan.accelerator.cost().times(self.plan.slowdown),
+            max_batch: self.plan.max_batch,
             checks_tokens: plan.checks_tokens,
             link_delay_us: plan.link_delay_us,
             ..EngineCfg::new(plan.vm.clone(), model, id(VERSION), plan.layers)
         };
         let engine = Running::start(ANY_PORT, Engine::new(cfg))?;
         self.list_vm(&plan.vm, VmRole::Backend, engine.addr, None, &plan.domain);
+        let life = (plan.vm.clone(), engine.state.clone());
+        self.engine_lives.push(life);
         self.engines.insert(plan.vm.clone(), engine);
         Ok(())
     }
@@ -416,6 +459,8 @@
     pub fn start_service(&mut self, plan: &ServicePlan) -> Result<(), DeploymentError> {
         let service = Running::start(ANY_PORT, PlainService::new(ServiceCfg::default()))?;
         self.list_vm(&plan.vm, VmRole::Backend, service.addr, None, &plan.domain);
+        let life = (plan.vm.clone(), service.state.clone());
+        self.service_lives.push(life);
         self.services.insert(plan.vm.clone(), service);
         Ok(())
     }
@@ -448,6 +493,10 @@
     pub fn leave(&mut self, vm: &VmId) {
         if let Some(row) = self.list.get_mut(vm) {
             row.state = VmState::Leaving;
+            self.stops.push(PlannedStop {
+                vm: vm.clone(),
+                shown_us: wall_clock_us() + self.plan.vms_lag_ms * 1_000,
+            });
         }
         self.show_list();
     }
@@ -458,6 +507,26 @@
         self.show_list();
     }
 
+    /// Returns what callers saw together with what every life of every
+    /// stand-in has recorded, killed ones included.
+    pub fn records(&self, callers: Vec<CallerRecord>, faults: bool) -> Evidence {
+        let engine = |(vm, state): &(VmId, Arc<Engine>)| Life {
+            vm: vm.clone(),
+            records: state.records(),
+        };
+        let service = |(vm, state): &(VmId, Arc<PlainService>)| Life {
+            vm: vm.clone(),
+            records: state.records(),
+        };
+        Evidence {
+            callers,
+            engines: self.engine_lives.iter().map(engine).collect(),
+            services: self.service_lives.iter().map(service).collect(),
+            stops: self.stops.clone(),
+            faults,
+        }
+    }
+
     fn list_vm(
         &mut self,
         vm: &VmId,
