--- a/crates/core/src/configs/membership.rs
+++ b/crates/core/src/configs/membership.rs
@@ -13,12 +13,12 @@
     /// Time for which a node is suspect before it counts as dead. Default: 2 s.
     pub suspicion: Duration,
     /// Time without news after which a node is suspect though nobody said so.
-    /// Default: 15 s.
+    /// Default: 30 s.
     pub stale: Duration,
     /// Time after which a dead node that the VM list doesn't show is
     /// forgotten. Default: 600 s.
     pub forget: Duration,
-    /// Facts of other nodes in one message. Default: 16.
+    /// Facts of other nodes in one message. Default: 24.
     pub facts: u32,
     /// Nodes that are told at once of a death, a start or a shutdown. Default: 4.
     pub fanout: u32,
@@ -33,9 +33,9 @@
             heartbeat: Duration::from_millis(500),
             suspect_after: 3,
             suspicion: Duration::from_secs(2),
-            stale: Duration::from_secs(15),
+            stale: Duration::from_secs(30),
             forget: Duration::from_secs(600),
-            facts: 16,
+            facts: 24,
             fanout: 4,
             peer_address: None,
         }
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -92,6 +92,8 @@
     PipelineId = "pipeline";
     /// Names a plain service that callers address.
     ServiceId = "service";
+    /// Names a shard of backend servers that one lease covers.
+    ShardId = "shard";
     /// Names a batch of configuration changes, chosen by the operator.
     BatchId = "batch";
     /// Names a request; minted by a node or, for idempotent requests, by the caller.
--- a/crates/core/src/systems/membership/probe.rs
+++ b/crates/core/src/systems/membership/probe.rs
@@ -10,8 +10,11 @@
     time::Timestamp,
 };
 
-/// Rounds between two beats that carry nothing but fresh figures.
-const ROUNDS_PER_BEAT: u64 = 4;
+/// Fewest rounds between two beats that carry nothing but fresh figures.
+const MIN_ROUNDS_PER_BEAT: u64 = 4;
+/// Nodes for each round between two beats, so that the facts of all nodes fit
+/// into the bounded messages.
+const NODES_PER_BEAT_ROUND: u64 = 45;
 /// Rounds between two tries to reach a node that is dead or was never heard.
 const ROUNDS_PER_ABSENT: u64 = 2;
 /// Nodes that are asked to probe a node which does not answer.
@@ -29,7 +32,8 @@
     cx.tables.probes.rounds += 1;
     cx.tables.probes.last_round = cx.now;
     let rounds = cx.tables.probes.rounds;
-    if rounds.is_multiple_of(ROUNDS_PER_BEAT) {
+    let nodes = cx.tables.members.rows().len() as u64;
+    if rounds.is_multiple_of(MIN_ROUNDS_PER_BEAT.max(nodes / NODES_PER_BEAT_ROUND)) {
         cx.tables.probes.beat += 1;
     }
     view::renew(cx);
@@ -37,6 +41,7 @@
     search_old(cx);
     view::renew(cx);
     probe_targets(cx);
+    probe_random(cx);
     if rounds.is_multiple_of(ROUNDS_PER_ABSENT) {
         probe_absent(cx);
     }
@@ -135,6 +140,16 @@
     cx.tables.probes.awaiting = targets;
 }
 
+/// Probes one live node at random, because facts that only went along the
+/// ring would need a time in proportion to its length.
+fn probe_random(cx: &mut Context<'_>) {
+    for vm in spread::choose(cx, 1) {
+        if !cx.tables.probes.view.targets.contains(&vm) {
+            spread::send(cx, &vm, GossipKind::Probe);
+        }
+    }
+}
+
 /// Tries one node that is dead or was never heard: after a partition both
 /// sides hold each other for dead, and one message that gets through ends that.
 fn probe_absent(cx: &mut Context<'_>) {
--- a/crates/core/src/systems/membership/view.rs
+++ b/crates/core/src/systems/membership/view.rs
@@ -15,7 +15,7 @@
 };
 
 /// Nodes that probe one node.
-pub(super) const PROBERS: usize = 4;
+pub(super) const PROBERS: usize = 3;
 /// Steps back on the ring in search of unlike failure domains.
 const SEARCH_STEPS: usize = 16;
 /// Key of the hash that places nodes on the ring.
--- a/crates/core/src/tables/members.rs
+++ b/crates/core/src/tables/members.rs
@@ -10,6 +10,14 @@
     time::Timestamp,
 };
 
+/// A fact's turn to be sent along: those that were sent least go first, and
+/// of these the ones that have waited longest.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct Queued {
+    sent: u32,
+    turn: u64,
+}
+
 /// Another entry node.
 #[derive(Debug, Clone, Serialize)]
 pub struct MemberRow {
@@ -33,7 +41,7 @@
     #[serde(skip)]
     pub relays: BTreeSet<VmId>,
     #[serde(skip)]
-    sent: u32,
+    queued: Queued,
     #[serde(skip)]
     checked: Timestamp,
 }
@@ -76,7 +84,10 @@
     rows: BTreeMap<VmId, MemberRow>,
     /// Facts to send along, those that were sent least first.
     #[serde(skip)]
-    news: BTreeSet<(u32, VmId)>,
+    news: BTreeSet<(Queued, VmId)>,
+    /// Counts the turns that were given.
+    #[serde(skip)]
+    turns: u64,
     /// Rows by when they were heard or looked at.
     #[serde(skip)]
     ages: BTreeSet<(Timestamp, VmId)>,
@@ -106,7 +117,7 @@
             changed: now,
             missed: 0,
             relays: BTreeSet::new(),
-            sent: 0,
+            queued: Queued::default(),
             checked: now,
         };
         let Some(old) = self.rows.get(&vm) else {
@@ -142,21 +153,29 @@
         if same { Merged::Beat } else { Merged::Changed }
     }
 
-    fn insert(&mut self, vm: VmId, row: MemberRow) {
+    fn insert(&mut self, vm: VmId, mut row: MemberRow) {
         let moved = match self.rows.get(&vm) {
             Some(old) => {
                 self.ages.remove(&(old.checked, vm.clone()));
-                self.news.remove(&(old.sent, vm.clone()));
-                old.status != row.status || old.place != row.place
+                self.news.remove(&(old.queued, vm.clone()));
+                let first = !old.was_heard() && row.was_heard();
+                first || old.status != row.status || old.place != row.place
             }
             None => true,
         };
         self.version += u64::from(moved);
         self.ages.insert((row.checked, vm.clone()));
-        self.news.insert((0, vm.clone()));
+        row.queued = self.turn(0);
+        self.news.insert((row.queued, vm.clone()));
         self.rows.insert(vm, row);
     }
 
+    fn turn(&mut self, sent: u32) -> Queued {
+        self.turns += 1;
+        let turn = self.turns;
+        Queued { sent, turn }
+    }
+
     /// Makes a row for a node that the VM list shows, or fills in its place.
     pub fn listed(&mut self, vm: &VmId, place: Option<Place>, now: Timestamp) {
         if let Some(row) = self.rows.get_mut(vm) {
@@ -177,7 +196,9 @@
         };
         self.merge(fact, now);
         // Others read the list themselves.
-        self.news.remove(&(0, vm.clone()));
+        if let Some(row) = self.rows.get(vm) {
+            self.news.remove(&(row.queued, vm.clone()));
+        }
     }
 
     /// Returns a node that was heard.
@@ -222,13 +243,14 @@
     /// Takes the facts to send along next: at most `max`, each for at most
     /// `sends` times since it changed.
     pub fn take_news(&mut self, max: usize, sends: u32) -> Vec<MemberFact> {
-        let taken: Vec<(u32, VmId)> = self.news.iter().take(max).cloned().collect();
-        for (sent, vm) in &taken {
-            self.news.remove(&(*sent, vm.clone()));
+        let taken: Vec<(Queued, VmId)> = self.news.iter().take(max).cloned().collect();
+        for (queued, vm) in &taken {
+            self.news.remove(&(*queued, vm.clone()));
+            let queued = self.turn(queued.sent + 1);
             if let Some(row) = self.rows.get_mut(vm) {
-                row.sent = sent + 1;
-                if row.sent < sends {
-                    self.news.insert((row.sent, vm.clone()));
+                row.queued = queued;
+                if queued.sent < sends {
+                    self.news.insert((queued, vm.clone()));
                 }
             }
         }
@@ -267,7 +289,7 @@
     pub fn forget(&mut self, vm: &VmId) {
         if let Some(row) = self.rows.remove(vm) {
             self.ages.remove(&(row.checked, vm.clone()));
-            self.news.remove(&(row.sent, vm.clone()));
+            self.news.remove(&(row.queued, vm.clone()));
             self.version += 1;
         }
     }
