--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -7,15 +7,19 @@
 mod directory;
 mod identity;
 mod membership;
+mod once;
 mod recovery;
 mod retry;
+mod routing;
 
 pub use admission::AdmissionConfig;
 pub use directory::DirectoryConfig;
 pub use identity::Identity;
 pub use membership::MembershipConfig;
+pub use once::OnceConfig;
 pub use recovery::RecoveryConfig;
 pub use retry::RetryConfig;
+pub use routing::RoutingConfig;
 
 /// All settings of the decisions.
 #[derive(Debug, Clone)]
@@ -28,10 +32,14 @@
     pub directory: DirectoryConfig,
     /// `[membership]`.
     pub membership: MembershipConfig,
+    /// `[once]`.
+    pub once: OnceConfig,
     /// `[recovery]`.
     pub recovery: RecoveryConfig,
     /// `[retry]`.
     pub retry: RetryConfig,
+    /// `[routing]`.
+    pub routing: RoutingConfig,
 }
 
 impl Configs {
@@ -42,8 +50,10 @@
             admission: AdmissionConfig::default(),
             directory: DirectoryConfig::default(),
             membership: MembershipConfig::default(),
+            once: OnceConfig::default(),
             recovery: RecoveryConfig::default(),
             retry: RetryConfig::default(),
+            routing: RoutingConfig::default(),
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod lease;
 pub mod message;
 pub mod node;
+pub mod once;
 pub mod orders;
 pub mod outcome;
 pub mod peer;
@@ -19,3 +20,8 @@
 pub mod systems;
 pub mod tables;
 pub mod time;
+
+/// The embedders' page, whose examples run as tests.
+#[cfg(doctest)]
+#[doc = include_str!("../../../docs/EMBEDDING.md")]
+pub struct EmbeddingPage;
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -8,7 +8,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{FailureDomain, Incarnation, Revision, VmId};
+use crate::{
+    ids::{FailureDomain, Incarnation, Revision, VmId},
+    once::OnceMessage,
+};
 
 /// Version of the messages; nodes of another version are refused.
 pub const PEER_VERSION: u16 = 1;
@@ -18,6 +21,8 @@
 pub enum PeerMessage {
     /// Membership: a probe, its answer, or news of nodes.
     Gossip(Gossip),
+    /// Runs a request at most once.
+    Once(OnceMessage),
 }
 
 /// What a node says of itself.
--- a/crates/daemon/src/edges/operators.rs
+++ b/crates/daemon/src/edges/operators.rs
@@ -109,6 +109,7 @@
         "probes": tables.probes,
         "backends": tables.backends,
         "requests": tables.requests,
+        "once": tables.once,
         "subscriptions": tables.timers.len(),
         "counters": tables.counters,
     })
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,12 +14,13 @@
 
 use ini::Ini;
 use radishhaven_core::configs::{
-    AdmissionConfig, DirectoryConfig, MembershipConfig, RecoveryConfig, RetryConfig,
+    AdmissionConfig, DirectoryConfig, MembershipConfig, OnceConfig, RecoveryConfig, RetryConfig,
+    RoutingConfig,
 };
 
 use crate::configs::{
     LogConfig, NodeConfig, PeersConfig, PlatformConfig, read_admission, read_directory,
-    read_membership, read_recovery, read_retry,
+    read_membership, read_once, read_recovery, read_retry, read_routing,
 };
 
 /// A file with every setting, its default and its unit.
@@ -42,10 +43,14 @@
     pub directory: DirectoryConfig,
     /// `[membership]`.
     pub membership: MembershipConfig,
+    /// `[once]`.
+    pub once: OnceConfig,
     /// `[recovery]`.
     pub recovery: RecoveryConfig,
     /// `[retry]`.
     pub retry: RetryConfig,
+    /// `[routing]`.
+    pub routing: RoutingConfig,
 }
 
 /// One mistake in a settings file.
@@ -338,8 +343,10 @@
         let admission = reader.section("admission", read_admission);
         let directory = reader.section("directory", read_directory);
         let membership = reader.section("membership", read_membership);
+        let once = reader.section("once", read_once);
         let recovery = reader.section("recovery", read_recovery);
         let retry = reader.section("retry", read_retry);
+        let routing = reader.section("routing", read_routing);
         reader.reject_other_sections();
         match (node, peers, platform) {
             (Some(node), Some(peers), Some(platform)) if reader.errors.is_empty() => Ok(Self {
@@ -350,8 +357,10 @@
                 admission,
                 directory,
                 membership,
+                once,
                 recovery,
                 retry,
+                routing,
             }),
             _ => Err(SettingsErrors(reader.errors)),
         }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod net;
 pub mod reference;
 pub mod runtime;
+pub mod scenarios;
 pub mod service;
 pub mod vms;
 pub mod weights;
