--- a/crates/core/src/systems/completion.rs
+++ b/crates/core/src/systems/completion.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use super::{
-    Context, Timer, answer, export,
+    Context, Timer, answer, export, limits,
     recovery::{self, Failure},
     routing,
 };
@@ -318,7 +318,9 @@
     export::trim(session, most);
     let vm = session.stage.vm.clone();
     cx.tables.pace.observe(&vm, positions, now.since(sent));
-    routing::observe(cx, &vm, positions, now.since(sent));
+    if let Some((wait, service)) = routing::observe(cx, &vm, positions, now.since(sent)) {
+        limits::observe(cx, key, wait, service);
+    }
     match output {
         StageOutput::Activations(values) => {
             if let Some(work) = completion_mut(cx, key) {
--- a/crates/core/src/systems/platform.rs
+++ b/crates/core/src/systems/platform.rs
@@ -1,6 +1,6 @@
 //! Takes in what the platform says: configuration records and the VM list.
 
-use super::{Context, membership};
+use super::{Context, limits, membership};
 use crate::{
     config::{Folded, Kind},
     platform::{Record, VmList},
@@ -29,6 +29,7 @@
 pub fn vm_list(cx: &mut Context<'_>, list: VmList) {
     if cx.tables.vms.replace(list) {
         membership::listed(cx);
+        limits::nodes_changed(cx);
         rebuild(cx);
     }
 }
--- a/crates/core/src/systems/routing.rs
+++ b/crates/core/src/systems/routing.rs
@@ -41,6 +41,13 @@
     cost: f64,
 }
 
+impl Chain {
+    /// Returns the likely time to the end of an answer.
+    pub fn takes(&self, tokens: u32) -> Duration {
+        self.first_token + self.token * tokens.saturating_sub(1)
+    }
+}
+
 /// What a choice goes by.
 struct Chooser<'a, 'c> {
     cx: &'a Context<'c>,
@@ -231,11 +238,16 @@
     row.latency.step_us(now, 1).max(row.link_us)
 }
 
-/// Learns from a step or call that was answered.
-pub fn observe(cx: &mut Context<'_>, vm: &VmId, positions: u32, took: Duration) {
-    let now = cx.now;
-    if let Some(row) = cx.tables.backends.get_mut(vm) {
-        let in_flight = row.in_flight;
-        row.latency.observe(now, positions, took, in_flight);
-    }
+/// Learns from a step or call that was answered; returns the times in
+/// microseconds that it waited and that the server itself needs.
+pub fn observe(
+    cx: &mut Context<'_>,
+    vm: &VmId,
+    positions: u32,
+    took: Duration,
+) -> Option<(f64, f64)> {
+    let row = cx.tables.backends.get_mut(vm)?;
+    let in_flight = row.in_flight;
+    let wait = row.latency.observe(cx.now, positions, took, in_flight);
+    Some((wait, row.latency.service_us(row.link_us)))
 }
--- /dev/null
+++ b/crates/core/src/tables/limits.rs
@@ -0,0 +1,238 @@
+//! How much of each version's work this node runs at one time, and what waits.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
+
+use serde::Serialize;
+
+use crate::{
+    ids::{ModelId, OrganisationId, Priority, RequestKey, VersionId},
+    time::Timestamp,
+};
+
+/// Weight of one tick in the means.
+const TICK_GAIN: f64 = 0.3;
+
+/// A version of a model, whose engines share one limit.
+pub type LimitKey = (ModelId, VersionId);
+
+/// The order in which requests of one organisation are served: by priority,
+/// then by deadline.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WaitKey {
+    /// The priority, the highest one first.
+    pub priority: Reverse<Priority>,
+    /// The deadline.
+    pub deadline: Timestamp,
+    /// The request.
+    pub key: RequestKey,
+}
+
+/// Requests of one organisation for one version.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct OrganisationUse {
+    /// Requests that run.
+    pub running: u32,
+    /// Weight of the organisation's share.
+    pub share: u32,
+    /// Requests that wait.
+    #[serde(skip)]
+    pub waiting: BTreeSet<WaitKey>,
+}
+
+/// The limit of one version and what it is worked out from.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Limit {
+    /// Requests that may run at one time.
+    pub limit: f64,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Mean time that steps waited, over the time that engines needed.
+    pub congestion: f64,
+    /// Requests that ended in a second.
+    pub ended_per_s: f64,
+    /// Organisations that have requests here.
+    pub organisations: BTreeMap<OrganisationId, OrganisationUse>,
+    #[serde(skip)]
+    wait_us: f64,
+    #[serde(skip)]
+    service_us: f64,
+    #[serde(skip)]
+    ended: u32,
+}
+
+impl Limit {
+    /// Takes in a step that was answered.
+    pub fn observe(&mut self, wait_us: f64, service_us: f64) {
+        self.wait_us += wait_us;
+        self.service_us += service_us;
+    }
+
+    /// Works out the means of the time since the last tick; returns whether
+    /// any step was observed.
+    pub fn tick(&mut self, seconds: f64) -> bool {
+        let rate = f64::from(std::mem::take(&mut self.ended)) / seconds;
+        self.ended_per_s += (rate - self.ended_per_s) * TICK_GAIN;
+        let (wait, service) = (self.wait_us, self.service_us);
+        (self.wait_us, self.service_us) = (0.0, 0.0);
+        if service <= 0.0 {
+            return false;
+        }
+        self.congestion += (wait / service - self.congestion) * TICK_GAIN;
+        true
+    }
+
+    /// Tells whether another request may run.
+    pub fn has_room(&self) -> bool {
+        f64::from(self.running) < self.limit.floor().max(1.0)
+    }
+
+    /// Adds a request that waits.
+    pub fn wait(&mut self, organisation: &OrganisationId, share: u32, wait: WaitKey) {
+        let entry = self.organisations.entry(organisation.clone()).or_default();
+        entry.share = share.max(1);
+        if entry.waiting.insert(wait) {
+            self.waiting += 1;
+        }
+    }
+
+    /// Takes away a request that waits; returns whether it was there.
+    pub fn stop_waiting(&mut self, organisation: &OrganisationId, wait: &WaitKey) -> bool {
+        let entry = self.organisations.get_mut(organisation);
+        let found = entry.is_some_and(|entry| entry.waiting.remove(wait));
+        if found {
+            self.waiting -= 1;
+            self.drop_unused(organisation);
+        }
+        found
+    }
+
+    /// Counts a request that begins to run.
+    pub fn begin(&mut self, organisation: &OrganisationId) {
+        self.running += 1;
+        let entry = self.organisations.entry(organisation.clone()).or_default();
+        entry.running += 1;
+    }
+
+    /// Counts a request that ran and ended.
+    pub fn end(&mut self, organisation: &OrganisationId) {
+        self.running = self.running.saturating_sub(1);
+        self.ended += 1;
+        if let Some(entry) = self.organisations.get_mut(organisation) {
+            entry.running = entry.running.saturating_sub(1);
+        }
+        self.drop_unused(organisation);
+    }
+
+    fn drop_unused(&mut self, organisation: &OrganisationId) {
+        let unused = |entry: &OrganisationUse| entry.running == 0 && entry.waiting.is_empty();
+        if self.organisations.get(organisation).is_some_and(unused) {
+            self.organisations.remove(organisation);
+        }
+    }
+
+    /// Returns the request to run next: organisations below their share come
+    /// first, then priority, then deadline.
+    pub fn next(&self) -> Option<(OrganisationId, WaitKey)> {
+        let fair = self.fair_part();
+        let first = |(id, entry): (&OrganisationId, &OrganisationUse)| {
+            let wait = *entry.waiting.first()?;
+            Some((self.over(entry, fair), wait, id.clone()))
+        };
+        let next = self.organisations.iter().filter_map(first).min()?;
+        Some((next.2, next.1))
+    }
+
+    /// Returns the request to give up first: the last one by the same order.
+    pub fn last(&self) -> Option<(OrganisationId, WaitKey)> {
+        let fair = self.fair_part();
+        let last = |(id, entry): (&OrganisationId, &OrganisationUse)| {
+            let wait = *entry.waiting.last()?;
+            Some((self.over(entry, fair), wait, id.clone()))
+        };
+        let last = self.organisations.iter().filter_map(last).max()?;
+        Some((last.2, last.1))
+    }
+
+    /// Returns the requests that one unit of share may run.
+    fn fair_part(&self) -> f64 {
+        let shares: u32 = self.organisations.values().map(|entry| entry.share).sum();
+        self.limit / f64::from(shares.max(1))
+    }
+
+    fn over(&self, entry: &OrganisationUse, fair: f64) -> bool {
+        f64::from(entry.running) >= fair * f64::from(entry.share)
+    }
+}
+
+/// Limits by version, and this node's place among the nodes.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct LimitTable {
+    rows: BTreeMap<ModelId, BTreeMap<VersionId, Limit>>,
+    /// Live nodes on the VM list, this one included.
+    pub nodes: u32,
+    /// Live nodes whose names come before this one's.
+    pub rank: u32,
+    /// Requests that were rejected for lack of room, in a second.
+    pub rejected_per_s: f64,
+    /// Requests that were taken on, in a second.
+    pub admitted_per_s: f64,
+    /// Counts since the last tick: rejected and taken on.
+    #[serde(skip)]
+    pub counted: (u32, u32),
+}
+
+impl LimitTable {
+    /// Returns the limit of a version.
+    pub fn get_mut(&mut self, model: &ModelId, version: &VersionId) -> Option<&mut Limit> {
+        self.rows.get_mut(model)?.get_mut(version)
+    }
+
+    /// Returns the limit of a version, which begins with `initial`.
+    pub fn entry(&mut self, model: &ModelId, version: &VersionId, initial: f64) -> &mut Limit {
+        if !self.rows.contains_key(model) {
+            self.rows.insert(model.clone(), BTreeMap::new());
+        }
+        let versions = self.rows.get_mut(model).expect("it was just put there");
+        versions.entry(version.clone()).or_insert_with(|| Limit {
+            limit: initial,
+            ..Limit::default()
+        })
+    }
+
+    /// Returns all limits.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Limit> {
+        self.rows.values_mut().flat_map(BTreeMap::values_mut)
+    }
+
+    /// Returns the versions that have requests waiting.
+    pub fn waiting(&self) -> Vec<LimitKey> {
+        let of_model = |(model, versions): (&ModelId, &BTreeMap<VersionId, Limit>)| {
+            let waiting = versions.iter().filter(|(_, limit)| limit.waiting > 0);
+            let key = |(version, _): (&VersionId, &Limit)| (model.clone(), version.clone());
+            waiting.map(key).collect::<Vec<LimitKey>>()
+        };
+        self.rows.iter().flat_map(of_model).collect()
+    }
+
+    /// Works out the rates of the time since the last tick.
+    pub fn tick(&mut self, seconds: f64) {
+        let (rejected, admitted) = std::mem::take(&mut self.counted);
+        let mean = |old: &mut f64, count: u32| {
+            *old += (f64::from(count) / seconds - *old) * TICK_GAIN;
+        };
+        mean(&mut self.rejected_per_s, rejected);
+        mean(&mut self.admitted_per_s, admitted);
+    }
+
+    /// Returns this node's part of a limit that holds over all nodes; the
+    /// parts of all nodes that know the same list sum up to the limit.
+    pub fn part(&self, limit: u32) -> u32 {
+        let nodes = self.nodes.max(1);
+        limit / nodes + u32::from(self.rank < limit % nodes)
+    }
+}
--- a/crates/daemon/src/configs/admission.rs
+++ b/crates/daemon/src/configs/admission.rs
@@ -25,5 +25,20 @@
         retry_after: section
             .millis("retry_after_ms", 1..=60_000)
             .unwrap_or(d.retry_after),
+        max_retry_after: section
+            .millis("max_retry_after_ms", 1..=3_600_000)
+            .unwrap_or(d.max_retry_after),
+        control_interval: section
+            .millis("control_interval_ms", 10..=1_000)
+            .unwrap_or(d.control_interval),
+        initial_limit: section
+            .number("initial_limit", 1..=100_000)
+            .unwrap_or(d.initial_limit),
+        target_wait_percent: section
+            .number("target_wait_percent", 10..=1_000)
+            .unwrap_or(d.target_wait_percent),
+        max_wait: section
+            .millis("max_wait_ms", 1..=60_000)
+            .unwrap_or(d.max_wait),
     }
 }
