--- a/crates/standin/examples/local.rs
+++ b/crates/standin/examples/local.rs
@@ -57,7 +57,7 @@
     }
     for node in deployment.nodes.values() {
         let address = node.node.operators_address;
-        println!("cargo run --release -p radishhaven -- --node {address} query backend");
+        println!("cargo run --release -p radishhaven -- --node {address} query show backend");
     }
     println!("interrupt to stop");
     tokio::signal::ctrl_c().await?;
