--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -96,6 +96,8 @@
     PipelineId = "pipeline", MAX_ID_BYTES;
     /// Names a plain service that callers address.
     ServiceId = "service", MAX_ID_BYTES;
+    /// Names a shard of backend servers that one lease covers.
+    ShardId = "shard", MAX_ID_BYTES;
     /// Names a batch of configuration changes, chosen by the operator.
     BatchId = "batch", MAX_ID_BYTES;
     /// Names a request; minted by a node or, for idempotent requests, by the caller.
