fix(language): show an object's name in one column

Seen with the command against three nodes: the name stood in front and again among the fields. The language's tests pass; the column has no test of its own.

--- a/crates/core/src/language/query.rs
+++ b/crates/core/src/language/query.rs
@@ -83,7 +83,9 @@
         .filter(|(key, _)| name.is_none_or(|name| key.name == name))
         .map(|(key, entry)| (key, row(tables, key, entry)))
         .collect();
-    let columns: BTreeSet<&String> = of_kind.iter().flat_map(|(_, row)| row.keys()).collect();
+    let named = of_kind.iter().flat_map(|(_, row)| row.keys());
+    // The name has a column of its own in front.
+    let columns: BTreeSet<&String> = named.filter(|name| *name != "name").collect();
     check_fields(kind, &columns, conditions)?;
     let holds = |row: &Fields| conditions.iter().all(|c| matches(row, &c.value));
     let cells = |(key, row): &(&ObjectKey, Fields)| {
