feat(lease): hold leases through the log and bring engines to the configuration

A lease covers the engines of one failure domain; its token is the offset of the claim. A record counts when it is read back, so lost answers need no handling, and a claim holds if no other record of the shard lies between what its maker had read and the claim. Orders are the desired state, given by holders only, checked just before sending, read back and corrected, in waves that cover every layer once before any twice. Off unless `[orders] give = yes`.

Ruled out: the append's answer as proof, compare-and-set on the token, and looking only at the believed token before a claim.

--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -12,6 +12,7 @@
 mod retry;
 mod routing;
 
+pub use crate::{lease::LeaseConfig, orders::OrderConfig};
 pub use admission::AdmissionConfig;
 pub use directory::DirectoryConfig;
 pub use identity::Identity;
@@ -30,10 +31,14 @@
     pub admission: AdmissionConfig,
     /// `[directory]`.
     pub directory: DirectoryConfig,
+    /// `[lease]`.
+    pub lease: LeaseConfig,
     /// `[membership]`.
     pub membership: MembershipConfig,
     /// `[once]`.
     pub once: OnceConfig,
+    /// `[orders]`.
+    pub orders: OrderConfig,
     /// `[recovery]`.
     pub recovery: RecoveryConfig,
     /// `[retry]`.
@@ -49,8 +54,10 @@
             identity,
             admission: AdmissionConfig::default(),
             directory: DirectoryConfig::default(),
+            lease: LeaseConfig::default(),
             membership: MembershipConfig::default(),
             once: OnceConfig::default(),
+            orders: OrderConfig::default(),
             recovery: RecoveryConfig::default(),
             retry: RetryConfig::default(),
             routing: RoutingConfig::default(),
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -7,10 +7,11 @@
 use crate::{
     engine::{EngineRefusal, KvCache, SessionRef, StageInput, StepReply},
     ids::{
-        Attempt, LayerRange, ModelId, PipelineId, Position, Priority, RequestId, RequestKey,
-        ServiceId, StepId, VersionId, VmId,
+        Attempt, FencingToken, LayerRange, ModelId, PipelineId, Position, Priority, RequestId,
+        RequestKey, ServiceId, ShardId, StepId, VersionId, VmId,
     },
     node::Known,
+    orders::{Desired, Held},
     outcome::Outcome,
     peer::{PeerMessage, Sender},
     platform::{Record, VmList},
@@ -133,6 +134,22 @@
         /// The records.
         records: Vec<Record>,
     },
+    /// The log gave records of leases.
+    LeaseRecords {
+        /// The lowest offset that the log keeps.
+        first: u64,
+        /// The offset of the next append.
+        end: u64,
+        /// The records.
+        records: Vec<Record>,
+    },
+    /// An engine said what it holds, or did not answer.
+    Held {
+        /// The engine's VM.
+        vm: VmId,
+        /// What it holds.
+        held: Option<Held>,
+    },
     /// The log did not answer.
     ConfigReadFailed,
     /// The platform gave the VM list.
@@ -287,6 +304,30 @@
         /// The time that is left.
         within: Duration,
     },
+    /// Append a record to the lease stream; no answer is awaited.
+    AppendLease {
+        /// The record.
+        body: String,
+    },
+    /// Ask an engine what it holds; the answer comes back as [`Event::Held`].
+    ReadHolding {
+        /// The engine's VM.
+        vm: VmId,
+        /// Where it serves.
+        address: SocketAddr,
+    },
+    /// Order an engine to hold something, if the lease is still held at the
+    /// moment of sending; no answer is awaited.
+    GiveOrder {
+        /// Where the engine serves.
+        address: SocketAddr,
+        /// The shard whose lease covers the engine.
+        shard: ShardId,
+        /// The lease's token.
+        token: FencingToken,
+        /// What the engine is to hold.
+        desired: Box<Desired>,
+    },
     /// Send a message to another node.
     Peer {
         /// The node's VM.
--- a/crates/core/src/orders/mod.rs
+++ b/crates/core/src/orders/mod.rs
@@ -19,6 +19,8 @@
 /// Shapes orders; the INI section `[orders]`.
 #[derive(Debug, Clone)]
 pub struct OrderConfig {
+    /// Whether the node takes leases and orders engines. Default: no.
+    pub give: bool,
     /// Time between two looks at what an engine holds. Default: 2 s.
     pub read_back: Duration,
     /// Time for which an order can be on its way. Default: 2 s.
@@ -30,6 +32,7 @@
 impl Default for OrderConfig {
     fn default() -> Self {
         Self {
+            give: false,
             read_back: Duration::from_secs(2),
             max_delay: Duration::from_secs(2),
             max_loading: 8,
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -13,6 +13,7 @@
 pub mod limits;
 pub mod membership;
 pub mod once;
+pub mod orders;
 pub mod platform;
 pub mod recovery;
 pub mod routing;
@@ -54,6 +55,8 @@
     Waiting(RequestKey),
     /// The next round of membership's probes.
     Heartbeat,
+    /// The next look at leases and engines.
+    Orders,
     /// The end of the time for which a node may be suspect.
     Suspicion(VmId),
     /// A question for running a request at most once.
@@ -101,11 +104,18 @@
             platform::records(cx, first, end, records);
         }
         Event::ConfigReadFailed => cx.tables.counters.log_failures += 1,
+        Event::LeaseRecords {
+            first,
+            end,
+            records,
+        } => orders::records(cx, first, end, &records),
+        Event::Held { vm, held } => orders::held(cx, &vm, held),
         Event::VmList(list) => platform::vm_list(cx, list),
         Event::Peer { from, message } => peer_message(cx, from, message),
         Event::PeerUnreachable { vm } => once::unreachable(cx, &vm),
         Event::Start => {
             membership::round(cx);
+            orders::start(cx);
             limits::tick(cx);
         }
         Event::Drain => {
@@ -130,6 +140,7 @@
 fn expire(cx: &mut Context<'_>, timer: Timer) {
     match timer {
         Timer::Heartbeat => membership::round(cx),
+        Timer::Orders => orders::round(cx),
         Timer::Suspicion(vm) => membership::suspicion_over(cx, &vm),
         Timer::Once(timer) => once::expire(cx, timer),
         Timer::Deadline(key) => answer::deadline(cx, key),
--- a/crates/core/src/systems/platform.rs
+++ b/crates/core/src/systems/platform.rs
@@ -1,6 +1,6 @@
 //! Takes in what the platform says: configuration records and the VM list.
 
-use super::{Context, limits, membership};
+use super::{Context, limits, membership, orders};
 use crate::{
     config::{Folded, Kind},
     platform::{Record, VmList},
@@ -37,4 +37,5 @@
 fn rebuild(cx: &mut Context<'_>) {
     let tables = &mut *cx.tables;
     tables.backends.rebuild(&tables.config, &tables.vms);
+    orders::changed(cx);
 }
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -6,6 +6,7 @@
 mod latency;
 mod limits;
 mod members;
+mod orders;
 mod pace;
 mod probes;
 mod requests;
@@ -18,6 +19,7 @@
 pub use latency::Latency;
 pub use limits::{Limit, LimitKey, LimitTable, OrganisationUse, WaitKey};
 pub use members::{MemberRow, MemberTable, Merged};
+pub use orders::OrderTable;
 pub use pace::{Pace, PaceTable};
 pub use probes::{MemberView, ProbeTable};
 pub use requests::{CallState, RequestRow, RequestTable, Work};
@@ -50,6 +52,8 @@
     pub requests: RequestTable,
     /// What is kept to run requests at most once.
     pub once: OnceTable,
+    /// Leases, and the engines that are ordered under them.
+    pub orders: OrderTable,
     /// How long steps take at each engine.
     pub pace: PaceTable,
     /// The retry budget.
--- a/crates/daemon/src/configs/mod.rs
+++ b/crates/daemon/src/configs/mod.rs
@@ -7,6 +7,7 @@
 mod membership;
 mod node;
 mod once;
+mod orders;
 mod peers;
 mod platform;
 mod recovery;
@@ -14,8 +15,14 @@
 mod routing;
 
 pub(crate) use self::{
-    admission::read_admission, directory::read_directory, membership::read_membership,
-    once::read_once, recovery::read_recovery, retry::read_retry, routing::read_routing,
+    admission::read_admission,
+    directory::read_directory,
+    membership::read_membership,
+    once::read_once,
+    orders::{read_lease, read_orders},
+    recovery::read_recovery,
+    retry::read_retry,
+    routing::read_routing,
 };
 pub use self::{
     log::{LogConfig, LogFormat},
--- a/crates/daemon/src/edges/mod.rs
+++ b/crates/daemon/src/edges/mod.rs
@@ -5,6 +5,7 @@
 pub mod engines;
 mod http;
 pub mod operators;
+pub mod orders;
 pub mod peers;
 pub mod platform;
 pub mod services;
--- a/crates/daemon/src/edges/operators.rs
+++ b/crates/daemon/src/edges/operators.rs
@@ -107,6 +107,7 @@
         "vms": tables.vms,
         "members": tables.members,
         "probes": tables.probes,
+        "orders": tables.orders,
         "backends": tables.backends,
         "requests": tables.requests,
         "once": tables.once,
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -13,7 +13,7 @@
 use radishhaven_client::{HttpError, JsonClient};
 use radishhaven_core::{
     configs::{Configs, Identity, MembershipConfig, OnceConfig},
-    ids::{RequestId, RequestKey},
+    ids::{FencingToken, RequestId, RequestKey, ShardId},
     message::{Action, Event, Reply, Submission},
     node::Node,
     once::IdKey,
@@ -24,7 +24,7 @@
 use crate::{
     clock::{self, Clock},
     edges::{
-        callers, engines, operators,
+        callers, engines, operators, orders,
         peers::{self, Links},
         platform, services,
     },
@@ -103,6 +103,8 @@
                 ..settings.once.clone()
             },
             recovery: settings.recovery.clone(),
+            lease: settings.lease.clone(),
+            orders: settings.orders.clone(),
             retry: settings.retry.clone(),
             routing: settings.routing.clone(),
         };
@@ -136,6 +138,15 @@
         look(&locked(&self.node))
     }
 
+    /// Tells whether this node holds a shard's lease under a token right now.
+    pub(crate) fn holds_lease(&self, shard: &ShardId, token: FencingToken) -> bool {
+        let now = self.clock.now();
+        self.read(|node| {
+            let leases = node.tables().orders.leases.as_ref();
+            leases.and_then(|leases| leases.token(now, shard)) == Some(token)
+        })
+    }
+
     /// Submits a request; its answer comes over the channel.
     pub fn submit(
         self: &Arc<Self>,
@@ -209,6 +220,14 @@
     fn perform(self: &Arc<Self>, action: Action) {
         match action {
             Action::Reply { key, reply } => self.reply(key, reply),
+            Action::AppendLease { body } => orders::append(self, body),
+            Action::ReadHolding { vm, address } => orders::read_holding(self, vm, address),
+            Action::GiveOrder {
+                address,
+                shard,
+                token,
+                desired,
+            } => orders::give(self, address, shard, token, *desired),
             Action::Step {
                 key,
                 step,
@@ -303,6 +322,7 @@
         tokio::spawn(platform::follow_log(host.clone()));
         tokio::spawn(platform::follow_vms(host.clone()));
         host.handle(Event::Start);
+        tokio::spawn(orders::follow_leases(host.clone()));
         tokio::spawn(tick(host.clone()));
         Ok(Self {
             host,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,13 +14,13 @@
 
 use ini::Ini;
 use radishhaven_core::configs::{
-    AdmissionConfig, DirectoryConfig, MembershipConfig, OnceConfig, RecoveryConfig, RetryConfig,
-    RoutingConfig,
+    AdmissionConfig, DirectoryConfig, LeaseConfig, MembershipConfig, OnceConfig, OrderConfig,
+    RecoveryConfig, RetryConfig, RoutingConfig,
 };
 
 use crate::configs::{
-    LogConfig, NodeConfig, PeersConfig, PlatformConfig, read_admission, read_directory,
-    read_membership, read_once, read_recovery, read_retry, read_routing,
+    LogConfig, NodeConfig, PeersConfig, PlatformConfig, read_admission, read_directory, read_lease,
+    read_membership, read_once, read_orders, read_recovery, read_retry, read_routing,
 };
 
 /// A file with every setting, its default and its unit.
@@ -47,6 +47,10 @@
     pub once: OnceConfig,
     /// `[recovery]`.
     pub recovery: RecoveryConfig,
+    /// `[lease]`.
+    pub lease: LeaseConfig,
+    /// `[orders]`.
+    pub orders: OrderConfig,
     /// `[retry]`.
     pub retry: RetryConfig,
     /// `[routing]`.
@@ -345,6 +349,8 @@
         let membership = reader.section("membership", read_membership);
         let once = reader.section("once", read_once);
         let recovery = reader.section("recovery", read_recovery);
+        let lease = reader.section("lease", read_lease);
+        let orders = reader.section("orders", read_orders);
         let retry = reader.section("retry", read_retry);
         let routing = reader.section("routing", read_routing);
         reader.reject_other_sections();
@@ -359,6 +365,8 @@
                 membership,
                 once,
                 recovery,
+                lease,
+                orders,
                 retry,
                 routing,
             }),
--- /dev/null
+++ b/crates/standin/tests/orders.rs
@@ -0,0 +1,170 @@
+//! Leases and orders over real nodes and engines on loopback.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use radishhaven_client::{Ask, Caller, JsonClient};
+use radishhaven_core::{
+    config::{BATCH_FORMAT, Batch, Carries, Change, Object},
+    ids::{FencingToken, Revision, VmId},
+    outcome::Outcome,
+};
+use radishhaven_proto::engine::{HOLDING_PATH, Holding, ORDER_PATH, Order, OrderReply};
+use radishhaven_standin::{
+    deployment::{Deployment, Plan, id},
+    reference,
+};
+
+const SETTINGS: &str = "[lease]\nduration_ms = 1500\nrenew_ms = 300\n\
+                        [orders]\ngive = yes\nread_back_ms = 200\nmax_delay_ms = 200\n";
+/// Longest wait for a state; no bound on how fast it should come.
+const CAP: Duration = Duration::from_secs(30);
+const WITHIN: Duration = Duration::from_secs(2);
+
+async fn start(nodes: usize) -> Deployment {
+    let mut plan = Plan::bitacora(nodes, 2);
+    plan.settings = SETTINGS.to_owned();
+    Deployment::start(plan).await.expect("it starts")
+}
+
+async fn holdings(deployment: &Deployment) -> BTreeMap<VmId, Holding> {
+    let http = JsonClient::new().expect("a client");
+    let mut holdings = BTreeMap::new();
+    for (vm, engine) in &deployment.engines {
+        let held = http.get::<Holding>(engine.addr, HOLDING_PATH, WITHIN).await;
+        holdings.insert(vm.clone(), held.expect("the engine answers"));
+    }
+    holdings
+}
+
+async fn wait_for(deployment: &Deployment, what: &str, right: impl Fn(&Holding) -> bool) {
+    let reached = async {
+        while !holdings(deployment).await.values().all(&right) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let reached = tokio::time::timeout(CAP, reached).await;
+    reached.unwrap_or_else(|_| panic!("{what} took over {CAP:?}"));
+}
+
+/// The batch that moves the pipeline and all engines to another version.
+fn to_version(deployment: &Deployment, version: &str) -> Batch {
+    let mut batch = deployment.plan.batch();
+    batch.changes.retain_mut(|change| match change {
+        Change::Put(Object::Pipeline(pipeline)) => {
+            pipeline.version = id(version);
+            true
+        }
+        Change::Put(Object::Backend(backend)) => match &mut backend.carries {
+            Carries::Layers { version: v, .. } => {
+                *v = id(version);
+                true
+            }
+            Carries::Service(_) => false,
+        },
+        _ => false,
+    });
+    let keys = batch.changes.iter().map(Change::key);
+    Batch {
+        format: BATCH_FORMAT,
+        batch: id(&format!("to-{version}")),
+        base: keys.map(|key| (key, Revision(1))).collect(),
+        ..batch
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_load_the_version_that_is_configured() {
+    let deployment = start(3).await;
+    deployment.publish(&to_version(&deployment, "v2"));
+    wait_for(&deployment, "loading", |held| {
+        held.version == id("v2") && !held.loading
+    })
+    .await;
+    let caller = Caller::new("small-firm").expect("a caller can be made");
+    let node = deployment.callers_address("node-1");
+    let pipeline = &deployment.plan.pipeline;
+    let answer = caller
+        .complete(node, &Ask::default(), pipeline, "two stops", 16)
+        .await;
+    let answer = answer.expect("the node answers");
+    assert_eq!(answer.outcome, Some(Outcome::Completed));
+    let model = id(pipeline.as_str());
+    let right = reference::answer(&model, &id("v2"), deployment.plan.layers, "two stops", 16);
+    assert_eq!(answer.text, right);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn another_node_takes_over_and_corrects_orders_of_the_one_before() {
+    let mut deployment = start(2).await;
+    let fenced = |held: &Holding| held.token > FencingToken(0);
+    // The first claim may have offset 0, so move on to a later one.
+    wait_for(&deployment, "adopting the tokens", |held| !held.loading).await;
+    let holders = |deployment: &Deployment| {
+        let nodes = deployment.nodes.iter();
+        let holding = nodes.filter(|(_, node)| {
+            node.node.host.read(|node| {
+                let leases = node.tables().orders.leases.as_ref();
+                leases.is_some_and(|leases| {
+                    leases.rows().values().any(|row| row.held_until.is_some())
+                })
+            })
+        });
+        holding.map(|(vm, _)| vm.clone()).collect::<Vec<VmId>>()
+    };
+    let claimed = async {
+        while holders(&deployment).is_empty() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(CAP, claimed).await.expect("a claim");
+    let lost = holders(&deployment).remove(0);
+    deployment.nodes.remove(&lost).expect("it runs").kill();
+    let left = deployment
+        .nodes
+        .keys()
+        .next()
+        .cloned()
+        .expect("one is left");
+    let took_over = async {
+        loop {
+            let free = deployment.nodes[&left].node.host.read(|node| {
+                let leases = node.tables().orders.leases.as_ref().expect("it follows");
+                let rows = leases.rows().values();
+                rows.clone().count() == 3 && rows.clone().all(|row| row.holder.vm == left)
+            });
+            if free {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(CAP, took_over)
+        .await
+        .expect("a takeover");
+    wait_for(&deployment, "learning the new tokens", fenced).await;
+    late_orders_do_not_last(&deployment).await;
+}
+
+/// Sends every engine an order of an ended lease.
+async fn late_orders_do_not_last(deployment: &Deployment) {
+    let http = JsonClient::new().expect("a client");
+    for (vm, held) in holdings(deployment).await {
+        let order = Order {
+            token: FencingToken(0),
+            model: held.model,
+            version: id("v0"),
+            layers: held.layers,
+            adapters: Vec::new(),
+        };
+        let address = deployment.engines[&vm].addr;
+        let reply = http.post::<_, OrderReply>(address, ORDER_PATH, &order, WITHIN);
+        let reply = reply.await.expect("the engine answers");
+        let plan = deployment.plan.engines.iter().find(|plan| plan.vm == vm);
+        let checks = plan.expect("it is planned").checks_tokens;
+        assert_eq!(reply != OrderReply::Accepted, checks, "{vm}");
+    }
+    wait_for(deployment, "correcting", |held| {
+        held.version == id("v1") && !held.loading && held.token > FencingToken(0)
+    })
+    .await;
+}
