--- a/crates/core/src/systems/once/mint.rs
+++ b/crates/core/src/systems/once/mint.rs
@@ -14,8 +14,6 @@
 
 /// Time for which new ids name the same witnesses.
 const KEEP_WITNESSES: Duration = Duration::from_millis(500);
-/// Heartbeats that a witness may have missed when it is chosen.
-const MISSED_HEARTBEATS: u32 = 4;
 
 /// Mints an id; one with witnesses may be used for a non-idempotent request
 /// whose fate can be proved after this node is gone.
@@ -83,7 +81,6 @@
 }
 
 fn candidates(cx: &Context<'_>) -> Vec<(Instance, FailureDomain)> {
-    let recent = cx.cfg.membership.heartbeat * MISSED_HEARTBEATS;
     let tables = &cx.tables;
     let members = tables.members.iter();
     let usable = members.filter_map(|(vm, member)| {
@@ -93,7 +90,7 @@
             .vms
             .get(vm)
             .filter(|row| row.state == VmState::Live)?;
-        let alive = cx.now.since(member.heard) <= recent && !member.said.draining && !lost;
+        let alive = member.serves() && !lost;
         let instance = Instance {
             vm: vm.clone(),
             incarnation: member.incarnation,
