--- a/crates/core/src/systems/membership.rs
+++ b/crates/core/src/systems/membership.rs
@@ -170,6 +170,7 @@
         status: MemberStatus::Alive,
         said: Heartbeat {
             revision: cx.tables.config.revision(),
+            digest: cx.tables.config.digest().short(),
             draining: cx.tables.draining.is_some(),
             open_requests: u32::try_from(cx.tables.requests.len()).unwrap_or(u32::MAX),
         },
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -18,6 +18,7 @@
     node::Node,
     once::IdKey,
     peer::Sender,
+    time::Timestamp,
 };
 use tokio::{net::TcpListener, sync::mpsc};
 
@@ -107,6 +108,8 @@
             orders: settings.orders.clone(),
             retry: settings.retry.clone(),
             routing: settings.routing.clone(),
+            dissemination: settings.dissemination.clone(),
+            snapshots: settings.snapshots.clone(),
         };
         Ok(Self {
             node: Mutex::new(Node::new(cfg, seed)),
@@ -133,6 +136,16 @@
         }
     }
 
+    /// Asks the decisions for something that needs no event and causes no action.
+    pub(crate) fn with<T>(&self, work: impl FnOnce(&mut Node) -> T) -> T {
+        work(&mut locked(&self.node))
+    }
+
+    /// Returns the current time as the decisions see it.
+    pub(crate) fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
     /// Looks at the decisions' state.
     pub fn read<T>(&self, look: impl FnOnce(&Node) -> T) -> T {
         look(&locked(&self.node))
@@ -257,6 +270,7 @@
                     self.peer_stream_failed();
                 }
             }
+            Action::AppendConfig { bodies } => platform::append_all(self, bodies),
             Action::EndSession { address, session } => engines::end(self, address, session),
             Action::Call {
                 key,
