--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -14,6 +14,7 @@
 mod routing;
 mod snapshots;
 
+pub use crate::{lease::LeaseConfig, orders::OrderConfig};
 pub use admission::AdmissionConfig;
 pub use directory::DirectoryConfig;
 pub use dissemination::DisseminationConfig;
@@ -34,10 +35,14 @@
     pub admission: AdmissionConfig,
     /// `[directory]`.
     pub directory: DirectoryConfig,
+    /// `[lease]`.
+    pub lease: LeaseConfig,
     /// `[membership]`.
     pub membership: MembershipConfig,
     /// `[once]`.
     pub once: OnceConfig,
+    /// `[orders]`.
+    pub orders: OrderConfig,
     /// `[recovery]`.
     pub recovery: RecoveryConfig,
     /// `[retry]`.
@@ -57,8 +62,10 @@
             identity,
             admission: AdmissionConfig::default(),
             directory: DirectoryConfig::default(),
+            lease: LeaseConfig::default(),
             membership: MembershipConfig::default(),
             once: OnceConfig::default(),
+            orders: OrderConfig::default(),
             recovery: RecoveryConfig::default(),
             retry: RetryConfig::default(),
             routing: RoutingConfig::default(),
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -14,6 +14,7 @@
 pub mod limits;
 pub mod membership;
 pub mod once;
+pub mod orders;
 pub mod platform;
 pub mod recovery;
 pub mod routing;
@@ -56,6 +57,8 @@
     Waiting(RequestKey),
     /// The next round of membership's probes.
     Heartbeat,
+    /// The next look at leases and engines.
+    Orders,
     /// The end of the time for which a node may be suspect.
     Suspicion(VmId),
     /// A question for running a request at most once.
@@ -112,18 +115,27 @@
             platform::records(cx, first, end, records);
         }
         Event::ConfigReadFailed => dissemination::read_failed(cx),
+        Event::LeaseRecords {
+            first,
+            end,
+            records,
+        } => orders::records(cx, first, end, &records),
+        Event::Held { vm, held } => orders::held(cx, &vm, held),
         Event::VmList(list) => platform::vm_list(cx, list),
-        Event::Peer { from, message } => {
+        Event::Peer { from, message } if membership::admits(cx, &from) => {
             let vm = from.vm.clone();
             peer_message(cx, from, message);
             dissemination::heard(cx, &vm);
         }
+        // A message of an ended life.
+        Event::Peer { .. } => {}
         Event::PeerUnreachable { vm } => {
             once::unreachable(cx, &vm);
             dissemination::unreachable(cx, &vm);
         }
         Event::Start => {
             membership::round(cx);
+            orders::start(cx);
             snapshots::start(cx);
             limits::tick(cx);
         }
@@ -137,9 +149,6 @@
 }
 
 fn peer_message(cx: &mut Context<'_>, from: Sender, message: PeerMessage) {
-    if !membership::admits(cx, &from) {
-        return;
-    }
     match message {
         PeerMessage::Gossip(gossip) => membership::heard(cx, &from, gossip),
         PeerMessage::Once(message) => once::message(cx, from, message),
@@ -150,6 +159,7 @@
 fn expire(cx: &mut Context<'_>, timer: Timer) {
     match timer {
         Timer::Heartbeat => membership::round(cx),
+        Timer::Orders => orders::round(cx),
         Timer::Suspicion(vm) => membership::suspicion_over(cx, &vm),
         Timer::Once(timer) => once::expire(cx, timer),
         Timer::CatchUp => dissemination::catch_up_due(cx),
--- a/crates/core/src/systems/platform.rs
+++ b/crates/core/src/systems/platform.rs
@@ -1,6 +1,6 @@
 //! Takes in what the platform says: configuration records and the VM list.
 
-use super::{Context, dissemination, limits, membership};
+use super::{Context, dissemination, limits, membership, orders};
 use crate::platform::{Record, VmList};
 
 /// Takes in configuration records; runs each time the log has answered.
@@ -22,4 +22,5 @@
 pub fn rebuild(cx: &mut Context<'_>) {
     let tables = &mut *cx.tables;
     tables.backends.rebuild(&tables.config, &tables.vms);
+    orders::changed(cx);
 }
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -8,6 +8,7 @@
 mod latency;
 mod limits;
 mod members;
+mod orders;
 mod probes;
 mod requests;
 mod retry_budget;
@@ -24,6 +25,7 @@
 pub use latency::Latency;
 pub use limits::{Limit, LimitKey, LimitTable, OrganisationUse, WaitKey};
 pub use members::{MemberRow, MemberTable, Merged};
+pub use orders::OrderTable;
 pub use probes::{MemberView, ProbeTable};
 pub use requests::{CallState, RequestRow, RequestTable, Work};
 pub use retry_budget::RetryBudget;
@@ -59,6 +61,8 @@
     pub requests: RequestTable,
     /// What is kept to run requests at most once.
     pub once: OnceTable,
+    /// Leases, and the engines that are ordered under them.
+    pub orders: OrderTable,
     /// The retry budget.
     pub retries: RetryBudget,
     /// Subscriptions to moments.
--- a/crates/daemon/src/edges/operators.rs
+++ b/crates/daemon/src/edges/operators.rs
@@ -181,6 +181,7 @@
         "vms": tables.vms,
         "members": tables.members,
         "probes": tables.probes,
+        "orders": tables.orders,
         "backends": tables.backends,
         "requests": tables.requests,
         "once": tables.once,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,14 +14,14 @@
 
 use ini::Ini;
 use radishhaven_core::configs::{
-    AdmissionConfig, DirectoryConfig, DisseminationConfig, MembershipConfig, OnceConfig,
-    RecoveryConfig, RetryConfig, RoutingConfig, SnapshotsConfig,
+    AdmissionConfig, DirectoryConfig, DisseminationConfig, LeaseConfig, MembershipConfig,
+    OnceConfig, OrderConfig, RecoveryConfig, RetryConfig, RoutingConfig, SnapshotsConfig,
 };
 
 use crate::configs::{
     LogConfig, NodeConfig, OperatorsConfig, PeersConfig, PlatformConfig, read_admission,
-    read_directory, read_dissemination, read_membership, read_once, read_recovery, read_retry,
-    read_routing, read_snapshots,
+    read_directory, read_dissemination, read_lease, read_membership, read_once, read_orders,
+    read_recovery, read_retry, read_routing, read_snapshots,
 };
 
 /// A file with every setting, its default and its unit.
@@ -48,6 +48,10 @@
     pub once: OnceConfig,
     /// `[recovery]`.
     pub recovery: RecoveryConfig,
+    /// `[lease]`.
+    pub lease: LeaseConfig,
+    /// `[orders]`.
+    pub orders: OrderConfig,
     /// `[retry]`.
     pub retry: RetryConfig,
     /// `[routing]`.
@@ -362,6 +366,8 @@
         let membership = reader.section("membership", read_membership);
         let once = reader.section("once", read_once);
         let recovery = reader.section("recovery", read_recovery);
+        let lease = reader.section("lease", read_lease);
+        let orders = reader.section("orders", read_orders);
         let retry = reader.section("retry", read_retry);
         let routing = reader.section("routing", read_routing);
         let listen = node.as_ref().map(|node| node.operators);
@@ -384,6 +390,8 @@
                     once,
                     recovery,
                     retry,
+                    lease,
+                    orders,
                     routing,
                     operators,
                     dissemination,
