fix(once): choose witnesses by membership's own word

Members are now known before they are heard, with incarnation 0. Such a one could be named as a witness, and its id could then never be begun. A witness must serve in the sense of membership, and must not have been unreachable since it was heard. The recency of heartbeats is no longer looked at, since news of a node come by way of others. Found by reading after the merge; no test saw it.

--- a/crates/core/src/systems/once/mint.rs
+++ b/crates/core/src/systems/once/mint.rs
@@ -14,8 +14,6 @@
 
 /// Time for which new ids name the same witnesses.
 const KEEP_WITNESSES: Duration = Duration::from_millis(500);
-/// Heartbeats that a witness may have missed when it is chosen.
-const MISSED_HEARTBEATS: u32 = 4;
 
 /// Mints an id; one with witnesses may be used for a non-idempotent request
 /// whose fate can be proved after this node is gone.
@@ -47,7 +45,7 @@
     let once = &cx.tables.once;
     let same = |w: &Instance| {
         let member = cx.tables.members.get(&w.vm);
-        member.is_some_and(|m| m.incarnation == w.incarnation)
+        member.is_some_and(|m| m.incarnation == w.incarnation && m.serves())
     };
     let keep = cx.now < once.chosen_until && once.chosen.len() == wanted;
     if !keep || !once.chosen.iter().all(same) {
@@ -83,7 +81,6 @@
 }
 
 fn candidates(cx: &Context<'_>) -> Vec<(Instance, FailureDomain)> {
-    let recent = cx.cfg.membership.heartbeat * MISSED_HEARTBEATS;
     let tables = &cx.tables;
     let members = tables.members.iter();
     let usable = members.filter_map(|(vm, member)| {
@@ -93,12 +90,12 @@
             .vms
             .get(vm)
             .filter(|row| row.state == VmState::Live)?;
-        let alive = cx.now.since(member.heard) <= recent && !member.said.draining && !lost;
         let instance = Instance {
             vm: vm.clone(),
             incarnation: member.incarnation,
         };
-        alive.then(|| (instance, row.failure_domain.clone()))
+        let usable = member.serves() && !lost;
+        usable.then(|| (instance, row.failure_domain.clone()))
     });
     usable.collect()
 }
--- a/crates/standin/tests/at_most_once.rs
+++ b/crates/standin/tests/at_most_once.rs
@@ -39,10 +39,9 @@
             records: Vec::new(),
         };
         // Ids have two witnesses once all nodes have heard of each other.
+        let heard = |t: &Tables| t.members.iter().filter(|(_, m)| m.serves()).count();
         for node in NODES {
-            scenario
-                .until(node, |t| t.members.iter().count() + 1 >= NODES.len())
-                .await;
+            scenario.until(node, |t| heard(t) + 1 == NODES.len()).await;
         }
         scenario
     }
