--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -5,21 +5,25 @@
 
 mod admission;
 mod directory;
+mod dissemination;
 mod identity;
 mod membership;
 mod once;
 mod recovery;
 mod retry;
 mod routing;
+mod snapshots;
 
 pub use admission::AdmissionConfig;
 pub use directory::DirectoryConfig;
+pub use dissemination::DisseminationConfig;
 pub use identity::Identity;
 pub use membership::MembershipConfig;
 pub use once::OnceConfig;
 pub use recovery::RecoveryConfig;
 pub use retry::RetryConfig;
 pub use routing::RoutingConfig;
+pub use snapshots::SnapshotsConfig;
 
 /// All settings of the decisions.
 #[derive(Debug, Clone)]
@@ -40,6 +44,10 @@
     pub retry: RetryConfig,
     /// `[routing]`.
     pub routing: RoutingConfig,
+    /// `[dissemination]`.
+    pub dissemination: DisseminationConfig,
+    /// `[snapshots]`.
+    pub snapshots: SnapshotsConfig,
 }
 
 impl Configs {
@@ -54,6 +62,8 @@
             recovery: RecoveryConfig::default(),
             retry: RetryConfig::default(),
             routing: RoutingConfig::default(),
+            dissemination: DisseminationConfig::default(),
+            snapshots: SnapshotsConfig::default(),
         }
     }
 }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -6,11 +6,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    config::{Batch, RefusedBatch},
     configs::Configs,
     ids::RequestId,
     message::{Action, Event},
     outcome::Outcome,
-    systems::{self, Context},
+    systems::{self, Context, dissemination::LogRead},
     tables::Tables,
     time::Timestamp,
 };
@@ -73,6 +74,21 @@
         }
     }
 
+    /// Returns the read of the log that should come next.
+    pub fn next_log_read(&mut self, now: Timestamp) -> LogRead {
+        let mut out = Vec::new();
+        systems::dissemination::next_read(&mut self.context(now, &mut out))
+    }
+
+    /// Tells what would become of a batch if it were the log's next record.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it would be refused.
+    pub fn preview(&mut self, batch: &Batch) -> Result<(), RefusedBatch> {
+        self.tables.config.preview(batch)
+    }
+
     /// Tells what this node knows of a request.
     pub fn known(&self, id: &RequestId) -> Known {
         if self.tables.requests.open(id).is_some() {
