--- a/crates/core/src/systems/once/mint.rs
+++ b/crates/core/src/systems/once/mint.rs
@@ -45,7 +45,7 @@
     let once = &cx.tables.once;
     let same = |w: &Instance| {
         let member = cx.tables.members.get(&w.vm);
-        member.is_some_and(|m| m.incarnation == w.incarnation)
+        member.is_some_and(|m| m.incarnation == w.incarnation && m.serves())
     };
     let keep = cx.now < once.chosen_until && once.chosen.len() == wanted;
     if !keep || !once.chosen.iter().all(same) {
@@ -90,12 +90,12 @@
             .vms
             .get(vm)
             .filter(|row| row.state == VmState::Live)?;
-        let alive = member.serves() && !lost;
         let instance = Instance {
             vm: vm.clone(),
             incarnation: member.incarnation,
         };
-        alive.then(|| (instance, row.failure_domain.clone()))
+        let usable = member.serves() && !lost;
+        usable.then(|| (instance, row.failure_domain.clone()))
     });
     usable.collect()
 }
