--- a/crates/core/src/systems/admission.rs
+++ b/crates/core/src/systems/admission.rs
@@ -86,9 +86,9 @@
 
 /// Returns the organisation whose bearer token has this digest.
 pub fn organisation(cx: &Context<'_>, token_sha256: &[u8; 32]) -> Option<Organisation> {
-    let hex: String = token_sha256.iter().map(|b| format!("{b:02x}")).collect();
-    let same = |o: &&Organisation| bool::from(o.token_sha256.as_bytes().ct_eq(hex.as_bytes()));
-    cx.tables.config.organisations().find(same).cloned()
+    let (known, id) = cx.tables.tokens.get(token_sha256)?;
+    let same = bool::from(known.ct_eq(token_sha256));
+    same.then(|| cx.tables.config.organisation(id).cloned())?
 }
 
 fn check_limits(cx: &Context<'_>, organisation: &Organisation) -> Result<(), Rejection> {
--- a/crates/core/src/systems/limits.rs
+++ b/crates/core/src/systems/limits.rs
@@ -222,5 +222,5 @@
         nodes += 1;
         rank += u32::from(vm.vm < *own);
     }
-    (cx.tables.limits.nodes, cx.tables.limits.rank) = (nodes, rank);
+    cx.tables.limits.set_place(nodes, rank);
 }
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -69,6 +69,8 @@
 
 /// Hands an event to the system that takes it, after all due subscriptions.
 pub fn dispatch(cx: &mut Context<'_>, event: Event) {
+    // Requests arrive from callers and from peers, so every event needs the tokens.
+    cx.tables.tokens.refresh(&cx.tables.config);
     while let Some(timer) = cx.tables.timers.pop_due(cx.now) {
         expire(cx, timer);
     }
--- a/crates/core/src/tables/limits.rs
+++ b/crates/core/src/tables/limits.rs
@@ -66,6 +66,14 @@
 }
 
 impl Limit {
+    /// Makes a limit that nothing was learned for.
+    pub fn new(limit: f64) -> Self {
+        Self {
+            limit,
+            ..Self::default()
+        }
+    }
+
     /// Takes in a step that was answered.
     pub fn observe(&mut self, wait_us: f64, service_us: f64) {
         self.wait_us += wait_us;
@@ -187,6 +195,11 @@
 }
 
 impl LimitTable {
+    /// Sets the number of live nodes and of those whose names come first.
+    pub fn set_place(&mut self, nodes: u32, rank: u32) {
+        (self.nodes, self.rank) = (nodes, rank);
+    }
+
     /// Returns the limit of a version.
     pub fn get_mut(&mut self, model: &ModelId, version: &VersionId) -> Option<&mut Limit> {
         self.rows.get_mut(model)?.get_mut(version)
@@ -198,10 +211,9 @@
             self.rows.insert(model.clone(), BTreeMap::new());
         }
         let versions = self.rows.get_mut(model).expect("it was just put there");
-        versions.entry(version.clone()).or_insert_with(|| Limit {
-            limit: initial,
-            ..Limit::default()
-        })
+        versions
+            .entry(version.clone())
+            .or_insert_with(|| Limit::new(initial))
     }
 
     /// Returns all limits.
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -10,6 +10,7 @@
 mod probes;
 mod requests;
 mod retry_budget;
+mod tokens;
 mod vms;
 
 pub use backends::{BackendRow, BackendTable, StageKey, Stages};
@@ -22,6 +23,7 @@
 pub use probes::{MemberView, ProbeTable};
 pub use requests::{CallState, RequestRow, RequestTable, Work};
 pub use retry_budget::RetryBudget;
+pub use tokens::TokenTable;
 pub use vms::VmTable;
 
 use crate::{
@@ -44,6 +46,8 @@
     pub probes: ProbeTable,
     /// Backend servers: the VM list joined with the configuration.
     pub backends: BackendTable,
+    /// Bearer tokens of organisations.
+    pub tokens: TokenTable,
     /// How much of each version's work runs here at one time.
     pub limits: LimitTable,
     /// Requests: open ones and recent outcomes.
