--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -12,6 +12,7 @@
 mod probes;
 mod requests;
 mod retry_budget;
+mod tokens;
 mod vms;
 
 #[cfg(test)]
@@ -29,6 +30,7 @@
 pub use probes::{MemberView, ProbeTable};
 pub use requests::{CallState, RequestRow, RequestTable, Work};
 pub use retry_budget::RetryBudget;
+pub use tokens::TokenTable;
 pub use vms::VmTable;
 
 use crate::{
@@ -55,6 +57,8 @@
     pub probes: ProbeTable,
     /// Backend servers: the VM list joined with the configuration.
     pub backends: BackendTable,
+    /// Bearer tokens of organisations.
+    pub tokens: TokenTable,
     /// How much of each version's work runs here at one time.
     pub limits: LimitTable,
     /// Requests: open ones and recent outcomes.
