perf(routing): join only the backend servers that changed

Cause: a change of one backend server, or of one VM on the list, joined all of them anew; an event should cost time in proportion to what changed. A change of a link joined nobody, so link times went stale. Ruled out: rebuilding less often, which delays leaving. Links rebuild.

--- a/crates/core/src/systems/dissemination.rs
+++ b/crates/core/src/systems/dissemination.rs
@@ -17,9 +17,11 @@
 pub use readers::{LogRead, next_read};
 pub use relay::catch_up_due;
 
+use std::collections::BTreeSet;
+
 use super::{Context, platform, snapshots};
 use crate::{
-    config::{Config, Folded, Kind},
+    config::{Config, Folded, Kind, ObjectKey},
     ids::VmId,
     message::Action,
     peer::{ConfigMessage, PeerMessage},
@@ -82,7 +84,7 @@
 /// Folds the records that come next, and passes over others.
 fn fold(cx: &mut Context<'_>, records: &[Record]) -> u64 {
     let mut folded = 0;
-    let mut backends_changed = false;
+    let mut changed = BTreeSet::new();
     for record in records {
         let Ok(done) = cx.tables.config.fold(record) else {
             continue;
@@ -92,22 +94,30 @@
         let tables = &mut *cx.tables;
         tables.history.push(record.clone(), &tables.config, kept);
         match done {
-            Folded::Decided { changed, .. } => {
-                backends_changed |= changed.iter().any(|key| key.kind == Kind::Backend);
-            }
+            Folded::Decided { changed: keys, .. } => changed.extend(keys),
             Folded::Snapshot(part) => snapshots::seen(cx, &part),
             Folded::Duplicate(_) | Folded::Unreadable(_) => {}
         }
     }
-    if backends_changed {
-        platform::rebuild(cx);
-    }
+    join_backends(cx, &changed);
     if folded > 0 {
         snapshots::consider(cx);
     }
     folded
 }
 
+/// Joins the backend servers that changes concern with the VM list.
+fn join_backends(cx: &mut Context<'_>, changed: &BTreeSet<ObjectKey>) {
+    if changed.iter().any(|key| key.kind == Kind::Link) {
+        return platform::rebuild(cx);
+    }
+    let backends = changed.iter().filter(|key| key.kind == Kind::Backend);
+    let vms: BTreeSet<VmId> = backends.filter_map(|key| key.name.parse().ok()).collect();
+    if !vms.is_empty() {
+        platform::update(cx, &vms);
+    }
+}
+
 /// Takes over a whole configuration, if it is newer than the own one.
 fn adopt(cx: &mut Context<'_>, config: Config) {
     if config.revision() <= cx.tables.config.revision() {
--- a/crates/core/src/tables/backends.rs
+++ b/crates/core/src/tables/backends.rs
@@ -107,16 +107,19 @@
         }
     }
 
-    /// Joins one backend server anew, after its configuration or its VM changed.
-    pub fn update(&mut self, config: &Config, vms: &VmTable, vm: &VmId) {
-        let key = ObjectKey {
-            kind: Kind::Backend,
-            name: vm.to_string(),
-        };
+    /// Joins some backend servers anew, after their configuration or VMs
+    /// changed; the others cost nothing.
+    pub fn update(&mut self, config: &Config, vms: &VmTable, changed: &BTreeSet<VmId>) {
         let links = self.links(config);
-        match config.objects().get(&key).map(|entry| &entry.object) {
-            Some(Object::Backend(backend)) => self.join(backend, vms.get(vm), &links),
-            _ => self.remove(vm),
+        for vm in changed {
+            let key = ObjectKey {
+                kind: Kind::Backend,
+                name: vm.to_string(),
+            };
+            match config.objects().get(&key).map(|entry| &entry.object) {
+                Some(Object::Backend(backend)) => self.join(backend, vms.get(vm), &links),
+                _ => self.remove(vm),
+            }
         }
     }
 
--- a/crates/core/src/tables/vms.rs
+++ b/crates/core/src/tables/vms.rs
@@ -1,6 +1,6 @@
 //! The VM list as last heard.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::Serialize;
 
@@ -16,12 +16,14 @@
 }
 
 impl VmTable {
-    /// Takes over a list; returns true if it differs from the one before.
-    pub fn replace(&mut self, list: VmList) -> bool {
+    /// Takes over a list; returns the VMs that were added, removed or changed.
+    pub fn replace(&mut self, list: VmList) -> BTreeSet<VmId> {
         let rows: BTreeMap<VmId, Vm> = list.vms.into_iter().map(|v| (v.vm.clone(), v)).collect();
-        let changed = rows != self.rows;
-        self.rows = rows;
-        changed
+        let old = std::mem::replace(&mut self.rows, rows);
+        let new = self.rows.iter();
+        let differs = new.filter(|(vm, row)| old.get(vm) != Some(row));
+        let removed = old.keys().filter(|vm| !self.rows.contains_key(vm));
+        differs.map(|(vm, _)| vm).chain(removed).cloned().collect()
     }
 
     /// Returns a VM.
