--- a/crates/daemon/src/edges/callers.rs
+++ b/crates/daemon/src/edges/callers.rs
@@ -1,39 +1,38 @@
 //! Serves callers over HTTP; the protocol is `docs/CALLERS.md`.
 
+mod answers;
+mod input;
+mod stream;
+
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Method, StatusCode, header::AUTHORIZATION};
-use http_body::Frame;
-use http_body_util::{BodyExt, Limited};
+use http::{HeaderMap, Method, StatusCode, header::AUTHORIZATION};
 use radishhaven_core::{
-    ids::{RequestId, RequestKey},
-    message::{Demand, Done, Reply, Submission},
+    ids::RequestId,
+    message::{Demand, Reply, Submission},
     node::Known,
     outcome::{NotRun, Outcome},
     systems::directory,
 };
 use radishhaven_proto::caller::{
-    COMPLETIONS_PATH, Completion, CompletionRequest, DEADLINE_HEADER, DELTA_EVENT, DIRECTORY_PATH,
-    DONE_EVENT, Delta, Directory, DirectoryNode, ErrorBody, IDEMPOTENT_HEADER, MintedIds,
-    OUTCOME_HEADER, PRIORITY_HEADER, REQUEST_ID_HEADER, REQUEST_IDS_PATH, REQUESTS_PATH,
-    RequestStatus, SERVICES_PATH, ServiceAnswer,
+    COMPLETIONS_PATH, CompletionRequest, DEADLINE_HEADER, DIRECTORY_PATH, Directory, DirectoryNode,
+    IDEMPOTENT_HEADER, MintedIds, PRIORITY_HEADER, REQUEST_ID_HEADER, REQUEST_IDS_PATH,
+    REQUESTS_PATH, RequestStatus, SERVICES_PATH,
 };
-use serde::Serialize;
-use sha2::{Digest, Sha256};
-use tokio::{net::TcpListener, sync::mpsc};
+use tokio::net::TcpListener;
 use volo::{context::Context, net::Address, service::Service};
-use volo_http::{body::Body, context::ServerContext, request::Request, response::Response};
+use volo_http::{context::ServerContext, request::Request, response::Response};
 
+use self::{
+    answers::{called, cut, ended_before_start, millis, whole},
+    input::{Refusal, header, read_body, token},
+    stream::{AnswerReader, stream},
+};
 use super::http::{json, query_value, serve as serve_http};
 use crate::host::Host;
 
-/// Largest body of a request, in bytes.
-const MAX_REQUEST_BYTES: usize = 1024 * 1024;
 /// Most ids that one call mints.
 const MAX_MINTED_IDS: u32 = 1_000;
-/// Header: milliseconds after which a rejected caller should ask again.
-const RETRY_AFTER_MS_HEADER: &str = "retry-after-ms";
 
 /// Serves callers until the process ends.
 pub(crate) async fn serve(host: Arc<Host>, listener: TcpListener) {
@@ -56,36 +55,6 @@
             .unwrap_or_else(|refusal| refusal.response()))
     }
 }
-
-/// A request that never reaches the decisions.
-struct Refusal {
-    status: StatusCode,
-    reason: NotRun,
-    message: String,
-}
-
-impl Refusal {
-    fn bad(message: impl Into<String>) -> Self {
-        let message = message.into();
-        Self {
-            status: StatusCode::BAD_REQUEST,
-            reason: NotRun::BadRequest,
-            message,
-        }
-    }
-
-    fn response(self) -> Response {
-        let outcome = Outcome::NotRun(self.reason);
-        json(
-            self.status,
-            &ErrorBody {
-                outcome,
-                message: self.message,
-            },
-        )
-    }
-}
-
 impl Callers {
     async fn answer(&self, req: Request, caller: Option<Address>) -> Result<Response, Refusal> {
         let path = req.uri().path().to_owned();
@@ -235,226 +204,3 @@
         Ok(AnswerReader::new(self.host.clone(), key, rx))
     }
 }
-
-/// Reads one answer; dropping it before the end says that the caller is gone.
-struct AnswerReader {
-    host: Arc<Host>,
-    key: RequestKey,
-    rx: mpsc::UnboundedReceiver<Reply>,
-}
-
-impl AnswerReader {
-    fn new(host: Arc<Host>, key: RequestKey, rx: mpsc::UnboundedReceiver<Reply>) -> Self {
-        host.answer_opened();
-        Self { host, key, rx }
-    }
-
-    async fn next(&mut self) -> Option<Reply> {
-        self.rx.recv().await
-    }
-}
-
-impl Drop for AnswerReader {
-    fn drop(&mut self) {
-        self.host.caller_gone(self.key);
-        self.host.answer_closed();
-    }
-}
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
-async fn read_body(body: Body) -> Result<Bytes, Refusal> {
-    let whole = Limited::new(body, MAX_REQUEST_BYTES).collect().await;
-    whole.map(|b| b.to_bytes()).map_err(|_| Refusal {
-        status: StatusCode::PAYLOAD_TOO_LARGE,
-        reason: NotRun::BadRequest,
-        message: format!("the body broke off or has more than {MAX_REQUEST_BYTES} bytes"),
-    })
-}
-
-fn token(headers: &HeaderMap) -> Result<[u8; 32], Refusal> {
-    let value = headers.get(AUTHORIZATION).and_then(|v| v.to_str().ok());
-    let token = value
-        .and_then(|v| v.strip_prefix("Bearer "))
-        .ok_or_else(|| Refusal {
-            status: StatusCode::UNAUTHORIZED,
-            reason: NotRun::Unauthorised,
-            message: "a bearer token is needed".to_owned(),
-        })?;
-    Ok(Sha256::digest(token.as_bytes()).into())
-}
-
-fn header<T: std::str::FromStr>(
-    headers: &HeaderMap,
-    name: &str,
-    allowed: &str,
-) -> Result<Option<T>, Refusal> {
-    let Some(value) = headers.get(name) else {
-        return Ok(None);
-    };
-    let parsed = value.to_str().ok().and_then(|v| v.parse().ok());
-    parsed
-        .map(Some)
-        .ok_or_else(|| Refusal::bad(format!("header {name}: allowed is {allowed}")))
-}
-
-fn status_of(outcome: Outcome) -> StatusCode {
-    match outcome {
-        Outcome::Completed => StatusCode::OK,
-        Outcome::NotRun(NotRun::OverLimit) => StatusCode::TOO_MANY_REQUESTS,
-        Outcome::NotRun(NotRun::BadRequest) => StatusCode::BAD_REQUEST,
-        Outcome::NotRun(NotRun::Unauthorised) => StatusCode::UNAUTHORIZED,
-        Outcome::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
-        Outcome::Failed => StatusCode::BAD_GATEWAY,
-        Outcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
-    }
-}
-
-fn finish(mut resp: Response, done: &Done) -> Response {
-    let mut put = |name: &'static str, value: String| {
-        if let Ok(value) = HeaderValue::from_str(&value) {
-            resp.headers_mut().insert(name, value);
-        }
-    };
-    put(OUTCOME_HEADER, done.outcome.kind().to_owned());
-    if let Some(id) = &done.id {
-        put(REQUEST_ID_HEADER, id.to_string());
-    }
-    if let Some(after) = done.retry_after {
-        put(RETRY_AFTER_MS_HEADER, millis(after).to_string());
-        put("retry-after", after.as_secs_f64().ceil().to_string());
-    }
-    resp
-}
-
-fn ended_before_start(done: Done) -> Response {
-    let body = ErrorBody {
-        outcome: done.outcome,
-        message: done.message.clone(),
-    };
-    finish(json(status_of(done.outcome), &body), &done)
-}
-
-/// The node is ending before it could decide; the caller sees no outcome.
-fn cut() -> Response {
-    let outcome = Outcome::Unknown;
-    let message = "the node is ending".to_owned();
-    json(StatusCode::GATEWAY_TIMEOUT, &ErrorBody { outcome, message })
-}
-
-fn whole(done: Done, text: String) -> Response {
-    let Some(id) = done.id.clone() else {
-        return ended_before_start(done);
-    };
-    let (outcome, tokens, digest) = (done.outcome, done.tokens, done.digest.clone());
-    if outcome != Outcome::Completed {
-        return ended_before_start(done);
-    }
-    let body = Completion {
-        id,
-        outcome,
-        text: Some(text),
-        tokens,
-        digest,
-    };
-    finish(json(StatusCode::OK, &body), &done)
-}
-
-fn called(done: Done) -> Response {
-    let Some(id) = done.id.clone() else {
-        return ended_before_start(done);
-    };
-    if done.outcome != Outcome::Completed {
-        return ended_before_start(done);
-    }
-    let body = ServiceAnswer {
-        id,
-        outcome: done.outcome,
-        body: done.body.clone(),
-    };
-    finish(json(StatusCode::OK, &body), &done)
-}
-
-fn event<T: Serialize>(name: &str, value: &T) -> Frame<Bytes> {
-    let data = serde_json::to_string(value).unwrap_or_default();
-    Frame::data(Bytes::from(format!("event: {name}\ndata: {data}\n\n")))
-}
-
-fn stream(id: RequestId, answer: AnswerReader) -> Response {
-    let header_id = HeaderValue::from_str(id.as_str());
-    let parts =
-        futures_util::stream::unfold((answer, id, false), |(mut answer, id, over)| async move {
-            if over {
-                return None;
-            }
-            let (frame, over) = match answer.next().await? {
-                Reply::Delta { index, text } => (
-                    event(
-                        DELTA_EVENT,
-                        &Delta {
-                            id: id.clone(),
-                            index,
-                            text,
-                        },
-                    ),
-                    false,
-                ),
-                Reply::Done(done) => (event(DONE_EVENT, &last_event(&id, done)), true),
-                Reply::Admitted { .. } | Reply::Status(_) => return None,
-            };
-            Some((Ok(frame), (answer, id, over)))
-        });
-    let mut resp = Response::new(Body::from_stream(SyncStream::new(parts)));
-    let headers = resp.headers_mut();
-    headers.insert(
-        "content-type",
-        HeaderValue::from_static("text/event-stream"),
-    );
-    headers.insert("cache-control", HeaderValue::from_static("no-store"));
-    if let Ok(value) = header_id {
-        headers.insert(REQUEST_ID_HEADER, value);
-    }
-    resp
-}
-
-fn last_event(id: &RequestId, done: Done) -> Completion {
-    Completion {
-        id: id.clone(),
-        outcome: done.outcome,
-        text: None,
-        tokens: done.tokens,
-        digest: done.digest,
-    }
-}
-
-type Part = Result<Frame<Bytes>, Box<dyn std::error::Error + Send + Sync>>;
-
-/// The HTTP library asks for a stream that is `Sync`; a lock makes it so.
-struct SyncStream {
-    inner: std::sync::Mutex<std::pin::Pin<Box<dyn futures_util::Stream<Item = Part> + Send>>>,
-}
-
-impl SyncStream {
-    fn new(inner: impl futures_util::Stream<Item = Part> + Send + 'static) -> Self {
-        Self {
-            inner: std::sync::Mutex::new(Box::pin(inner)),
-        }
-    }
-}
-
-impl futures_util::Stream for SyncStream {
-    type Item = Part;
-
-    fn poll_next(
-        mut self: std::pin::Pin<&mut Self>,
-        cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Part>> {
-        let inner = self
-            .inner
-            .get_mut()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
-        inner.as_mut().poll_next(cx)
-    }
-}
--- a/crates/standin/examples/slopes/requests.rs
+++ b/crates/standin/examples/slopes/requests.rs
@@ -22,7 +22,7 @@
             }
         });
         memory.push(Point {
-            size: requests as f64,
+            size: node.node.tables().requests.len() as f64,
             cost: bytes / 1024.0,
         });
     }
--- a/crates/standin/examples/slopes/sample.rs
+++ b/crates/standin/examples/slopes/sample.rs
@@ -26,6 +26,8 @@
 const LAYERS: u16 = 24;
 /// Stages over these layers.
 const STAGES: u16 = 3;
+/// Requests that a node takes on at one time.
+const OPEN_REQUESTS: u32 = 1_000_000;
 /// Failure domains.
 const DOMAINS: usize = 17;
 /// Longest batch that is published, in changes.
@@ -51,8 +53,11 @@
             address: address(0),
             incarnation: Incarnation(1),
         };
+        let mut cfg = Configs::new(identity);
+        // What a request costs is measured here, not how many are let in.
+        cfg.admission.initial_limit = OPEN_REQUESTS;
         let mut sample = Self {
-            node: Node::new(Configs::new(identity), 1),
+            node: Node::new(cfg, 1),
             now: Timestamp::from_millis(1),
             next_offset: 0,
             next_key: 0,
--- a/crates/standin/src/net.rs
+++ b/crates/standin/src/net.rs
@@ -165,6 +165,13 @@
         self.list.insert(vm.clone(), row);
         self.handle(&vm, Event::VmList(self.vm_list()));
         self.handle(&vm, Event::Start);
+        // A log without records: nodes that can't read one go on asking each other.
+        let read = Event::ConfigRecords {
+            first: 0,
+            end: 0,
+            records: Vec::new(),
+        };
+        self.handle(&vm, read);
     }
 
     /// Ends a node at once.
