refactor(answer): make the end of an empty answer in one place

Cause: reject and duplicate each wrote out the same end of an answer without content. Ruled out: a constructor on Done, which has no other use. Before: two copies. Conclusion: no outcome or message changed.

--- a/crates/core/src/systems/answer.rs
+++ b/crates/core/src/systems/answer.rs
@@ -55,21 +55,24 @@
         NotRun::OverLimit | NotRun::NoCapacity | NotRun::Draining
     );
     let retry_after = again.then(|| admission::retry_after(cx));
-    let outcome = Outcome::NotRun(reason);
-    let digest = hex_digest("");
-    give(
-        cx,
-        key,
-        Done {
-            id,
-            outcome,
-            tokens: 0,
-            digest,
-            body: None,
-            retry_after,
-            message,
-        },
-    );
+    let done = Done {
+        retry_after,
+        ..empty(id, Outcome::NotRun(reason), message)
+    };
+    give(cx, key, done);
+}
+
+/// Returns the end of an answer that has no content.
+fn empty(id: Option<RequestId>, outcome: Outcome, message: String) -> Done {
+    Done {
+        id,
+        outcome,
+        tokens: 0,
+        digest: hex_digest(""),
+        body: None,
+        retry_after: None,
+        message,
+    }
 }
 
 /// Answers a request whose id was seen before: it is not run again, and what
@@ -84,21 +87,7 @@
         Some(outcome) => format!("a request of this id ended before: {outcome}"),
         None => "a request of this id is running".to_owned(),
     };
-    let id = Some(id.clone());
-    let digest = hex_digest("");
-    give(
-        cx,
-        key,
-        Done {
-            id,
-            outcome,
-            tokens: 0,
-            digest,
-            body: None,
-            retry_after: None,
-            message,
-        },
-    );
+    give(cx, key, empty(Some(id.clone()), outcome, message));
 }
 
 /// Ends an open request and tells the caller.
