fix(lease): number fencing tokens from one, so that zero means no lease

Before: another_node_takes_over_and_corrects_orders_of_the_one_before failed in 2 of 12 processes run at a time, then in 2 of 60 with the holdings printed.

The token is now the offset after the claim, as a revision is.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -134,7 +134,8 @@
     Incarnation(u64);
     /// Counts log records; a revision is the offset after the last folded record.
     Revision(u64);
-    /// Orders lease holders; it is the log offset of the claim.
+    /// Orders lease holders; it is the offset after the claim, so that zero is
+    /// the token of no lease.
     FencingToken(u64);
     /// Counts the attempts that a node made at one request.
     Attempt(u32);
--- a/crates/core/src/lease/mod.rs
+++ b/crates/core/src/lease/mod.rs
@@ -1,11 +1,11 @@
 //! Leases with fencing tokens through an append-only log.
 //!
 //! A lease covers one shard of backend servers. Whoever wants it appends a
-//! claim; the claim's offset is its fencing token, and the log's order is the
-//! only agreement. A holder counts its lease from before its append was sent,
-//! all others from when they read the record, plus a bound on clock drift, so
-//! that at most one holder holds itself for valid at a time. The argument and
-//! the ways weighed are in `docs/design/leases.md`.
+//! claim; the offset after the claim is its fencing token, and the log's order
+//! is the only agreement. A holder counts its lease from before its append was
+//! sent, all others from when they read the record, plus a bound on clock
+//! drift, so that at most one holder holds itself for valid at a time. The
+//! argument and the ways weighed are in `docs/design/leases.md`.
 //!
 //! ```
 //! use std::time::Duration;
@@ -28,7 +28,7 @@
 //! // The claim holds once it is read back, whatever the append was answered.
 //! let body = serde_json::to_string(&claim)?;
 //! leases.read(now + Duration::from_millis(5), 0, 1, &[Record { offset: 0, body }]);
-//! assert_eq!(leases.token(now + Duration::from_secs(1), &shard), Some(FencingToken(0)));
+//! assert_eq!(leases.token(now + Duration::from_secs(1), &shard), Some(FencingToken(1)));
 //!
 //! // Without a renewal it lapses by itself.
 //! assert_eq!(leases.token(now + Duration::from_secs(60), &shard), None);
--- a/crates/core/src/lease/table.rs
+++ b/crates/core/src/lease/table.rs
@@ -190,7 +190,7 @@
         let lease = record.lease();
         let held = own_sent.filter(|_| complete).map(|sent| sent + lease);
         let row = LeaseRow {
-            token: FencingToken(offset),
+            token: FencingToken(offset + 1),
             holder: record.holder.clone(),
             over_at,
             since: now,
@@ -219,7 +219,7 @@
     ) {
         let over_at = now + self.cfg.wait(record.lease());
         self.note(shard, offset, over_at);
-        let restated = |known: &LeaseRow| known.token < token && token.0 < self.start;
+        let restated = |known: &LeaseRow| known.token < token && token.0 <= self.start;
         match self.rows.get_mut(shard) {
             Some(row) if row.token == token => {
                 row.over_at = row.over_at.max(over_at);
