fix(load): credit tokens when callers have them, and judge recovery by arrivals

Cause of "the limit does not come back after overload": the tool, not the limit. It credited work by the moment of its request's arrival, but what was possible by the moment of completion. The bound lets requests of the overload wait as long as their answers can be of use, 4 s, so after it the possible stays at the full capacity for the whole phase, of which 0.9 arrives at most; and work that was let in before the end of the overload took room of the next phase and counted for the one before.

Now goodput and the possible both go by the moment of completion, until the last answer can be of use. Recovery compares, of the same arrivals, what was served with what the engines allow, the lesser of load and capacity in windows of 1 s, up to the end of the phase; comparing sums of unlike requests would see the noise of arrivals, 7 in 100 in such a window.

Ruled out: the controller.

--- a/crates/standin/examples/load/report.rs
+++ b/crates/standin/examples/load/report.rs
@@ -72,7 +72,7 @@
     process_cores: f64,
     /// Part of their completions that each organisation got in time, by phase.
     organisations: Vec<Vec<f64>>,
-    /// Tokens a second in time, by moment of arrival.
+    /// Tokens a second in time, by the moment at which callers had them.
     #[serde(skip)]
     pub goodput: Vec<f64>,
     /// Tokens a second that were possible, likewise.
@@ -121,7 +121,9 @@
             phases: series.phases(load),
             recovery_ms: marks
                 .iter()
-                .map(|m| series.recovery(m * cfg.seconds))
+                .map(|m| {
+                    series.recovery(m * cfg.seconds, cfg.scenario.level_until(*m) * cfg.seconds)
+                })
                 .collect(),
             violations: BTreeMap::from([("wrong-answer", wrong)]),
             outcomes,
@@ -222,30 +224,41 @@
     }
 }
 
-/// Tokens by the interval in which their requests arrived.
+/// Tokens by interval, until the last answer can be of use.
 struct Series {
+    /// In time, by the moment at which callers had them.
     goodput: Vec<f64>,
+    /// Likewise what engines could have completed of what waited.
     possible: Vec<f64>,
+    /// In time, by the moment at which their requests arrived.
+    served: Vec<f64>,
+    /// Likewise what could be served without letting it wait.
+    allowed: Vec<f64>,
 }
 
 impl Series {
     fn new(cfg: &RunCfg, load: &Load, run: &Run) -> Self {
-        let count = (cfg.seconds / INTERVAL).ceil() as usize;
+        let useful = Purpose::Ordinary.useful().as_secs_f64();
+        let count = ((cfg.seconds + useful) / INTERVAL).ceil() as usize;
         let slot = |at: f64| ((at / INTERVAL) as usize).min(count - 1);
-        let mut goodput = vec![0.0; count];
+        let (mut goodput, mut served) = (vec![0.0; count], vec![0.0; count]);
         for sample in run.samples.iter().filter(|s| s.in_time) {
             let arrival = &load.arrivals[sample.arrival];
-            if arrival.purpose != Purpose::Booking {
-                goodput[slot(arrival.at)] += arrival.text.len() as f64;
+            if arrival.purpose == Purpose::Booking {
+                continue;
+            }
+            served[slot(arrival.at)] += arrival.text.len() as f64;
+            let mut at = arrival.at;
+            for pause in sample.first_token.iter().chain(&sample.gaps) {
+                at += pause.as_secs_f64();
+                goodput[slot(at)] += 1.0;
             }
         }
         let mut offered = vec![0.0; count];
-        for arrival in load
-            .arrivals
-            .iter()
-            .filter(|a| a.purpose != Purpose::Booking)
-        {
-            offered[slot(arrival.at)] += arrival.text.len() as f64;
+        for arrival in &load.arrivals {
+            if arrival.purpose != Purpose::Booking {
+                offered[slot(arrival.at)] += arrival.text.len() as f64;
+            }
         }
         let interval = |(index, requests): (usize, f64)| Offered {
             requests,
@@ -254,10 +267,11 @@
                 * load.capacity[usize::from(index as f64 * INTERVAL >= INCIDENT_AT * cfg.seconds)],
         };
         let intervals: Vec<Offered> = offered.into_iter().enumerate().map(interval).collect();
-        let useful = Purpose::Ordinary.useful().as_secs_f64();
         Self {
             goodput,
             possible: bound::completed(&intervals, useful),
+            served,
+            allowed: allowed(&intervals[..(cfg.seconds / INTERVAL) as usize]),
         }
     }
 
@@ -278,15 +292,16 @@
     }
 
     /// Returns the time from `mark` to the end of the last window in which
-    /// service was not whole.
-    fn recovery(&self, mark: f64) -> Option<f64> {
-        let first = (mark / INTERVAL).round() as usize;
+    /// less was served of what arrived than the engines allowed.
+    fn recovery(&self, mark: f64, until: f64) -> Option<f64> {
+        let slots = |at: f64| (at / INTERVAL).round() as usize;
         let windows: Vec<bool> = self
-            .goodput
+            .served
             .windows(WINDOW)
-            .zip(self.possible.windows(WINDOW))
-            .skip(first)
-            .map(|(got, could)| got.iter().sum::<f64>() >= WHOLE * could.iter().sum::<f64>())
+            .zip(&self.allowed)
+            .take(slots(until).saturating_sub(WINDOW - 1))
+            .skip(slots(mark))
+            .map(|(got, allowed)| got.iter().sum::<f64>() >= WHOLE * allowed)
             .collect();
         match windows.iter().rposition(|whole| !whole) {
             None => Some(0.0),
@@ -296,6 +311,17 @@
     }
 }
 
+/// Returns for each window what arrives in it, up to what the engines can do
+/// in that time.
+fn allowed(intervals: &[Offered]) -> Vec<f64> {
+    let window = |window: &[Offered]| {
+        let offered: f64 = window.iter().map(|o| o.requests).sum();
+        let capacity: f64 = window.iter().map(|o| o.capacity * o.seconds).sum();
+        offered.min(capacity)
+    };
+    intervals.windows(WINDOW).map(window).collect()
+}
+
 fn smooth(values: &[f64]) -> Vec<f64> {
     let mean = |w: &[f64]| w.iter().sum::<f64>() / (w.len() as f64 * INTERVAL);
     values.windows(WINDOW).map(mean).collect()
--- a/crates/standin/examples/load/scenario.rs
+++ b/crates/standin/examples/load/scenario.rs
@@ -133,6 +133,17 @@
         }
     }
 
+    /// Returns the end of the phase that begins at a mark, as part of the run.
+    pub fn level_until(self, mark: f64) -> f64 {
+        let mut end = 0.0;
+        let ends = self.phases(1.0).into_iter().map(|phase| {
+            end += phase.seconds;
+            end
+        });
+        let after = |end: &f64| *end > mark + PHASE_SLACK;
+        ends.into_iter().find(after).unwrap_or(1.0)
+    }
+
     /// Returns what happens at [`INCIDENT_AT`].
     pub fn incident(self, plan: &Plan) -> Option<Incident> {
         let engines = &plan.engines;
@@ -154,6 +165,9 @@
     }
 }
 
+/// Parts of a run that are closer than this are one.
+const PHASE_SLACK: f64 = 1e-6;
+
 /// When the incident of a scenario happens, as part of the run.
 pub const INCIDENT_AT: f64 = 0.4;
 
--- a/crates/standin/examples/load/svg.rs
+++ b/crates/standin/examples/load/svg.rs
@@ -41,7 +41,7 @@
     let names: Vec<&str> = reports.iter().map(|r| r.policy.as_str()).collect();
     let _ = writeln!(
         svg,
-        "<text x=\"4\" y=\"{}\" font-size=\"12\">tokens/s by arrival, top {top:.0}; grey: possible; {}</text>\n</svg>",
+        "<text x=\"4\" y=\"{}\" font-size=\"12\">tokens/s in time, top {top:.0}; grey: possible; {}</text>\n</svg>",
         HEIGHT + 14.0,
         names.join(" and ")
     );
