feat(load): judge each run by the invariant checker

The load tool counted wrong answers only and called that violations. It now hands the callers' and stand-ins' records to the checker after each run, as the scenarios do, and names what it found. The check runs after processor time was read, so figures are as before.

That the checker catches each kind is proved by its own tests; none was planted in this tool.

--- a/crates/standin/examples/load/drive.rs
+++ b/crates/standin/examples/load/drive.rs
@@ -11,8 +11,9 @@
 use radishhaven_client::{Answer, Ask, Caller, CallerError};
 use radishhaven_core::outcome::Outcome;
 use radishhaven_standin::{
+    checker::{AnswerRecord, Asked, CallerRecord, Violation, check},
     cpu,
-    deployment::{Deployment, DeploymentError, NODE_THREAD, Plan},
+    deployment::{Deployment, DeploymentError, NODE_THREAD, Plan, VERSION, id},
 };
 use serde_json::json;
 use tokio::{task::JoinSet, time::Instant};
@@ -51,8 +52,8 @@
     pub outcome: String,
     /// Whether the right answer was whole and in time.
     pub in_time: bool,
-    /// Whether the answer was whole and wrong.
-    pub wrong: bool,
+    /// The answer as evidence; nothing came without it.
+    pub record: Option<AnswerRecord>,
     /// Time from sending to the end.
     pub took: Duration,
     /// Time from sending to the first token.
@@ -68,6 +69,8 @@
 pub struct Run {
     /// One sample for each request that was answered or failed.
     pub samples: Vec<Sample>,
+    /// What the checker found in the records of callers and stand-ins.
+    pub violations: Vec<Violation>,
     /// Attempts beyond the first, over all nodes.
     pub retries: u64,
     /// Steps that were sent, over all nodes.
@@ -148,6 +151,9 @@
     let cpu = cpu_seconds()?;
     run.node_cpu_s = cpu.0 - cpu_before.0;
     run.process_cpu_s = cpu.1 - cpu_before.1;
+    let samples = run.samples.iter_mut();
+    let callers = samples.filter_map(|s| caller_record(&deployment.plan, load, s));
+    run.violations = check(&deployment.records(callers.collect(), true));
     for node in deployment.nodes.values() {
         node.node.host.read(|node| {
             run.retries += node.tables().counters.retries;
@@ -193,14 +199,39 @@
         arrival: number,
         outcome,
         in_time: whole && right && took <= arrival.purpose.useful(),
-        wrong: whole && !right,
         took,
         first_token: answer.as_ref().and_then(|a| a.first_token),
         retry_after: answer.as_ref().and_then(|a| a.retry_after),
-        gaps: answer.map(|a| a.gaps).unwrap_or_default(),
+        gaps: answer.as_ref().map(|a| a.gaps.clone()).unwrap_or_default(),
+        record: answer.map(AnswerRecord::new),
     }
 }
 
+/// Makes the evidence of one request for the checker.
+fn caller_record(plan: &Plan, load: &Load, sample: &mut Sample) -> Option<CallerRecord> {
+    let arrival = &load.arrivals[sample.arrival];
+    let answer = sample.record.take()?;
+    let booking = arrival.purpose == Purpose::Booking;
+    let asked = match booking {
+        true => Asked::Call {
+            operation: "book".to_owned(),
+        },
+        false => Asked::Completion {
+            model: id(plan.pipeline.as_str()),
+            version: id(VERSION),
+            layers: plan.layers,
+            prompt: arrival.prompt.clone(),
+            max_tokens: arrival.max_tokens,
+        },
+    };
+    Some(CallerRecord {
+        id: answer.id.clone(),
+        asked,
+        idempotent: !booking,
+        answers: vec![answer],
+    })
+}
+
 /// Returns the processor seconds of the nodes' threads and of all threads.
 fn cpu_seconds() -> std::io::Result<(f64, f64)> {
     let nodes = cpu::threads(NODE_THREAD)?;
--- a/crates/standin/examples/load/report.rs
+++ b/crates/standin/examples/load/report.rs
@@ -56,8 +56,8 @@
     /// From each mark to the moment after which service stays whole; nothing
     /// if it did not get whole.
     recovery_ms: Vec<Option<f64>>,
-    /// Answers that were whole and wrong; other invariants are not judged here.
-    violations: BTreeMap<&'static str, u64>,
+    /// What the checker found in the records of callers and stand-ins.
+    violations: Vec<String>,
     outcomes: BTreeMap<String, u64>,
     admitted_in_time: f64,
     first_token_in_time: f64,
@@ -102,7 +102,6 @@
         for sample in &run.samples {
             *outcomes.entry(sample.outcome.clone()).or_default() += 1;
         }
-        let wrong = run.samples.iter().filter(|s| s.wrong).count() as u64;
         let marks = cfg.scenario.marks();
         let requests = load.arrivals.len().max(1) as f64;
         Self {
@@ -125,7 +124,7 @@
                     series.recovery(m * cfg.seconds, cfg.scenario.level_until(*m) * cfg.seconds)
                 })
                 .collect(),
-            violations: BTreeMap::from([("wrong-answer", wrong)]),
+            violations: run.violations.iter().map(ToString::to_string).collect(),
             outcomes,
             admitted_in_time: part(
                 admitted.iter().filter(|s| s.in_time).count(),
@@ -172,7 +171,10 @@
             format!("{before:.1}, later {after:.1}"),
         );
         row("recovery, ms", format!("{:?}", self.recovery_ms));
-        row("violations", format!("{:?}", self.violations));
+        row("violations", self.violations.len().to_string());
+        for violation in &self.violations {
+            println!("    {violation}");
+        }
         row("outcomes", format!("{:?}", self.outcomes));
         row("admitted in time", format!("{:.3}", self.admitted_in_time));
         row(
