feat(load): measure drains, node restarts, kept addresses, log outages, lost answers

Five scenarios of the design pressures that only tests had: drain (an engine leaves), node-restart, stale-directory (a node is gone, callers keep its address), log-outage (down, slow, back) and lost-ack (calls take effect, their answers are lost). Incidents are a list over time now, in a file of their own. A caller whose node is gone turns to the next one: with a completion in any case, with a booking only if it can't have been sent.

duplicate-submit, retention, freeze-lift and paused-holder stay with the tests and with freeze_lift: they have no goodput to measure.

--- a/crates/standin/examples/load/arrivals.rs
+++ b/crates/standin/examples/load/arrivals.rs
@@ -192,10 +192,13 @@
 }
 
 fn capacity(cfg: &RunCfg, plan: &Plan, mean: MeanRequest, after: bool) -> f64 {
-    let incident = cfg.scenario.incident(plan).filter(|_| after);
+    let incidents = match after {
+        true => cfg.scenario.incidents(plan),
+        false => Vec::new(),
+    };
     let lost = |engine: &EnginePlan| {
-        let lost = incident.as_ref().map(|i| i.lost()).unwrap_or_default();
-        lost.iter().any(|e| e.vm == engine.vm)
+        let mut lost = incidents.iter().flat_map(|(_, incident)| incident.lost());
+        lost.any(|e| e.vm == engine.vm)
     };
     let engines: Vec<EngineCapacity> = plan
         .engines
--- a/crates/standin/examples/load/drive.rs
+++ b/crates/standin/examples/load/drive.rs
@@ -1,6 +1,8 @@
 //! Sends the requests of a run and keeps what callers saw.
 
 use std::{
+    collections::VecDeque,
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -8,8 +10,11 @@
     time::Duration,
 };
 
-use radishhaven_client::{Answer, Ask, Caller, CallerError};
-use radishhaven_core::outcome::Outcome;
+use radishhaven_client::{Answer, Ask, Caller, CallerError, HttpError};
+use radishhaven_core::{
+    ids::{PipelineId, ServiceId},
+    outcome::Outcome,
+};
 use radishhaven_standin::{
     checker::{AnswerRecord, Asked, CallerRecord, Violation, check},
     cpu,
@@ -21,7 +26,6 @@
 use crate::{
     RunCfg,
     arrivals::{Arrival, Load, Purpose},
-    scenario::INCIDENT_AT,
 };
 
 /// Time between two lines of progress.
@@ -83,7 +87,7 @@
 
 /// Sends all requests to a deployment that is started for it.
 pub async fn run(cfg: &RunCfg, plan: Plan, load: &Load) -> Result<Run, DriveError> {
-    let incident = cfg.scenario.incident(&plan);
+    let mut incidents = VecDeque::from(cfg.scenario.incidents(&plan));
     let mut deployment = Deployment::start(plan).await?;
     let callers: Result<Vec<Caller>, CallerError> = deployment
         .plan
@@ -102,36 +106,28 @@
     let start = Instant::now();
     let answered = Arc::new(AtomicUsize::new(0));
     let mut tasks = JoinSet::new();
-    let mut incident = incident.map(|i| (INCIDENT_AT * cfg.seconds, i));
     let mut shown = Instant::now();
     for (number, arrival) in load.arrivals.iter().enumerate() {
-        if let Some((at, i)) = incident.take_if(|(at, _)| *at <= arrival.at) {
-            tokio::time::sleep_until(start + Duration::from_secs_f64(at)).await;
-            i.apply(&mut deployment)?;
+        while let Some((part, incident)) = incidents.front()
+            && part * cfg.seconds <= arrival.at
+        {
+            let at = Duration::from_secs_f64(part * cfg.seconds);
+            tokio::time::sleep_until(start + at).await;
+            incident.apply(&mut deployment)?;
+            incidents.pop_front();
         }
         tokio::time::sleep_until(start + Duration::from_secs_f64(arrival.at)).await;
-        let caller = callers[arrival.organisation].clone();
+        let target = Target {
+            caller: callers[arrival.organisation].clone(),
+            addresses: [0, 1].map(|n| addresses[(arrival.node + n) % addresses.len()]),
+            pipeline: deployment.plan.pipeline.clone(),
+            service: deployment.plan.service.clone(),
+        };
         let (arrival, counter) = (arrival.clone(), answered.clone());
-        let (address, pipeline) = (addresses[arrival.node], deployment.plan.pipeline.clone());
-        let service = deployment.plan.service.clone();
         tasks.spawn(async move {
-            let useful = arrival.purpose.useful();
-            let ask = ask(&arrival);
             let sent = Instant::now();
-            let answer = tokio::time::timeout(useful + GRACE, async {
-                match arrival.purpose {
-                    Purpose::Booking => {
-                        let body = json!({ "entry": arrival.prompt });
-                        let service = service.as_str();
-                        caller.call(address, &ask, service, "book", &body).await
-                    }
-                    _ => {
-                        let (prompt, max) = (&arrival.prompt, arrival.max_tokens);
-                        caller.complete(address, &ask, &pipeline, prompt, max).await
-                    }
-                }
-            })
-            .await;
+            let useful = arrival.purpose.useful();
+            let answer = tokio::time::timeout(useful + GRACE, target.ask(&arrival)).await;
             counter.fetch_add(1, Ordering::Relaxed);
             sample(number, &arrival, sent.elapsed(), answer.ok())
         });
@@ -163,13 +159,65 @@
     Ok(run)
 }
 
-fn ask(arrival: &Arrival) -> Ask {
+/// Whom a request goes to.
+struct Target {
+    caller: Caller,
+    /// The node that the caller uses, and the one that it turns to then.
+    addresses: [SocketAddr; 2],
+    pipeline: PipelineId,
+    service: ServiceId,
+}
+
+impl Target {
+    /// Asks one node, and the other one if the first is gone: about a
+    /// completion in any case, as it is idempotent, and about a booking if it
+    /// can't have been sent.
+    async fn ask(&self, arrival: &Arrival) -> Result<Answer, CallerError> {
+        let [first, second] = self.addresses;
+        let begun = Instant::now();
+        let answer = self.ask_at(first, arrival, Duration::ZERO).await;
+        let again = match (&answer, arrival.purpose) {
+            (Err(CallerError::Http(HttpError::NotSent(_))), _) => true,
+            (_, Purpose::Booking) => false,
+            (Err(_), _) => true,
+            (Ok(answer), _) => answer.outcome.is_none(),
+        };
+        if !again {
+            return answer;
+        }
+        let late = begun.elapsed();
+        let mut answer = self.ask_at(second, arrival, late).await?;
+        answer.first_token = answer.first_token.map(|at| at + late);
+        Ok(answer)
+    }
+
+    async fn ask_at(
+        &self,
+        node: SocketAddr,
+        arrival: &Arrival,
+        late: Duration,
+    ) -> Result<Answer, CallerError> {
+        let ask = ask(arrival, late);
+        if arrival.purpose == Purpose::Booking {
+            let body = json!({ "entry": arrival.prompt });
+            let service = self.service.as_str();
+            return self.caller.call(node, &ask, service, "book", &body).await;
+        }
+        let (prompt, max) = (&arrival.prompt, arrival.max_tokens);
+        let pipeline = &self.pipeline;
+        self.caller
+            .complete(node, &ask, pipeline, prompt, max)
+            .await
+    }
+}
+
+fn ask(arrival: &Arrival, late: Duration) -> Ask {
     let priority = match arrival.purpose {
         Purpose::Hearing => 9,
         Purpose::Ordinary | Purpose::Booking => 5,
     };
     Ask {
-        deadline_ms: u64::try_from(arrival.purpose.useful().as_millis()).ok(),
+        deadline_ms: u64::try_from(arrival.purpose.useful().saturating_sub(late).as_millis()).ok(),
         priority: Some(priority),
         ..Ask::default()
     }
--- a/crates/standin/examples/load/main.rs
+++ b/crates/standin/examples/load/main.rs
@@ -5,6 +5,7 @@
 
 mod arrivals;
 mod drive;
+mod incident;
 mod report;
 mod scenario;
 mod svg;
--- a/crates/standin/examples/load/scenario.rs
+++ b/crates/standin/examples/load/scenario.rs
@@ -7,11 +7,13 @@
     ids::{FailureDomain, Priority},
 };
 use radishhaven_standin::{
-    deployment::{Deployment, DeploymentError, EnginePlan, OrganisationPlan, Plan, id},
+    deployment::{EnginePlan, OrganisationPlan, Plan, id},
     engine::EngineFault,
+    log::LogFault,
+    service::ServiceFault,
 };
 
-use crate::RunCfg;
+use crate::{RunCfg, incident::Incident};
 
 /// Load at which a deployment should complete all, over its capacity.
 const STEADY: f64 = 0.9;
@@ -48,9 +50,19 @@
     CrossedAnswers,
     /// One organisation sends ten times what it sent before.
     NoisyOrganisation,
+    /// An engine and a server of the plain service leave as planned.
+    Drain,
+    /// A node is killed and comes back empty at another address.
+    NodeRestart,
+    /// A node is killed for good; callers keep its address.
+    StaleDirectory,
+    /// The log is down, then slow, then back.
+    LogOutage,
+    /// Calls take effect and their answers are lost.
+    LostAck,
 }
 
-const NAMED: [(&str, Scenario); 8] = [
+const NAMED: [(&str, Scenario); 13] = [
     ("steady", Scenario::Steady),
     ("overload", Scenario::Overload),
     ("slow-link", Scenario::SlowLink),
@@ -59,6 +71,11 @@
     ("silent-stall", Scenario::SilentStall),
     ("crossed-answers", Scenario::CrossedAnswers),
     ("noisy-organisation", Scenario::NoisyOrganisation),
+    ("drain", Scenario::Drain),
+    ("node-restart", Scenario::NodeRestart),
+    ("stale-directory", Scenario::StaleDirectory),
+    ("log-outage", Scenario::LogOutage),
+    ("lost-ack", Scenario::LostAck),
 ];
 
 /// A part of a run with a constant load.
@@ -72,15 +89,6 @@
     pub noisy: f64,
 }
 
-/// Something that happens to the deployment.
-#[derive(Debug, Clone)]
-pub enum Incident {
-    /// These engines are lost.
-    Kill(Vec<EnginePlan>),
-    /// These engines fail in a way.
-    Fault(Vec<EnginePlan>, EngineFault),
-}
-
 impl FromStr for Scenario {
     type Err = String;
 
@@ -95,7 +103,8 @@
 impl Scenario {
     /// All names.
     pub const NAMES: &str = "steady, overload, slow-link, stage-death, domain-loss, \
-                             silent-stall, crossed-answers or noisy-organisation";
+                             silent-stall, crossed-answers, noisy-organisation, drain, \
+                             node-restart, stale-directory, log-outage or lost-ack";
 
     /// Returns the name.
     pub fn name(self) -> &'static str {
@@ -144,62 +153,58 @@
         ends.into_iter().find(after).unwrap_or(1.0)
     }
 
-    /// Returns what happens at [`INCIDENT_AT`].
-    pub fn incident(self, plan: &Plan) -> Option<Incident> {
+    /// Returns what happens, and when as part of the run; the first is at
+    /// [`INCIDENT_AT`].
+    pub fn incidents(self, plan: &Plan) -> Vec<(f64, Incident)> {
         let engines = &plan.engines;
-        let lost_domain = &plan.engines.first()?.domain;
-        let one = engines.iter().skip(3).take(1).cloned().collect();
+        let one: Vec<EnginePlan> = engines.iter().skip(3).take(1).cloned().collect();
+        let of_domain = |domain: &FailureDomain| {
+            let lost = engines.iter().filter(|e| e.domain == *domain);
+            lost.cloned().collect::<Vec<EnginePlan>>()
+        };
+        let node = plan.nodes.first().cloned();
+        let first = match self {
+            Self::Steady | Self::Overload | Self::SlowLink | Self::NoisyOrganisation => {
+                return Vec::new();
+            }
+            Self::StageDeath => Incident::Kill(one),
+            Self::SilentStall => Incident::Fault(one, EngineFault::Stall),
+            Self::CrossedAnswers => Incident::Fault(one, EngineFault::Crossed),
+            Self::DomainLoss => Incident::Kill(of_domain(&engines[0].domain)),
+            Self::Drain => Incident::Leave(one),
+            Self::NodeRestart | Self::StaleDirectory => Incident::KillNode(node.clone()),
+            Self::LogOutage => Incident::Log(vec![LogFault::Outage]),
+            Self::LostAck => Incident::Service(ServiceFault::LoseReplyNext { n: LOST_ACKS }),
+        };
+        let mut incidents = vec![(INCIDENT_AT, first)];
         match self {
-            Self::StageDeath => Some(Incident::Kill(one)),
-            Self::SilentStall => Some(Incident::Fault(one, EngineFault::Stall)),
-            Self::CrossedAnswers => Some(Incident::Fault(one, EngineFault::Crossed)),
-            Self::DomainLoss => Some(Incident::Kill(
-                engines
-                    .iter()
-                    .filter(|e| e.domain == *lost_domain)
-                    .cloned()
-                    .collect(),
-            )),
-            _ => None,
+            Self::NodeRestart => incidents.push((BACK_AT, Incident::StartNode(node))),
+            Self::LogOutage => {
+                let slow = LogFault::Slow {
+                    delay_ms: SLOW_LOG_MS,
+                };
+                incidents.push((SLOW_AT, Incident::Log(vec![slow])));
+                incidents.push((BACK_AT, Incident::Log(Vec::new())));
+            }
+            _ => {}
         }
+        incidents
     }
 }
 
-/// Parts of a run that are closer than this are one.
-const PHASE_SLACK: f64 = 1e-6;
-
 /// When the incident of a scenario happens, as part of the run.
 pub const INCIDENT_AT: f64 = 0.4;
+/// When a log that was down is slow, likewise.
+const SLOW_AT: f64 = 0.6;
+/// When a node or the log is back, likewise.
+const BACK_AT: f64 = 0.7;
+/// Added time of a slow log in milliseconds.
+const SLOW_LOG_MS: u64 = 500;
+/// Answers of each server of the plain service that get lost.
+const LOST_ACKS: u32 = 20;
 
-impl Incident {
-    /// Makes it happen.
-    pub fn apply(&self, deployment: &mut Deployment) -> Result<(), DeploymentError> {
-        match self {
-            Self::Kill(engines) => {
-                for engine in engines {
-                    if let Some(running) = deployment.engines.remove(&engine.vm) {
-                        running.kill();
-                    }
-                }
-            }
-            Self::Fault(engines, fault) => {
-                for engine in engines {
-                    if let Some(running) = deployment.engines.get(&engine.vm) {
-                        running.state.set_faults(vec![fault.clone()]);
-                    }
-                }
-            }
-        }
-        Ok(())
-    }
-
-    /// Returns the engines that complete nothing any more.
-    pub fn lost(&self) -> &[EnginePlan] {
-        match self {
-            Self::Kill(engines) | Self::Fault(engines, _) => engines,
-        }
-    }
-}
+/// Parts of a run that are closer than this are one.
+const PHASE_SLACK: f64 = 1e-6;
 
 /// Makes the plan of a run.
 pub fn plan(cfg: &RunCfg) -> Plan {
