feat(calls): retry with backoff within the budget, and hedge slow calls

Cause: a call to a plain service that failed was sent again at once, to up to three further servers and outside the retry budget, so that a service in trouble got up to four times its load; a slow server made idempotent calls slow, and the service was not told how much time is left.

Now each further attempt of a call waits with backoff and full jitter and draws on the node's retry budget, proved or not; a retry that could not end before the deadline isn't sent, and the caller is told at once. An idempotent call that is slower than the learned quantile of its service gets a second attempt at another server, paid from the same budget; the first answer wins and the late one is dropped and counted. `deadline_ms` goes to the service. The repetition of a step whose answer was lost now draws on the budget too. The replacement of a stage that is proved not to have run stays outside it, as `a_dead_engine_is_replaced_without_budget` wants: the rest of the chain's work would be lost by waiting.

Seen to fail with one mechanism taken out at a time: the stop after a doubt, the budget of retries, the budget of hedges, the bar on hedges of what is not idempotent, the time that a call takes, the wait before a retry, and waiting for the attempt that is left. The last one was not found by the first eight tests; the ninth was written for it.

Existing checks: the trace of fake sessions names an attempt beyond the first (no golden file changed), and the fixtures of platform.rs and checker.rs got the new field.

--- a/crates/core/src/systems/admission.rs
+++ b/crates/core/src/systems/admission.rs
@@ -165,7 +165,10 @@
                 service: service.clone(),
                 operation: operation.clone(),
                 body: body.clone(),
-                vm: None,
+                open: Vec::new(),
+                attempts: 0,
+                waits: 0,
+                timer: None,
             }))
         }
     }
--- a/crates/core/src/systems/completion.rs
+++ b/crates/core/src/systems/completion.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use super::{
-    Context, Timer, answer, export, limits,
+    Context, Timer, answer, calls, export, limits,
     recovery::{self, Failure},
     routing,
 };
@@ -365,6 +365,7 @@
 /// servers.
 pub fn release(cx: &mut Context<'_>, key: RequestKey) {
     close_exchange(cx, key);
+    calls::cancel(cx, key);
     let Some(row) = cx.tables.requests.get(key) else {
         return;
     };
@@ -377,7 +378,7 @@
             cx.out.extend(work.chain.iter().map(end));
             work.chain.iter().map(|s| s.stage.vm.clone()).collect()
         }
-        Work::Call(call) => call.vm.iter().cloned().collect(),
+        Work::Call(call) => call.open.iter().map(|open| open.vm.clone()).collect(),
     };
     for vm in held {
         vacate(cx, &vm);
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -5,12 +5,14 @@
 
 pub mod admission;
 pub mod answer;
+mod backoff;
 pub mod calls;
 pub mod completion;
 pub mod directory;
 pub mod dissemination;
 pub mod drain;
 pub mod export;
+mod hedge;
 pub mod limits;
 pub mod membership;
 pub mod once;
@@ -71,6 +73,8 @@
     SnapshotCheck,
     /// This node's turn to write a snapshot.
     Snapshot,
+    /// The next retry or hedge of a call.
+    Call(RequestKey),
     /// The bound on an exchange with an engine, or the end of a wait.
     Exchange {
         /// The request.
@@ -171,6 +175,7 @@
         Timer::Deadline(key) => answer::deadline(cx, key),
         Timer::Limits => limits::tick(cx),
         Timer::Waiting(key) => limits::waited(cx, key),
+        Timer::Call(key) => calls::due(cx, key),
         Timer::Exchange { key, step } => completion::exchange_due(cx, key, step),
     }
 }
--- a/crates/core/src/systems/recovery.rs
+++ b/crates/core/src/systems/recovery.rs
@@ -4,12 +4,9 @@
 //! `docs/design/recovery.md`. A replaced session is told to end, and its
 //! successor has an attempt number of its own, so that late output can't join.
 
-use std::time::Duration;
-
-use rand::Rng;
-
 use super::{
     Context, answer,
+    backoff::{self, MAX_WAITS},
     completion::{
         begin_of, completion, completion_mut, occupy, open, proceed, session_ref, vacate,
     },
@@ -25,8 +22,6 @@
 
 /// Repetitions of an exchange at the same engine when its answer was lost.
 const MAX_REPEATS: u32 = 1;
-/// Waits of a request in a row before it is given up.
-const MAX_WAITS: u32 = 12;
 /// Waits for a busy engine before its session is moved.
 const MAX_BUSY_WAITS: u32 = 4;
 
@@ -137,7 +132,13 @@
         return;
     };
     if work.open.repeats < MAX_REPEATS && work.open.exchange == Exchange::Step {
-        work.open.repeats += 1;
+        if !cx.tables.retries.take(cx.now, &cx.cfg.retry) {
+            cx.tables.counters.budget_waits += 1;
+            return wait(cx, key, Exchange::ReplaceLater);
+        }
+        if let Some(work) = completion_mut(cx, key) {
+            work.open.repeats += 1;
+        }
         cx.tables.counters.retries += 1;
         return proceed(cx, key);
     }
@@ -189,14 +190,11 @@
 
 /// Waits with full jitter, or gives up when the wait would be one too many.
 fn wait(cx: &mut Context<'_>, key: RequestKey, then: Exchange) {
-    let cfg = &cx.cfg.retry;
     let Some(work) = completion(cx, key) else {
         return;
     };
     let waits = work.open.waits;
-    let longest = cfg.backoff * 2_u32.saturating_pow(waits.min(16));
-    let longest = longest.min(cfg.max_backoff);
-    let pause: Duration = longest.mul_f64(cx.rng.random_range(0.0..1.0));
+    let pause = backoff::pause(cx, waits);
     let deadline = cx.tables.requests.get(key).map(|row| row.deadline);
     if waits >= MAX_WAITS || deadline.is_none_or(|d| cx.now + pause >= d) {
         return answer::give_up(cx, key, NotRun::NoCapacity, "no engine can go on with it");
--- a/crates/core/src/tables/counters.rs
+++ b/crates/core/src/tables/counters.rs
@@ -17,6 +17,12 @@
     pub steps: u64,
     /// Attempts beyond the first one.
     pub retries: u64,
+    /// Second attempts of calls that were slow.
+    pub hedges: u64,
+    /// Calls that a second attempt answered first.
+    pub hedge_wins: u64,
+    /// Second attempts that were not sent because the budget was used up.
+    pub hedges_unpaid: u64,
     /// Replies of engines and services that belonged to no open attempt.
     pub stale_replies: u64,
     /// Replies of engines that answered another question.
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -12,6 +12,7 @@
 mod probes;
 mod requests;
 mod retry_budget;
+mod services;
 mod tokens;
 mod vms;
 
@@ -28,8 +29,9 @@
 pub use members::{MemberRow, MemberTable, Merged};
 pub use orders::OrderTable;
 pub use probes::{MemberView, ProbeTable};
-pub use requests::{CallState, RequestRow, RequestTable, Work};
+pub use requests::{CallState, OpenCall, RequestRow, RequestTable, Work};
 pub use retry_budget::RetryBudget;
+pub use services::{CallTimes, ServiceTable};
 pub use tokens::TokenTable;
 pub use vms::VmTable;
 
@@ -67,6 +69,8 @@
     pub once: OnceTable,
     /// Leases, and the engines that are ordered under them.
     pub orders: OrderTable,
+    /// How long calls to plain services take.
+    pub services: ServiceTable,
     /// The retry budget.
     pub retries: RetryBudget,
     /// Subscriptions to moments.
--- a/crates/core/src/tables/requests.rs
+++ b/crates/core/src/tables/requests.rs
@@ -14,6 +14,17 @@
 /// Number of outcomes that a node remembers.
 const MAX_REMEMBERED_OUTCOMES: usize = 100_000;
 
+/// An attempt of a call that was sent and not answered.
+#[derive(Debug, Clone, Serialize)]
+pub struct OpenCall {
+    /// The attempt.
+    pub attempt: Attempt,
+    /// The backend server that was asked.
+    pub vm: VmId,
+    /// When it was sent.
+    pub sent: Timestamp,
+}
+
 /// The state of a call.
 #[derive(Debug, Clone, Serialize)]
 pub struct CallState {
@@ -24,8 +35,15 @@
     /// Its argument.
     #[serde(skip)]
     pub body: serde_json::Value,
-    /// The backend server that was asked.
-    pub vm: Option<VmId>,
+    /// Attempts that were sent and not answered: one, or two of a hedged call.
+    pub open: Vec<OpenCall>,
+    /// Number of attempts that were sent.
+    pub attempts: u32,
+    /// How often the call has waited for a retry.
+    pub waits: u32,
+    /// The subscription to the next retry or hedge.
+    #[serde(skip)]
+    pub timer: Option<TimerId>,
 }
 
 /// What a request needs.
--- /dev/null
+++ b/crates/core/tests/calls.rs
@@ -0,0 +1,222 @@
+//! Retries and hedging of calls to plain services.
+
+mod fakes;
+
+use std::{collections::BTreeMap, fs, path::PathBuf, time::Duration};
+
+use bolero_generator::TypeGenerator;
+use fakes::services::{Mood, SERVERS, Services};
+use radishhaven_cases::{INVARIANT_CASES, check};
+use radishhaven_core::{
+    ids::RequestKey,
+    outcome::{NotRun, Outcome},
+};
+
+const DEADLINE: Duration = Duration::from_secs(30);
+/// Calls that teach a node how long the service takes.
+const LESSONS: u64 = 20;
+
+#[derive(Debug, Clone, TypeGenerator)]
+enum Op {
+    Submit { idempotent: bool, hurry: bool },
+    Mood { server: u8, mood: Mood },
+    CallerGone { key: u8 },
+    Pass { ms: u8 },
+}
+
+#[derive(Debug, Clone, TypeGenerator)]
+struct Case {
+    seed: u64,
+    burst: u8,
+    percent: u8,
+    #[generator(bolero_generator::produce::<Vec<Op>>().with().len(4_usize..40))]
+    ops: Vec<Op>,
+}
+
+fn world(seed: u64, burst: u32) -> Services {
+    Services::new(seed, |cfg| {
+        cfg.retry.budget_burst = burst;
+        cfg.retry.budget_per_s = 0;
+        cfg.retry.budget_percent = 0;
+        cfg.hedge.min_calls = LESSONS as u32;
+    })
+}
+
+/// Makes a world whose node knows that a call takes 2 ms.
+fn learned(burst: u32) -> Services {
+    let mut world = world(3, burst);
+    for _ in 0..LESSONS {
+        world.submit(true, DEADLINE);
+        world.advance(Duration::from_millis(50));
+    }
+    world
+}
+
+fn run(case: &Case) -> Services {
+    let mut world = Services::new(case.seed, |cfg| {
+        cfg.retry.budget_burst = u32::from(case.burst % 6);
+        cfg.retry.budget_per_s = 0;
+        cfg.retry.budget_percent = u32::from(case.percent % 51);
+        cfg.hedge.min_calls = 2;
+        cfg.hedge.min_delay = Duration::from_millis(1);
+    });
+    for op in &case.ops {
+        match *op {
+            Op::Submit { idempotent, hurry } => {
+                let ms = if hurry { 25 } else { 5_000 };
+                world.submit(idempotent, Duration::from_millis(ms));
+            }
+            Op::Mood { server, mood } => world.moods[usize::from(server) % SERVERS] = mood,
+            Op::CallerGone { key } => world.caller_gone(RequestKey(u64::from(key % 8) + 1)),
+            Op::Pass { ms } => world.advance(Duration::from_millis(ms.into())),
+        }
+    }
+    world.settle();
+    world
+}
+
+#[test]
+fn calls_start_once_within_the_budget_and_have_one_outcome() {
+    let mut ways = [0; 6];
+    let mut outcomes = BTreeMap::<String, u64>::new();
+    check(5, INVARIANT_CASES, |case: Case| {
+        let world = run(&case);
+        world.check();
+        let c = &world.node.tables().counters;
+        let counts = [
+            c.retries,
+            c.hedges,
+            c.hedge_wins,
+            c.hedges_unpaid,
+            c.budget_waits,
+            c.stale_replies,
+        ];
+        ways.iter_mut().zip(counts).for_each(|(sum, n)| *sum += n);
+        for (outcome, count) in &c.outcomes {
+            *outcomes.entry(outcome.clone()).or_default() += count;
+        }
+    });
+    println!("{ways:?} {outcomes:?}");
+    let least = u64::from(INVARIANT_CASES / 100);
+    assert!(ways.iter().all(|count| *count > least), "{ways:?}");
+    for kind in ["completed", "unknown", "not-run (no-capacity)"] {
+        assert!(outcomes.get(kind) > Some(&least), "{outcomes:?}");
+    }
+}
+
+#[test]
+fn a_retry_waits_and_goes_to_another_server() {
+    let mut world = world(3, 100);
+    world.moods = [Mood::Loses; SERVERS];
+    let key = world.submit(true, DEADLINE);
+    world.advance(Duration::from_millis(2));
+    assert_eq!(world.seen[&key].sent.len(), 1);
+    world.moods = [Mood::Quick; SERVERS];
+    world.advance(Duration::from_millis(13));
+    assert_eq!(world.seen[&key].sent.len(), 2);
+    assert!(matches!(world.ended(key), Some((_, Outcome::Completed))));
+}
+
+#[test]
+fn a_call_that_runs_once_is_not_sent_again_after_a_doubt() {
+    let mut world = world(3, 100);
+    world.moods = [Mood::Loses; SERVERS];
+    let key = world.submit(false, DEADLINE);
+    world.advance(Duration::from_millis(2));
+    assert!(matches!(world.ended(key), Some((_, Outcome::Unknown))));
+    world.settle();
+    world.check();
+}
+
+#[test]
+fn a_call_that_was_refused_everywhere_is_told_so_long_before_its_deadline() {
+    for idempotent in [false, true] {
+        let mut world = world(3, 100);
+        world.moods = [Mood::Down; SERVERS];
+        let key = world.submit(idempotent, DEADLINE);
+        world.advance(Duration::from_millis(100));
+        let not_run = Outcome::NotRun(NotRun::NoCapacity);
+        assert_eq!(world.ended(key).map(|(_, outcome)| outcome), Some(not_run));
+        assert_eq!(world.seen[&key].sent.len(), SERVERS);
+    }
+}
+
+#[test]
+fn without_budget_no_call_is_retried_and_the_caller_is_told_soon() {
+    let mut world = world(3, 0);
+    world.moods = [Mood::Loses; SERVERS];
+    let key = world.submit(true, DEADLINE);
+    world.advance(Duration::from_secs(5));
+    assert!(matches!(world.ended(key), Some((_, Outcome::Unknown))));
+    assert!(world.node.tables().counters.budget_waits > 0);
+    world.check();
+}
+
+#[test]
+fn a_retry_that_could_not_end_in_time_is_not_sent() {
+    let mut world = learned(100);
+    world.moods = [Mood::Loses; SERVERS];
+    let begun = world.now;
+    let key = world.submit(true, Duration::from_millis(4));
+    world.advance(Duration::from_millis(2));
+    // Two milliseconds are left, which is what a call takes at least.
+    let (at, outcome) = world.ended(key).expect("it is given up at once");
+    assert_eq!(outcome, Outcome::Unknown);
+    assert_eq!(at.since(begun), Duration::from_millis(2));
+    assert_eq!(world.seen[&key].sent.len(), 1);
+}
+
+#[test]
+fn a_slow_call_is_hedged_only_if_it_is_idempotent_and_paid() {
+    for (idempotent, burst, attempts) in [(true, 1, 2), (true, 0, 1), (false, 1, 1)] {
+        let mut world = learned(burst);
+        world.moods = [Mood::Slow; SERVERS];
+        let key = world.submit(idempotent, DEADLINE);
+        world.settle();
+        world.check();
+        assert_eq!(
+            world.seen[&key].sent.len(),
+            attempts,
+            "{idempotent} {burst}"
+        );
+        let unpaid = u64::from(idempotent && burst == 0);
+        assert_eq!(world.node.tables().counters.hedges_unpaid, unpaid);
+    }
+}
+
+#[test]
+fn the_session_of_a_hedged_call() {
+    let mut world = learned(100);
+    world.lines.clear();
+    world.moods = [Mood::Slow; SERVERS];
+    let key = world.submit(true, DEADLINE);
+    world.moods = [Mood::Quick; SERVERS];
+    world.advance(Duration::from_millis(200));
+    world.check();
+    let counters = &world.node.tables().counters;
+    assert_eq!((counters.hedge_wins, counters.stale_replies), (1, 1));
+    let id = world.seen[&key].id.clone().expect("it was admitted");
+    let found = (world.lines.join("\n") + "\n").replace(&id, "r1");
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/golden/hedge.txt");
+    if std::env::var_os("UPDATE_GOLDEN").is_some() {
+        fs::write(&path, &found).expect("the file is written");
+    }
+    let right = fs::read_to_string(&path).expect("the file is there");
+    assert_eq!(found, right);
+}
+
+#[test]
+fn a_call_whose_second_attempt_fails_waits_for_the_first() {
+    let mut world = Services::new(3, |cfg| {
+        cfg.retry.max_attempts = 2;
+        cfg.hedge.min_calls = 1;
+    });
+    world.submit(true, DEADLINE);
+    world.advance(Duration::from_millis(50));
+    world.moods = [Mood::Slow; SERVERS];
+    let key = world.submit(true, DEADLINE);
+    world.moods = [Mood::Loses; SERVERS];
+    world.advance(Duration::from_millis(200));
+    assert_eq!(world.seen[&key].sent.len(), 2);
+    assert!(matches!(world.ended(key), Some((_, Outcome::Completed))));
+}
--- a/crates/core/tests/fakes/trace.rs
+++ b/crates/core/tests/fakes/trace.rs
@@ -2,6 +2,7 @@
 
 use radishhaven_core::{
     engine::{StageInput, StageOutput, StepReply},
+    ids::Attempt,
     message::{Action, AttemptError, Demand, Event, Reply, StepOrder},
     time::Timestamp,
 };
@@ -46,6 +47,14 @@
     }
 }
 
+/// Writes the number of an attempt beyond the first one.
+fn further(attempt: Attempt) -> String {
+    match attempt.0 {
+        0 => String::new(),
+        n => format!("/{n}"),
+    }
+}
+
 /// Writes an event that goes into a node.
 pub fn event(now: Timestamp, event: &Event) -> String {
     let text = match event {
@@ -92,8 +101,13 @@
                 session.request, session.attempt
             )
         }
-        Event::CallDone { key, result: r, .. } => {
-            format!("call-done {key} {}", result(r, ToString::to_string))
+        Event::CallDone {
+            key,
+            attempt,
+            result: r,
+        } => {
+            let r = result(r, ToString::to_string);
+            format!("call-done {key}{} {r}", further(*attempt))
         }
         Event::VmList(list) => {
             let all: Vec<String> = list
@@ -153,12 +167,16 @@
         ),
         Action::Call {
             key,
+            attempt,
             vm,
             id,
             operation,
             body,
             ..
-        } => format!("call {key} to {vm} {id} {operation} {body}"),
+        } => format!(
+            "call {key}{} to {vm} {id} {operation} {body}",
+            further(*attempt)
+        ),
         Action::Reply { key, reply } => match reply {
             Reply::Admitted { id } => format!("admitted {key} {id}"),
             Reply::Delta { index, text } => format!("delta {key} {index} {text:?}"),
--- a/crates/daemon/src/configs/orders.rs
+++ b/crates/daemon/src/configs/orders.rs
@@ -2,7 +2,7 @@
 
 use radishhaven_core::configs::{LeaseConfig, OrderConfig};
 
-use crate::settings::Section;
+use crate::settings::{Section, parse_switch};
 
 pub(crate) fn read_lease(section: &mut Section<'_>) -> LeaseConfig {
     let d = LeaseConfig::default();
@@ -34,11 +34,3 @@
             .unwrap_or(d.max_loading),
     }
 }
-
-fn parse_switch(value: &str) -> Option<bool> {
-    match value {
-        "yes" => Some(true),
-        "no" => Some(false),
-        _ => None,
-    }
-}
--- a/crates/daemon/src/edges/services.rs
+++ b/crates/daemon/src/edges/services.rs
@@ -29,6 +29,7 @@
             request,
             operation,
             body,
+            deadline_ms: u64::try_from(within.as_millis()).ok(),
         };
         let sent = host
             .call_http
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -106,6 +106,7 @@
             recovery: settings.recovery.clone(),
             lease: settings.lease.clone(),
             orders: settings.orders.clone(),
+            hedge: settings.hedge.clone(),
             retry: settings.retry.clone(),
             routing: settings.routing.clone(),
             dissemination: settings.dissemination.clone(),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -27,6 +27,17 @@
     count("tokens", "Tokens given to callers", counters.tokens);
     count("steps", "Steps sent to engines", counters.steps);
     count("retries", "Attempts beyond the first one", counters.retries);
+    count("hedges", "Second attempts of slow calls", counters.hedges);
+    count(
+        "hedge_wins",
+        "Calls that a second attempt answered first",
+        counters.hedge_wins,
+    );
+    count(
+        "hedges_unpaid",
+        "Second attempts that the budget held back",
+        counters.hedges_unpaid,
+    );
     count(
         "stale_replies",
         "Replies that belonged to no open attempt",
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,14 +14,15 @@
 
 use ini::Ini;
 use radishhaven_core::configs::{
-    AdmissionConfig, DirectoryConfig, DisseminationConfig, LeaseConfig, MembershipConfig,
-    OnceConfig, OrderConfig, RecoveryConfig, RetryConfig, RoutingConfig, SnapshotsConfig,
+    AdmissionConfig, DirectoryConfig, DisseminationConfig, HedgeConfig, LeaseConfig,
+    MembershipConfig, OnceConfig, OrderConfig, RecoveryConfig, RetryConfig, RoutingConfig,
+    SnapshotsConfig,
 };
 
 use crate::configs::{
     LogConfig, NodeConfig, OperatorsConfig, PeersConfig, PlatformConfig, read_admission,
-    read_directory, read_dissemination, read_lease, read_membership, read_once, read_orders,
-    read_recovery, read_retry, read_routing, read_snapshots,
+    read_directory, read_dissemination, read_hedge, read_lease, read_membership, read_once,
+    read_orders, read_recovery, read_retry, read_routing, read_snapshots,
 };
 
 /// A file with every setting, its default and its unit.
@@ -52,6 +53,8 @@
     pub lease: LeaseConfig,
     /// `[orders]`.
     pub orders: OrderConfig,
+    /// `[hedge]`.
+    pub hedge: HedgeConfig,
     /// `[retry]`.
     pub retry: RetryConfig,
     /// `[routing]`.
@@ -368,6 +371,7 @@
         let recovery = reader.section("recovery", read_recovery);
         let lease = reader.section("lease", read_lease);
         let orders = reader.section("orders", read_orders);
+        let hedge = reader.section("hedge", read_hedge);
         let retry = reader.section("retry", read_retry);
         let routing = reader.section("routing", read_routing);
         let listen = node.as_ref().map(|node| node.operators);
@@ -389,6 +393,7 @@
                     membership,
                     once,
                     recovery,
+                    hedge,
                     retry,
                     lease,
                     orders,
@@ -402,3 +407,12 @@
         }
     }
 }
+
+/// Reads a setting that is on or off.
+pub(crate) fn parse_switch(value: &str) -> Option<bool> {
+    match value {
+        "yes" => Some(true),
+        "no" => Some(false),
+        _ => None,
+    }
+}
--- a/crates/proto/src/service.rs
+++ b/crates/proto/src/service.rs
@@ -15,6 +15,8 @@
     pub operation: String,
     /// The call's argument.
     pub body: serde_json::Value,
+    /// Milliseconds after which the result is worth nothing.
+    pub deadline_ms: Option<u64>,
 }
 
 /// The result of a call.
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -63,6 +63,8 @@
     pub operation: String,
     /// The call's argument.
     pub body: serde_json::Value,
+    /// Milliseconds after which the caller has no use for the result.
+    pub deadline_ms: Option<u64>,
     /// Wall-clock time of the start in microseconds.
     pub started_us: u64,
     /// True once the call has run to its end.
@@ -107,6 +109,7 @@
             request: call.request.clone(),
             operation: call.operation.clone(),
             body: call.body.clone(),
+            deadline_ms: call.deadline_ms,
             started_us: wire::wall_clock_us(),
             finished: false,
         };
--- a/crates/standin/tests/checker.rs
+++ b/crates/standin/tests/checker.rs
@@ -120,6 +120,7 @@
         request: id("b-1"),
         operation: "book".to_owned(),
         body: json!({ "hearing": 4 }),
+        deadline_ms: None,
         started_us,
         finished: true,
     }
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -128,6 +128,7 @@
         request: "r-1".parse().expect("a request id"),
         operation: operation.to_owned(),
         body: serde_json::json!({ "hearing": 7 }),
+        deadline_ms: None,
     }
 }
 
--- a/crates/standin/tests/whole_path.rs
+++ b/crates/standin/tests/whole_path.rs
@@ -118,3 +118,24 @@
     let answer = sent.expect("the node answers");
     assert_eq!(answer.outcome, Some(Outcome::NotRun(NotRun::BadRequest)));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_is_told_the_time_that_is_left() {
+    let deployment = Deployment::start(Plan::roster(1, 1))
+        .await
+        .expect("it starts");
+    let caller = Caller::new("small-firm").expect("a caller can be made");
+    let ask = Ask {
+        deadline_ms: Some(4_000),
+        ..Ask::default()
+    };
+    let node = deployment.callers_address("node-0");
+    let body = json!({ "hearing": 12 });
+    let sent = caller.call(node, &ask, "roster-desk", "book", &body).await;
+    let answer = sent.expect("the node answers");
+    assert_eq!(answer.outcome, Some(Outcome::Completed));
+    let services = deployment.services.values();
+    let calls: Vec<_> = services.flat_map(|s| s.state.records()).collect();
+    let left: Vec<Option<u64>> = calls.iter().map(|call| call.deadline_ms).collect();
+    assert!(matches!(left[..], [Some(1..=4_000)]), "{left:?}");
+}
