feat(flow): hold an answer while its caller does not read it

Cause: a caller that reads slowly, or not at all, kept all parts of its answer at the node (up to `max_tokens`), the system kept as much again for its connection, and the engines generated tokens for nobody.

The edge now says how many parts were taken (`Event::Taken`). While `[flow] max_unread_parts` are unread, the core asks the engines for nothing further and gives the request's place under the version's limit to others; it goes on when parts are taken, or ends by its deadline. Requests that have a home aren't held: their whole answer is kept for whoever asks again. `[callers] send_buffer_bytes` bounds what the system holds for one connection.

Ruled out: a bounded channel that blocks (its sender holds the node's lock), one that drops the caller, and waiting for room again at resumption.

Existing tests: recovery.rs has callers that take parts late in half of its histories, and asks that holds were seen; the slow caller of callers.rs now has a small receive buffer.

--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod directory;
 mod dissemination;
+mod flow;
 mod hedge;
 mod identity;
 mod membership;
@@ -19,6 +20,7 @@
 pub use admission::AdmissionConfig;
 pub use directory::DirectoryConfig;
 pub use dissemination::DisseminationConfig;
+pub use flow::FlowConfig;
 pub use hedge::HedgeConfig;
 pub use identity::Identity;
 pub use membership::MembershipConfig;
@@ -37,6 +39,8 @@
     pub admission: AdmissionConfig,
     /// `[directory]`.
     pub directory: DirectoryConfig,
+    /// `[flow]`.
+    pub flow: FlowConfig,
     /// `[hedge]`.
     pub hedge: HedgeConfig,
     /// `[lease]`.
@@ -66,6 +70,7 @@
             identity,
             admission: AdmissionConfig::default(),
             directory: DirectoryConfig::default(),
+            flow: FlowConfig::default(),
             hedge: HedgeConfig::default(),
             lease: LeaseConfig::default(),
             membership: MembershipConfig::default(),
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -89,6 +89,13 @@
         /// The request.
         key: RequestKey,
     },
+    /// A caller has taken parts of its answer.
+    Taken {
+        /// The request.
+        key: RequestKey,
+        /// The number of parts that it has taken so far.
+        parts: u32,
+    },
     /// A step ended.
     StepDone {
         /// The request.
--- a/crates/core/src/systems/admission.rs
+++ b/crates/core/src/systems/admission.rs
@@ -151,6 +151,8 @@
                 chain: Vec::new(),
                 sessions: 0,
                 open: OpenExchange::default(),
+                taken: 0,
+                held: false,
             }))
         }
         Demand::Call {
--- a/crates/core/src/systems/completion.rs
+++ b/crates/core/src/systems/completion.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use super::{
-    Context, Timer, answer, calls, export, limits,
+    Context, Timer, answer, calls, export, flow, limits,
     recovery::{self, Failure},
     routing,
 };
@@ -358,7 +358,9 @@
         return answer::finish(cx, key, Outcome::Completed, None, "");
     }
     export::run(cx, key);
-    proceed(cx, key);
+    if !flow::hold(cx, key) {
+        proceed(cx, key);
+    }
 }
 
 /// Ends the sessions of a request and gives back its places at the backend
--- a/crates/core/src/systems/limits.rs
+++ b/crates/core/src/systems/limits.rs
@@ -11,7 +11,7 @@
 
 use super::{Context, Timer, answer, completion, routing};
 use crate::{
-    ids::{ModelId, RequestKey, VersionId},
+    ids::{ModelId, OrganisationId, RequestKey, VersionId},
     message::{Action, Reply},
     outcome::NotRun,
     platform::VmState,
@@ -196,6 +196,33 @@
     }
 }
 
+/// Gives the place of a completion that is held to others.
+pub(super) fn pause(cx: &mut Context<'_>, key: RequestKey) {
+    if let Some((limit, organisation)) = limit_of(cx, key) {
+        limit.pause(&organisation);
+    }
+}
+
+/// Counts a completion that goes on after it was held. It takes its place at
+/// once, so that for a moment more may run than the limit says.
+pub(super) fn resume(cx: &mut Context<'_>, key: RequestKey) {
+    if let Some((limit, organisation)) = limit_of(cx, key) {
+        limit.begin(&organisation);
+    }
+}
+
+fn limit_of<'a>(
+    cx: &'a mut Context<'_>,
+    key: RequestKey,
+) -> Option<(&'a mut Limit, OrganisationId)> {
+    let row = cx.tables.requests.get(key)?;
+    let Work::Completion(work) = &row.work else {
+        return None;
+    };
+    let limit = cx.tables.limits.get_mut(&work.model, &work.version)?;
+    Some((limit, row.organisation.clone()))
+}
+
 /// Counts a completion that ended, whether it ran or waited.
 pub fn left(cx: &mut Context<'_>, key: RequestKey, row: &RequestRow) {
     let Work::Completion(work) = &row.work else {
@@ -206,9 +233,12 @@
     };
     if row.waiting {
         limit.stop_waiting(&row.organisation, &wait_key(key, row));
-    } else {
-        limit.end(&row.organisation);
+        return;
+    }
+    if work.held {
+        limit.begin(&row.organisation);
     }
+    limit.end(&row.organisation);
 }
 
 /// Counts the nodes among which limits of organisations are split; runs when
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -12,6 +12,7 @@
 pub mod dissemination;
 pub mod drain;
 pub mod export;
+pub mod flow;
 mod hedge;
 pub mod limits;
 pub mod membership;
@@ -120,6 +121,7 @@
         } => {
             platform::records(cx, first, end, records);
         }
+        Event::Taken { key, parts } => flow::taken(cx, key, parts),
         Event::ConfigReadFailed => dissemination::read_failed(cx),
         Event::LeaseRecords {
             first,
--- a/crates/core/src/tables/completions.rs
+++ b/crates/core/src/tables/completions.rs
@@ -168,6 +168,10 @@
     pub sessions: u32,
     /// The open exchange.
     pub open: OpenExchange,
+    /// Parts of the answer that the caller has taken.
+    pub taken: u32,
+    /// Whether the engines are asked for nothing until the caller takes parts.
+    pub held: bool,
 }
 
 impl CompletionState {
@@ -176,6 +180,11 @@
         (self.tokens.len() - self.prompt_len) as u32
     }
 
+    /// Returns the number of parts that the caller has not taken.
+    pub fn unread(&self) -> u32 {
+        self.generated().saturating_sub(self.taken)
+    }
+
     /// Returns the position after the last token.
     pub fn end(&self) -> Position {
         Position(self.tokens.len() as u32)
--- a/crates/core/src/tables/counters.rs
+++ b/crates/core/src/tables/counters.rs
@@ -43,6 +43,8 @@
     pub step_timeouts: u64,
     /// Messages of other nodes for running requests at most once.
     pub once_messages: u64,
+    /// Answers that were held because their callers read slowly.
+    pub holds: u64,
     /// Requests that were not run because a witness did not consent.
     pub once_unwitnessed: u64,
     /// Requests whose home did not answer, so that witnesses were asked.
--- a/crates/core/src/tables/limits.rs
+++ b/crates/core/src/tables/limits.rs
@@ -126,6 +126,15 @@
         entry.running += 1;
     }
 
+    /// Counts a request that runs no longer and will go on. Its organisation
+    /// keeps its entry.
+    pub fn pause(&mut self, organisation: &OrganisationId) {
+        self.running = self.running.saturating_sub(1);
+        if let Some(entry) = self.organisations.get_mut(organisation) {
+            entry.running = entry.running.saturating_sub(1);
+        }
+    }
+
     /// Counts a request that ran and ended.
     pub fn end(&mut self, organisation: &OrganisationId) {
         self.running = self.running.saturating_sub(1);
--- a/crates/core/tests/fakes/world.rs
+++ b/crates/core/tests/fakes/world.rs
@@ -67,6 +67,7 @@
     pub gone: bool,
     pub text: String,
     pub deltas: u32,
+    pub taken: u32,
     pub id: Option<String>,
     pub outcomes: Vec<Outcome>,
 }
@@ -78,6 +79,8 @@
     pub seen: BTreeMap<RequestKey, Seen>,
     pub lines: Vec<String>,
     pub traced: bool,
+    /// Callers take parts when the test says so, and all of them at the end.
+    pub slow_callers: bool,
     /// Time after which engines answer steps.
     pub step_time: Duration,
     faults: Faults,
@@ -169,6 +172,7 @@
             seen: BTreeMap::new(),
             lines: Vec::new(),
             traced: false,
+            slow_callers: false,
             step_time: Duration::from_millis(1),
             rng: StdRng::seed_from_u64(faults.seed),
             faults,
@@ -248,6 +252,7 @@
                 gone: false,
                 text: String::new(),
                 deltas: 0,
+                taken: 0,
                 id: None,
                 outcomes: Vec::new(),
             },
@@ -273,6 +278,22 @@
         }
     }
 
+    /// Lets a caller take all that there is.
+    pub fn take(&mut self, key: RequestKey) {
+        if let Some(seen) = self.seen.get_mut(&key) {
+            seen.taken = seen.deltas;
+            let parts = seen.taken;
+            self.give(Event::Taken { key, parts });
+        }
+    }
+
+    fn take_all(&mut self) -> bool {
+        let waits = |(_, seen): &(&RequestKey, &Seen)| seen.taken < seen.deltas;
+        let keys: Vec<RequestKey> = self.seen.iter().filter(waits).map(|(k, _)| *k).collect();
+        keys.iter().for_each(|key| self.take(*key));
+        !keys.is_empty()
+    }
+
     /// Lets time pass until `ms` from now.
     pub fn advance(&mut self, ms: u64) {
         let end = self.now + Duration::from_millis(ms);
@@ -289,7 +310,7 @@
         }
         self.show_list();
         let end = self.now + QUIET;
-        while self.one_before(end) {}
+        while (self.slow_callers && self.take_all()) || self.one_before(end) {}
     }
 
     fn one_before(&mut self, end: Timestamp) -> bool {
@@ -388,6 +409,9 @@
             Reply::Delta { index, text } => {
                 assert_eq!(index, seen.deltas, "{key}: a delta is missing or doubled");
                 seen.deltas += 1;
+                let unread = seen.deltas - seen.taken;
+                let most = self.node.configs().flow.max_unread_parts;
+                assert!(unread <= most, "{key}: {unread} parts are unread");
                 seen.text.push_str(&text);
             }
             Reply::Done(done) => seen.outcomes.push(done.outcome),
@@ -561,7 +585,12 @@
         }
         let tables = self.node.tables();
         assert!(tables.requests.is_empty(), "a request is still open");
-        assert_eq!(tables.timers.len(), self.timers, "a subscription is left");
+        assert_eq!(
+            tables.timers.len(),
+            self.timers,
+            "a subscription is left: {:?}",
+            tables.timers
+        );
         for backend in tables.backends.iter() {
             assert_eq!(backend.in_flight, 0, "{} has places taken", backend.vm);
         }
--- a/crates/core/tests/recovery.rs
+++ b/crates/core/tests/recovery.rs
@@ -24,6 +24,7 @@
 enum Op {
     Submit { prompt: u8, tokens: u8, hurry: bool },
     CallerGone { key: u8 },
+    Take { key: u8 },
     Die { engine: u8 },
     Revive { engine: u8 },
     Stall { engine: u8 },
@@ -39,6 +40,7 @@
     percent: u8,
     export_every: u8,
     max_kept: u8,
+    max_unread: u8,
 }
 
 type Case = (Settings, Vec<Op>);
@@ -58,11 +60,17 @@
         percent: u32::from(settings.percent % 32),
         seed,
     };
-    World::new(ENGINES, faults, |cfg| {
+    let mut world = World::new(ENGINES, faults, |cfg| {
+        // Half of the histories have callers that take all parts in time.
+        if settings.max_unread < 128 {
+            cfg.flow.max_unread_parts = 1 + u32::from(settings.max_unread % 16);
+        }
         cfg.recovery.export_every_tokens = u32::from(settings.export_every % 4);
         cfg.recovery.max_kept_positions = 1 + u32::from(settings.max_kept % 16);
         cfg.retry.max_attempts = 8;
-    })
+    });
+    world.slow_callers = true;
+    world
 }
 
 fn apply(world: &mut World, op: Op) {
@@ -80,6 +88,7 @@
             world.submit(&prompt, 1 + u32::from(tokens % 10), within_ms);
         }
         Op::CallerGone { key } => world.caller_gone(RequestKey(u64::from(key % 4) + 1)),
+        Op::Take { key } => world.take(RequestKey(u64::from(key % 4) + 1)),
         Op::Die { engine } => world.engines[at(engine)].die(),
         Op::Revive { engine } => world.engines[at(engine)].alive = true,
         Op::Stall { engine } => world.engines[at(engine)].stalled = true,
@@ -124,7 +133,7 @@
 #[derive(Debug, Default)]
 struct Seen {
     outcomes: BTreeMap<String, u64>,
-    ways: [u64; 8],
+    ways: [u64; 9],
 }
 
 impl Seen {
@@ -141,6 +150,7 @@
             c.crossed_replies,
             c.step_timeouts,
             c.retries,
+            c.holds,
         ];
         for (sum, count) in self.ways.iter_mut().zip(ways) {
             *sum += count;
--- a/crates/daemon/src/configs/mod.rs
+++ b/crates/daemon/src/configs/mod.rs
@@ -2,8 +2,10 @@
 //! of the sections that belong to [`radishhaven_core::configs`].
 
 mod admission;
+mod callers;
 mod directory;
 mod dissemination;
+mod flow;
 mod hedge;
 mod log;
 mod membership;
@@ -22,6 +24,7 @@
     admission::read_admission,
     directory::read_directory,
     dissemination::read_dissemination,
+    flow::read_flow,
     hedge::read_hedge,
     membership::read_membership,
     once::read_once,
@@ -32,6 +35,7 @@
     snapshots::read_snapshots,
 };
 pub use self::{
+    callers::CallersConfig,
     log::{LogConfig, LogFormat},
     node::NodeConfig,
     operators::{OperatorsConfig, TokenDigest},
--- a/crates/daemon/src/edges/callers/stream.rs
+++ b/crates/daemon/src/edges/callers/stream.rs
@@ -21,6 +21,9 @@
     host: Arc<Host>,
     key: RequestKey,
     rx: mpsc::UnboundedReceiver<Reply>,
+    /// Parts that were taken, and how many of them the decisions know of.
+    taken: u32,
+    reported: u32,
 }
 
 impl AnswerReader {
@@ -30,11 +33,31 @@
         rx: mpsc::UnboundedReceiver<Reply>,
     ) -> Self {
         host.answer_opened();
-        Self { host, key, rx }
+        Self {
+            host,
+            key,
+            rx,
+            taken: 0,
+            reported: 0,
+        }
     }
 
     pub(super) async fn next(&mut self) -> Option<Reply> {
-        self.rx.recv().await
+        let reply = self.rx.recv().await;
+        if let Some(Reply::Delta { index, .. }) = &reply {
+            self.took(index + 1);
+        }
+        reply
+    }
+
+    /// Tells the decisions what was taken, once it is worth an event.
+    fn took(&mut self, parts: u32) {
+        self.taken = parts;
+        let every = self.host.settings.flow.report_every();
+        if self.taken - self.reported >= every {
+            self.reported = self.taken;
+            self.host.taken(self.key, self.taken);
+        }
     }
 }
 
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -20,7 +20,10 @@
     peer::Sender,
     time::Timestamp,
 };
-use tokio::{net::TcpListener, sync::mpsc};
+use tokio::{
+    net::{TcpListener, TcpSocket},
+    sync::mpsc,
+};
 
 use crate::{
     clock::{self, Clock},
@@ -36,6 +39,8 @@
 const TICK: Duration = Duration::from_millis(2);
 /// Time between two looks at whether a shutdown is over.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Connections that wait to be accepted at most.
+const LISTEN_BACKLOG: u32 = 1024;
 /// Time left for the last bytes of answers to leave.
 const FLUSH: Duration = Duration::from_millis(100);
 
@@ -106,6 +111,7 @@
             recovery: settings.recovery.clone(),
             lease: settings.lease.clone(),
             orders: settings.orders.clone(),
+            flow: settings.flow.clone(),
             hedge: settings.hedge.clone(),
             retry: settings.retry.clone(),
             routing: settings.routing.clone(),
@@ -231,6 +237,11 @@
         }
     }
 
+    /// Takes note of how many parts of its answer a caller has taken.
+    pub(crate) fn taken(self: &Arc<Self>, key: RequestKey, parts: u32) {
+        self.handle(Event::Taken { key, parts });
+    }
+
     fn perform(self: &Arc<Self>, action: Action) {
         match action {
             Action::Reply { key, reply } => self.reply(key, reply),
@@ -321,7 +332,7 @@
     ///
     /// Fails if an address can't be listened on.
     pub async fn start(mut settings: Settings) -> Result<Self, StartError> {
-        let callers_listener = listen(settings.node.callers).await?;
+        let callers_listener = listen_to_callers(&settings)?;
         let operators_listener = listen(settings.node.operators).await?;
         let peers_listener = listen(settings.peers.listen).await?;
         let address = |l: &TcpListener, asked| l.local_addr().unwrap_or(asked);
@@ -362,6 +373,22 @@
     }
 }
 
+/// Listens with a bounded send buffer, which accepted connections inherit.
+fn listen_to_callers(settings: &Settings) -> Result<TcpListener, StartError> {
+    let address = settings.node.callers;
+    let bound = || {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        socket.set_send_buffer_size(settings.callers.send_buffer_bytes)?;
+        socket.bind(address)?;
+        socket.listen(LISTEN_BACKLOG)
+    };
+    bound().map_err(|source| StartError::Listen { address, source })
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     let listener = TcpListener::bind(address).await;
     listener.map_err(|source| StartError::Listen { address, source })
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -27,6 +27,11 @@
     count("tokens", "Tokens given to callers", counters.tokens);
     count("steps", "Steps sent to engines", counters.steps);
     count("retries", "Attempts beyond the first one", counters.retries);
+    count(
+        "holds",
+        "Answers held because their callers read slowly",
+        counters.holds,
+    );
     count("hedges", "Second attempts of slow calls", counters.hedges);
     count(
         "hedge_wins",
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,15 +14,16 @@
 
 use ini::Ini;
 use radishhaven_core::configs::{
-    AdmissionConfig, DirectoryConfig, DisseminationConfig, HedgeConfig, LeaseConfig,
+    AdmissionConfig, DirectoryConfig, DisseminationConfig, FlowConfig, HedgeConfig, LeaseConfig,
     MembershipConfig, OnceConfig, OrderConfig, RecoveryConfig, RetryConfig, RoutingConfig,
     SnapshotsConfig,
 };
 
 use crate::configs::{
-    LogConfig, NodeConfig, OperatorsConfig, PeersConfig, PlatformConfig, read_admission,
-    read_directory, read_dissemination, read_hedge, read_lease, read_membership, read_once,
-    read_orders, read_recovery, read_retry, read_routing, read_snapshots,
+    CallersConfig, LogConfig, NodeConfig, OperatorsConfig, PeersConfig, PlatformConfig,
+    read_admission, read_directory, read_dissemination, read_flow, read_hedge, read_lease,
+    read_membership, read_once, read_orders, read_recovery, read_retry, read_routing,
+    read_snapshots,
 };
 
 /// A file with every setting, its default and its unit.
@@ -39,6 +40,8 @@
     pub platform: PlatformConfig,
     /// `[log]`.
     pub log: LogConfig,
+    /// `[callers]`.
+    pub callers: CallersConfig,
     /// `[admission]`.
     pub admission: AdmissionConfig,
     /// `[directory]`.
@@ -53,6 +56,8 @@
     pub lease: LeaseConfig,
     /// `[orders]`.
     pub orders: OrderConfig,
+    /// `[flow]`.
+    pub flow: FlowConfig,
     /// `[hedge]`.
     pub hedge: HedgeConfig,
     /// `[retry]`.
@@ -364,6 +369,7 @@
         let peers = reader.section("peers", PeersConfig::read);
         let platform = reader.section("platform", PlatformConfig::read);
         let log = reader.section("log", LogConfig::read);
+        let callers = reader.section("callers", CallersConfig::read);
         let admission = reader.section("admission", read_admission);
         let directory = reader.section("directory", read_directory);
         let membership = reader.section("membership", read_membership);
@@ -371,6 +377,7 @@
         let recovery = reader.section("recovery", read_recovery);
         let lease = reader.section("lease", read_lease);
         let orders = reader.section("orders", read_orders);
+        let flow = reader.section("flow", read_flow);
         let hedge = reader.section("hedge", read_hedge);
         let retry = reader.section("retry", read_retry);
         let routing = reader.section("routing", read_routing);
@@ -388,11 +395,13 @@
                     peers,
                     platform,
                     log,
+                    callers,
                     admission,
                     directory,
                     membership,
                     once,
                     recovery,
+                    flow,
                     hedge,
                     retry,
                     lease,
--- a/crates/standin/tests/callers.rs
+++ b/crates/standin/tests/callers.rs
@@ -15,7 +15,7 @@
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
 };
 
 /// Time within which a node should have nothing open any more.
@@ -34,27 +34,21 @@
     deployment
 }
 
-/// Returns a prompt with an answer that has all its tokens.
-fn long_prompt(deployment: &Deployment) -> String {
+/// Returns a prompt with an answer that has all of `tokens` tokens.
+fn long_prompt(deployment: &Deployment, tokens: u32) -> String {
     let model = id(deployment.plan.pipeline.as_str());
     let prompts = (0..).map(|n| format!("trip {n} to the depot"));
     let answer = |prompt: &str| {
-        reference::answer(
-            &model,
-            &id(VERSION),
-            deployment.plan.layers,
-            prompt,
-            MAX_TOKENS,
-        )
+        reference::answer(&model, &id(VERSION), deployment.plan.layers, prompt, tokens)
     };
-    let mut long = prompts.filter(|prompt| answer(prompt).len() == MAX_TOKENS as usize);
+    let mut long = prompts.filter(|prompt| answer(prompt).len() == tokens as usize);
     long.next().expect("some answer is long")
 }
 
 async fn dictate(deployment: &Deployment, ask: &Ask) -> Answer {
     let caller = Caller::new("small-firm").expect("a caller can be made");
     let node = deployment.callers_address("node-0");
-    let prompt = long_prompt(deployment);
+    let prompt = long_prompt(deployment, MAX_TOKENS);
     let pipeline = &deployment.plan.pipeline;
     let sent = caller.complete(node, ask, pipeline, &prompt, MAX_TOKENS);
     sent.await.expect("the node answers")
@@ -138,28 +132,71 @@
     wait_until_cancelled(&deployment).await;
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn a_caller_that_does_not_read_holds_up_nobody() {
-    let plan = Plan::bitacora(1, 1);
-    let deployment = Deployment::start(plan).await.expect("it starts");
-    let prompt = long_prompt(&deployment);
+/// Sends a request over a connection that holds little, and reads nothing.
+async fn ask_and_not_read(deployment: &Deployment, tokens: u32, id: &str) -> TcpStream {
     let req = CompletionRequest {
         model: deployment.plan.pipeline.clone(),
-        prompt: prompt.clone(),
-        max_tokens: MAX_TOKENS,
+        prompt: long_prompt(deployment, tokens),
+        max_tokens: tokens,
         stream: true,
     };
     let body = serde_json::to_string(&req).expect("the body is encoded");
     let head = format!(
         "POST {COMPLETIONS_PATH} HTTP/1.1\r\nhost: node\r\nauthorization: Bearer small-firm\r\n\
-         connection: close\r\ncontent-length: {}\r\n\r\n",
+         x-request-id: {id}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
         body.len()
     );
+    let socket = TcpSocket::new_v4().expect("a socket can be made");
+    socket
+        .set_recv_buffer_size(4_096)
+        .expect("the buffer is set");
     let node = deployment.callers_address("node-0");
-    let mut slow = TcpStream::connect(node).await.expect("the node listens");
+    let mut slow = socket.connect(node).await.expect("the node listens");
     slow.write_all((head + &body).as_bytes())
         .await
         .expect("it is sent");
+    slow
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_engines_wait_for_a_caller_that_does_not_read() {
+    const TOKENS: u32 = 400;
+    let mut plan = Plan::bitacora(1, 1);
+    plan.settings =
+        "[flow]\nmax_unread_parts = 8\n[callers]\nsend_buffer_bytes = 4096\n".to_owned();
+    let deployment = Deployment::start(plan).await.expect("it starts");
+    // Each part names the request, so that a long id fills the connection soon.
+    let mut slow = ask_and_not_read(&deployment, TOKENS, &"r".repeat(600)).await;
+    let host = &deployment.nodes[&id("node-0")].node.host;
+    let counters = || host.read(|node| node.tables().counters.clone());
+    let begun = Instant::now();
+    while counters().holds == 0 {
+        assert!(begun.elapsed() < QUIET, "{:?}", counters());
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let given = counters().tokens;
+    assert!(
+        given < u64::from(TOKENS),
+        "all {given} tokens were asked for"
+    );
+    for _ in 0..3 {
+        let answer = dictate(&deployment, &Ask::default()).await;
+        assert_eq!(answer.outcome, Some(Outcome::Completed));
+    }
+    assert_eq!(counters().tokens, given + 3 * u64::from(MAX_TOKENS));
+    let mut text = String::new();
+    slow.read_to_string(&mut text)
+        .await
+        .expect("the answer is whole");
+    assert!(text.contains("event: done"), "{text}");
+    assert_eq!(text.matches("event: delta").count(), TOKENS as usize);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_does_not_read_holds_up_nobody() {
+    let plan = Plan::bitacora(1, 1);
+    let deployment = Deployment::start(plan).await.expect("it starts");
+    let mut slow = ask_and_not_read(&deployment, MAX_TOKENS, "slow").await;
     for _ in 0..3 {
         let answer = dictate(&deployment, &Ask::default()).await;
         assert_eq!(answer.outcome, Some(Outcome::Completed));
