--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -6,6 +6,8 @@
 mod admission;
 mod directory;
 mod dissemination;
+mod flow;
+mod hedge;
 mod identity;
 mod membership;
 mod once;
@@ -18,6 +20,8 @@
 pub use admission::AdmissionConfig;
 pub use directory::DirectoryConfig;
 pub use dissemination::DisseminationConfig;
+pub use flow::FlowConfig;
+pub use hedge::HedgeConfig;
 pub use identity::Identity;
 pub use membership::MembershipConfig;
 pub use once::OnceConfig;
@@ -35,6 +39,10 @@
     pub admission: AdmissionConfig,
     /// `[directory]`.
     pub directory: DirectoryConfig,
+    /// `[flow]`.
+    pub flow: FlowConfig,
+    /// `[hedge]`.
+    pub hedge: HedgeConfig,
     /// `[lease]`.
     pub lease: LeaseConfig,
     /// `[membership]`.
@@ -62,6 +70,8 @@
             identity,
             admission: AdmissionConfig::default(),
             directory: DirectoryConfig::default(),
+            flow: FlowConfig::default(),
+            hedge: HedgeConfig::default(),
             lease: LeaseConfig::default(),
             membership: MembershipConfig::default(),
             once: OnceConfig::default(),
--- a/crates/core/src/systems/admission.rs
+++ b/crates/core/src/systems/admission.rs
@@ -151,6 +151,8 @@
                 chain: Vec::new(),
                 sessions: 0,
                 open: OpenExchange::default(),
+                taken: 0,
+                held: false,
             }))
         }
         Demand::Call {
@@ -165,7 +167,10 @@
                 service: service.clone(),
                 operation: operation.clone(),
                 body: body.clone(),
-                vm: None,
+                open: Vec::new(),
+                attempts: 0,
+                waits: 0,
+                timer: None,
             }))
         }
     }
--- a/crates/core/src/systems/completion.rs
+++ b/crates/core/src/systems/completion.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use super::{
-    Context, Timer, answer, export, limits,
+    Context, Timer, answer, calls, export, flow, limits,
     recovery::{self, Failure},
     routing,
 };
@@ -392,13 +392,16 @@
         return answer::finish(cx, key, Outcome::Completed, None, "");
     }
     export::run(cx, key);
-    proceed(cx, key);
+    if !flow::hold(cx, key) {
+        proceed(cx, key);
+    }
 }
 
 /// Ends the sessions of a request and gives back its places at the backend
 /// servers.
 pub fn release(cx: &mut Context<'_>, key: RequestKey) {
     close_exchange(cx, key);
+    calls::cancel(cx, key);
     let Some(row) = cx.tables.requests.get(key) else {
         return;
     };
@@ -411,7 +414,7 @@
             cx.out.extend(work.chain.iter().map(end));
             work.chain.iter().map(|s| s.stage.vm.clone()).collect()
         }
-        Work::Call(call) => call.vm.iter().cloned().collect(),
+        Work::Call(call) => call.open.iter().map(|open| open.vm.clone()).collect(),
     };
     for vm in held {
         vacate(cx, &vm);
--- a/crates/core/src/tables/counters.rs
+++ b/crates/core/src/tables/counters.rs
@@ -17,6 +17,12 @@
     pub steps: u64,
     /// Attempts beyond the first one.
     pub retries: u64,
+    /// Second attempts of calls that were slow.
+    pub hedges: u64,
+    /// Calls that a second attempt answered first.
+    pub hedge_wins: u64,
+    /// Second attempts that were not sent because the budget was used up.
+    pub hedges_unpaid: u64,
     /// Replies of engines and services that belonged to no open attempt.
     pub stale_replies: u64,
     /// Replies of engines that answered another question.
@@ -39,6 +45,8 @@
     pub longer_waits: u64,
     /// Messages of other nodes for running requests at most once.
     pub once_messages: u64,
+    /// Answers that were held because their callers read slowly.
+    pub holds: u64,
     /// Requests that were not run because a witness did not consent.
     pub once_unwitnessed: u64,
     /// Requests whose home did not answer, so that witnesses were asked.
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,14 +14,16 @@
 
 use ini::Ini;
 use radishhaven_core::configs::{
-    AdmissionConfig, DirectoryConfig, DisseminationConfig, LeaseConfig, MembershipConfig,
-    OnceConfig, OrderConfig, RecoveryConfig, RetryConfig, RoutingConfig, SnapshotsConfig,
+    AdmissionConfig, DirectoryConfig, DisseminationConfig, FlowConfig, HedgeConfig, LeaseConfig,
+    MembershipConfig, OnceConfig, OrderConfig, RecoveryConfig, RetryConfig, RoutingConfig,
+    SnapshotsConfig,
 };
 
 use crate::configs::{
-    LogConfig, NodeConfig, OperatorsConfig, PeersConfig, PlatformConfig, read_admission,
-    read_directory, read_dissemination, read_lease, read_membership, read_once, read_orders,
-    read_recovery, read_retry, read_routing, read_snapshots,
+    CallersConfig, LogConfig, NodeConfig, OperatorsConfig, PeersConfig, PlatformConfig,
+    read_admission, read_directory, read_dissemination, read_flow, read_hedge, read_lease,
+    read_membership, read_once, read_orders, read_recovery, read_retry, read_routing,
+    read_snapshots,
 };
 
 /// A file with every setting, its default and its unit.
@@ -38,6 +40,8 @@
     pub platform: PlatformConfig,
     /// `[log]`.
     pub log: LogConfig,
+    /// `[callers]`.
+    pub callers: CallersConfig,
     /// `[admission]`.
     pub admission: AdmissionConfig,
     /// `[directory]`.
@@ -52,6 +56,10 @@
     pub lease: LeaseConfig,
     /// `[orders]`.
     pub orders: OrderConfig,
+    /// `[flow]`.
+    pub flow: FlowConfig,
+    /// `[hedge]`.
+    pub hedge: HedgeConfig,
     /// `[retry]`.
     pub retry: RetryConfig,
     /// `[routing]`.
@@ -361,6 +369,7 @@
         let peers = reader.section("peers", PeersConfig::read);
         let platform = reader.section("platform", PlatformConfig::read);
         let log = reader.section("log", LogConfig::read);
+        let callers = reader.section("callers", CallersConfig::read);
         let admission = reader.section("admission", read_admission);
         let directory = reader.section("directory", read_directory);
         let membership = reader.section("membership", read_membership);
@@ -368,6 +377,8 @@
         let recovery = reader.section("recovery", read_recovery);
         let lease = reader.section("lease", read_lease);
         let orders = reader.section("orders", read_orders);
+        let flow = reader.section("flow", read_flow);
+        let hedge = reader.section("hedge", read_hedge);
         let retry = reader.section("retry", read_retry);
         let routing = reader.section("routing", read_routing);
         let listen = node.as_ref().map(|node| node.operators);
@@ -384,11 +395,14 @@
                     peers,
                     platform,
                     log,
+                    callers,
                     admission,
                     directory,
                     membership,
                     once,
                     recovery,
+                    flow,
+                    hedge,
                     retry,
                     lease,
                     orders,
@@ -402,3 +416,12 @@
         }
     }
 }
+
+/// Reads a setting that is on or off.
+pub(crate) fn parse_switch(value: &str) -> Option<bool> {
+    match value {
+        "yes" => Some(true),
+        "no" => Some(false),
+        _ => None,
+    }
+}
