feat(health): judge backend servers by degrees, with a capped breaker and a ramp

Cause: a backend server that failed was avoided for `[retry] avoid_ms` and then got its full part at once, nothing capped how much of a stage was avoided at one time, and a server that answered slowly was not held against it.

Now `core/src/health` keeps for each server a score, a circuit breaker and a ramp, as pure functions of the time and the settings in `[health]`; `systems/health.rs` feeds them with what requests show, and routing adds the score to a server's cost, skips ejected servers, sends probes first to half open ones and holds ramping ones to their share. At most `max_ejected_percent` of a group, and never all, are out at one time. All phases are worked out from stored times, so that no timer has to run for a server to come back.

Ruled out: avoiding only while the request at hand has another engine (the cap gives that for all requests, and `others_take` is gone); a window of counters for each server; phi-accrual, for want of regular heartbeats. A bound on work in flight alone was ruled out for the ramp: where 360 nodes have less than one request at a server each, it bounds nothing, so the share also thins how often the server is a candidate.

`[retry] avoid_ms` is gone; a settings file that has it is refused.

Each mechanism was taken out and its test seen to fail, then put back: - `decide` always ejects, or a changed group calls nobody back: the cap; - half open never ends by time, or the time of an ejection is unbounded: the return. The latter passed at first, as no history reached the bound; the histories got failures of all servers at the end, and then it failed; - the ramp bounds no work in flight, probes are unbounded, or ejected servers take work: the choices; - the ramp does not thin: 2000 of 2000 choices instead of 400 to 600; - the score does not count in routing, or the group's median is not learned: the tests of these.

A test changed: `a_busy_engine_is_passed_over_and_not_blamed` read `avoid_until`, which is gone; it now wants no ejection, no failure in a row and no ejection counted at all.

--- a/crates/core/src/config/objects.rs
+++ b/crates/core/src/config/objects.rs
@@ -62,7 +62,7 @@
 }
 
 /// What a backend server carries.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub enum Carries {
     /// A range of layers of a model.
--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod directory;
 mod dissemination;
+mod health;
 mod identity;
 mod membership;
 mod once;
@@ -18,6 +19,7 @@
 pub use admission::AdmissionConfig;
 pub use directory::DirectoryConfig;
 pub use dissemination::DisseminationConfig;
+pub use health::HealthConfig;
 pub use identity::Identity;
 pub use membership::MembershipConfig;
 pub use once::OnceConfig;
@@ -35,6 +37,8 @@
     pub admission: AdmissionConfig,
     /// `[directory]`.
     pub directory: DirectoryConfig,
+    /// `[health]`.
+    pub health: HealthConfig,
     /// `[lease]`.
     pub lease: LeaseConfig,
     /// `[membership]`.
@@ -62,6 +66,7 @@
             identity,
             admission: AdmissionConfig::default(),
             directory: DirectoryConfig::default(),
+            health: HealthConfig::default(),
             lease: LeaseConfig::default(),
             membership: MembershipConfig::default(),
             once: OnceConfig::default(),
--- a/crates/core/src/configs/retry.rs
+++ b/crates/core/src/configs/retry.rs
@@ -17,8 +17,6 @@
     pub max_step_timeout: Duration,
     /// A step counts as lost after its expected time, so many times over. Default: 8.
     pub step_factor: u32,
-    /// Time for which a backend server that failed gets no new work. Default: 1 s.
-    pub avoid: Duration,
     /// Longest first wait before a repetition. Default: 10 ms.
     pub backoff: Duration,
     /// Longest wait before any repetition. Default: 500 ms.
@@ -39,7 +37,6 @@
             position_timeout: Duration::from_millis(2),
             max_step_timeout: Duration::from_secs(10),
             step_factor: 8,
-            avoid: Duration::from_secs(1),
             backoff: Duration::from_millis(10),
             max_backoff: Duration::from_millis(500),
             budget_burst: 100,
--- /dev/null
+++ b/crates/core/src/health/mod.rs
@@ -0,0 +1,20 @@
+//! Health of servers by degrees: a score, a circuit breaker and a ramp.
+//!
+//! Everything here is a pure function of what is handed in, and depends on
+//! nothing else of a node than its time and its settings, so that other
+//! programs can keep one [`Health`] for each server of theirs and one
+//! [`Usual`] for each group of equal ones. Ejections end by time alone; nothing
+//! has to run for a server to come back. The design note is
+//! `docs/design/health.md`.
+
+mod cap;
+mod ramp;
+mod score;
+mod server;
+mod usual;
+
+pub use cap::{Member, Verdict, decide, excess, most_ejected};
+pub use ramp::Ramp;
+pub use score::{Score, Sign};
+pub use server::{Change, Ejection, Health, Phase};
+pub use usual::Usual;
--- a/crates/core/src/systems/calls.rs
+++ b/crates/core/src/systems/calls.rs
@@ -3,8 +3,9 @@
 //! A call that is not idempotent is sent once; whatever leaves its fate open
 //! ends as unknown.
 
-use super::{Context, answer, routing};
+use super::{Context, answer, health, routing};
 use crate::{
+    health::Sign,
     ids::{Attempt, RequestKey},
     message::{Action, AttemptError},
     outcome::{NotRun, Outcome},
@@ -17,7 +18,7 @@
         return;
     };
     let Work::Call(call) = &row.work else { return };
-    let Some(backend) = routing::service(cx, &call.service, &row.failed) else {
+    let Some(backend) = routing::service(cx, &call.service, row) else {
         return answer::give_up(
             cx,
             key,
@@ -36,9 +37,7 @@
         body: call.body.clone(),
         within: row.deadline.since(cx.now),
     });
-    if let Some(backend) = cx.tables.backends.get_mut(&vm) {
-        backend.begin();
-    }
+    health::begin(cx, &vm);
     let Some(row) = cx.tables.requests.get_mut(key) else {
         return;
     };
@@ -65,15 +64,31 @@
         return;
     }
     match result {
-        Ok(body) => answer::finish(cx, key, Outcome::Completed, Some(body), ""),
+        Ok(body) => {
+            tell_health(cx, key, Sign::Answered { slowness: 0.0 });
+            answer::finish(cx, key, Outcome::Completed, Some(body), "");
+        }
         Err(error) => failed(cx, key, error),
     }
 }
 
+/// Tells what the end of a call shows of its server. The times of calls are
+/// not learned, so none is slow.
+fn tell_health(cx: &mut Context<'_>, key: RequestKey, sign: Sign) {
+    let vm = match cx.tables.requests.get(key).map(|row| &row.work) {
+        Some(Work::Call(call)) => call.vm.clone(),
+        _ => None,
+    };
+    if let Some(vm) = vm {
+        health::take(cx, &vm, sign);
+    }
+}
+
 fn failed(cx: &mut Context<'_>, key: RequestKey, error: AttemptError) {
+    if let Some(sign) = health::sign_of(&error) {
+        tell_health(cx, key, sign);
+    }
     super::completion::release(cx, key);
-    let now = cx.now;
-    let avoid = cx.cfg.retry.avoid;
     let max_attempts = cx.cfg.retry.max_attempts;
     let Some(row) = cx.tables.requests.get_mut(key) else {
         return;
@@ -85,12 +100,9 @@
         Work::Call(call) => call.vm.take(),
         Work::Completion(_) => None,
     };
-    row.failed.extend(failed_vm.clone());
+    row.failed.extend(failed_vm);
     row.attempt.0 += 1;
     let again = (not_run || row.idempotent) && row.attempt.0 < max_attempts;
-    if let Some(backend) = failed_vm.and_then(|vm| cx.tables.backends.get_mut(&vm)) {
-        backend.avoid_until = now + avoid;
-    }
     if again {
         cx.tables.counters.retries += 1;
         return start(cx, key);
--- a/crates/core/src/systems/completion.rs
+++ b/crates/core/src/systems/completion.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use super::{
-    Context, Timer, answer, export, limits,
+    Context, Timer, answer, export, health, limits,
     recovery::{self, Failure},
     routing,
 };
@@ -67,9 +67,7 @@
 
 /// Counts a session at a backend server.
 pub(super) fn occupy(cx: &mut Context<'_>, vm: &VmId) {
-    if let Some(backend) = cx.tables.backends.get_mut(vm) {
-        backend.begin();
-    }
+    health::begin(cx, vm);
 }
 
 /// Counts a session less at a backend server.
@@ -322,8 +320,10 @@
     session.next = end;
     export::trim(session, most);
     let vm = session.stage.vm.clone();
-    if let Some((wait, service)) = routing::observe(cx, &vm, positions, now.since(sent)) {
+    let took = now.since(sent);
+    if let Some((wait, service)) = routing::observe(cx, &vm, positions, took) {
         limits::observe(cx, key, wait, service);
+        health::answered(cx, &vm, wait, took);
     }
     match output {
         StageOutput::Activations(values) => {
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -11,6 +11,7 @@
 pub mod dissemination;
 pub mod drain;
 pub mod export;
+pub mod health;
 pub mod limits;
 pub mod membership;
 pub mod once;
--- a/crates/core/src/systems/platform.rs
+++ b/crates/core/src/systems/platform.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::{Context, dissemination, limits, membership, orders};
+use super::{Context, dissemination, health, limits, membership, orders};
 use crate::{
     ids::VmId,
     platform::{Record, VmList},
@@ -28,6 +28,7 @@
 pub fn update(cx: &mut Context<'_>, changed: &BTreeSet<VmId>) {
     let tables = &mut *cx.tables;
     tables.backends.update(&tables.config, &tables.vms, changed);
+    health::changed(cx);
     orders::changed(cx);
 }
 
@@ -36,5 +37,6 @@
 pub fn rebuild(cx: &mut Context<'_>) {
     let tables = &mut *cx.tables;
     tables.backends.rebuild(&tables.config, &tables.vms);
+    health::changed(cx);
     orders::changed(cx);
 }
--- a/crates/core/src/systems/recovery.rs
+++ b/crates/core/src/systems/recovery.rs
@@ -13,10 +13,11 @@
     completion::{
         begin_of, completion, completion_mut, occupy, open, proceed, session_ref, vacate,
     },
-    routing,
+    health, routing,
 };
 use crate::{
     engine::{EngineRefusal, KvCache},
+    health::Sign,
     ids::{Attempt, LayerRange, Position, RequestKey, VmId},
     message::{Action, AttemptError},
     outcome::NotRun,
@@ -55,17 +56,18 @@
     row.doubt |= !refused;
     row.started = row.doubt;
     drop_import(cx, key);
+    tell_health(cx, key, failure);
     match failure {
         Failure::InputsDropped => replace(cx, key, true),
         Failure::Timeout => {
-            blame(cx, key, true);
+            blame(cx, key);
             replace(cx, key, false);
         }
         Failure::Crossed | Failure::Error(AttemptError::Lost | AttemptError::Malformed) => {
             repeat_or_replace(cx, key);
         }
         Failure::Error(AttemptError::NotSent) => {
-            blame(cx, key, true);
+            blame(cx, key);
             replace(cx, key, true);
         }
         Failure::Error(AttemptError::Refused(refusal)) => refused_by(cx, key, refusal),
@@ -75,7 +77,7 @@
 fn refused_by(cx: &mut Context<'_>, key: RequestKey, refusal: EngineRefusal) {
     match refusal {
         EngineRefusal::Leaving | EngineRefusal::NotHeld => {
-            blame(cx, key, true);
+            blame(cx, key);
             replace(cx, key, true);
         }
         EngineRefusal::NoSession => replace(cx, key, true),
@@ -104,7 +106,7 @@
     if !is_new && waits < MAX_BUSY_WAITS {
         return wait(cx, key, Exchange::RepeatLater);
     }
-    blame(cx, key, false);
+    blame(cx, key);
     if plan(cx, key).is_none() && waits < MAX_BUSY_WAITS {
         if let Some(row) = cx.tables.requests.get_mut(key) {
             row.failed.pop();
@@ -141,14 +143,27 @@
         cx.tables.counters.retries += 1;
         return proceed(cx, key);
     }
-    blame(cx, key, true);
+    blame(cx, key);
     replace(cx, key, false);
 }
 
-/// Keeps this request off the open stage's engine, and with `avoid` new work
-/// of all requests for a while.
-fn blame(cx: &mut Context<'_>, key: RequestKey, avoid: bool) {
-    let until = cx.now + cx.cfg.retry.avoid;
+/// Tells what a failure of the open exchange shows of its engine.
+fn tell_health(cx: &mut Context<'_>, key: RequestKey, failure: Failure) {
+    let sign = match failure {
+        Failure::Timeout => Some(Sign::Down),
+        Failure::Crossed => Some(Sign::Failed),
+        Failure::Error(error) => health::sign_of(&error),
+        Failure::InputsDropped => None,
+    };
+    let session = completion(cx, key).and_then(CompletionState::open_session);
+    let vm = session.map(|session| session.stage.vm.clone());
+    if let (Some(vm), Some(sign)) = (vm, sign) {
+        health::take(cx, &vm, sign);
+    }
+}
+
+/// Keeps this request off the open stage's engine.
+fn blame(cx: &mut Context<'_>, key: RequestKey) {
     let session = completion(cx, key).and_then(CompletionState::open_session);
     let Some(vm) = session.map(|s| s.stage.vm.clone()) else {
         return;
@@ -156,28 +171,10 @@
     if let Some(row) = cx.tables.requests.get_mut(key)
         && !row.failed.contains(&vm)
     {
-        row.failed.push(vm.clone());
-    }
-    let avoid = avoid && others_take(cx, key);
-    if avoid && let Some(backend) = cx.tables.backends.get_mut(&vm) {
-        backend.avoid_until = until;
+        row.failed.push(vm);
     }
 }
 
-/// Tells whether the open stage's layers could go to an engine that has not
-/// failed the request; otherwise new work is better off with the last one that
-/// failed than with none.
-fn others_take(cx: &Context<'_>, key: RequestKey) -> bool {
-    let Some(row) = cx.tables.requests.get(key) else {
-        return false;
-    };
-    let Work::Completion(work) = &row.work else {
-        return false;
-    };
-    let layers = work.open_session().map(|session| session.stage.layers);
-    layers.is_some_and(|layers| routing::cover(cx, row, work, layers).is_some())
-}
-
 /// An import that failed is not tried again: the positions are recomputed.
 fn drop_import(cx: &mut Context<'_>, key: RequestKey) {
     if let Some(session) = completion_mut(cx, key).and_then(CompletionState::open_session_mut)
--- a/crates/core/src/systems/routing.rs
+++ b/crates/core/src/systems/routing.rs
@@ -16,6 +16,7 @@
 use super::Context;
 use crate::{
     config::RoutingPolicy,
+    health::{Phase, Ramp},
     ids::{LayerRange, ServiceId, VmId},
     tables::{BackendRow, CompletionState, RequestRow, Stage, StageKey},
     time::Timestamp,
@@ -53,6 +54,8 @@
     cx: &'a Context<'c>,
     policy: RoutingPolicy,
     failed: &'a [VmId],
+    /// Whether the request may run twice, so that it may be a probe.
+    harmless: bool,
     draws: StdRng,
     /// Positions of the first step.
     positions: u32,
@@ -81,6 +84,7 @@
         cx,
         policy: cx.tables.config.deployment().routing,
         failed: &row.failed,
+        harmless: row.idempotent,
         draws: draws(cx),
         positions: u32::try_from(work.tokens.len()).unwrap_or(u32::MAX),
         token_budget_us: (time / left).max(1.0),
@@ -95,8 +99,8 @@
                 && key.layers.end() > at
                 && key.adapters.is_superset(&work.adapters)
         };
-        for (key, slots) in stages.iter().filter(|(key, _)| covers(key)) {
-            let Some((cost, row)) = chooser.cheapest(slots) else {
+        for (key, group) in stages.iter().filter(|(key, _)| covers(key)) {
+            let Some((cost, row)) = chooser.cheapest(&group.slots) else {
                 continue;
             };
             let end = key.layers.end().min(layers.end());
@@ -115,16 +119,18 @@
     None
 }
 
-/// Chooses a backend server of a plain service, avoiding `failed` ones.
+/// Chooses a backend server of a plain service for a call, without those that
+/// failed it.
 pub fn service<'a>(
     cx: &'a Context<'_>,
     service: &ServiceId,
-    failed: &[VmId],
+    call: &RequestRow,
 ) -> Option<&'a BackendRow> {
     let mut chooser = Chooser {
         cx,
         policy: cx.tables.config.deployment().routing,
-        failed,
+        failed: &call.failed,
+        harmless: call.idempotent,
         draws: draws(cx),
         positions: 1,
         token_budget_us: f64::INFINITY,
@@ -148,51 +154,79 @@
 impl<'a> Chooser<'a, '_> {
     /// Returns the cheapest of some backend servers with its cost.
     fn cheapest(&mut self, slots: &[usize]) -> Option<(f64, &'a BackendRow)> {
-        let sample = self.cx.cfg.routing.candidates as usize;
-        let scan = self.policy != RoutingPolicy::Predicted || slots.len() <= sample;
-        let mut best = None;
-        if scan {
-            for &slot in slots {
-                self.consider(slot, &mut best);
+        let seen = self.candidates(slots);
+        let usual = mean_in_flight(&seen, self.cx.now);
+        let mut best: Option<(f64, &BackendRow)> = None;
+        for row in seen {
+            if !self.has_part(row, usual) {
+                continue;
+            }
+            let cost = self.cost(row);
+            if best.is_none_or(|(known, _)| cost < known) {
+                best = Some((cost, row));
             }
-            return best;
         }
+        best
+    }
+
+    /// Returns the backend servers that a choice looks at; there is one at
+    /// least if any takes the request.
+    fn candidates(&mut self, slots: &[usize]) -> Vec<&'a BackendRow> {
+        let sample = self.cx.cfg.routing.candidates as usize;
+        if self.policy != RoutingPolicy::Predicted || slots.len() <= sample {
+            return slots.iter().filter_map(|&slot| self.usable(slot)).collect();
+        }
+        let mut seen = Vec::with_capacity(sample);
         for _ in 0..sample {
             let slot = slots[self.draws.random_range(0..slots.len())];
-            self.consider(slot, &mut best);
+            seen.extend(self.usable(slot));
         }
-        if best.is_none() {
+        if seen.is_empty() {
             let from = self.draws.random_range(0..slots.len());
-            let turned = slots[from..].iter().chain(&slots[..from]);
-            for &slot in turned {
-                self.consider(slot, &mut best);
-                if best.is_some() {
-                    break;
-                }
-            }
+            let mut turned = slots[from..].iter().chain(&slots[..from]);
+            seen.extend(turned.find_map(|&slot| self.usable(slot)));
         }
-        best
+        seen
     }
 
-    fn consider(&mut self, slot: usize, best: &mut Option<(f64, &'a BackendRow)>) {
-        let Some(row) = self.cx.tables.backends.slot(slot) else {
-            return;
-        };
-        if !row.takes_work(self.cx.now) || self.failed.contains(&row.vm) {
-            return;
-        }
-        let cost = self.cost(row);
-        if best.as_ref().is_none_or(|(known, _)| cost < *known) {
-            *best = Some((cost, row));
+    /// Returns the backend server of a slot if it may take the request.
+    fn usable(&self, slot: usize) -> Option<&'a BackendRow> {
+        let (cx, cfg) = (self.cx, &self.cx.cfg.health);
+        let row = cx.tables.backends.slot(slot)?;
+        let probing = row.health.phase(cx.now) == Phase::HalfOpen;
+        let usable = row.takes_work(cx.now)
+            && (!probing || row.health.takes_probe(cfg, self.harmless))
+            && !self.failed.contains(&row.vm);
+        usable.then_some(row)
+    }
+
+    /// Tells whether one request more stays within the part of a backend
+    /// server that starts slowly. Many nodes have less than one request there
+    /// on average, so its share bounds how often it is a candidate, too.
+    fn has_part(&mut self, row: &BackendRow, usual: Option<f64>) -> bool {
+        let now = self.cx.now;
+        let Some(usual) = usual else { return true };
+        if row.health.phase(now) != Phase::Ramping {
+            return true;
         }
+        let share = row.health.share(now);
+        f64::from(row.in_flight + 1) <= Ramp::most_in_flight(share, usual)
+            && self.draws.random::<f64>() < share
     }
 
+    /// A probe costs nothing: whoever may send one does, so that a server that
+    /// has recovered is found soon.
     fn cost(&mut self, row: &BackendRow) -> f64 {
+        let (now, cfg) = (self.cx.now, &self.cx.cfg.health);
+        if row.health.phase(now) == Phase::HalfOpen {
+            return 0.0;
+        }
         match self.policy {
             RoutingPolicy::Predicted => {
                 let noise = self.draws.random_range(1.0..1.0 + NOISE);
-                let share = decode_us(row, self.cx.now) / self.token_budget_us;
-                (waiting(row, self.cx.now) + share) * noise
+                let share = decode_us(row, now) / self.token_budget_us;
+                let score = row.health.score.at(now, cfg.half_life) * f64::from(cfg.cost);
+                (waiting(row, now) + share + score) * noise
             }
             RoutingPolicy::LeastInFlight => {
                 let tie = self.draws.random::<f64>();
@@ -221,6 +255,18 @@
     }
 }
 
+/// Returns the mean work of those candidates that have their whole part, if
+/// there are any.
+fn mean_in_flight(seen: &[&BackendRow], now: Timestamp) -> Option<f64> {
+    let serving = seen
+        .iter()
+        .filter(|row| row.health.phase(now) == Phase::Serving);
+    let (count, sum) = serving.fold((0_u32, 0_u32), |(count, sum), row| {
+        (count + 1, sum + row.in_flight)
+    });
+    (count > 0).then(|| f64::from(sum) / f64::from(count))
+}
+
 /// Returns the time that a step is likely to wait, over the time that the
 /// engine itself needs for it. What this node sent since the last observation
 /// counts on top, because the observation can't show it yet.
--- a/crates/core/src/tables/backends.rs
+++ b/crates/core/src/tables/backends.rs
@@ -14,6 +14,7 @@
 use super::{Latency, VmTable};
 use crate::{
     config::{Backend, Carries, Config, Kind, Object, ObjectKey},
+    health::{Health, Phase, Usual},
     ids::{AdapterId, FailureDomain, LayerRange, ModelId, ServiceId, VersionId, VmId},
     platform::{Vm, VmState},
     time::Timestamp,
@@ -34,8 +35,8 @@
     pub state: VmState,
     /// Sessions and calls that this node has there.
     pub in_flight: u32,
-    /// Until when it gets no new work, after a failure.
-    pub avoid_until: Timestamp,
+    /// How well it does, and how much work it may get.
+    pub health: Health,
     /// Round trip in microseconds of the configured link to it; 0 if none is
     /// configured.
     pub link_us: f64,
@@ -48,7 +49,7 @@
 impl BackendRow {
     /// Tells whether new work may go there.
     pub fn takes_work(&self, now: Timestamp) -> bool {
-        self.state == VmState::Live && self.avoid_until <= now
+        self.state == VmState::Live && self.health.phase(now) != Phase::Ejected
     }
 
     /// Counts work that begins there.
@@ -72,8 +73,19 @@
     pub adapters: BTreeSet<AdapterId>,
 }
 
+/// Backend servers that carry the same.
+#[derive(Debug, Default)]
+pub struct Group {
+    /// Their slots.
+    pub slots: Vec<usize>,
+    /// How long their answers usually take.
+    pub usual: Usual,
+    /// When this node first had any.
+    pub since: Option<Timestamp>,
+}
+
 /// The engines of one version, by what they hold.
-pub type Stages = BTreeMap<StageKey, Vec<usize>>;
+pub type Stages = BTreeMap<StageKey, Group>;
 
 /// Backend servers by VM, with indexes by what they carry.
 #[derive(Debug, Default)]
@@ -82,8 +94,18 @@
     free: Vec<usize>,
     by_vm: BTreeMap<VmId, usize>,
     by_version: BTreeMap<ModelId, BTreeMap<VersionId, Stages>>,
-    by_service: BTreeMap<ServiceId, Vec<usize>>,
+    by_service: BTreeMap<ServiceId, Group>,
     home: Option<FailureDomain>,
+    changes: GroupChanges,
+}
+
+/// What changed in the groups since it was last asked for.
+#[derive(Debug, Default)]
+pub struct GroupChanges {
+    /// Backend servers that joined a group, or may take work again.
+    pub joined: BTreeSet<VmId>,
+    /// What is carried by the groups that servers joined or left.
+    pub groups: BTreeSet<Carries>,
 }
 
 impl BackendTable {
@@ -154,15 +176,21 @@
             let same_life = row.address == vm.address;
             if !same_life {
                 row.latency = Latency::default();
+                row.health = Health::default();
             }
+            let changed = !same_life || row.state != vm.state;
             row.address = vm.address;
             row.state = vm.state;
             row.link_us = link_us;
             row.failure_domain = vm.failure_domain.clone();
             if row.carries == backend.carries {
+                if changed {
+                    self.note(vm, &backend.carries);
+                }
                 return;
             }
         }
+        self.note(vm, &backend.carries);
         let old = self.take(&backend.id);
         let old = old.as_ref();
         self.insert(BackendRow {
@@ -172,17 +200,29 @@
             carries: backend.carries.clone(),
             state: vm.state,
             in_flight: old.map_or(0, |row| row.in_flight),
-            avoid_until: old.map_or(Timestamp::default(), |row| row.avoid_until),
+            health: old.map_or_else(Health::default, |row| row.health.clone()),
             link_us,
             latency: Latency::default(),
             begun: 0,
         });
     }
 
+    fn note(&mut self, vm: &Vm, carries: &Carries) {
+        self.changes.groups.insert(carries.clone());
+        if vm.state == VmState::Live {
+            self.changes.joined.insert(vm.vm.clone());
+        }
+    }
+
+    /// Returns what changed in the groups since the last call.
+    pub fn take_changes(&mut self) -> GroupChanges {
+        std::mem::take(&mut self.changes)
+    }
+
     fn insert(&mut self, row: BackendRow) {
         let slot = self.free.pop().unwrap_or(self.slots.len());
         self.by_vm.insert(row.vm.clone(), slot);
-        self.index(&row.carries).push(slot);
+        self.index(&row.carries).slots.push(slot);
         if slot == self.slots.len() {
             self.slots.push(Some(row));
         } else {
@@ -198,16 +238,18 @@
         let slot = self.by_vm.remove(vm)?;
         let row = self.slots[slot].take()?;
         self.free.push(slot);
-        let index = self.index(&row.carries);
-        if let Some(at) = index.iter().position(|&s| s == slot) {
-            index.swap_remove(at);
+        let slots = &mut self.index(&row.carries).slots;
+        if let Some(at) = slots.iter().position(|&s| s == slot) {
+            slots.swap_remove(at);
         }
         self.drop_empty(&row.carries);
+        self.changes.groups.insert(row.carries.clone());
+        self.changes.joined.remove(vm);
         Some(row)
     }
 
-    /// Returns the slots of backend servers that carry the same.
-    fn index(&mut self, carries: &Carries) -> &mut Vec<usize> {
+    /// Returns the group of the backend servers that carry the same.
+    fn index(&mut self, carries: &Carries) -> &mut Group {
         match carries {
             Carries::Layers {
                 model,
@@ -234,14 +276,14 @@
                     return;
                 };
                 if let Some(stages) = versions.get_mut(version) {
-                    stages.retain(|_, slots| !slots.is_empty());
+                    stages.retain(|_, group| !group.slots.is_empty());
                 }
                 versions.retain(|_, stages| !stages.is_empty());
                 if versions.is_empty() {
                     self.by_version.remove(model);
                 }
             }
-            Carries::Service(_) => self.by_service.retain(|_, slots| !slots.is_empty()),
+            Carries::Service(_) => self.by_service.retain(|_, group| !group.slots.is_empty()),
         }
     }
 
@@ -261,6 +303,42 @@
         self.slots.get(slot).and_then(Option::as_ref)
     }
 
+    /// Returns the backend server of a slot for a change of what was learned.
+    pub fn slot_mut(&mut self, slot: usize) -> Option<&mut BackendRow> {
+        self.slots.get_mut(slot).and_then(Option::as_mut)
+    }
+
+    /// Returns the slot of a backend server.
+    pub fn slot_of(&self, vm: &VmId) -> Option<usize> {
+        self.by_vm.get(vm).copied()
+    }
+
+    /// Returns the group of the backend servers that carry the same, if there
+    /// are any.
+    pub fn group(&self, carries: &Carries) -> Option<&Group> {
+        match carries {
+            Carries::Layers {
+                model,
+                version,
+                layers,
+                adapters,
+            } => {
+                let key = StageKey {
+                    layers: *layers,
+                    adapters: adapters.clone(),
+                };
+                self.stages(model, version)?.get(&key)
+            }
+            Carries::Service(service) => self.by_service.get(service),
+        }
+    }
+
+    /// Returns the group of a backend server for a change of what was learned.
+    pub fn group_mut(&mut self, vm: &VmId) -> Option<&mut Group> {
+        let carries = self.get(vm)?.carries.clone();
+        Some(self.index(&carries))
+    }
+
     /// Returns all backend servers.
     pub fn iter(&self) -> impl Iterator<Item = &BackendRow> {
         self.by_vm.values().filter_map(|&slot| self.slot(slot))
@@ -273,7 +351,9 @@
 
     /// Returns the slots of the servers of a plain service.
     pub fn servers(&self, service: &ServiceId) -> &[usize] {
-        self.by_service.get(service).map_or(&[], Vec::as_slice)
+        self.by_service
+            .get(service)
+            .map_or(&[], |group| &group.slots)
     }
 
     /// Returns the backend servers that carry layers of a version.
@@ -283,7 +363,7 @@
         version: &VersionId,
     ) -> impl Iterator<Item = &BackendRow> {
         let stages = self.stages(model, version).into_iter();
-        let slots = stages.flat_map(|stages| stages.values().flatten());
+        let slots = stages.flat_map(|stages| stages.values().flat_map(|group| &group.slots));
         slots.filter_map(|&slot| self.slot(slot))
     }
 
--- a/crates/core/src/tables/counters.rs
+++ b/crates/core/src/tables/counters.rs
@@ -35,6 +35,15 @@
     pub budget_waits: u64,
     /// Steps that were not answered in time.
     pub step_timeouts: u64,
+    /// Ejections of backend servers.
+    pub health_ejections: u64,
+    /// Times that the cap kept a backend server in that should be ejected.
+    pub health_kept_in: u64,
+    /// Requests that probed a backend server after an ejection.
+    pub health_probes: u64,
+    /// Returns of ejected backend servers, because probes were answered or the
+    /// cap called them back.
+    pub health_returns: u64,
     /// Messages of other nodes for running requests at most once.
     pub once_messages: u64,
     /// Requests that were not run because a witness did not consent.
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -18,7 +18,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use backends::{BackendRow, BackendTable, StageKey, Stages};
+pub use backends::{BackendRow, BackendTable, Group, GroupChanges, StageKey, Stages};
 pub use completions::{CompletionState, Exchange, KeptInputs, OpenExchange, Stage, StageSession};
 pub use counters::Counters;
 pub use follow::{FollowCounters, FollowTable, Join, LogState};
--- a/crates/core/tests/retries.rs
+++ b/crates/core/tests/retries.rs
@@ -11,7 +11,6 @@
 use radishhaven_core::{
     ids::RequestKey,
     outcome::{NotRun, Outcome},
-    time::Timestamp,
 };
 
 const DEADLINE_MS: u64 = 60_000;
@@ -55,8 +54,9 @@
     assert_eq!(outcome(&world, key), Some(Outcome::Completed));
     assert!(took < Duration::from_millis(100), "{took:?}");
     let row = world.node.tables().backends.get(&id("engine-0"));
-    let avoid_until = row.map(|row| row.avoid_until);
-    assert_eq!(avoid_until, Some(Timestamp::default()));
+    let health = row.map(|row| (row.health.ejection, row.health.in_a_row));
+    assert_eq!(health, Some((None, 0)));
+    assert_eq!(world.node.tables().counters.health_ejections, 0);
     world.settle();
     world.check();
 }
--- a/crates/daemon/src/configs/mod.rs
+++ b/crates/daemon/src/configs/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod directory;
 mod dissemination;
+mod health;
 mod log;
 mod membership;
 mod node;
@@ -21,6 +22,7 @@
     admission::read_admission,
     directory::read_directory,
     dissemination::read_dissemination,
+    health::read_health,
     membership::read_membership,
     once::read_once,
     orders::{read_lease, read_orders},
--- a/crates/daemon/src/configs/retry.rs
+++ b/crates/daemon/src/configs/retry.rs
@@ -25,7 +25,6 @@
         step_factor: section
             .number("step_factor", 1..=1_000)
             .unwrap_or(d.step_factor),
-        avoid: section.millis("avoid_ms", 0..=600_000).unwrap_or(d.avoid),
         backoff: section
             .millis("backoff_ms", 1..=60_000)
             .unwrap_or(d.backoff),
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -104,6 +104,7 @@
                 ..settings.once.clone()
             },
             recovery: settings.recovery.clone(),
+            health: settings.health.clone(),
             lease: settings.lease.clone(),
             orders: settings.orders.clone(),
             retry: settings.retry.clone(),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,11 +1,13 @@
 //! Metrics in the text format of OpenMetrics, made from the node's counters.
 
+use std::collections::BTreeMap;
+
 use prometheus_client::{
     encoding::text::encode,
     metrics::{counter::ConstCounter, gauge::ConstGauge},
     registry::{Registry, Unit},
 };
-use radishhaven_core::{node::Node, tables::LogState, time::Timestamp};
+use radishhaven_core::{health::Phase, node::Node, tables::LogState, time::Timestamp};
 
 /// Renders a node's metrics.
 ///
@@ -67,6 +69,30 @@
         "Retries that waited because the budget was used up",
         counters.budget_waits,
     );
+    for (name, help, value) in [
+        (
+            "health_ejections",
+            "Ejections of backend servers",
+            counters.health_ejections,
+        ),
+        (
+            "health_kept_in",
+            "Times that the cap kept a backend server in",
+            counters.health_kept_in,
+        ),
+        (
+            "health_probes",
+            "Requests that probed a backend server after an ejection",
+            counters.health_probes,
+        ),
+        (
+            "health_returns",
+            "Returns by answered probes or by the cap",
+            counters.health_returns,
+        ),
+    ] {
+        count(name, help, value);
+    }
     count(
         "once_messages",
         "Messages of nodes for running requests at most once",
@@ -156,6 +182,30 @@
         "Requests that run here",
         tables.requests.len() as u64,
     );
+    let phases = tables.backends.iter().map(|row| row.health.phase(now));
+    let mut standing = BTreeMap::<Phase, u64>::new();
+    for phase in phases {
+        *standing.entry(phase).or_default() += 1;
+    }
+    for (name, help, phase) in [
+        (
+            "backends_ejected",
+            "Backend servers that get no new work",
+            Phase::Ejected,
+        ),
+        (
+            "backends_half_open",
+            "Backend servers that get probes only",
+            Phase::HalfOpen,
+        ),
+        (
+            "backends_ramping",
+            "Backend servers that start slowly",
+            Phase::Ramping,
+        ),
+    ] {
+        gauge(name, help, standing.get(&phase).copied().unwrap_or(0));
+    }
     gauge(
         "once_open",
         "Requests of this home that may run once and are open",
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,14 +14,15 @@
 
 use ini::Ini;
 use radishhaven_core::configs::{
-    AdmissionConfig, DirectoryConfig, DisseminationConfig, LeaseConfig, MembershipConfig,
-    OnceConfig, OrderConfig, RecoveryConfig, RetryConfig, RoutingConfig, SnapshotsConfig,
+    AdmissionConfig, DirectoryConfig, DisseminationConfig, HealthConfig, LeaseConfig,
+    MembershipConfig, OnceConfig, OrderConfig, RecoveryConfig, RetryConfig, RoutingConfig,
+    SnapshotsConfig,
 };
 
 use crate::configs::{
     LogConfig, NodeConfig, OperatorsConfig, PeersConfig, PlatformConfig, read_admission,
-    read_directory, read_dissemination, read_lease, read_membership, read_once, read_orders,
-    read_recovery, read_retry, read_routing, read_snapshots,
+    read_directory, read_dissemination, read_health, read_lease, read_membership, read_once,
+    read_orders, read_recovery, read_retry, read_routing, read_snapshots,
 };
 
 /// A file with every setting, its default and its unit.
@@ -46,6 +47,8 @@
     pub membership: MembershipConfig,
     /// `[once]`.
     pub once: OnceConfig,
+    /// `[health]`.
+    pub health: HealthConfig,
     /// `[recovery]`.
     pub recovery: RecoveryConfig,
     /// `[lease]`.
@@ -365,6 +368,7 @@
         let directory = reader.section("directory", read_directory);
         let membership = reader.section("membership", read_membership);
         let once = reader.section("once", read_once);
+        let health = reader.section("health", read_health);
         let recovery = reader.section("recovery", read_recovery);
         let lease = reader.section("lease", read_lease);
         let orders = reader.section("orders", read_orders);
@@ -388,6 +392,7 @@
                     directory,
                     membership,
                     once,
+                    health,
                     recovery,
                     retry,
                     lease,
