--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -7,6 +7,7 @@
 mod directory;
 mod dissemination;
 mod flow;
+mod health;
 mod hedge;
 mod identity;
 mod membership;
@@ -21,6 +22,7 @@
 pub use directory::DirectoryConfig;
 pub use dissemination::DisseminationConfig;
 pub use flow::FlowConfig;
+pub use health::HealthConfig;
 pub use hedge::HedgeConfig;
 pub use identity::Identity;
 pub use membership::MembershipConfig;
@@ -43,6 +45,8 @@
     pub flow: FlowConfig,
     /// `[hedge]`.
     pub hedge: HedgeConfig,
+    /// `[health]`.
+    pub health: HealthConfig,
     /// `[lease]`.
     pub lease: LeaseConfig,
     /// `[membership]`.
@@ -72,6 +76,7 @@
             directory: DirectoryConfig::default(),
             flow: FlowConfig::default(),
             hedge: HedgeConfig::default(),
+            health: HealthConfig::default(),
             lease: LeaseConfig::default(),
             membership: MembershipConfig::default(),
             once: OnceConfig::default(),
--- a/crates/core/src/systems/calls.rs
+++ b/crates/core/src/systems/calls.rs
@@ -11,9 +11,10 @@
     Context, Timer, answer,
     backoff::{self, MAX_WAITS},
     completion::{occupy, vacate},
-    hedge, routing,
+    health, hedge, routing,
 };
 use crate::{
+    health::Sign,
     ids::{Attempt, RequestKey, VmId},
     message::{Action, AttemptError},
     outcome::{NotRun, Outcome},
@@ -52,7 +53,7 @@
     let call = call(cx, key)?;
     let mut without = row.failed.clone();
     without.extend(call.open.iter().map(|open| open.vm.clone()));
-    let backend = routing::service(cx, &call.service, &without)?;
+    let backend = routing::service(cx, &call.service, &without, row.idempotent)?;
     Some((backend.vm.clone(), backend.address))
 }
 
@@ -103,6 +104,7 @@
     }
     match result {
         Ok(body) => {
+            tell_health(cx, key, attempt);
             learn(cx, key, attempt);
             answer::finish(cx, key, Outcome::Completed, Some(body), "");
         }
@@ -110,6 +112,16 @@
     }
 }
 
+/// Tells that the server of an attempt answered. Whether it was slow is not
+/// judged, as calls of one service are unlike each other.
+fn tell_health(cx: &mut Context<'_>, key: RequestKey, answered: Attempt) {
+    let Some(call) = call(cx, key) else { return };
+    let open = call.open.iter().find(|open| open.attempt == answered);
+    if let Some(vm) = open.map(|open| open.vm.clone()) {
+        health::take(cx, &vm, Sign::Answered { slowness: 0.0 });
+    }
+}
+
 /// Learns how long the answered attempt took. An earlier one that still runs
 /// has taken longer than it has run, which is all that a quantile asks for.
 fn learn(cx: &mut Context<'_>, key: RequestKey, answered: Attempt) {
@@ -146,9 +158,8 @@
     row.failed.push(open.vm.clone());
     let again = (row.idempotent || !row.doubt) && more < cx.cfg.retry.max_attempts;
     vacate(cx, &open.vm);
-    let until = cx.now + cx.cfg.retry.avoid;
-    if let Some(backend) = cx.tables.backends.get_mut(&open.vm) {
-        backend.avoid_until = until;
+    if let Some(sign) = health::sign_of(&error) {
+        health::take(cx, &open.vm, sign);
     }
     // A hedged call has another attempt open, which decides.
     if !alone {
--- a/crates/core/src/systems/completion.rs
+++ b/crates/core/src/systems/completion.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use super::{
-    Context, Timer, answer, calls, export, flow, limits,
+    Context, Timer, answer, calls, export, flow, health, limits,
     recovery::{self, Failure},
     routing,
 };
@@ -68,9 +68,7 @@
 
 /// Counts a session at a backend server.
 pub(super) fn occupy(cx: &mut Context<'_>, vm: &VmId) {
-    if let Some(backend) = cx.tables.backends.get_mut(vm) {
-        backend.begin();
-    }
+    health::begin(cx, vm);
 }
 
 /// Counts a session less at a backend server.
@@ -353,11 +351,13 @@
     session.next = end;
     export::trim(session, most);
     let vm = session.stage.vm.clone();
+    let took = now.since(sent);
     if let Some(backend) = cx.tables.backends.get_mut(&vm) {
         backend.note_answer(now, sent, first == Position(0));
     }
-    if let Some((wait, service)) = routing::observe(cx, &vm, positions, now.since(sent)) {
+    if let Some((wait, service)) = routing::observe(cx, &vm, positions, took) {
         limits::observe(cx, key, wait, service);
+        health::answered(cx, &vm, wait, took);
     }
     match output {
         StageOutput::Activations(values) => {
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -13,6 +13,7 @@
 pub mod drain;
 pub mod export;
 pub mod flow;
+pub mod health;
 mod hedge;
 pub mod limits;
 pub mod membership;
--- a/crates/core/src/tables/counters.rs
+++ b/crates/core/src/tables/counters.rs
@@ -43,6 +43,15 @@
     pub step_timeouts: u64,
     /// Steps that were waited for longer, because their engine was busy.
     pub longer_waits: u64,
+    /// Ejections of backend servers.
+    pub health_ejections: u64,
+    /// Times that the cap kept a backend server in that should be ejected.
+    pub health_kept_in: u64,
+    /// Requests that probed a backend server after an ejection.
+    pub health_probes: u64,
+    /// Returns of ejected backend servers, because probes were answered or the
+    /// cap called them back.
+    pub health_returns: u64,
     /// Messages of other nodes for running requests at most once.
     pub once_messages: u64,
     /// Answers that were held because their callers read slowly.
--- a/crates/daemon/src/configs/mod.rs
+++ b/crates/daemon/src/configs/mod.rs
@@ -6,6 +6,7 @@
 mod directory;
 mod dissemination;
 mod flow;
+mod health;
 mod hedge;
 mod log;
 mod membership;
@@ -25,6 +26,7 @@
     directory::read_directory,
     dissemination::read_dissemination,
     flow::read_flow,
+    health::read_health,
     hedge::read_hedge,
     membership::read_membership,
     once::read_once,
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -109,6 +109,7 @@
                 ..settings.once.clone()
             },
             recovery: settings.recovery.clone(),
+            health: settings.health.clone(),
             lease: settings.lease.clone(),
             orders: settings.orders.clone(),
             flow: settings.flow.clone(),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -14,15 +14,15 @@
 
 use ini::Ini;
 use radishhaven_core::configs::{
-    AdmissionConfig, DirectoryConfig, DisseminationConfig, FlowConfig, HedgeConfig, LeaseConfig,
-    MembershipConfig, OnceConfig, OrderConfig, RecoveryConfig, RetryConfig, RoutingConfig,
-    SnapshotsConfig,
+    AdmissionConfig, DirectoryConfig, DisseminationConfig, FlowConfig, HealthConfig, HedgeConfig,
+    LeaseConfig, MembershipConfig, OnceConfig, OrderConfig, RecoveryConfig, RetryConfig,
+    RoutingConfig, SnapshotsConfig,
 };
 
 use crate::configs::{
     CallersConfig, LogConfig, NodeConfig, OperatorsConfig, PeersConfig, PlatformConfig,
-    read_admission, read_directory, read_dissemination, read_flow, read_hedge, read_lease,
-    read_membership, read_once, read_orders, read_recovery, read_retry, read_routing,
+    read_admission, read_directory, read_dissemination, read_flow, read_health, read_hedge,
+    read_lease, read_membership, read_once, read_orders, read_recovery, read_retry, read_routing,
     read_snapshots,
 };
 
@@ -50,6 +50,8 @@
     pub membership: MembershipConfig,
     /// `[once]`.
     pub once: OnceConfig,
+    /// `[health]`.
+    pub health: HealthConfig,
     /// `[recovery]`.
     pub recovery: RecoveryConfig,
     /// `[lease]`.
@@ -374,6 +376,7 @@
         let directory = reader.section("directory", read_directory);
         let membership = reader.section("membership", read_membership);
         let once = reader.section("once", read_once);
+        let health = reader.section("health", read_health);
         let recovery = reader.section("recovery", read_recovery);
         let lease = reader.section("lease", read_lease);
         let orders = reader.section("orders", read_orders);
@@ -400,6 +403,7 @@
                     directory,
                     membership,
                     once,
+                    health,
                     recovery,
                     flow,
                     hedge,
