feat(watch): share the watch over backend servers out by rendezvous

360 nodes can't each ask 12,000 backend servers, and nothing of ours runs there. Each one is now watched by two live nodes: the highest rendezvous score, and the highest of another failure domain. Names are hashed once, and a pair costs one mix, so a node that comes costs one score for each backend server and one that goes costs a choice for each that it watched.

Ruled out: choosing anew over the whole table at each change, which is nodes times backend servers for every member that comes or goes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod systems;
 pub mod tables;
 pub mod time;
+pub mod watch;
 
 /// The embedders' page, whose examples run as tests.
 #[cfg(doctest)]
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -17,6 +17,12 @@
     mix(hash)
 }
 
+/// Returns the score of a pair of names from the hashes of each, for tables of
+/// many pairs: the names are hashed once and not once a pair.
+pub fn pair_score(key: u64, candidate: u64) -> u64 {
+    mix(key ^ candidate.rotate_left(32))
+}
+
 /// Returns the weighted score: over many keys, a candidate is chosen in
 /// proportion to its weight.
 pub fn weighted_score(key: &str, candidate: &str, weight: f64) -> f64 {
