feat(watch): tell all nodes what engines hold, and route by it

A node learned from a refusal that an engine does not hold what is configured, and saw nothing of the work of other nodes there. Now each engine's two watchers read it through the published protocol and tell the others: hashes of what is held (compared by the receiver with its own configuration), the queue as a power of two, a number and an age. Reports go to one node of each failure domain and from there to the domain, within a bound on bytes; what changed goes first and twice, and all is repeated.

Routing passes over engines whose fresh report differs from the configuration. The reported queue, with what this node began since, may raise a cost and never lowers it, so that an idle engine draws no herd. Reports of an ended life name no backend server, stale ones count for nothing, and an unanswered read says nothing.

Ruled out: facts along with gossip (each node sends a fact on 27 times at 360 nodes), a flag "holds what is configured" (wrong where the watcher has another revision), negative reports for unanswered reads (the watcher's link may be at fault). The protocol has no figure for free KV cache, so none is told.

The peers' messages get a kind more, so PEER_VERSION is 2.

--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -13,6 +13,7 @@
 mod retry;
 mod routing;
 mod snapshots;
+mod watch;
 
 pub use crate::{lease::LeaseConfig, orders::OrderConfig};
 pub use admission::AdmissionConfig;
@@ -25,6 +26,7 @@
 pub use retry::RetryConfig;
 pub use routing::RoutingConfig;
 pub use snapshots::SnapshotsConfig;
+pub use watch::WatchConfig;
 
 /// All settings of the decisions.
 #[derive(Debug, Clone)]
@@ -53,6 +55,8 @@
     pub dissemination: DisseminationConfig,
     /// `[snapshots]`.
     pub snapshots: SnapshotsConfig,
+    /// `[watch]`.
+    pub watch: WatchConfig,
 }
 
 impl Configs {
@@ -71,6 +75,7 @@
             routing: RoutingConfig::default(),
             dissemination: DisseminationConfig::default(),
             snapshots: SnapshotsConfig::default(),
+            watch: WatchConfig::default(),
         }
     }
 }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -15,6 +15,7 @@
     outcome::Outcome,
     peer::{PeerMessage, Sender},
     platform::{Record, VmList},
+    watch::Reading,
 };
 
 /// What a caller asks for.
@@ -150,6 +151,15 @@
         /// What it holds.
         held: Option<Held>,
     },
+    /// A watched engine answered, or did not.
+    Watched {
+        /// The engine's VM.
+        vm: VmId,
+        /// Where it was asked.
+        address: SocketAddr,
+        /// What it said.
+        reading: Option<Reading>,
+    },
     /// The log did not answer.
     ConfigReadFailed,
     /// The platform gave the VM list.
@@ -316,6 +326,17 @@
         /// Where it serves.
         address: SocketAddr,
     },
+    /// Read a watched engine; the answer comes back as [`Event::Watched`].
+    ReadWatched {
+        /// The engine's VM.
+        vm: VmId,
+        /// Where it serves.
+        address: SocketAddr,
+        /// Whether to read its load too.
+        load: bool,
+        /// The time that the reads may take.
+        within: Duration,
+    },
     /// Order an engine to hold something, if the lease is still held at the
     /// moment of sending; no answer is awaited.
     GiveOrder {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -64,7 +64,11 @@
         systems::once::mint(&mut self.context(now, &mut out), true)
     }
 
-    fn context<'a>(&'a mut self, now: Timestamp, out: &'a mut Vec<Action>) -> Context<'a> {
+    pub(crate) fn context<'a>(
+        &'a mut self,
+        now: Timestamp,
+        out: &'a mut Vec<Action>,
+    ) -> Context<'a> {
         Context {
             now,
             cfg: &self.cfg,
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -12,10 +12,11 @@
     ids::{FailureDomain, Incarnation, Revision, VmId},
     once::OnceMessage,
     platform::Record,
+    watch::WatchMessage,
 };
 
 /// Version of the messages; nodes of another version are refused.
-pub const PEER_VERSION: u16 = 1;
+pub const PEER_VERSION: u16 = 2;
 
 /// A message.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,6 +27,8 @@
     Once(OnceMessage),
     /// Configuration that goes from node to node.
     Config(ConfigMessage),
+    /// Reports of backend servers.
+    Watch(WatchMessage),
 }
 
 /// Carries the configuration between nodes; see
--- a/crates/core/src/systems/calls.rs
+++ b/crates/core/src/systems/calls.rs
@@ -37,7 +37,7 @@
         within: row.deadline.since(cx.now),
     });
     if let Some(backend) = cx.tables.backends.get_mut(&vm) {
-        backend.begin();
+        backend.begin(cx.now);
     }
     let Some(row) = cx.tables.requests.get_mut(key) else {
         return;
--- a/crates/core/src/systems/completion.rs
+++ b/crates/core/src/systems/completion.rs
@@ -68,7 +68,7 @@
 /// Counts a session at a backend server.
 pub(super) fn occupy(cx: &mut Context<'_>, vm: &VmId) {
     if let Some(backend) = cx.tables.backends.get_mut(vm) {
-        backend.begin();
+        backend.begin(cx.now);
     }
 }
 
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -19,6 +19,7 @@
 pub mod recovery;
 pub mod routing;
 pub mod snapshots;
+pub mod watch;
 
 use rand::rngs::StdRng;
 
@@ -59,6 +60,8 @@
     Heartbeat,
     /// The next look at leases and engines.
     Orders,
+    /// The next look at watched engines.
+    Watch,
     /// The end of the time for which a node may be suspect.
     Suspicion(VmId),
     /// A question for running a request at most once.
@@ -123,6 +126,11 @@
             records,
         } => orders::records(cx, first, end, &records),
         Event::Held { vm, held } => orders::held(cx, &vm, held),
+        Event::Watched {
+            vm,
+            address,
+            reading,
+        } => watch::read(cx, &vm, address, reading),
         Event::VmList(list) => platform::vm_list(cx, list),
         Event::Peer { from, message } if membership::admits(cx, &from) => {
             let vm = from.vm.clone();
@@ -138,6 +146,7 @@
         Event::Start => {
             membership::round(cx);
             orders::start(cx);
+            watch::start(cx);
             snapshots::start(cx);
             limits::tick(cx);
         }
@@ -155,6 +164,7 @@
         PeerMessage::Gossip(gossip) => membership::heard(cx, &from, gossip),
         PeerMessage::Once(message) => once::message(cx, from, message),
         PeerMessage::Config(message) => dissemination::message(cx, &from.vm, message),
+        PeerMessage::Watch(message) => watch::message(cx, &message),
     }
 }
 
@@ -162,6 +172,7 @@
     match timer {
         Timer::Heartbeat => membership::round(cx),
         Timer::Orders => orders::round(cx),
+        Timer::Watch => watch::round(cx),
         Timer::Suspicion(vm) => membership::suspicion_over(cx, &vm),
         Timer::Once(timer) => once::expire(cx, timer),
         Timer::CatchUp => dissemination::catch_up_due(cx),
--- a/crates/core/src/systems/platform.rs
+++ b/crates/core/src/systems/platform.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::{Context, dissemination, limits, membership, orders};
+use super::{Context, dissemination, limits, membership, orders, watch};
 use crate::{
     ids::VmId,
     platform::{Record, VmList},
@@ -29,6 +29,7 @@
     let tables = &mut *cx.tables;
     tables.backends.update(&tables.config, &tables.vms, changed);
     orders::changed(cx);
+    watch::servers_changed(cx, changed);
 }
 
 /// Joins the whole VM list with the configuration, after what concerns all of
@@ -37,4 +38,5 @@
     let tables = &mut *cx.tables;
     tables.backends.rebuild(&tables.config, &tables.vms);
     orders::changed(cx);
+    watch::servers_rebuilt(cx);
 }
--- a/crates/core/src/systems/routing.rs
+++ b/crates/core/src/systems/routing.rs
@@ -13,7 +13,7 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-use super::Context;
+use super::{Context, watch};
 use crate::{
     config::RoutingPolicy,
     ids::{LayerRange, ServiceId, VmId},
@@ -58,6 +58,10 @@
     positions: u32,
     /// Time that is left for each token, in microseconds.
     token_budget_us: f64,
+    /// Whether adapters are needed.
+    adapters: bool,
+    /// Age from which on a watcher's report counts for nothing.
+    stale: Duration,
 }
 
 /// Chooses a chain over all layers of a request's version.
@@ -84,6 +88,8 @@
         draws: draws(cx),
         positions: u32::try_from(work.tokens.len()).unwrap_or(u32::MAX),
         token_budget_us: (time / left).max(1.0),
+        adapters: !work.adapters.is_empty(),
+        stale: watch::stale(cx),
     };
     let mut best = BTreeMap::from([(layers.start(), Chain::default())]);
     while let Some((at, chain)) = best.pop_first() {
@@ -128,6 +134,8 @@
         draws: draws(cx),
         positions: 1,
         token_budget_us: f64::INFINITY,
+        adapters: false,
+        stale: watch::stale(cx),
     };
     let slots = cx.tables.backends.servers(service);
     let (_, row) = chooser.cheapest(slots)?;
@@ -181,6 +189,9 @@
         if !row.takes_work(self.cx.now) || self.failed.contains(&row.vm) {
             return;
         }
+        if !row.holds(self.cx.now, self.stale, self.adapters) {
+            return;
+        }
         let cost = self.cost(row);
         if best.as_ref().is_none_or(|(known, _)| cost < *known) {
             *best = Some((cost, row));
@@ -192,7 +203,11 @@
             RoutingPolicy::Predicted => {
                 let noise = self.draws.random_range(1.0..1.0 + NOISE);
                 let share = decode_us(row, self.cx.now) / self.token_budget_us;
-                (waiting(row, self.cx.now) + share) * noise
+                let reported = row.reported_queue(self.cx.now, self.cx.cfg.watch.load_stale);
+                // A report only ever keeps work away, so that nodes which hear
+                // of an idle engine don't all go there.
+                let wait = waiting(row, self.cx.now).max(f64::from(reported) * WAIT_PER_REQUEST);
+                (wait + share) * noise
             }
             RoutingPolicy::LeastInFlight => {
                 let tie = self.draws.random::<f64>();
--- /dev/null
+++ b/crates/core/src/systems/watch/tests.rs
@@ -0,0 +1,340 @@
+//! Reports of engines at two nodes: their order, their lives and their age.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use bolero_generator::TypeGenerator;
+use radishhaven_cases::{INVARIANT_CASES, check};
+
+use crate::{
+    config::{BATCH_FORMAT, Backend, Batch, Carries, Change, Model, Object},
+    configs::{Configs, Identity},
+    ids::{Incarnation, LayerRange, Revision, VmId},
+    message::{Action, Event},
+    node::Node,
+    orders::Held,
+    peer::{GossipKind, Heartbeat, MemberFact, MemberStatus, PeerMessage, Place, Sender},
+    platform::{Record, Vm, VmList, VmRole, VmState},
+    tables::BackendRow,
+    time::Timestamp,
+    watch::{Holds, QueueLevel, Reading, Report, Said, Sequence, ServerKey, WatchMessage},
+};
+
+const START: Timestamp = Timestamp::from_millis(1_000_000);
+const FRESH: Duration = Duration::from_secs(30);
+const LATE: Duration = Duration::from_secs(1_000);
+
+fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("names in tests are valid")
+}
+
+fn address(life: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9_000 + life))
+}
+
+fn engine() -> VmId {
+    id("engine-0")
+}
+
+fn carries(version: &str) -> Carries {
+    Carries::Layers {
+        model: id("dictado"),
+        version: id(version),
+        layers: LayerRange::new(0, 8).expect("a range"),
+        adapters: BTreeSet::from([id("north")]),
+    }
+}
+
+fn held(version: &str, adapter: &str, loading: bool) -> Held {
+    Held {
+        model: id("dictado"),
+        version: id(version),
+        layers: LayerRange::new(0, 8).expect("a range"),
+        adapters: BTreeSet::from([id(adapter)]),
+        token: Default::default(),
+        loading,
+    }
+}
+
+fn vm_list(life: u16) -> Event {
+    let row = Vm {
+        vm: engine(),
+        role: VmRole::Backend,
+        address: address(life),
+        peer_address: None,
+        failure_domain: id("mvd-centro"),
+        state: VmState::Live,
+    };
+    Event::VmList(VmList { vms: vec![row] })
+}
+
+fn node(name: &str) -> Node {
+    let mut node = Node::new(
+        Configs::new(Identity {
+            vm: id(name),
+            failure_domain: id("mvd-centro"),
+            address: address(100),
+            incarnation: Incarnation(1),
+        }),
+        1,
+    );
+    let objects = [
+        Object::Model(Model {
+            id: id("dictado"),
+            layers: 8,
+        }),
+        Object::Backend(Backend {
+            id: engine(),
+            carries: carries("v1"),
+            checks_tokens: true,
+        }),
+    ];
+    let batch = Batch {
+        format: BATCH_FORMAT,
+        batch: id("first"),
+        planned: Revision(0),
+        source: None,
+        base: BTreeMap::new(),
+        changes: objects.into_iter().map(Change::Put).collect(),
+    };
+    let body = serde_json::to_string(&batch).expect("a batch is written");
+    let records = Event::ConfigRecords {
+        first: 0,
+        end: 1,
+        records: vec![Record { offset: 0, body }],
+    };
+    node.handle(START, records);
+    node.handle(START, vm_list(0));
+    node
+}
+
+fn row(node: &Node) -> &BackendRow {
+    let row = node.tables().backends.get(&engine());
+    row.expect("the engine is configured")
+}
+
+#[derive(Debug, Clone, Copy, TypeGenerator)]
+struct Told {
+    life: bool,
+    seq: u8,
+    version: bool,
+    queue: u8,
+}
+
+impl Told {
+    fn report(self) -> (ServerKey, Report) {
+        let version = if self.version { "v1" } else { "v2" };
+        let said = Said {
+            seq: Sequence(u64::from(self.seq % 8)),
+            holds: Holds::of_held(&held(version, "north", false)),
+            queue: (self.queue > 100).then(|| QueueLevel::new(self.queue.into())),
+        };
+        let key = ServerKey::new(&engine(), address(self.life.into()));
+        (key, Report { said, at: START })
+    }
+}
+
+fn hear(node: &mut Node, told: Told) {
+    let (key, report) = told.report();
+    let message = WatchMessage::new(false, START, &BTreeMap::from([(key, report)]));
+    let from = Sender {
+        vm: id("node-9"),
+        incarnation: Incarnation(1),
+    };
+    let message = PeerMessage::Watch(message);
+    node.handle(START, Event::Peer { from, message });
+}
+
+#[test]
+fn an_older_report_or_one_of_an_ended_life_never_replaces_a_newer_one() {
+    check(73, INVARIANT_CASES, |(told, restarts): (Vec<Told>, u8)| {
+        let (mut one, mut other) = (node("node-0"), node("node-1"));
+        let restart = usize::from(restarts) % (told.len() + 1);
+        for (n, each) in told.iter().enumerate() {
+            if n == restart {
+                one.handle(START, vm_list(1));
+                assert!(row(&one).report.is_none(), "an ended life is believed");
+            }
+            let before = row(&one).report;
+            hear(&mut one, *each);
+            let after = row(&one).report;
+            let (key, report) = each.report();
+            let own = key == ServerKey::new(&engine(), row(&one).address);
+            assert!(after.map(|r| r.said) >= before.map(|r| r.said));
+            match own {
+                true => assert!(after.is_some_and(|after| after.said >= report.said)),
+                false => assert_eq!(after, before, "an ended life changed something"),
+            }
+        }
+        if restart == told.len() {
+            one.handle(START, vm_list(1));
+        }
+        // Another order, everything twice: the same in the end.
+        other.handle(START, vm_list(1));
+        let late = told[restart..].iter();
+        for each in late.clone().rev().chain(late) {
+            hear(&mut other, *each);
+        }
+        assert_eq!(row(&one).report, row(&other).report);
+    });
+}
+
+/// Starts a node that is alone, so that it is the only watcher, and returns
+/// the moment of its first read.
+fn watching() -> (Node, Timestamp) {
+    let mut node = node("node-0");
+    node.handle(START, Event::Start);
+    let mut now = START;
+    loop {
+        now = now + Duration::from_millis(250);
+        let actions = node.handle(now, Event::Tick);
+        let read = |action: &Action| matches!(action, Action::ReadWatched { load: true, .. });
+        if actions.iter().any(read) {
+            return (node, now);
+        }
+        assert!(now < START + FRESH, "the engine is not read");
+    }
+}
+
+fn answer(node: &mut Node, now: Timestamp, life: u16, held: Held, queued: u32) {
+    let reading = Reading {
+        held,
+        queued: Some(queued),
+        at: now,
+    };
+    let event = Event::Watched {
+        vm: engine(),
+        address: address(life),
+        reading: Some(reading),
+    };
+    node.handle(now, event);
+}
+
+#[test]
+fn an_engine_without_what_is_configured_holds_nothing_for_routing() {
+    let (mut node, now) = watching();
+    assert!(row(&node).holds(now, FRESH, true), "nothing is known yet");
+    for (held, weights, adapters) in [
+        (held("v1", "north", false), true, true),
+        (held("v1", "south", false), true, false),
+        (held("v1", "north", true), false, false),
+        (held("v2", "north", false), false, false),
+    ] {
+        answer(&mut node, now, 0, held, 0);
+        assert_eq!(row(&node).holds(now, FRESH, false), weights);
+        assert_eq!(row(&node).holds(now, FRESH, true), adapters);
+    }
+    assert!(row(&node).holds(now + FRESH, FRESH, true), "it is stale");
+    // The answer of an ended life says nothing.
+    node.handle(now, vm_list(1));
+    answer(&mut node, now, 0, held("v2", "north", false), 0);
+    assert!(row(&node).report.is_none());
+}
+
+#[test]
+fn a_lagging_queue_is_corrected_by_what_was_begun_since() {
+    let (mut node, now) = watching();
+    answer(&mut node, now, 0, held("v1", "north", false), 9);
+    let mut row = row(&node).clone();
+    row.begin(now - Duration::from_millis(1));
+    row.begin(now);
+    row.begin(now + Duration::from_millis(1));
+    // Nine waiting steps are told as at least eight.
+    assert_eq!(row.reported_queue(now, FRESH), 8 + 2);
+    assert_eq!(row.reported_queue(now + FRESH, FRESH), 0);
+}
+
+fn member(name: &str, domain: &str, port: u16) -> MemberFact {
+    MemberFact {
+        vm: id(name),
+        incarnation: Incarnation(1),
+        beat: 1,
+        status: MemberStatus::Alive,
+        said: Heartbeat::default(),
+        place: Some(Place {
+            address: address(port),
+            peer_address: address(port),
+            failure_domain: id(domain),
+        }),
+    }
+}
+
+#[test]
+fn a_report_goes_to_one_node_of_each_domain_and_from_there_to_the_others() {
+    let mut node = node("node-0");
+    let names = [
+        ("node-1", "mvd-centro"),
+        ("node-2", "mvd-cordon"),
+        ("node-3", "mvd-cordon"),
+    ];
+    for (port, (name, domain)) in (200..).zip(names) {
+        let own = member(name, domain, port);
+        let gossip = crate::peer::Gossip {
+            kind: GossipKind::News,
+            own,
+            facts: Vec::new(),
+            piggyback: Vec::new(),
+        };
+        let from = Sender {
+            vm: id(name),
+            incarnation: Incarnation(1),
+        };
+        let message = PeerMessage::Gossip(gossip);
+        node.handle(START, Event::Peer { from, message });
+    }
+    // A report that is to be passed on reaches the own domain only.
+    let told = Told {
+        life: false,
+        seq: 1,
+        version: true,
+        queue: 0,
+    };
+    let (key, report) = told.report();
+    let relayed = WatchMessage::new(true, START, &BTreeMap::from([(key, report)]));
+    let from = Sender {
+        vm: id("node-2"),
+        incarnation: Incarnation(1),
+    };
+    let message = PeerMessage::Watch(relayed);
+    node.handle(START, Event::Peer { from, message });
+    assert_eq!(
+        sent(&mut node, START + LATE),
+        [("node-1".to_owned(), false)]
+    );
+    // One's own report goes to one node of the other domain too.
+    let now = START + LATE * 2;
+    super::tell(
+        &mut node.context(now, &mut Vec::new()),
+        &engine(),
+        None,
+        Holds::default(),
+        None,
+        now,
+        crate::tables::Urgency::Holds,
+    );
+    let sent = sent(&mut node, now);
+    let own = sent.iter().filter(|(to, relay)| to == "node-1" && !relay);
+    let other = sent.iter().filter(|(to, relay)| to != "node-1" && *relay);
+    assert_eq!(
+        (own.count(), other.count(), sent.len()),
+        (1, 1, 2),
+        "{sent:?}"
+    );
+}
+
+fn sent(node: &mut Node, now: Timestamp) -> Vec<(String, bool)> {
+    let mut out = Vec::new();
+    super::spread::flush(&mut node.context(now, &mut out));
+    let sent = out.into_iter().filter_map(|action| match action {
+        Action::Peer {
+            to,
+            message: PeerMessage::Watch(message),
+            ..
+        } => Some((to.to_string(), message.relay)),
+        _ => None,
+    });
+    sent.collect()
+}
--- a/crates/core/src/tables/backends.rs
+++ b/crates/core/src/tables/backends.rs
@@ -7,16 +7,18 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    time::Duration,
 };
 
 use serde::{Serialize, Serializer};
 
-use super::{Latency, VmTable};
+use super::{Begins, Latency, VmTable};
 use crate::{
     config::{Backend, Carries, Config, Kind, Object, ObjectKey},
     ids::{AdapterId, FailureDomain, LayerRange, ModelId, ServiceId, VersionId, VmId},
     platform::{Vm, VmState},
     time::Timestamp,
+    watch::{Holds, Report},
 };
 
 /// A backend server as this node sees it.
@@ -43,6 +45,13 @@
     pub latency: Latency,
     /// Sessions and calls that this node has ever begun there.
     pub begun: u64,
+    /// When the last of them were begun.
+    #[serde(skip)]
+    pub begins: Begins,
+    /// What its watchers told last of this life.
+    pub report: Option<Report>,
+    #[serde(skip)]
+    configured: Option<Holds>,
 }
 
 impl BackendRow {
@@ -51,10 +60,33 @@
         self.state == VmState::Live && self.avoid_until <= now
     }
 
+    /// Tells whether it holds, loaded, what is configured, as far as is known
+    /// from a report younger than `fresh`; adapters count only if they are needed.
+    pub fn holds(&self, now: Timestamp, fresh: Duration, adapters: bool) -> bool {
+        let report = self.report.filter(|report| now.since(report.at) < fresh);
+        let (Some(report), Some(configured)) = (report, self.configured) else {
+            return true;
+        };
+        let said = report.said.holds;
+        let right = said.weights == configured.weights;
+        right && (!adapters || said.adapters == configured.adapters)
+    }
+
+    /// Returns the work that waits there by a report younger than `fresh`,
+    /// with what this node has begun since; 0 without one.
+    pub fn reported_queue(&self, now: Timestamp, fresh: Duration) -> u32 {
+        let report = self.report.filter(|report| now.since(report.at) < fresh);
+        let Some((queue, at)) = report.and_then(|r| Some((r.said.queue?, r.at))) else {
+            return 0;
+        };
+        queue.queued().saturating_add(self.begins.since(at))
+    }
+
     /// Counts work that begins there.
-    pub fn begin(&mut self) {
+    pub fn begin(&mut self, now: Timestamp) {
         self.in_flight += 1;
         self.begun += 1;
+        self.begins.note(now);
     }
 
     /// Counts work that ended there.
@@ -154,6 +186,7 @@
             let same_life = row.address == vm.address;
             if !same_life {
                 row.latency = Latency::default();
+                row.report = None;
             }
             row.address = vm.address;
             row.state = vm.state;
@@ -176,6 +209,9 @@
             link_us,
             latency: Latency::default(),
             begun: 0,
+            begins: old.map_or_else(Begins::default, |row| row.begins.clone()),
+            report: old.and_then(|row| row.report),
+            configured: Holds::of_carries(&backend.carries),
         });
     }
 
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -1,6 +1,7 @@
 //! The entities that a node keeps, each kind in a table of its own.
 
 mod backends;
+mod begins;
 mod completions;
 mod counters;
 mod follow;
@@ -14,11 +15,13 @@
 mod retry_budget;
 mod tokens;
 mod vms;
+mod watch;
 
 #[cfg(test)]
 mod tests;
 
 pub use backends::{BackendRow, BackendTable, StageKey, Stages};
+pub use begins::Begins;
 pub use completions::{CompletionState, Exchange, KeptInputs, OpenExchange, Stage, StageSession};
 pub use counters::Counters;
 pub use follow::{FollowCounters, FollowTable, Join, LogState};
@@ -32,6 +35,7 @@
 pub use retry_budget::RetryBudget;
 pub use tokens::TokenTable;
 pub use vms::VmTable;
+pub use watch::{Outbox, Urgency, WatchCounters, WatchTable, Watched};
 
 use crate::{
     config::Config,
@@ -67,6 +71,8 @@
     pub once: OnceTable,
     /// Leases, and the engines that are ordered under them.
     pub orders: OrderTable,
+    /// This node's part in the watch over backend servers.
+    pub watch: WatchTable,
     /// The retry budget.
     pub retries: RetryBudget,
     /// Subscriptions to moments.
--- a/crates/daemon/src/edges/engines.rs
+++ b/crates/daemon/src/edges/engines.rs
@@ -5,13 +5,16 @@
 use radishhaven_client::HttpError;
 use radishhaven_core::{
     engine::{EngineRefusal, KvCache, SessionRef, StepReply},
-    ids::{RequestKey, StepId},
+    ids::{RequestKey, StepId, VmId},
     message::{AttemptError, Event, StepOrder},
+    watch::Reading,
 };
 use radishhaven_proto::engine::{
-    CANCEL_PATH, KV_EXPORT_PATH, KV_IMPORT_PATH, KvImport, STEP_PATH, StepRequest,
+    CANCEL_PATH, HOLDING_PATH, Holding, KV_EXPORT_PATH, KV_IMPORT_PATH, KvImport, LOAD_PATH,
+    LoadReport, STEP_PATH, StepRequest,
 };
 
+use super::orders;
 use crate::host::Host;
 
 /// Time within which an engine should confirm the end of a session.
@@ -103,6 +106,35 @@
     });
 }
 
+/// Reads what a watched engine holds, and its load if that is asked for.
+pub(crate) fn read(host: &Arc<Host>, vm: VmId, address: SocketAddr, load: bool, within: Duration) {
+    let host = host.clone();
+    tokio::spawn(async move {
+        let asked = host.now();
+        let holding = host.http.get::<Holding>(address, HOLDING_PATH, within);
+        let load = async {
+            if !load {
+                return None;
+            }
+            let report = host.http.get::<LoadReport>(address, LOAD_PATH, within);
+            // An answer of another engine, after an address was given anew.
+            report.await.ok().filter(|report| report.vm == vm)
+        };
+        let (holding, load) = tokio::join!(holding, load);
+        let age = Duration::from_millis(load.as_ref().map_or(0, |load| load.age_ms));
+        let reading = holding.ok().map(|holding| Reading {
+            held: orders::held(holding),
+            queued: load.map(|load| load.queued),
+            at: asked - age,
+        });
+        host.handle(Event::Watched {
+            vm,
+            address,
+            reading,
+        });
+    });
+}
+
 /// Tells what an exchange's error proves.
 pub(super) fn attempt_error(error: HttpError) -> AttemptError {
     match error {
--- a/crates/daemon/src/edges/orders.rs
+++ b/crates/daemon/src/edges/orders.rs
@@ -76,18 +76,23 @@
             .http
             .get::<Holding>(address, HOLDING_PATH, within)
             .await;
-        let held = held.ok().map(|holding| Held {
-            model: holding.model,
-            version: holding.version,
-            layers: holding.layers,
-            adapters: holding.adapters.into_iter().collect(),
-            token: holding.token,
-            loading: holding.loading,
-        });
+        let held = held.ok().map(self::held);
         host.handle(Event::Held { vm, held });
     });
 }
 
+/// Turns what an engine said into what the decisions take.
+pub(super) fn held(holding: Holding) -> Held {
+    Held {
+        model: holding.model,
+        version: holding.version,
+        layers: holding.layers,
+        adapters: holding.adapters.into_iter().collect(),
+        token: holding.token,
+        loading: holding.loading,
+    }
+}
+
 /// Gives an order, if the lease is still held.
 pub(crate) fn give(
     host: &Arc<Host>,
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -110,6 +110,7 @@
             routing: settings.routing.clone(),
             dissemination: settings.dissemination.clone(),
             snapshots: settings.snapshots.clone(),
+            watch: settings.watch.clone(),
         };
         Ok(Self {
             node: Mutex::new(Node::new(cfg, seed)),
@@ -235,6 +236,12 @@
             Action::Reply { key, reply } => self.reply(key, reply),
             Action::AppendLease { body } => orders::append(self, body),
             Action::ReadHolding { vm, address } => orders::read_holding(self, vm, address),
+            Action::ReadWatched {
+                vm,
+                address,
+                load,
+                within,
+            } => engines::read(self, vm, address, load, within),
             Action::GiveOrder {
                 address,
                 shard,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -138,6 +138,34 @@
     ] {
         count(name, help, value);
     }
+    let watch = &tables.watch.counters;
+    for (name, help, value) in [
+        ("watch_reads", "Reads of watched engines", watch.reads),
+        (
+            "watch_unanswered",
+            "Reads of watched engines that were not answered",
+            watch.unanswered,
+        ),
+        (
+            "watch_unknown",
+            "Reports of ended lives or unknown backend servers",
+            watch.unknown,
+        ),
+        ("watch_told", "Reports that this node made", watch.told),
+        (
+            "watch_heard",
+            "Reports of others that were new",
+            watch.heard,
+        ),
+        ("watch_old", "Reports of others that were old", watch.old),
+        (
+            "watch_took_over",
+            "Reports that the second watcher made for the first one",
+            watch.took_over,
+        ),
+    ] {
+        count(name, help, value);
+    }
     for (outcome, &value) in &counters.outcomes {
         let name = format!("outcome_{}", outcome.replace([' ', '-', '(', ')'], "_"));
         count(&name, "Answers with this outcome", value);
@@ -194,6 +222,16 @@
         "Milliseconds since the log answered this node",
         age,
     );
+    gauge(
+        "watch_share",
+        "Engines that this node watches",
+        tables.watch.watched.len() as u64,
+    );
+    gauge(
+        "watch_waiting",
+        "Reports that wait to be told",
+        tables.watch.outbox.len() as u64,
+    );
     gauge("ready", "1 while the node serves", u64::from(tables.ready));
     let mut text = String::new();
     encode(&mut text, &registry)?;
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -16,12 +16,13 @@
 use radishhaven_core::configs::{
     AdmissionConfig, DirectoryConfig, DisseminationConfig, LeaseConfig, MembershipConfig,
     OnceConfig, OrderConfig, RecoveryConfig, RetryConfig, RoutingConfig, SnapshotsConfig,
+    WatchConfig,
 };
 
 use crate::configs::{
     LogConfig, NodeConfig, OperatorsConfig, PeersConfig, PlatformConfig, read_admission,
     read_directory, read_dissemination, read_lease, read_membership, read_once, read_orders,
-    read_recovery, read_retry, read_routing, read_snapshots,
+    read_recovery, read_retry, read_routing, read_snapshots, read_watch,
 };
 
 /// A file with every setting, its default and its unit.
@@ -62,6 +63,8 @@
     pub dissemination: DisseminationConfig,
     /// `[snapshots]`.
     pub snapshots: SnapshotsConfig,
+    /// `[watch]`.
+    pub watch: WatchConfig,
 }
 
 /// One mistake in a settings file.
@@ -374,6 +377,7 @@
         let operators = reader.section("operators", |s| OperatorsConfig::read(s, listen));
         let dissemination = reader.section("dissemination", read_dissemination);
         let snapshots = reader.section("snapshots", read_snapshots);
+        let watch = reader.section("watch", read_watch);
         reader.reject_other_sections();
         match (node, peers, platform, operators) {
             (Some(node), Some(peers), Some(platform), Some(operators))
@@ -396,6 +400,7 @@
                     operators,
                     dissemination,
                     snapshots,
+                    watch,
                 })
             }
             _ => Err(SettingsErrors(reader.errors)),
