fix(watch): ask doubted engines while a request waits for room

A request that finds no engine but such as are reported not to hold its version now waits like one that waits for room, and the node asks up to eight of them itself, within its bound on reads. What they say stands under the least number that goes before the known report, so that a watcher's next report goes before it. Requests of the same version that need no adapters don't wait behind one that does.

Ruled out: to fall back on engines that are reported not to hold the version, which brings the refusals back; to wait for the report alone, which takes longer than a request may wait.

--- a/crates/core/src/systems/limits.rs
+++ b/crates/core/src/systems/limits.rs
@@ -9,7 +9,7 @@
 
 use std::{cmp::Reverse, time::Duration};
 
-use super::{Context, Timer, answer, completion, routing};
+use super::{Context, Timer, answer, completion, routing, watch};
 use crate::{
     ids::{ModelId, RequestKey, VersionId},
     message::{Action, Reply},
@@ -143,44 +143,53 @@
 }
 
 fn run_next(cx: &mut Context<'_>, model: &ModelId, version: &VersionId) {
-    while let Some(limit) = cx.tables.limits.get_mut(model, version)
+    while !watch::is_held_back(cx, model, version)
+        && let Some(limit) = cx.tables.limits.get_mut(model, version)
         && limit.has_room()
         && let Some((organisation, wait)) = limit.next()
     {
+        let takes = takes(cx, wait.key);
+        if takes.is_none() && watch::hold_back(cx, wait.key) {
+            return;
+        }
+        let Some(limit) = cx.tables.limits.get_mut(model, version) else {
+            return;
+        };
         limit.stop_waiting(&organisation, &wait);
         limit.begin(&organisation);
         let Some(row) = cx.tables.requests.get_mut(wait.key) else {
             continue;
         };
         row.waiting = false;
-        begin(cx, wait.key);
+        begin(cx, wait.key, takes);
     }
 }
 
-fn begin(cx: &mut Context<'_>, key: RequestKey) {
-    if !in_time(cx, key) {
-        return refuse(cx, key);
-    }
-    cx.tables.limits.counted.1 += 1;
+fn begin(cx: &mut Context<'_>, key: RequestKey, takes: Option<Duration>) {
     let Some(row) = cx.tables.requests.get(key) else {
         return;
     };
+    // Without a chain the request ends as such when it begins.
+    if takes.is_some_and(|takes| cx.now + takes > row.deadline) {
+        return refuse(cx, key);
+    }
+    cx.tables.limits.counted.1 += 1;
     let id = row.id.clone();
     let reply = Reply::Admitted { id };
     cx.out.push(Action::Reply { key, reply });
     completion::start(cx, key);
 }
 
-fn in_time(cx: &Context<'_>, key: RequestKey) -> bool {
-    let Some(row) = cx.tables.requests.get(key) else {
-        return false;
-    };
-    let Work::Completion(work) = &row.work else {
-        return true;
-    };
-    // Without a chain the request ends as such when it begins.
-    let chain = routing::chain(cx, row, work);
-    chain.is_none_or(|chain| cx.now + chain.takes(work.max_tokens) <= row.deadline)
+/// Returns the likely time to the end of a request, if there is a chain for it.
+fn takes(cx: &Context<'_>, key: RequestKey) -> Option<Duration> {
+    let row = cx.tables.requests.get(key)?;
+    match &row.work {
+        Work::Completion(work) => {
+            let chain = routing::chain(cx, row, work);
+            chain.map(|chain| chain.takes(work.max_tokens))
+        }
+        Work::Call(_) => Some(Duration::ZERO),
+    }
 }
 
 /// Counts a completion that begins without having waited, because it may run
--- a/crates/core/src/systems/watch.rs
+++ b/crates/core/src/systems/watch.rs
@@ -2,11 +2,13 @@
 //!
 //! The ways weighed and the count of bytes are in `docs/design/watch.md`.
 
+mod doubt;
 mod share;
 mod spread;
 #[cfg(test)]
 mod tests;
 
+pub use doubt::{hold_back, is_held_back};
 pub use share::{servers_changed, servers_rebuilt};
 pub use spread::message;
 
@@ -45,6 +47,7 @@
     share::renew(cx);
     read_due(cx);
     spread::flush(cx);
+    doubt::look_again(cx);
 }
 
 /// Returns the age from which on a report counts for nothing.
@@ -111,7 +114,7 @@
         .backends
         .get(vm)
         .filter(|row| row.address == address);
-    let (Some(role), Some(row)) = (role, row) else {
+    let Some(row) = row else {
         cx.tables.watch.counters.unknown += 1;
         return;
     };
@@ -121,8 +124,9 @@
         return;
     };
     match role {
-        Role::First => read_as_first(cx, vm, known, &reading),
-        Role::Second => read_as_second(cx, vm, known, &reading),
+        Some(Role::First) => read_as_first(cx, vm, known, &reading),
+        Some(Role::Second) => read_as_second(cx, vm, known, &reading),
+        None => doubt::answered(cx, vm, known, &reading),
     }
 }
 
@@ -203,6 +207,9 @@
         let said = Said { seq, holds, queue };
         row.report = Some(Report { said, at });
     }
+    if urgency == Urgency::Holds {
+        doubt::look_again(cx);
+    }
     note_told(cx, vm);
     cx.tables.watch.counters.told += 1;
     cx.tables.watch.outbox.push(vm, urgency);
--- a/crates/core/src/systems/watch/spread.rs
+++ b/crates/core/src/systems/watch/spread.rs
@@ -149,6 +149,9 @@
         true => counters.heard += 1,
         false => counters.old += 1,
     }
+    if newer {
+        super::doubt::look_again(cx);
+    }
 }
 
 /// Keeps reports to pass on, the newest one of each life.
--- a/crates/core/src/tables/watch.rs
+++ b/crates/core/src/tables/watch.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 use crate::{
-    ids::VmId,
+    ids::{ModelId, VersionId, VmId},
     time::Timestamp,
     watch::{Report, ServerKey, Shares},
 };
@@ -92,6 +92,8 @@
 pub struct WatchCounters {
     /// Reads of engines.
     pub reads: u64,
+    /// Reads of engines that requests wait for.
+    pub doubts: u64,
     /// Reads that were not answered.
     pub unanswered: u64,
     /// Answers and reports of ended lives, or of backend servers that this
@@ -137,6 +139,10 @@
     pub flushed: Timestamp,
     /// Rounds of messages, by which those who pass them on change.
     pub flushes: u64,
+    /// Versions whose requests wait until a report changes.
+    pub held_back: BTreeSet<(ModelId, VersionId)>,
+    /// From when on this node may ask engines that it doubts.
+    pub doubt_due: Timestamp,
     /// Reports that may be told now.
     pub allowance: f64,
     /// What was counted.
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -141,6 +141,11 @@
     let watch = &tables.watch.counters;
     for (name, help, value) in [
         ("watch_reads", "Reads of watched engines", watch.reads),
+        (
+            "watch_doubts",
+            "Reads of engines that requests waited for",
+            watch.doubts,
+        ),
         (
             "watch_unanswered",
             "Reads of watched engines that were not answered",
