merge: watch over backend servers (shares, reports, routing by what is held)

Routing counts the health score and the reported queue together; holding what is configured is asked of each candidate.

--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -16,6 +16,7 @@
 mod retry;
 mod routing;
 mod snapshots;
+mod watch;
 
 pub use crate::{lease::LeaseConfig, orders::OrderConfig};
 pub use admission::AdmissionConfig;
@@ -31,6 +32,7 @@
 pub use retry::RetryConfig;
 pub use routing::RoutingConfig;
 pub use snapshots::SnapshotsConfig;
+pub use watch::WatchConfig;
 
 /// All settings of the decisions.
 #[derive(Debug, Clone)]
@@ -65,6 +67,8 @@
     pub dissemination: DisseminationConfig,
     /// `[snapshots]`.
     pub snapshots: SnapshotsConfig,
+    /// `[watch]`.
+    pub watch: WatchConfig,
 }
 
 impl Configs {
@@ -86,6 +90,7 @@
             routing: RoutingConfig::default(),
             dissemination: DisseminationConfig::default(),
             snapshots: SnapshotsConfig::default(),
+            watch: WatchConfig::default(),
         }
     }
 }
--- a/crates/core/src/systems/health.rs
+++ b/crates/core/src/systems/health.rs
@@ -62,7 +62,7 @@
     let Some(row) = cx.tables.backends.get_mut(vm) else {
         return;
     };
-    row.begin();
+    row.begin(cx.now);
     if row.health.phase(cx.now) == Phase::HalfOpen {
         row.health.probes += 1;
         cx.tables.counters.health_probes += 1;
--- a/crates/core/src/systems/platform.rs
+++ b/crates/core/src/systems/platform.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::{Context, dissemination, health, limits, membership, orders};
+use super::{Context, dissemination, health, limits, membership, orders, watch};
 use crate::{
     ids::VmId,
     platform::{Record, VmList},
@@ -30,6 +30,7 @@
     tables.backends.update(&tables.config, &tables.vms, changed);
     health::changed(cx);
     orders::changed(cx);
+    watch::servers_changed(cx, changed);
 }
 
 /// Joins the whole VM list with the configuration, after what concerns all of
@@ -39,4 +40,5 @@
     tables.backends.rebuild(&tables.config, &tables.vms);
     health::changed(cx);
     orders::changed(cx);
+    watch::servers_rebuilt(cx);
 }
--- a/crates/core/src/systems/routing.rs
+++ b/crates/core/src/systems/routing.rs
@@ -13,7 +13,7 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-use super::Context;
+use super::{Context, watch};
 use crate::{
     config::RoutingPolicy,
     health::{Phase, Ramp},
@@ -61,6 +61,10 @@
     positions: u32,
     /// Time that is left for each token, in microseconds.
     token_budget_us: f64,
+    /// Whether adapters are needed.
+    adapters: bool,
+    /// Age from which on a watcher's report counts for nothing.
+    stale: Duration,
 }
 
 /// Chooses a chain over all layers of a request's version.
@@ -88,6 +92,8 @@
         draws: draws(cx),
         positions: u32::try_from(work.tokens.len()).unwrap_or(u32::MAX),
         token_budget_us: (time / left).max(1.0),
+        adapters: !work.adapters.is_empty(),
+        stale: watch::stale(cx),
     };
     let mut best = BTreeMap::from([(layers.start(), Chain::default())]);
     while let Some((at, chain)) = best.pop_first() {
@@ -135,6 +141,8 @@
         draws: draws(cx),
         positions: 1,
         token_budget_us: f64::INFINITY,
+        adapters: false,
+        stale: watch::stale(cx),
     };
     let slots = cx.tables.backends.servers(service);
     let (_, row) = chooser.cheapest(slots)?;
@@ -196,6 +204,7 @@
         let row = cx.tables.backends.slot(slot)?;
         let probing = row.health.phase(cx.now) == Phase::HalfOpen;
         let usable = row.takes_work(cx.now)
+            && row.holds(cx.now, self.stale, self.adapters)
             && (!probing || row.health.takes_probe(cfg, self.harmless))
             && !self.failed.contains(&row.vm);
         usable.then_some(row)
@@ -227,7 +236,11 @@
                 let noise = self.draws.random_range(1.0..1.0 + NOISE);
                 let share = decode_us(row, now) / self.token_budget_us;
                 let score = row.health.score.at(now, cfg.half_life) * f64::from(cfg.cost);
-                (waiting(row, now) + share + score) * noise
+                let reported = row.reported_queue(now, self.cx.cfg.watch.load_stale);
+                // A report only ever keeps work away, so that nodes which hear
+                // of an idle engine don't all go there.
+                let wait = waiting(row, now).max(f64::from(reported) * WAIT_PER_REQUEST);
+                (wait + share + score) * noise
             }
             RoutingPolicy::LeastInFlight => {
                 let tie = self.draws.random::<f64>();
--- a/crates/core/src/tables/backends.rs
+++ b/crates/core/src/tables/backends.rs
@@ -7,17 +7,19 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    time::Duration,
 };
 
 use serde::{Serialize, Serializer};
 
-use super::{Latency, VmTable};
+use super::{Begins, Latency, VmTable};
 use crate::{
     config::{Backend, Carries, Config, Kind, Object, ObjectKey},
     health::{Health, Phase, Usual},
     ids::{AdapterId, FailureDomain, LayerRange, ModelId, ServiceId, VersionId, VmId},
     platform::{Vm, VmState},
     time::Timestamp,
+    watch::{Holds, Report},
 };
 
 /// The newest signs that a backend server answers.
@@ -58,6 +60,13 @@
     pub begun: u64,
     /// The newest signs that it answers.
     pub answered: Answered,
+    /// When the last of them were begun.
+    #[serde(skip)]
+    pub begins: Begins,
+    /// What its watchers told last of this life.
+    pub report: Option<Report>,
+    #[serde(skip)]
+    configured: Option<Holds>,
 }
 
 impl BackendRow {
@@ -66,10 +75,33 @@
         self.state == VmState::Live && self.health.phase(now) != Phase::Ejected
     }
 
+    /// Tells whether it holds, loaded, what is configured, as far as is known
+    /// from a report younger than `fresh`; adapters count only if they are needed.
+    pub fn holds(&self, now: Timestamp, fresh: Duration, adapters: bool) -> bool {
+        let report = self.report.filter(|report| now.since(report.at) < fresh);
+        let (Some(report), Some(configured)) = (report, self.configured) else {
+            return true;
+        };
+        let said = report.said.holds;
+        let right = said.weights == configured.weights;
+        right && (!adapters || said.adapters == configured.adapters)
+    }
+
+    /// Returns the work that waits there by a report younger than `fresh`,
+    /// with what this node has begun since; 0 without one.
+    pub fn reported_queue(&self, now: Timestamp, fresh: Duration) -> u32 {
+        let report = self.report.filter(|report| now.since(report.at) < fresh);
+        let Some((queue, at)) = report.and_then(|r| Some((r.said.queue?, r.at))) else {
+            return 0;
+        };
+        queue.queued().saturating_add(self.begins.since(at))
+    }
+
     /// Counts work that begins there.
-    pub fn begin(&mut self) {
+    pub fn begin(&mut self, now: Timestamp) {
         self.in_flight += 1;
         self.begun += 1;
+        self.begins.note(now);
     }
 
     /// Notes an answer to a step that was sent at `sent` and perhaps began a
@@ -202,6 +234,7 @@
                 row.latency = Latency::default();
                 row.answered = Answered::default();
                 row.health = Health::default();
+                row.report = None;
             }
             let changed = !same_life || row.state != vm.state;
             row.address = vm.address;
@@ -230,6 +263,9 @@
             latency: Latency::default(),
             begun: 0,
             answered: Answered::default(),
+            begins: old.map_or_else(Begins::default, |row| row.begins.clone()),
+            report: old.and_then(|row| row.report),
+            configured: Holds::of_carries(&backend.carries),
         });
     }
 
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -1,6 +1,7 @@
 //! The entities that a node keeps, each kind in a table of its own.
 
 mod backends;
+mod begins;
 mod completions;
 mod counters;
 mod follow;
@@ -15,11 +16,13 @@
 mod services;
 mod tokens;
 mod vms;
+mod watch;
 
 #[cfg(test)]
 mod tests;
 
 pub use backends::{Answered, BackendRow, BackendTable, Group, GroupChanges, StageKey, Stages};
+pub use begins::Begins;
 pub use completions::{CompletionState, Exchange, KeptInputs, OpenExchange, Stage, StageSession};
 pub use counters::Counters;
 pub use follow::{FollowCounters, FollowTable, Join, LogState};
@@ -34,6 +37,7 @@
 pub use services::{CallTimes, ServiceTable};
 pub use tokens::TokenTable;
 pub use vms::VmTable;
+pub use watch::{Outbox, Urgency, WatchCounters, WatchTable, Watched};
 
 use crate::{
     config::Config,
@@ -71,6 +75,8 @@
     pub orders: OrderTable,
     /// How long calls to plain services take.
     pub services: ServiceTable,
+    /// This node's part in the watch over backend servers.
+    pub watch: WatchTable,
     /// The retry budget.
     pub retries: RetryBudget,
     /// Subscriptions to moments.
--- a/crates/daemon/src/configs/mod.rs
+++ b/crates/daemon/src/configs/mod.rs
@@ -20,6 +20,7 @@
 mod retry;
 mod routing;
 mod snapshots;
+mod watch;
 
 pub(crate) use self::{
     admission::read_admission,
@@ -35,6 +36,7 @@
     retry::read_retry,
     routing::read_routing,
     snapshots::read_snapshots,
+    watch::read_watch,
 };
 pub use self::{
     callers::CallersConfig,
