test(watch): measure the watch in virtual time

The example became a folder, because the watch has a file of its own.

The bytes of the reads (HTTP) are not counted.

--- a/crates/standin/examples/members/main.rs
+++ b/crates/standin/examples/members/main.rs
@@ -4,6 +4,8 @@
 //! Bytes are those of the encoded messages and of the frames around them;
 //! processor time is that of the decisions and of the net that carries them.
 
+mod watch;
+
 use std::{
     collections::BTreeSet,
     process::ExitCode,
@@ -38,7 +40,15 @@
         .long("slow")
         .action(ArgAction::SetTrue)
         .help("Links of 50 to 200 ms that lose 2 of 100 messages");
-    let matches = Command::new("members").arg(nodes).arg(slow).get_matches();
+    let engines = Arg::new("engines")
+        .long("engines")
+        .value_parser(value_parser!(usize))
+        .default_value("0")
+        .help("Engines for each node; above 0, their watch is measured and no deaths");
+    let matches = Command::new("members")
+        .args([nodes, slow, engines])
+        .get_matches();
+    let engines = matches.get_one("engines").copied().unwrap_or(0);
     let links = if matches.get_flag("slow") {
         Links {
             least: Duration::from_millis(50),
@@ -67,22 +77,26 @@
         "false"
     );
     for nodes in matches.get_many::<usize>("nodes").into_iter().flatten() {
-        measure(*nodes, links);
+        measure(*nodes, engines, links);
     }
     ExitCode::SUCCESS
 }
 
-fn measure(nodes: usize, links: Links) {
+fn measure(nodes: usize, engines: usize, links: Links) {
     let names: Vec<String> = (0..if nodes <= SMALL { 3 } else { 17 })
         .map(|n| format!("domain-{n}"))
         .collect();
     let domains: Vec<&str> = names.iter().map(String::as_str).collect();
     let mut net = Net::new(&domains, links, 1);
+    net.add_engines(nodes * engines);
     for n in 0..nodes {
         net.start(n);
     }
     net.show_list();
     net.run(WARM_UP);
+    if engines > 0 {
+        return watch::measure(&mut net);
+    }
     let before = traffic(&net);
     let began = Instant::now();
     net.run(STEADY);
--- a/crates/standin/src/net.rs
+++ b/crates/standin/src/net.rs
@@ -3,6 +3,8 @@
 //! There are no sockets and no clock here: a test or a measurement says what
 //! each link delays or loses, pauses and kills nodes, and moves time on.
 
+mod engines;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
@@ -15,12 +17,14 @@
     message::{Action, Event},
     node::Node,
     peer::{PeerMessage, Sender},
-    platform::{Vm, VmList, VmRole, VmState},
+    platform::{Record, Vm, VmList, VmRole, VmState},
     time::Timestamp,
 };
 use radishhavend::edges::peers;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
+pub use self::engines::NetEngine;
+
 /// Bytes around each message: an HTTP/2 frame's head, and TCP over IP.
 pub const MESSAGE_OVERHEAD_BYTES: u64 = 9 + 52;
 /// Port of the first node's first life; each life has a port of its own.
@@ -35,6 +39,10 @@
     pub sent_bytes: u64,
     /// Bytes received, likewise.
     pub received_bytes: u64,
+    /// Bytes sent for the watch over engines, likewise; part of all.
+    pub watch_bytes: u64,
+    /// Reads of engines.
+    pub reads: u64,
 }
 
 /// How links behave.
@@ -82,6 +90,10 @@
     pub cut_off: BTreeSet<VmId>,
     /// Settings of membership for nodes that start.
     pub membership: MembershipConfig,
+    /// Engines that run, by VM.
+    pub engines: BTreeMap<VmId, NetEngine>,
+    records: Vec<Record>,
+    answers: BTreeMap<(Timestamp, u64), (VmId, Event)>,
     domains: Vec<FailureDomain>,
     list: BTreeMap<VmId, Vm>,
     homes: BTreeMap<SocketAddr, VmId>,
@@ -107,6 +119,9 @@
             nodes: BTreeMap::new(),
             cut_off: BTreeSet::new(),
             membership: MembershipConfig::default(),
+            engines: BTreeMap::new(),
+            records: Vec::new(),
+            answers: BTreeMap::new(),
             domains: domains.iter().map(domain).collect(),
             list: BTreeMap::new(),
             homes: BTreeMap::new(),
@@ -165,11 +180,11 @@
         self.list.insert(vm.clone(), row);
         self.handle(&vm, Event::VmList(self.vm_list()));
         self.handle(&vm, Event::Start);
-        // A log without records: nodes that can't read one go on asking each other.
+        // Nodes that can't read a log go on asking each other.
         let read = Event::ConfigRecords {
             first: 0,
-            end: 0,
-            records: Vec::new(),
+            end: self.records.len() as u64,
+            records: self.records.clone(),
         };
         self.handle(&vm, read);
     }
@@ -229,11 +244,17 @@
         };
         let actions = node.node.handle(now, event);
         for action in actions {
-            if let Action::Peer {
-                address, message, ..
-            } = action
-            {
-                self.post(vm, address, message);
+            match action {
+                Action::Peer {
+                    address, message, ..
+                } => self.post(vm, address, message),
+                Action::ReadWatched {
+                    vm: engine,
+                    address,
+                    load,
+                    ..
+                } => self.read(vm, engine, address, load),
+                _ => {}
             }
         }
         self.schedule(vm);
@@ -247,6 +268,9 @@
         };
         node.traffic.sent += 1;
         node.traffic.sent_bytes += bytes;
+        if matches!(message, PeerMessage::Watch(_)) {
+            node.traffic.watch_bytes += bytes;
+        }
         let identity = &node.node.configs().identity;
         let from = Sender {
             vm: identity.vm.clone(),
@@ -302,7 +326,8 @@
         loop {
             let wake = self.wakes.first().map(|(at, _)| *at);
             let arrival = self.deliveries.first_key_value().map(|((at, _), _)| *at);
-            let next = [wake, arrival].into_iter().flatten().min();
+            let answer = self.answers.first_key_value().map(|((at, _), _)| *at);
+            let next = [wake, arrival, answer].into_iter().flatten().min();
             let Some(next) = next.filter(|at| *at <= end) else {
                 break;
             };
@@ -311,6 +336,10 @@
                 if let Some((_, delivery)) = self.deliveries.pop_first() {
                     self.deliver(delivery);
                 }
+            } else if answer == Some(next) {
+                if let Some((_, (vm, event))) = self.answers.pop_first() {
+                    self.handle(&vm, event);
+                }
             } else if let Some((_, vm)) = self.wakes.pop_first() {
                 self.wake_of.remove(&vm);
                 self.handle(&vm, Event::Tick);
--- /dev/null
+++ b/crates/standin/src/net/engines.rs
@@ -0,0 +1,120 @@
+//! Engines of the net: what they hold, and what they answer their watchers.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use radishhaven_core::{
+    config::{BATCH_FORMAT, Backend, Batch, Carries, Change, Model, Object},
+    ids::{FencingToken, LayerRange, Revision, VmId},
+    message::Event,
+    orders::Held,
+    platform::{Record, Vm, VmRole, VmState},
+    watch::Reading,
+};
+use rand::Rng;
+
+use super::Net;
+use crate::deployment::{VERSION, id};
+
+/// Layers of the model that all engines hold.
+const LAYERS: u16 = 24;
+/// Changes in one batch of the configuration.
+const BATCH_CHANGES: usize = 1_000;
+/// Steps that wait at an engine at most.
+const MAX_QUEUED: u32 = 32;
+
+/// One engine of the net. Its queue is another one at each read.
+#[derive(Debug)]
+pub struct NetEngine {
+    /// Where it serves.
+    pub address: SocketAddr,
+    /// What it holds.
+    pub held: Held,
+}
+
+impl Net {
+    /// Adds engines to the configuration and to the VM list, for nodes that
+    /// start later.
+    pub fn add_engines(&mut self, count: usize) {
+        let layers = LayerRange::new(0, LAYERS).expect("a range");
+        let mut objects = vec![Object::Model(Model {
+            id: id("model"),
+            layers: LAYERS,
+        })];
+        for n in 0..count {
+            let vm: VmId = id(&format!("engine-{n}"));
+            let [.., high, low] = n.to_be_bytes();
+            let address = SocketAddr::from(([127, 1, high, low], 9_000));
+            let held = Held {
+                model: id("model"),
+                version: id(VERSION),
+                layers,
+                adapters: BTreeSet::new(),
+                token: FencingToken(0),
+                loading: false,
+            };
+            objects.push(Object::Backend(Backend {
+                id: vm.clone(),
+                carries: Carries::Layers {
+                    model: held.model.clone(),
+                    version: held.version.clone(),
+                    layers,
+                    adapters: BTreeSet::new(),
+                },
+                checks_tokens: true,
+            }));
+            let row = Vm {
+                vm: vm.clone(),
+                role: VmRole::Backend,
+                address,
+                peer_address: None,
+                failure_domain: self.domains[n % self.domains.len()].clone(),
+                state: VmState::Live,
+            };
+            self.list.insert(vm.clone(), row);
+            self.engines.insert(vm, NetEngine { address, held });
+        }
+        for part in objects.chunks(BATCH_CHANGES) {
+            self.append(part);
+        }
+    }
+
+    fn append(&mut self, objects: &[Object]) {
+        let offset = self.records.len() as u64;
+        let batch = Batch {
+            format: BATCH_FORMAT,
+            batch: id(&format!("engines-{offset}")),
+            planned: Revision(offset),
+            source: None,
+            base: BTreeMap::new(),
+            changes: objects.iter().cloned().map(Change::Put).collect(),
+        };
+        let body = serde_json::to_string(&batch).expect("a batch is written");
+        self.records.push(Record { offset, body });
+    }
+
+    /// Lets an engine answer a node that reads it.
+    pub(super) fn read(&mut self, node: &VmId, vm: VmId, address: SocketAddr, load: bool) {
+        if let Some(node) = self.nodes.get_mut(node) {
+            node.traffic.reads += 1 + u64::from(load);
+        }
+        let queued = load.then(|| self.rng.random_range(0..=MAX_QUEUED));
+        let engine = self.engines.get(&vm).filter(|e| e.address == address);
+        let reading = engine.map(|engine| Reading {
+            held: engine.held.clone(),
+            queued,
+            at: self.now,
+        });
+        let delay = self.rng.random_range(self.links.least..=self.links.most) * 2;
+        self.counted += 1;
+        let event = Event::Watched {
+            vm,
+            address,
+            reading,
+        };
+        self.answers
+            .insert((self.now + delay, self.counted), (node.clone(), event));
+    }
+}
