perf(health): measure choices among ejected and ramping servers

Cause: a choice passes over ejected and ramping servers, so its cost had to be seen where there are as many of them as the cap allows.

The new functions run last, so that the others measure what they did before.

--- a/crates/core/benches/policy.rs
+++ b/crates/core/benches/policy.rs
@@ -14,10 +14,11 @@
         Organisation, Pipeline,
     },
     configs::{Configs, Identity},
-    ids::{Incarnation, LayerRange, Priority, RequestKey, Revision},
+    health::Sign,
+    ids::{Incarnation, LayerRange, Priority, RequestKey, Revision, VmId},
     message::{Demand, Event, Submission},
     platform::{Record, Vm, VmList, VmRole, VmState},
-    systems::{self, Context, admission, limits, routing},
+    systems::{self, Context, admission, health, limits, routing},
     tables::{Tables, Work},
     time::Timestamp,
 };
@@ -161,6 +162,21 @@
     }
 }
 
+/// Makes all backend servers fail; the cap keeps half of each group in.
+fn eject_half(cx: &mut Context<'_>) {
+    let vms: Vec<VmId> = cx.tables.backends.iter().map(|r| r.vm.clone()).collect();
+    for vm in &vms {
+        health::take(cx, vm, Sign::Down);
+    }
+    let out = cx
+        .tables
+        .backends
+        .iter()
+        .filter(|r| r.health.is_out(cx.now));
+    let out = out.count() * 100 / vms.len();
+    assert!((40..=50).contains(&out), "{out}");
+}
+
 fn policy(c: &mut Criterion) {
     let cfg = Configs::new(Identity {
         vm: id("node-0"),
@@ -202,6 +218,14 @@
         c.bench_function(&format!("control tick: {}", size.name), |b| {
             b.iter(|| limits::tick(&mut cx));
         });
+        eject_half(&mut cx);
+        c.bench_function(&format!("choice, half ejected: {}", size.name), |b| {
+            b.iter(|| black_box(routing::chain(&cx, &row, work).expect("a chain")));
+        });
+        cx.now = cx.now + cfg.health.eject.mul_f64(1.25) + cfg.health.trial;
+        c.bench_function(&format!("choice, half ramping: {}", size.name), |b| {
+            b.iter(|| black_box(routing::chain(&cx, &row, work).expect("a chain")));
+        });
     }
 }
 
