test(once): run non-idempotent completions through the at-most-once path

Cause: a completion that may run once only takes the same path as a call, but no test ran one, and the checker counted starts of calls only.

Over real nodes a completion is sent through every node at once, and again through the others when its node was killed in the middle. The checker counts where attempt 0 was begun, and its own test plants a second dispatch.

Existing tests: `Case::run` and `World::new` take the kind of request; the cases of calls are the same as before.

--- a/crates/core/tests/at_most_once.rs
+++ b/crates/core/tests/at_most_once.rs
@@ -6,17 +6,17 @@
 use std::collections::BTreeMap;
 
 use radishhaven_cases::{INVARIANT_CASES, check};
-use world::Case;
+use world::{Case, Kind};
 
 /// Parts into which the cases are split, to run side by side.
 const PARTS: u32 = 8;
 
 /// Runs one part of the cases; each is judged for both invariants.
-fn run_part(seed: u64) {
+fn run_part(seed: u64, kind: Kind) {
     let cases = INVARIANT_CASES / PARTS;
     let mut outcomes = BTreeMap::<String, u32>::new();
     check(seed, cases, |case: Case| {
-        let world = case.run();
+        let world = case.run(kind);
         if let Some(violation) = world.violation() {
             panic!("{violation}\n{case:#?}");
         }
@@ -32,15 +32,16 @@
 }
 
 macro_rules! parts {
-    ($($name:ident = $seed:literal;)+) => {$(
+    ($kind:expr; $($name:ident = $seed:literal;)+) => {$(
         #[test]
         fn $name() {
-            run_part($seed);
+            run_part($seed, $kind);
         }
     )+};
 }
 
 parts! {
+    Kind::Call;
     not_run_is_true_and_nothing_starts_twice_0 = 0;
     not_run_is_true_and_nothing_starts_twice_1 = 1;
     not_run_is_true_and_nothing_starts_twice_2 = 2;
@@ -50,3 +51,15 @@
     not_run_is_true_and_nothing_starts_twice_6 = 6;
     not_run_is_true_and_nothing_starts_twice_7 = 7;
 }
+
+parts! {
+    Kind::Completion;
+    no_completion_is_dispatched_twice_0 = 0;
+    no_completion_is_dispatched_twice_1 = 1;
+    no_completion_is_dispatched_twice_2 = 2;
+    no_completion_is_dispatched_twice_3 = 3;
+    no_completion_is_dispatched_twice_4 = 4;
+    no_completion_is_dispatched_twice_5 = 5;
+    no_completion_is_dispatched_twice_6 = 6;
+    no_completion_is_dispatched_twice_7 = 7;
+}
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -4,12 +4,13 @@
 //! What is judged is only what callers were told and what the service itself
 //! recorded.
 
+mod engine;
 mod net;
 mod setup;
 mod steps;
 
 pub use net::Rates;
-pub use setup::NODES;
+pub use setup::{Kind, NODES};
 pub use steps::Case;
 
 use std::{
@@ -17,6 +18,7 @@
     time::Duration,
 };
 
+use engine::Step;
 use radishhaven_core::{
     ids::{Attempt, Incarnation, RequestId, RequestKey},
     message::{Action, AttemptError, Event, Reply},
@@ -47,6 +49,8 @@
     Tick(usize, Incarnation),
     /// A call reaches the service.
     Call(Call),
+    /// A step reaches the engine.
+    Step(Step),
     /// A caller tries again.
     Retry(usize, u8),
 }
@@ -71,7 +75,7 @@
 /// What callers and the service saw.
 #[derive(Default)]
 pub struct Seen {
-    /// Starts at the service, by id.
+    /// Starts at the service or dispatches to the engine, by id.
     pub runs: BTreeMap<RequestId, u32>,
     /// What callers were told, by id.
     pub told: BTreeMap<RequestId, BTreeSet<Outcome>>,
@@ -85,6 +89,8 @@
 pub struct World {
     pub now: Timestamp,
     pub seen: Seen,
+    kind: Kind,
+    begun: BTreeMap<RequestId, BTreeSet<(usize, Incarnation, RequestKey)>>,
     rates: Rates,
     forgetful: bool,
     rng: StdRng,
@@ -98,10 +104,12 @@
 }
 
 impl World {
-    pub fn new(seed: u64, rates: Rates, callers: usize, forgetful: bool) -> Self {
+    pub fn new(seed: u64, kind: Kind, rates: Rates, callers: usize, forgetful: bool) -> Self {
         let mut world = Self {
             now: Timestamp(0),
             seen: Seen::default(),
+            kind,
+            begun: BTreeMap::new(),
             rates,
             forgetful,
             rng: StdRng::seed_from_u64(seed),
@@ -203,7 +211,7 @@
             return self.retry_later(caller);
         }
         self.exchanges.insert(key, (caller, n));
-        let submission = Box::new(setup::submission(id));
+        let submission = Box::new(setup::submission(self.kind, id));
         self.event(n, Event::Submit { key, submission });
     }
 
@@ -265,6 +273,7 @@
                 }
             }
             Happening::Call(call) => self.serve(call),
+            Happening::Step(step) => self.run_step(step),
             Happening::Retry(caller, n) => self.submit(caller, n as usize % NODES),
         }
     }
@@ -321,8 +330,20 @@
                 };
                 self.carry_call(call);
             }
+            Action::Step {
+                key, step, order, ..
+            } => {
+                let step = Step {
+                    node: n,
+                    incarnation,
+                    key,
+                    step,
+                    order,
+                };
+                self.carry_step(step);
+            }
             Action::Reply { key, reply } => self.hear(key, reply),
-            // Nothing else that a node does starts a call at the service.
+            // Nothing else that a node does starts a request.
             _ => {}
         }
     }
@@ -338,9 +359,11 @@
                 *self.seen.ends.entry(key).or_default() += 1;
                 let id = done.id.or_else(|| self.callers[caller].id.clone());
                 let Some(id) = id else { return };
-                if let Some(body) = done.body {
+                let text = (done.tokens > 0 && done.outcome == Outcome::Completed)
+                    .then(|| format!("{id} {}", done.digest));
+                if let Some(body) = done.body.map(|body| body.to_string()).or(text) {
                     let bodies = self.seen.bodies.entry(id.clone()).or_default();
-                    bodies.insert(body.to_string());
+                    bodies.insert(body);
                 }
                 self.told(id, done.outcome);
                 if done.outcome == Outcome::Unknown || self.rng.random_ratio(1, 4) {
--- a/crates/core/tests/world/net.rs
+++ b/crates/core/tests/world/net.rs
@@ -22,11 +22,11 @@
 }
 
 impl World {
-    fn strikes(&mut self, rate: u8) -> bool {
+    pub(super) fn strikes(&mut self, rate: u8) -> bool {
         self.rng.random::<u8>() < rate
     }
 
-    fn delay(&mut self) -> Duration {
+    pub(super) fn delay(&mut self) -> Duration {
         let late = self.rates.late;
         if self.strikes(late) {
             return Duration::from_millis(self.rng.random_range(50..2_500));
--- a/crates/core/tests/world/setup.rs
+++ b/crates/core/tests/world/setup.rs
@@ -12,11 +12,24 @@
 };
 use sha2::{Digest, Sha256};
 
+/// What callers of a world ask for; none of it may run twice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Calls to the plain service.
+    Call,
+    /// Completions, which the engine runs.
+    Completion,
+}
+
 /// Entry nodes, in three failure domains.
 pub const NODES: usize = 4;
 /// The plain service; none of its operations may be repeated.
 const SERVICE: &str = "roster-desk";
 const SERVERS: usize = 2;
+/// The pipeline, whose model one engine holds as a whole.
+const PIPELINE: &str = "brief-writer";
+const ENGINES: usize = 2;
+const MAX_TOKENS: u32 = 3;
 const TOKEN: &[u8] = b"small-firm";
 const DEADLINE: Duration = Duration::from_secs(3);
 
@@ -97,6 +110,18 @@
         serde_json::json!({ "put": { "organisation": organisation } }),
     ];
     changes.extend((0..SERVERS).map(backend));
+    let engine = |n: usize| {
+        let carries = serde_json::json!({
+            "layers": { "model": PIPELINE, "version": "v1", "layers": [0, 8] }
+        });
+        let id = format!("engine-{n}");
+        serde_json::json!({ "put": { "backend": { "id": id, "carries": carries } } })
+    };
+    let model = serde_json::json!({ "id": PIPELINE, "layers": 8 });
+    let pipeline = serde_json::json!({ "id": PIPELINE, "model": PIPELINE, "version": "v1" });
+    changes.push(serde_json::json!({ "put": { "model": model } }));
+    changes.push(serde_json::json!({ "put": { "pipeline": pipeline } }));
+    changes.extend((0..ENGINES).map(engine));
     let batch = serde_json::json!({ "format": BATCH_FORMAT, "batch": "first", "changes": changes });
     batch.to_string()
 }
@@ -110,31 +135,41 @@
         failure_domain: id(&format!("domain-{}", n % 3)),
         state: VmState::Live,
     };
-    let server = |n: usize| Vm {
-        vm: id(&format!("server-{n}")),
+    let backend = |name: String, port: usize| Vm {
+        vm: id(&name),
         role: VmRole::Backend,
-        address: address(3_000 + n),
+        address: address(port),
         peer_address: None,
         failure_domain: id("domain-0"),
         state: VmState::Live,
     };
     let nodes = (0..NODES).map(node);
+    let servers = (0..SERVERS).map(|n| backend(format!("server-{n}"), 3_000 + n));
+    let engines = (0..ENGINES).map(|n| backend(format!("engine-{n}"), 4_000 + n));
     VmList {
-        vms: nodes.chain((0..SERVERS).map(server)).collect(),
+        vms: nodes.chain(servers).chain(engines).collect(),
     }
 }
 
-pub fn submission(id_of_request: Option<RequestId>) -> Submission {
+pub fn submission(kind: Kind, id_of_request: Option<RequestId>) -> Submission {
+    let demand = match kind {
+        Kind::Call => Demand::Call {
+            service: id(SERVICE),
+            operation: "book".to_owned(),
+            body: serde_json::json!({ "hearing": 12 }),
+        },
+        Kind::Completion => Demand::Completion {
+            pipeline: id(PIPELINE),
+            prompt: b"hearing".map(u32::from).to_vec(),
+            max_tokens: MAX_TOKENS,
+        },
+    };
     Submission {
         token_sha256: Sha256::digest(TOKEN).into(),
         id: id_of_request,
         priority: None,
         within: Some(DEADLINE),
-        idempotent: None,
-        demand: Demand::Call {
-            service: id(SERVICE),
-            operation: "book".to_owned(),
-            body: serde_json::json!({ "hearing": 12 }),
-        },
+        idempotent: (kind == Kind::Completion).then_some(false),
+        demand,
     }
 }
--- a/crates/core/tests/world/steps.rs
+++ b/crates/core/tests/world/steps.rs
@@ -5,7 +5,7 @@
 use bolero_generator::{TypeGenerator, produce};
 use radishhaven_core::time::Timestamp;
 
-use super::{NODES, Rates, World};
+use super::{Kind, NODES, Rates, World};
 
 /// Callers of a world.
 const CALLERS: usize = 4;
@@ -61,7 +61,7 @@
 
 impl Case {
     /// Runs the steps and lets all late messages come in.
-    pub fn run(&self) -> World {
+    pub fn run(&self, kind: Kind) -> World {
         let rates = Rates {
             lost: self.lost,
             late: self.late,
@@ -69,7 +69,7 @@
             answer_lost: self.answer_lost,
             not_sent: self.not_sent,
         };
-        let mut world = World::new(self.seed, rates, CALLERS, self.forgetful);
+        let mut world = World::new(self.seed, kind, rates, CALLERS, self.forgetful);
         world.run_for(WARM_UP);
         let mut paused_at = [world.now; NODES];
         for (step, wait) in &self.steps {
--- a/crates/standin/tests/at_most_once.rs
+++ b/crates/standin/tests/at_most_once.rs
@@ -1,7 +1,10 @@
 //! Non-idempotent requests over real nodes on loopback: duplicates, lost
 //! nodes, lost answers and planned stops, judged by the invariant checker.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use radishhaven_client::{Answer, Ask, Caller};
 use radishhaven_core::{
@@ -11,7 +14,9 @@
 };
 use radishhaven_standin::{
     checker::{AnswerRecord, Asked, CallerRecord, check},
-    deployment::{Deployment, Plan, id},
+    deployment::{Deployment, Plan, VERSION, id},
+    engine::EngineFault,
+    reference,
     service::ServiceFault,
 };
 use serde_json::json;
@@ -20,6 +25,9 @@
 const NOT_RUN: Option<Outcome> = Some(Outcome::NotRun(NotRun::NoCapacity));
 const POLL: Duration = Duration::from_millis(2);
 const PATIENCE: Duration = Duration::from_secs(10);
+const MAX_TOKENS: u32 = 24;
+/// Engines for each stage, so that a second dispatch would likely go elsewhere.
+const ENGINES: usize = 3;
 
 /// A deployment, and what its callers have seen.
 struct Scenario {
@@ -30,7 +38,12 @@
 
 impl Scenario {
     async fn start(settings: &str) -> Self {
-        let mut plan = Plan::roster(NODES.len(), 1);
+        Self::start_with(settings, 1).await
+    }
+
+    /// Starts with so many backend servers for each stage and for the service.
+    async fn start_with(settings: &str, replicas: usize) -> Self {
+        let mut plan = Plan::roster(NODES.len(), replicas);
         plan.settings = settings.to_owned();
         let deployment = Deployment::start(plan).await.expect("it starts");
         let scenario = Self {
@@ -72,11 +85,14 @@
     }
 
     fn record(&mut self, id: &RequestId, answer: &Answer) {
+        let operation = "book".to_owned();
+        self.record_as(id, Asked::Call { operation }, answer);
+    }
+
+    fn record_as(&mut self, id: &RequestId, asked: Asked, answer: &Answer) {
         let record = CallerRecord {
             id: Some(id.clone()),
-            asked: Asked::Call {
-                operation: "book".to_owned(),
-            },
+            asked,
             idempotent: false,
             answers: vec![AnswerRecord::new(answer.clone())],
         };
@@ -113,7 +129,7 @@
     }
 }
 
-async fn book(caller: &Caller, node: std::net::SocketAddr, id: &RequestId) -> Answer {
+async fn book(caller: &Caller, node: SocketAddr, id: &RequestId) -> Answer {
     let ask = Ask {
         id: Some(id.clone()),
         ..Ask::default()
@@ -141,6 +157,85 @@
     scenario.check();
 }
 
+/// The pipeline of the deployment with a prompt that has a whole answer.
+fn brief(scenario: &Scenario) -> Asked {
+    let plan = &scenario.deployment.plan;
+    let model = id(plan.pipeline.as_str());
+    let prompts = (0..).map(|n| format!("brief {n}"));
+    let answer =
+        |prompt: &str| reference::answer(&model, &id(VERSION), plan.layers, prompt, MAX_TOKENS);
+    let mut long = prompts.filter(|prompt| answer(prompt).len() == MAX_TOKENS as usize);
+    let prompt = long.next().expect("some answer is long");
+    Asked::Completion {
+        model,
+        version: id(VERSION),
+        layers: plan.layers,
+        prompt,
+        max_tokens: MAX_TOKENS,
+    }
+}
+
+/// Asks for a completion that may run once only; none if it was cut.
+async fn write(caller: Caller, node: SocketAddr, id: RequestId, asked: Asked) -> Option<Answer> {
+    let Asked::Completion { model, prompt, .. } = asked else {
+        return None;
+    };
+    let ask = Ask {
+        id: Some(id),
+        idempotent: Some(false),
+        ..Ask::default()
+    };
+    let pipeline = model.as_str().parse().expect("the name is valid");
+    let sent = caller.complete(node, &ask, &pipeline, &prompt, MAX_TOKENS);
+    sent.await.ok()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_completion_sent_through_every_node_at_once_runs_once() {
+    let mut scenario = Scenario::start_with("", ENGINES).await;
+    let asked = brief(&scenario);
+    for home in NODES.iter().cycle().take(6) {
+        let id = scenario.mint(home).await;
+        let nodes = NODES.map(|node| scenario.deployment.callers_address(node));
+        let [a, b, c] =
+            nodes.map(|node| write(scenario.caller.clone(), node, id.clone(), asked.clone()));
+        let (a, b, c) = tokio::join!(a, b, c);
+        for answer in [a, b, c] {
+            let answer = answer.expect("the node answers");
+            assert_eq!(answer.outcome, Some(Outcome::Completed), "{answer:?}");
+            assert_eq!(answer.text, asked.right_text());
+            scenario.record_as(&id, asked.clone(), &answer);
+        }
+    }
+    scenario.check();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_completion_whose_node_is_lost_is_not_run_again() {
+    let mut scenario = Scenario::start_with("", ENGINES).await;
+    let asked = brief(&scenario);
+    for engine in scenario.deployment.engines.values() {
+        let slow = EngineFault::Slow { factor: 40.0 };
+        engine.state.set_faults(vec![slow]);
+    }
+    let id = scenario.mint("node-0").await;
+    let node = scenario.deployment.callers_address("node-0");
+    let first = write(scenario.caller.clone(), node, id.clone(), asked.clone());
+    let first = tokio::spawn(first);
+    scenario.until("node-0", |t| t.counters.tokens > 0).await;
+    scenario.kill("node-0");
+    let cut = first.await.expect("the caller's task ends");
+    assert_eq!(cut.and_then(|answer| answer.outcome), None);
+    for node in ["node-1", "node-2", "node-1"] {
+        let node = scenario.deployment.callers_address(node);
+        let again = write(scenario.caller.clone(), node, id.clone(), asked.clone());
+        let answer = again.await.expect("the node answers");
+        assert_eq!(answer.outcome, Some(Outcome::Unknown), "{answer:?}");
+        scenario.record_as(&id, asked.clone(), &answer);
+    }
+    scenario.check();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_unused_id_of_a_lost_node_is_proved_not_to_run() {
     let mut scenario = Scenario::start("").await;
--- a/crates/standin/tests/checker.rs
+++ b/crates/standin/tests/checker.rs
@@ -268,6 +268,21 @@
     assert_eq!(check(&evidence), []);
 }
 
+#[test]
+fn a_second_dispatch_of_a_completion_is_found() {
+    let mut evidence = right_history();
+    evidence.callers[0].idempotent = false;
+    assert_eq!(check(&evidence), []);
+    evidence.engines.push(Life {
+        vm: id("engine-9"),
+        records: vec![evidence.engines[0].records[0].clone()],
+    });
+    let request = id("r-1");
+    let twice = Violation::StartedTwice { request, starts: 2 };
+    let found = check(&evidence);
+    assert!(found.contains(&twice), "{found:?}");
+}
+
 #[test]
 fn new_work_on_a_leaving_server_is_found_after_the_grace() {
     let stop = |vm: &str| PlannedStop {
