test(scenarios): run two faults together and the drain of a node

Cause: each scenario over real nodes had one fault, and none shut a node down under load. A caller whose connection broke was left out of the counts.

New: an engine dies while another one of its stage is silent; a failure domain is lost while the link to an engine elsewhere is slow; a node shuts down while callers keep its address for `keep_ms` and then ask for the directory again. A request that nothing came back for now counts as cut.

The two pairs of faults have no proof of their own; they rest on the checker, whose planted violations are in tests/checker.rs.

--- a/crates/standin/src/scenarios/load.rs
+++ b/crates/standin/src/scenarios/load.rs
@@ -51,6 +51,8 @@
 struct Client {
     caller: Caller,
     node: SocketAddr,
+    /// Until when the node's address may be used without asking again.
+    keep_until: Instant,
     asked: Asked,
     service: String,
 }
@@ -75,6 +77,7 @@
             let client = Client {
                 caller: Caller::new("small-firm").expect("a caller can be made"),
                 node: nodes[n % nodes.len()],
+                keep_until: Instant::now(),
                 asked: Asked::Completion {
                     model: id(plan.pipeline.as_str()),
                     version: id(VERSION),
@@ -97,14 +100,15 @@
 }
 
 impl Client {
-    async fn run(self, n: usize, lasting: Duration) -> Vec<Stream> {
+    async fn run(mut self, n: usize, lasting: Duration) -> Vec<Stream> {
         let begun = Instant::now();
         let mut streams = Vec::new();
         let mut count = 0;
         while begun.elapsed() < lasting {
             count += 1;
+            self.refresh().await;
             if (count + n).is_multiple_of(4) {
-                streams.extend(self.book(n * 1_000 + count).await);
+                streams.push(self.book(n * 1_000 + count).await);
             } else {
                 streams.extend(self.dictate().await);
             }
@@ -112,6 +116,21 @@
         streams
     }
 
+    /// Asks which node to use when the last answer may no longer be kept.
+    async fn refresh(&mut self) {
+        if Instant::now() < self.keep_until {
+            return;
+        }
+        let Ok(directory) = self.caller.directory(self.node).await else {
+            return;
+        };
+        let kept = directory.nodes.iter().any(|n| n.address == self.node);
+        if let Some(first) = directory.nodes.first().filter(|_| !kept) {
+            self.node = first.address;
+        }
+        self.keep_until = Instant::now() + Duration::from_millis(directory.keep_ms);
+    }
+
     async fn dictate(&self) -> Option<Stream> {
         let Asked::Completion {
             model,
@@ -128,7 +147,9 @@
         let asked = self
             .caller
             .complete(self.node, &ask, &pipeline, prompt, *max_tokens);
-        let answer = asked.await.ok()?;
+        let Ok(answer) = asked.await else {
+            return Some(cut(self.asked.clone(), true));
+        };
         let mut token_us = Vec::new();
         let mut at = Duration::ZERO;
         for part in answer.first_token.iter().chain(&answer.gaps) {
@@ -139,8 +160,14 @@
         Some(stream(id, self.asked.clone(), true, answer, token_us))
     }
 
-    async fn book(&self, number: usize) -> Option<Stream> {
-        let ids = self.caller.mint(self.node, 1).await.ok()?.ids;
+    async fn book(&self, number: usize) -> Stream {
+        let asked = Asked::Call {
+            operation: "book".to_owned(),
+        };
+        let Ok(minted) = self.caller.mint(self.node, 1).await else {
+            return cut(asked, false);
+        };
+        let ids = minted.ids;
         let ask = Ask {
             id: ids.first().cloned(),
             ..Ask::default()
@@ -149,11 +176,24 @@
         let called = self
             .caller
             .call(self.node, &ask, &self.service, "book", &body);
-        let answer = called.await.ok()?;
-        let asked = Asked::Call {
-            operation: "book".to_owned(),
+        let Ok(answer) = called.await else {
+            return cut(asked, false);
         };
-        Some(stream(ask.id, asked, false, answer, Vec::new()))
+        stream(ask.id, asked, false, answer, Vec::new())
+    }
+}
+
+/// Returns a request that nothing came back for.
+fn cut(asked: Asked, idempotent: bool) -> Stream {
+    let record = CallerRecord {
+        id: None,
+        asked,
+        idempotent,
+        answers: Vec::new(),
+    };
+    Stream {
+        record,
+        token_us: Vec::new(),
     }
 }
 
--- a/crates/standin/src/scenarios/mod.rs
+++ b/crates/standin/src/scenarios/mod.rs
@@ -14,7 +14,7 @@
 use self::load::Stream;
 use crate::{
     checker::{Violation, check},
-    deployment::{Deployment, DeploymentError, Plan},
+    deployment::{Deployment, DeploymentError, EnginePlan, Plan},
     engine::{EngineFault, EngineRecord},
     wire::wall_clock_us,
 };
@@ -25,6 +25,10 @@
 const REPLICAS: usize = 3;
 /// Time for which a drain goes on after the VM list showed it.
 const DRAIN: Duration = Duration::from_millis(6_500);
+/// Time for which a node that shuts down serves callers that keep its address.
+const NODE_KEEP: Duration = Duration::from_millis(1_000);
+/// Time by which a slow link delays each message, in microseconds.
+const SLOW_LINK_US: u64 = 50_000;
 
 /// A fault by its name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -41,20 +45,37 @@
     DomainLoss,
     /// A backend server leaves as planned, and stops when its time is over.
     Drain,
+    /// An engine dies while another one of its stage answers nothing.
+    StageDeathSilentStall,
+    /// A failure domain is lost while the link to an engine of another one is
+    /// a hundred times slower.
+    DomainLossSlowLink,
+    /// An entry node shuts down as planned.
+    NodeDrain,
 }
 
 impl Scenario {
     /// All scenarios.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 9] = [
         Self::StageDeath,
         Self::SilentStall,
         Self::SlowLink,
         Self::CrossedAnswers,
         Self::DomainLoss,
         Self::Drain,
+        Self::StageDeathSilentStall,
+        Self::DomainLossSlowLink,
+        Self::NodeDrain,
     ];
 }
 
+impl Scenario {
+    /// Tells whether nothing fails, so that no request may be cut.
+    pub fn is_planned(self) -> bool {
+        matches!(self, Self::Drain | Self::NodeDrain)
+    }
+}
+
 impl fmt::Display for Scenario {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
@@ -64,6 +85,9 @@
             Self::CrossedAnswers => "crossed-answers",
             Self::DomainLoss => "domain-loss",
             Self::Drain => "drain",
+            Self::StageDeathSilentStall => "stage-death-silent-stall",
+            Self::DomainLossSlowLink => "domain-loss-slow-link",
+            Self::NodeDrain => "node-drain",
         })
     }
 }
@@ -138,9 +162,14 @@
     let mut rng = StdRng::seed_from_u64(seed);
     let mut plan = Plan::bitacora(NODES, REPLICAS);
     plan.settings = size.settings.clone();
+    if scenario == Scenario::NodeDrain {
+        let keep_ms = NODE_KEEP.as_millis();
+        plan.settings += &format!("[directory]\nkeep_ms = {keep_ms}\n");
+    }
     let mut deployment = Deployment::start(plan).await?;
     let lasting = match scenario {
         Scenario::Drain => DRAIN + Duration::from_millis(500),
+        Scenario::NodeDrain => NODE_KEEP * 2 + Duration::from_millis(500),
         _ => Duration::from_millis(900),
     };
     let load = load::start(&deployment, size, seed, lasting);
@@ -160,10 +189,7 @@
     match scenario {
         Scenario::StageDeath => kill(deployment, &vm),
         Scenario::SilentStall => fault(deployment, &vm, vec![EngineFault::Stall]),
-        Scenario::SlowLink => {
-            let delay_us = 50_000;
-            fault(deployment, &vm, vec![EngineFault::SlowLink { delay_us }]);
-        }
+        Scenario::SlowLink => slow_link(deployment, &vm),
         Scenario::CrossedAnswers => {
             for vm in deployment.engines.keys() {
                 let n = rng.random_range(1..6);
@@ -185,10 +211,49 @@
             tokio::time::sleep(DRAIN).await;
             kill(deployment, &vm);
         }
+        Scenario::StageDeathSilentStall => {
+            let twin = other_engine(deployment, &vm, |dead, e| e.layers == dead.layers);
+            fault(deployment, &twin, vec![EngineFault::Stall]);
+            kill(deployment, &vm);
+            return vec![vm, twin];
+        }
+        Scenario::DomainLossSlowLink => {
+            let slow = other_engine(deployment, &vm, |lost, e| e.domain != lost.domain);
+            slow_link(deployment, &slow);
+            let lost = deployment.plan.engines.iter().find(|e| e.vm == vm);
+            let domain = lost.expect("it is planned").domain.clone();
+            let mut hit = lose_domain(deployment, &domain);
+            hit.push(slow);
+            return hit;
+        }
+        Scenario::NodeDrain => {
+            let (node, _) = deployment.plan.nodes[rng.random_range(0..NODES)].clone();
+            let process = deployment.nodes.remove(&node).expect("the node runs");
+            assert!(process.drain().await, "{node} left requests open");
+            return Vec::new();
+        }
     }
     vec![vm]
 }
 
+/// Returns an engine that stands in a relation to another one.
+fn other_engine(
+    deployment: &Deployment,
+    vm: &VmId,
+    related: impl Fn(&EnginePlan, &EnginePlan) -> bool,
+) -> VmId {
+    let engines = &deployment.plan.engines;
+    let one = engines.iter().find(|e| e.vm == *vm).expect("it is planned");
+    let mut others = engines.iter().filter(|e| e.vm != *vm && related(one, e));
+    let other = others.next().expect("each stage and domain has several");
+    other.vm.clone()
+}
+
+fn slow_link(deployment: &Deployment, vm: &VmId) {
+    let delay_us = SLOW_LINK_US;
+    fault(deployment, vm, vec![EngineFault::SlowLink { delay_us }]);
+}
+
 fn kill(deployment: &mut Deployment, vm: &VmId) {
     if let Some(engine) = deployment.engines.remove(vm) {
         engine.kill();
@@ -228,7 +293,7 @@
 ) -> Outcomes {
     let mut out = Outcomes::default();
     let callers = streams.iter().map(|s| s.record.clone()).collect();
-    let evidence = deployment.records(callers, scenario != Scenario::Drain);
+    let evidence = deployment.records(callers, !scenario.is_planned());
     out.violations = check(&evidence);
     for stream in &streams {
         if stream.completed() {
--- a/crates/standin/tests/scenarios.rs
+++ b/crates/standin/tests/scenarios.rs
@@ -41,6 +41,21 @@
     run(Scenario::DomainLoss).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stage_death_beside_a_silent_engine_violates_nothing() {
+    run(Scenario::StageDeathSilentStall).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_loss_of_a_failure_domain_beside_a_slow_link_violates_nothing() {
+    run(Scenario::DomainLossSlowLink).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_of_a_node_cuts_no_request() {
+    assert_eq!(run(Scenario::NodeDrain).await.others.len(), 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_drain_cuts_no_request() {
     assert_eq!(run(Scenario::Drain).await.others.len(), 0);
