--- a/crates/core/tests/world/setup.rs
+++ b/crates/core/tests/world/setup.rs
@@ -169,7 +169,7 @@
         id: id_of_request,
         priority: None,
         within: Some(DEADLINE),
-        idempotent: Some(false),
+        idempotent: (kind == Kind::Completion).then_some(false),
         demand,
     }
 }
