feat(vm-list): let two nodes of each failure domain read the list and tell the others

Cause: every node read the platform's whole VM list every 500 ms, 1,509 KiB a read at 12,000 backend servers: 3,091 KB/s and 4.7% of a core (slopes in docs/CAPACITY.md), against bounds of 30 KB/s and 3.3%.

Now the two nodes that wait at the log for their failure domain read it, every 5 s; they compare the answer with the last one byte by byte and parse it only if it differs. The others ask one of them every 5 s with the digest of what they hold, get what changed since, and are told of further changes at once. The list has no version, so what is held is dated by an interval on the holder's own clock, and only what can't be older is taken.

Ruled out, with arithmetic in docs/design/vm-list.md: the reader's wall clock, a count of reads alone, boot ids (the list has none), each node reading seldom. The platform offers no conditional read, so the 34 readers remain above 30 KB/s (309 KB/s at 5 s, arithmetic).

PEER_VERSION is 2, because nodes of version 1 can't read the new messages.

--- a/crates/client/src/json.rs
+++ b/crates/client/src/json.rs
@@ -139,15 +139,29 @@
         body: Vec<u8>,
         within: Duration,
     ) -> Result<T, HttpError> {
+        let sent = self.exchange_bytes(method, addr, path, headers, body, within);
+        let body = sent.await?;
+        let body: &[u8] = if body.is_empty() { b"null" } else { &body };
+        serde_json::from_slice(body).map_err(|e| HttpError::Malformed(e.to_string()))
+    }
+
+    async fn exchange_bytes(
+        &self,
+        method: Method,
+        addr: SocketAddr,
+        path: &str,
+        headers: HeaderMap,
+        body: Vec<u8>,
+        within: Duration,
+    ) -> Result<Bytes, HttpError> {
         let exchange = async {
             let resp = self.send(method, addr, path, headers, body).await?;
             let status = resp.status();
             let body = read_body(resp.into_body()).await?;
-            if !status.is_success() {
-                return Err(HttpError::Status { status, body });
+            match status.is_success() {
+                true => Ok(body),
+                false => Err(HttpError::Status { status, body }),
             }
-            let body: &[u8] = if body.is_empty() { b"null" } else { &body };
-            serde_json::from_slice(body).map_err(|e| HttpError::Malformed(e.to_string()))
         };
         match tokio::time::timeout(within, exchange).await {
             Ok(result) => result,
@@ -170,6 +184,22 @@
             .await
     }
 
+    /// Gets an answer's body as it is.
+    ///
+    /// # Errors
+    ///
+    /// See [`HttpError`].
+    pub async fn get_bytes(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        within: Duration,
+    ) -> Result<Bytes, HttpError> {
+        let headers = HeaderMap::new();
+        self.exchange_bytes(Method::GET, addr, path, headers, Vec::new(), within)
+            .await
+    }
+
     /// Posts a value and reads the answer.
     ///
     /// # Errors
--- a/crates/core/src/config/digest.rs
+++ b/crates/core/src/config/digest.rs
@@ -14,17 +14,17 @@
 ///
 /// Adding or removing one element costs time in proportion to that element,
 /// and the order of the additions doesn't matter.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(super) struct SetDigest([u64; LANES]);
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SetDigest([u64; LANES]);
 
 impl SetDigest {
-    pub(super) fn add(&mut self, element: &impl Serialize) {
+    pub(crate) fn add(&mut self, element: &impl Serialize) {
         for (lane, value) in self.0.iter_mut().zip(lanes(element)) {
             *lane = lane.wrapping_add(value);
         }
     }
 
-    pub(super) fn remove(&mut self, element: &impl Serialize) {
+    pub(crate) fn remove(&mut self, element: &impl Serialize) {
         for (lane, value) in self.0.iter_mut().zip(lanes(element)) {
             *lane = lane.wrapping_sub(value);
         }
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -17,7 +17,7 @@
 mod tests;
 
 pub use batch::{BATCH_FORMAT, Batch, Change, Fingerprint, MAX_BATCH_CHANGES};
-pub use digest::{ConfigDigest, DigestError};
+pub use digest::{ConfigDigest, DigestError, SetDigest};
 pub use fold::{BatchResult, Config, Conflict, Entry, FoldError, Folded, RefusedBatch};
 pub use objects::{
     Backend, Carries, Deployment, KeyError, Kind, Link, Model, Object, ObjectKey, Organisation,
--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -13,6 +13,7 @@
 mod retry;
 mod routing;
 mod snapshots;
+mod vm_list;
 
 pub use crate::{lease::LeaseConfig, orders::OrderConfig};
 pub use admission::AdmissionConfig;
@@ -25,6 +26,7 @@
 pub use retry::RetryConfig;
 pub use routing::RoutingConfig;
 pub use snapshots::SnapshotsConfig;
+pub use vm_list::VmListConfig;
 
 /// All settings of the decisions.
 #[derive(Debug, Clone)]
@@ -53,6 +55,8 @@
     pub dissemination: DisseminationConfig,
     /// `[snapshots]`.
     pub snapshots: SnapshotsConfig,
+    /// `[vm_list]`.
+    pub vm_list: VmListConfig,
 }
 
 impl Configs {
@@ -71,6 +75,7 @@
             routing: RoutingConfig::default(),
             dissemination: DisseminationConfig::default(),
             snapshots: SnapshotsConfig::default(),
+            vm_list: VmListConfig::default(),
         }
     }
 }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -154,6 +154,8 @@
     ConfigReadFailed,
     /// The platform gave the VM list.
     VmList(VmList),
+    /// The platform gave the same VM list as at this node's last read.
+    VmListSame,
     /// Another node sent a message.
     Peer {
         /// The sender, whose key was checked.
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -11,7 +11,7 @@
     ids::RequestId,
     message::{Action, Event},
     outcome::Outcome,
-    systems::{self, Context, dissemination::LogRead},
+    systems::{self, Context, dissemination::LogRead, vm_list::VmsRead},
     tables::Tables,
     time::Timestamp,
 };
@@ -80,6 +80,19 @@
         systems::dissemination::next_read(&mut self.context(now, &mut out))
     }
 
+    /// Returns the read of the VM list that should come next.
+    pub fn next_vms_read(&mut self, now: Timestamp) -> VmsRead {
+        let mut out = Vec::new();
+        systems::vm_list::next_read(&self.context(now, &mut out))
+    }
+
+    /// Notes that a read of the VM list begins, so that its answer can be told
+    /// from what comes from peers meanwhile.
+    pub fn begin_vms_read(&mut self, now: Timestamp) {
+        let mut out = Vec::new();
+        systems::vm_list::begin_read(&mut self.context(now, &mut out));
+    }
+
     /// Tells what would become of a batch if it were the log's next record.
     ///
     /// # Errors
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -4,18 +4,19 @@
 //! lost, late or doubled, and the receiver must bear that. The daemon carries
 //! them in the order in which they were sent, while a connection lasts.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    config::SetDigest,
     ids::{FailureDomain, Incarnation, Revision, VmId},
     once::OnceMessage,
-    platform::Record,
+    platform::{Record, VmChanges},
 };
 
 /// Version of the messages; nodes of another version are refused.
-pub const PEER_VERSION: u16 = 1;
+pub const PEER_VERSION: u16 = 2;
 
 /// A message.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,6 +27,48 @@
     Once(OnceMessage),
     /// Configuration that goes from node to node.
     Config(ConfigMessage),
+    /// The VM list that goes from node to node.
+    Vms(VmsMessage),
+}
+
+/// Carries the VM list between nodes; see `docs/design/vm-list.md`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum VmsMessage {
+    /// Asks for what changed, and to be told of changes from now on.
+    Ask {
+        /// Names the question; never used twice.
+        question: u64,
+        /// The digest of the list that the sender holds; absent if it wants
+        /// the whole list.
+        held: Option<SetDigest>,
+    },
+    /// Answers [`VmsMessage::Ask`].
+    Answer {
+        /// The question.
+        question: u64,
+        /// The answer; absent if the sender has no list.
+        part: Option<VmsPart>,
+    },
+    /// Tells of a change at once.
+    Changed(VmsPart),
+}
+
+/// A VM list, or what leads to it from another one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmsPart {
+    /// Counts the changes of the sender's list in its life.
+    pub number: u64,
+    /// The digest of the list that the changes begin with; absent if they are
+    /// the whole list.
+    pub base: Option<SetDigest>,
+    /// The digest of the list that they lead to.
+    pub digest: SetDigest,
+    /// How long ago the platform showed the list at the earliest.
+    pub began_ago: Duration,
+    /// How long ago the platform showed the list at the latest.
+    pub ended_ago: Duration,
+    /// The changes.
+    pub changes: VmChanges,
 }
 
 /// Carries the configuration between nodes; see
--- a/crates/core/src/platform.rs
+++ b/crates/core/src/platform.rs
@@ -1,6 +1,6 @@
 //! What the decisions know of the platform: log records and the VM list.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use serde::{Deserialize, Serialize};
 
@@ -52,6 +52,23 @@
     pub state: VmState,
 }
 
+/// What changes a VM list; names each VM once.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmChanges {
+    /// VMs that are new or differ.
+    pub put: Vec<Vm>,
+    /// VMs that are no longer shown.
+    pub removed: Vec<VmId>,
+}
+
+impl VmChanges {
+    /// Returns the VMs that it names.
+    pub fn touched(&self) -> BTreeSet<VmId> {
+        let put = self.put.iter().map(|vm| &vm.vm);
+        put.chain(&self.removed).cloned().collect()
+    }
+}
+
 /// The VM list, as of a moment that has passed.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmList {
--- a/crates/core/src/systems/dissemination.rs
+++ b/crates/core/src/systems/dissemination.rs
@@ -15,6 +15,7 @@
 pub use join::{join_round, vms_known};
 pub use log::{log_answered, read_failed};
 pub use readers::{LogRead, next_read};
+pub(super) use readers::{rank, readers};
 pub use relay::catch_up_due;
 
 use std::collections::BTreeSet;
--- a/crates/core/src/systems/dissemination/readers.rs
+++ b/crates/core/src/systems/dissemination/readers.rs
@@ -60,7 +60,7 @@
 
 /// Returns the readers of this node's failure domain, in an order that all
 /// nodes agree on as far as they hear the same nodes.
-fn readers(cx: &Context<'_>) -> Vec<VmId> {
+pub(in crate::systems) fn readers(cx: &Context<'_>) -> Vec<VmId> {
     let mut domain: Vec<(u64, VmId)> = neighbours(cx)
         .filter(|vm| vm.vm == cx.cfg.identity.vm || is_heard(cx, vm))
         .map(|vm| (rank(&vm.vm), vm.vm.clone()))
@@ -81,7 +81,8 @@
     row.is_some_and(|row| row.status == MemberStatus::Alive)
 }
 
-fn rank(vm: &VmId) -> u64 {
+/// Returns a node's place among readers.
+pub(in crate::systems) fn rank(vm: &VmId) -> u64 {
     let hash = Sha256::digest(vm.as_str());
     u64::from_be_bytes(hash.first_chunk().copied().unwrap_or_default())
 }
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -19,6 +19,7 @@
 pub mod recovery;
 pub mod routing;
 pub mod snapshots;
+pub mod vm_list;
 
 use rand::rngs::StdRng;
 
@@ -123,7 +124,8 @@
             records,
         } => orders::records(cx, first, end, &records),
         Event::Held { vm, held } => orders::held(cx, &vm, held),
-        Event::VmList(list) => platform::vm_list(cx, list),
+        Event::VmList(list) => vm_list::read(cx, list),
+        Event::VmListSame => vm_list::read_same(cx),
         Event::Peer { from, message } if membership::admits(cx, &from) => {
             let vm = from.vm.clone();
             peer_message(cx, from, message);
@@ -134,6 +136,7 @@
         Event::PeerUnreachable { vm } => {
             once::unreachable(cx, &vm);
             dissemination::unreachable(cx, &vm);
+            vm_list::unreachable(cx, &vm);
         }
         Event::Start => {
             membership::round(cx);
@@ -155,12 +158,16 @@
         PeerMessage::Gossip(gossip) => membership::heard(cx, &from, gossip),
         PeerMessage::Once(message) => once::message(cx, from, message),
         PeerMessage::Config(message) => dissemination::message(cx, &from.vm, message),
+        PeerMessage::Vms(message) => vm_list::message(cx, &from, message),
     }
 }
 
 fn expire(cx: &mut Context<'_>, timer: Timer) {
     match timer {
-        Timer::Heartbeat => membership::round(cx),
+        Timer::Heartbeat => {
+            membership::round(cx);
+            vm_list::round(cx);
+        }
         Timer::Orders => orders::round(cx),
         Timer::Suspicion(vm) => membership::suspicion_over(cx, &vm),
         Timer::Once(timer) => once::expire(cx, timer),
--- a/crates/core/src/systems/platform.rs
+++ b/crates/core/src/systems/platform.rs
@@ -1,27 +1,22 @@
-//! Takes in what the platform says: configuration records and the VM list.
+//! Takes in what the platform says, and joins its parts.
 
 use std::collections::BTreeSet;
 
 use super::{Context, dissemination, limits, membership, orders};
-use crate::{
-    ids::VmId,
-    platform::{Record, VmList},
-};
+use crate::{ids::VmId, platform::Record};
 
 /// Takes in configuration records; runs each time the log has answered.
 pub fn records(cx: &mut Context<'_>, first: u64, end: u64, records: Vec<Record>) {
     dissemination::log_answered(cx, first, end, records);
 }
 
-/// Takes over the VM list; runs each time the platform has given it.
-pub fn vm_list(cx: &mut Context<'_>, list: VmList) {
-    let changed = cx.tables.vms.replace(list);
-    if !changed.is_empty() {
+/// Brings the tables in line with VMs of the list that changed.
+pub fn vms_changed(cx: &mut Context<'_>, changed: &BTreeSet<VmId>, concern_nodes: bool) {
+    if concern_nodes {
         membership::listed(cx);
         limits::nodes_changed(cx);
-        update(cx, &changed);
     }
-    dissemination::vms_known(cx);
+    update(cx, changed);
 }
 
 /// Joins some VMs with the configuration anew, after either changed for them.
--- /dev/null
+++ b/crates/core/src/systems/vm_list/tests/world.rs
@@ -0,0 +1,392 @@
+//! A platform whose list changes, and nodes with clocks of their own.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use crate::{
+    configs::{Configs, Identity},
+    ids::{Incarnation, VmId},
+    message::{Action, Event},
+    node::Node,
+    peer::{PeerMessage, Sender, VmsMessage},
+    platform::{Vm, VmList, VmRole, VmState},
+    time::Timestamp,
+};
+
+pub const NODES: usize = 4;
+/// Backend servers that may be on the list.
+const BACKENDS: u8 = 3;
+/// How far the clocks of two nodes are apart.
+const CLOCKS_APART: Duration = Duration::from_secs(1_000);
+/// Time between two steps while nothing fails.
+const SETTLE_STEP_MS: u64 = 500;
+/// Time after which all have the same list once nothing fails.
+const HEAL_MS: u64 = 16_000;
+
+type Rows = BTreeMap<VmId, Vm>;
+
+/// A read on its way, and what the platform showed it.
+struct Read {
+    shown: Option<Rows>,
+    same_will_do: bool,
+}
+
+struct Mail {
+    to: usize,
+    from: Sender,
+    message: PeerMessage,
+}
+
+pub struct World {
+    pub now: Timestamp,
+    /// Whether changes on their way name another list than they lead to.
+    pub spoil: bool,
+    cut: bool,
+    seed: u64,
+    nodes: Vec<Node>,
+    paused: Vec<bool>,
+    reads: Vec<Option<Read>>,
+    last_read: Vec<Option<Rows>>,
+    /// The list as it was shown from each moment on.
+    truth: Vec<(Timestamp, Rows)>,
+    /// The latest state of the truth that each node must hold by now.
+    floor: Vec<usize>,
+    mail: Vec<Mail>,
+}
+
+fn vm(n: usize) -> VmId {
+    format!("node-{n}").parse().expect("a name")
+}
+
+fn row(name: VmId, role: VmRole, port: u16) -> Vm {
+    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    Vm {
+        vm: name,
+        role,
+        address: address(port),
+        peer_address: (role == VmRole::Node).then(|| address(port + 100)),
+        failure_domain: "mvd-centro".parse().expect("a name"),
+        state: VmState::Live,
+    }
+}
+
+fn node(n: usize, life: u64, seed: u64) -> Node {
+    let own = row(vm(n), VmRole::Node, 1_000 + n as u16);
+    let mut cfg = Configs::new(Identity {
+        vm: own.vm,
+        failure_domain: own.failure_domain,
+        address: own.address,
+        incarnation: Incarnation(life),
+    });
+    cfg.membership.peer_address = own.peer_address;
+    cfg.admission.control_interval = Duration::from_secs(100);
+    cfg.vm_list.read = Duration::from_secs(1);
+    cfg.vm_list.refresh = Duration::from_secs(2);
+    cfg.vm_list.answer = Duration::from_secs(2);
+    cfg.vm_list.fallback = Duration::from_secs(5);
+    cfg.vm_list.kept_changes = 2;
+    Node::new(cfg, seed ^ (life * 10 + n as u64))
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        let nodes = (0..NODES).map(|n| row(vm(n), VmRole::Node, 1_000 + n as u16));
+        let rows: Rows = nodes.map(|vm| (vm.vm.clone(), vm)).collect();
+        let mut world = Self {
+            now: Timestamp::from_millis(10),
+            spoil: false,
+            cut: false,
+            seed,
+            nodes: (0..NODES).map(|n| node(n, 1, seed)).collect(),
+            paused: vec![false; NODES],
+            reads: (0..NODES).map(|_| None).collect(),
+            last_read: vec![None; NODES],
+            truth: vec![(Timestamp::default(), rows)],
+            floor: vec![0; NODES],
+            mail: Vec::new(),
+        };
+        for n in 0..NODES {
+            world.handle(n, Event::Start);
+            world.read(n);
+        }
+        world.deliver_all();
+        world
+    }
+
+    pub fn node(&self, n: usize) -> &Node {
+        &self.nodes[n]
+    }
+
+    pub fn node_mut(&mut self, n: usize) -> &mut Node {
+        &mut self.nodes[n]
+    }
+
+    /// Tells whether a node relies on another one.
+    pub fn relies(&self, n: usize) -> bool {
+        self.nodes[n].tables().vm_follow.source.is_some()
+    }
+
+    /// Returns the number of lists that each node has read in its life.
+    pub fn reads(&self) -> Vec<u64> {
+        let reads = |node: &Node| node.tables().vm_follow.counters.reads;
+        self.nodes.iter().map(reads).collect()
+    }
+
+    fn sender(&self, n: usize) -> Sender {
+        let identity = &self.nodes[n].configs().identity;
+        Sender {
+            vm: identity.vm.clone(),
+            incarnation: identity.incarnation,
+        }
+    }
+
+    /// Returns a moment of the world on a node's clock.
+    pub fn clock(n: usize, at: Timestamp) -> Timestamp {
+        at + CLOCKS_APART * n as u32
+    }
+
+    fn handle(&mut self, n: usize, event: Event) {
+        let actions = self.nodes[n].handle(Self::clock(n, self.now), event);
+        let from = self.sender(n);
+        for action in actions {
+            let Action::Peer { to, message, .. } = action else {
+                continue;
+            };
+            if self.cut && matches!(message, PeerMessage::Vms(_)) {
+                continue;
+            }
+            let message = self.on_its_way(message);
+            let to = (0..NODES).find(|n| vm(*n) == to).expect("a node");
+            let from = from.clone();
+            self.mail.push(Mail { to, from, message });
+        }
+    }
+
+    fn on_its_way(&self, mut message: PeerMessage) -> PeerMessage {
+        if let PeerMessage::Vms(
+            VmsMessage::Changed(part)
+            | VmsMessage::Answer {
+                part: Some(part), ..
+            },
+        ) = &mut message
+            && self.spoil
+        {
+            part.changes.put.clear();
+        }
+        message
+    }
+
+    /// Changes the platform's list: a backend server comes, leaves or is gone.
+    pub fn change(&mut self, which: u8, kind: u8) {
+        let which = which % BACKENDS;
+        let name: VmId = format!("b{which}").parse().expect("a name");
+        let mut rows = self.truth[self.truth.len() - 1].1.clone();
+        let mut vm = row(name.clone(), VmRole::Backend, 2_000 + u16::from(which));
+        match kind % 3 {
+            0 => {
+                rows.remove(&name);
+            }
+            1 => {
+                rows.insert(name, vm);
+            }
+            _ => {
+                vm.state = VmState::Leaving;
+                rows.insert(name, vm);
+            }
+        }
+        // Each state of the truth is shown for some time.
+        self.now = self.now + Duration::from_micros(1);
+        self.truth.push((self.now, rows));
+        self.now = self.now + Duration::from_micros(1);
+    }
+
+    pub fn begin_read(&mut self, n: usize) {
+        if self.paused[n] || self.reads[n].is_some() {
+            return;
+        }
+        let now = Self::clock(n, self.now);
+        let same_will_do = self.nodes[n].next_vms_read(now).same_will_do;
+        self.nodes[n].begin_vms_read(now);
+        self.reads[n] = Some(Read {
+            shown: None,
+            same_will_do,
+        });
+    }
+
+    /// Lets the platform answer a read; the answer is on its way.
+    pub fn show(&mut self, n: usize) {
+        let shown = &self.truth[self.truth.len() - 1].1;
+        if let Some(read) = &mut self.reads[n] {
+            read.shown.get_or_insert_with(|| shown.clone());
+        }
+    }
+
+    pub fn end_read(&mut self, n: usize) {
+        if self.paused[n] {
+            return;
+        }
+        let Some(read) = self.reads[n].take_if(|read| read.shown.is_some()) else {
+            return;
+        };
+        let same = self.last_read[n] == read.shown;
+        self.last_read[n].clone_from(&read.shown);
+        let event = match read.shown {
+            Some(_) if same && read.same_will_do => Event::VmListSame,
+            Some(rows) => Event::VmList(VmList {
+                vms: rows.into_values().collect(),
+            }),
+            None => return,
+        };
+        self.handle(n, event);
+    }
+
+    pub fn lose_read(&mut self, n: usize) {
+        self.reads[n] = None;
+    }
+
+    pub fn read(&mut self, n: usize) {
+        self.begin_read(n);
+        self.show(n);
+        self.end_read(n);
+    }
+
+    pub fn deliver(&mut self, which: u8, twice: bool) {
+        if self.mail.is_empty() {
+            return;
+        }
+        let index = which as usize % self.mail.len();
+        if self.paused[self.mail[index].to] {
+            return;
+        }
+        let Mail { to, from, message } = self.mail.swap_remove(index);
+        if twice {
+            let (from, message) = (from.clone(), message.clone());
+            self.mail.push(Mail { to, from, message });
+        }
+        self.handle(to, Event::Peer { from, message });
+    }
+
+    pub fn deliver_all(&mut self) {
+        let mut left = 10_000;
+        while let Some(index) = self.mail.iter().position(|mail| !self.paused[mail.to]) {
+            let Mail { to, from, message } = self.mail.remove(index);
+            self.handle(to, Event::Peer { from, message });
+            left -= 1;
+            assert!(left > 0, "messages cause messages without end");
+        }
+    }
+
+    pub fn hand(&mut self, from: usize, to: usize, message: PeerMessage) {
+        let from = self.sender(from);
+        self.handle(to, Event::Peer { from, message });
+    }
+
+    pub fn lose(&mut self, which: u8) {
+        if !self.mail.is_empty() {
+            let index = which as usize % self.mail.len();
+            self.mail.swap_remove(index);
+        }
+    }
+
+    /// Loses all further messages about the VM list, until the world heals.
+    pub fn cut_vms_messages(&mut self) {
+        self.cut = true;
+    }
+
+    pub fn unreachable(&mut self, n: usize, peer: usize) {
+        if n != peer && !self.paused[n] {
+            self.handle(n, Event::PeerUnreachable { vm: vm(peer) });
+        }
+    }
+
+    pub fn pass(&mut self, ms: u64) {
+        self.now = self.now + Duration::from_millis(ms);
+        for n in 0..NODES {
+            if !self.paused[n] {
+                self.handle(n, Event::Tick);
+            }
+        }
+    }
+
+    pub fn pause(&mut self, n: usize) {
+        self.paused[n] = true;
+    }
+
+    pub fn resume(&mut self, n: usize) {
+        self.paused[n] = false;
+    }
+
+    pub fn restart(&mut self, n: usize) {
+        let life = self.nodes[n].configs().identity.incarnation.0 + 1;
+        self.nodes[n] = node(n, life, self.seed);
+        self.paused[n] = false;
+        self.reads[n] = None;
+        self.last_read[n] = None;
+        self.floor[n] = 0;
+        // What was on its way to the life that ended is lost with it.
+        self.mail.retain(|mail| mail.to != n);
+        self.handle(n, Event::Start);
+    }
+
+    /// Lets time pass with all messages delivered and all due reads made.
+    pub fn settle(&mut self, ms: u64) {
+        for _ in 0..ms.div_ceil(SETTLE_STEP_MS) {
+            self.pass(SETTLE_STEP_MS);
+            self.deliver_all();
+            for n in 0..NODES {
+                let now = Self::clock(n, self.now);
+                if self.nodes[n].next_vms_read(now).after.is_zero() {
+                    self.read(n);
+                }
+            }
+            self.deliver_all();
+            self.judge();
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.paused.fill(false);
+        self.cut = false;
+        (0..NODES).for_each(|n| self.end_read(n));
+        self.reads.fill_with(|| None);
+        self.settle(HEAL_MS);
+    }
+
+    /// Checks that no node holds an older state of the truth than before, and
+    /// that its list was shown when it says.
+    pub fn judge(&mut self) {
+        for n in 0..NODES {
+            let tables = self.nodes[n].tables();
+            if tables.vm_follow.number == 0 {
+                continue;
+            }
+            let held: Rows = tables
+                .vms
+                .iter()
+                .map(|vm| (vm.vm.clone(), vm.clone()))
+                .collect();
+            let later = self.truth.iter().skip(self.floor[n]);
+            let at = later.clone().position(|(_, rows)| *rows == held);
+            let at = at.unwrap_or_else(|| panic!("node {n} went back: {:?}", tables.vm_follow));
+            self.floor[n] += at;
+            let (began, ended) = (tables.vm_follow.read_began, tables.vm_follow.read_ended);
+            let shown = (self.floor[n]..self.truth.len()).any(|k| {
+                let until = self.truth.get(k + 1).map_or(self.now, |(at, _)| *at);
+                self.truth[k].1 == held
+                    && Self::clock(n, self.truth[k].0) <= ended
+                    && Self::clock(n, until) >= began
+            });
+            assert!(shown, "node {n} dates its list wrongly");
+        }
+    }
+
+    pub fn judge_converged(&mut self) {
+        self.judge();
+        let truth = self.truth[self.truth.len() - 1].1.clone();
+        for n in 0..NODES {
+            let tables = self.nodes[n].tables();
+            let held: Vec<&Vm> = tables.vms.iter().collect();
+            let shown: Vec<&Vm> = truth.values().collect();
+            assert_eq!(held, shown, "node {n}: {:?}", tables.vm_follow);
+        }
+    }
+}
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -13,6 +13,7 @@
 mod requests;
 mod retry_budget;
 mod tokens;
+mod vm_follow;
 mod vms;
 
 #[cfg(test)]
@@ -31,6 +32,7 @@
 pub use requests::{CallState, RequestRow, RequestTable, Work};
 pub use retry_budget::RetryBudget;
 pub use tokens::TokenTable;
+pub use vm_follow::{VmFollowCounters, VmFollowTable, VmQuestion, VmSource};
 pub use vms::VmTable;
 
 use crate::{
@@ -51,6 +53,8 @@
     pub follow: FollowTable,
     /// The VM list as last heard.
     pub vms: VmTable,
+    /// How the VM list is followed.
+    pub vm_follow: VmFollowTable,
     /// Other entry nodes, as heard from themselves.
     pub members: MemberTable,
     /// This node's own part in membership.
--- a/crates/core/src/tables/vms.rs
+++ b/crates/core/src/tables/vms.rs
@@ -1,29 +1,101 @@
 //! The VM list as last heard.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    iter::Peekable,
+};
 
 use serde::Serialize;
 
 use crate::{
+    config::SetDigest,
     ids::VmId,
-    platform::{Vm, VmList, VmRole},
+    platform::{Vm, VmChanges, VmList, VmRole},
 };
 
 /// VMs by name.
 #[derive(Debug, Default, Serialize)]
 pub struct VmTable {
     rows: BTreeMap<VmId, Vm>,
+    /// The entry nodes, so that looking at them costs nothing for backend servers.
+    #[serde(skip)]
+    nodes: BTreeSet<VmId>,
+    #[serde(skip)]
+    digest: SetDigest,
 }
 
 impl VmTable {
     /// Takes over a list; returns the VMs that were added, removed or changed.
     pub fn replace(&mut self, list: VmList) -> BTreeSet<VmId> {
-        let rows: BTreeMap<VmId, Vm> = list.vms.into_iter().map(|v| (v.vm.clone(), v)).collect();
-        let old = std::mem::replace(&mut self.rows, rows);
-        let new = self.rows.iter();
-        let differs = new.filter(|(vm, row)| old.get(vm) != Some(row));
-        let removed = old.keys().filter(|vm| !self.rows.contains_key(vm));
-        differs.map(|(vm, _)| vm).chain(removed).cloned().collect()
+        let changes = self.diff(list);
+        let digest = self.digest_after(&changes);
+        let touched = changes.touched();
+        self.apply(changes, digest);
+        touched
+    }
+
+    /// Returns what has to change for the table to be `list`; an entry that
+    /// comes twice counts as it is said last.
+    pub fn diff(&self, list: VmList) -> VmChanges {
+        let mut listed = list.vms;
+        listed.sort_by(|a, b| a.vm.cmp(&b.vm));
+        listed.dedup_by(|later, earlier| {
+            let same = later.vm == earlier.vm;
+            if same {
+                std::mem::swap(later, earlier);
+            }
+            same
+        });
+        let mut changes = VmChanges::default();
+        let mut rows = self.rows.values().peekable();
+        for vm in listed {
+            pass_removed(&mut rows, Some(&vm.vm), &mut changes.removed);
+            let row = rows.next_if(|row| row.vm == vm.vm);
+            if row != Some(&vm) {
+                changes.put.push(vm);
+            }
+        }
+        pass_removed(&mut rows, None, &mut changes.removed);
+        changes
+    }
+
+    /// Returns the digest that the table would have after changes.
+    pub fn digest_after(&self, changes: &VmChanges) -> SetDigest {
+        let mut digest = self.digest;
+        let put = changes.put.iter().map(|vm| &vm.vm);
+        for old in put.chain(&changes.removed) {
+            if let Some(row) = self.rows.get(old) {
+                digest.remove(row);
+            }
+        }
+        changes.put.iter().for_each(|vm| digest.add(vm));
+        digest
+    }
+
+    /// Takes over changes, which name each VM once and lead to `digest`;
+    /// returns whether they concern entry nodes.
+    pub fn apply(&mut self, changes: VmChanges, digest: SetDigest) -> bool {
+        let mut concern_nodes = false;
+        for vm in changes.removed {
+            self.rows.remove(&vm);
+            concern_nodes |= self.nodes.remove(&vm);
+        }
+        for vm in changes.put {
+            let was_node = self.nodes.remove(&vm.vm);
+            let is_node = vm.role == VmRole::Node;
+            if is_node {
+                self.nodes.insert(vm.vm.clone());
+            }
+            concern_nodes |= was_node || is_node;
+            self.rows.insert(vm.vm.clone(), vm);
+        }
+        self.digest = digest;
+        concern_nodes
+    }
+
+    /// Returns a digest of the whole list; equal lists have equal digests.
+    pub fn digest(&self) -> SetDigest {
+        self.digest
     }
 
     /// Returns a VM.
@@ -31,8 +103,24 @@
         self.rows.get(vm)
     }
 
+    /// Returns all VMs.
+    pub fn iter(&self) -> impl Iterator<Item = &Vm> {
+        self.rows.values()
+    }
+
     /// Returns the entry nodes.
     pub fn nodes(&self) -> impl Iterator<Item = &Vm> {
-        self.rows.values().filter(|vm| vm.role == VmRole::Node)
+        self.nodes.iter().filter_map(|vm| self.rows.get(vm))
+    }
+}
+
+/// Takes the rows before `until` off the front: the list doesn't show them.
+fn pass_removed<'a>(
+    rows: &mut Peekable<impl Iterator<Item = &'a Vm>>,
+    until: Option<&VmId>,
+    removed: &mut Vec<VmId>,
+) {
+    while let Some(row) = rows.next_if(|row| until.is_none_or(|until| row.vm < *until)) {
+        removed.push(row.vm.clone());
     }
 }
--- a/crates/daemon/src/configs/mod.rs
+++ b/crates/daemon/src/configs/mod.rs
@@ -16,6 +16,7 @@
 mod retry;
 mod routing;
 mod snapshots;
+mod vm_list;
 
 pub(crate) use self::{
     admission::read_admission,
@@ -28,6 +29,7 @@
     retry::read_retry,
     routing::read_routing,
     snapshots::read_snapshots,
+    vm_list::read_vm_list,
 };
 pub use self::{
     log::{LogConfig, LogFormat},
--- a/crates/daemon/src/edges/operators.rs
+++ b/crates/daemon/src/edges/operators.rs
@@ -178,6 +178,7 @@
             "broken_records": tables.config.broken_records(),
         },
         "follow": tables.follow,
+        "vm_follow": tables.vm_follow,
         "vms": tables.vms,
         "members": tables.members,
         "probes": tables.probes,
--- a/crates/daemon/src/edges/platform.rs
+++ b/crates/daemon/src/edges/platform.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use http::StatusCode;
 use radishhaven_client::HttpError;
 use radishhaven_core::message::Event;
@@ -17,6 +18,8 @@
 const READ_SLACK: Duration = Duration::from_secs(2);
 /// Time within which the log should confirm an append.
 const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time until a change of who reads the VM list is noticed.
+const VMS_POLL: Duration = Duration::from_millis(250);
 /// Appends of one record of a snapshot, the first one included.
 const SNAPSHOT_ATTEMPTS: u32 = 3;
 /// Pause before an append is tried again.
@@ -105,13 +108,32 @@
     });
 }
 
-/// Reads the VM list for as long as the process runs.
+/// Reads the VM list whenever the decisions want it, for as long as the
+/// process runs.
 pub(crate) async fn follow_vms(host: Arc<Host>) {
-    let cfg = host.settings.platform.clone();
+    let mut last = Bytes::new();
     loop {
-        if let Ok(list) = host.http.get::<VmList>(cfg.vms, VMS_PATH, READ_SLACK).await {
-            host.handle(Event::VmList(list));
+        let read = host.with(|node| node.next_vms_read(host.now()));
+        if !read.after.is_zero() {
+            tokio::time::sleep(read.after.min(VMS_POLL)).await;
+            continue;
         }
-        tokio::time::sleep(cfg.vms_every).await;
+        host.with(|node| node.begin_vms_read(host.now()));
+        let vms = host.settings.platform.vms;
+        if let Ok(body) = host.http.get_bytes(vms, VMS_PATH, READ_SLACK).await {
+            take_vms(&host, body, &mut last, read.same_will_do);
+        }
+    }
+}
+
+/// Hands an answer to the decisions; one that is the same as the last is not
+/// read again.
+fn take_vms(host: &Arc<Host>, body: Bytes, last: &mut Bytes, same_will_do: bool) {
+    if same_will_do && body == *last {
+        return host.handle(Event::VmListSame);
+    }
+    if let Ok(list) = serde_json::from_slice::<VmList>(&body) {
+        *last = body;
+        host.handle(Event::VmList(list));
     }
 }
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -110,6 +110,7 @@
             routing: settings.routing.clone(),
             dissemination: settings.dissemination.clone(),
             snapshots: settings.snapshots.clone(),
+            vm_list: settings.vm_list.clone(),
         };
         Ok(Self {
             node: Mutex::new(Node::new(cfg, seed)),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -138,6 +138,46 @@
     ] {
         count(name, help, value);
     }
+    let counted = &tables.vm_follow.counters;
+    for (name, help, value) in [
+        (
+            "vms_reads",
+            "VM lists that the platform gave this node",
+            counted.reads,
+        ),
+        (
+            "vms_late_reads",
+            "VM lists of the platform that came after something newer",
+            counted.late_reads,
+        ),
+        (
+            "vms_parts_taken",
+            "Answers and changes of peers that were taken over",
+            counted.parts_taken,
+        ),
+        (
+            "vms_old_parts",
+            "Answers of peers that might have been older",
+            counted.old_parts,
+        ),
+        (
+            "vms_divergences",
+            "Changes of peers that lead to another VM list than they name",
+            counted.divergences,
+        ),
+        (
+            "vms_wholes_given",
+            "Whole VM lists that were given to peers",
+            counted.wholes_given,
+        ),
+        (
+            "vms_changes_given",
+            "Changes of VMs that were given to peers",
+            counted.changes_given,
+        ),
+    ] {
+        count(name, help, value);
+    }
     for (outcome, &value) in &counters.outcomes {
         let name = format!("outcome_{}", outcome.replace([' ', '-', '(', ')'], "_"));
         count(&name, "Answers with this outcome", value);
@@ -186,9 +226,18 @@
         "1 while the log is followed, 0 while it is out or refused",
         u64::from(follow.log == LogState::Following),
     );
-    let age = follow.read.map_or(now.as_millis(), |read| {
-        u64::try_from(now.since(read).as_millis()).unwrap_or(u64::MAX)
-    });
+    let age_ms = |at| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
+    gauge(
+        "vms_age_ms",
+        "Milliseconds since the platform showed the VM list that is held",
+        age_ms(tables.vm_follow.read_began),
+    );
+    gauge(
+        "vms_followers",
+        "Nodes that rely on this one for the VM list",
+        tables.vm_follow.followers.len() as u64,
+    );
+    let age = follow.read.map_or(now.as_millis(), age_ms);
     gauge(
         "config_log_age_ms",
         "Milliseconds since the log answered this node",
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -16,12 +16,13 @@
 use radishhaven_core::configs::{
     AdmissionConfig, DirectoryConfig, DisseminationConfig, LeaseConfig, MembershipConfig,
     OnceConfig, OrderConfig, RecoveryConfig, RetryConfig, RoutingConfig, SnapshotsConfig,
+    VmListConfig,
 };
 
 use crate::configs::{
     LogConfig, NodeConfig, OperatorsConfig, PeersConfig, PlatformConfig, read_admission,
     read_directory, read_dissemination, read_lease, read_membership, read_once, read_orders,
-    read_recovery, read_retry, read_routing, read_snapshots,
+    read_recovery, read_retry, read_routing, read_snapshots, read_vm_list,
 };
 
 /// A file with every setting, its default and its unit.
@@ -62,6 +63,8 @@
     pub dissemination: DisseminationConfig,
     /// `[snapshots]`.
     pub snapshots: SnapshotsConfig,
+    /// `[vm_list]`, and the time between two reads of `[platform]`.
+    pub vm_list: VmListConfig,
 }
 
 /// One mistake in a settings file.
@@ -374,6 +377,8 @@
         let operators = reader.section("operators", |s| OperatorsConfig::read(s, listen));
         let dissemination = reader.section("dissemination", read_dissemination);
         let snapshots = reader.section("snapshots", read_snapshots);
+        let read = platform.as_ref().map(|platform| platform.vms_every);
+        let vm_list = reader.section("vm_list", |section| read_vm_list(section, read));
         reader.reject_other_sections();
         match (node, peers, platform, operators) {
             (Some(node), Some(peers), Some(platform), Some(operators))
@@ -396,6 +401,7 @@
                     operators,
                     dissemination,
                     snapshots,
+                    vm_list,
                 })
             }
             _ => Err(SettingsErrors(reader.errors)),
