feat(vm-list): read the list every 3 s, so that a leaving VM is known after a few seconds

The price is 515 KB/s instead of 309 KB/s at the 34 readers (arithmetic).

A change that a node tells of is now taken whenever its base is the list that is held and it is a later state of the same list. The further check that its number is the next one was found to prove nothing: without it all 10,000 histories passed, because the digest of the base says the same.

Not seen to fail: without the check that the same answer of the platform counts only while the list is of an own read, all passed; it matters where the platform's list changes and changes back around a read, which the histories did not reach.

--- a/crates/core/src/configs/vm_list.rs
+++ b/crates/core/src/configs/vm_list.rs
@@ -7,7 +7,7 @@
 /// [`DisseminationConfig::readers`](super::DisseminationConfig::readers).
 #[derive(Debug, Clone)]
 pub struct VmListConfig {
-    /// Time between two reads of a node that reads for others. Default: 5 s.
+    /// Time between two reads of a node that reads for others. Default: 3 s.
     pub read: Duration,
     /// Time between two questions of a node that relies on a reader. Default: 5 s.
     pub refresh: Duration,
@@ -26,7 +26,7 @@
 impl Default for VmListConfig {
     fn default() -> Self {
         Self {
-            read: Duration::from_secs(5),
+            read: Duration::from_secs(3),
             refresh: Duration::from_secs(5),
             answer: Duration::from_secs(10),
             fallback: Duration::from_secs(20),
--- a/crates/core/src/systems/vm_list/ask.rs
+++ b/crates/core/src/systems/vm_list/ask.rs
@@ -88,11 +88,8 @@
 
 /// Takes in a change that a node tells of by itself.
 pub(super) fn told(cx: &mut Context<'_>, from: &Sender, part: VmsPart) {
-    let source = cx.tables.vm_follow.source.as_ref();
-    let next = source.map(|source| source.number + 1);
-    if follows(cx, from, &part) && next == Some(part.number) {
-        let began = cx.tables.vm_follow.read_began;
-        take(cx, from, part, began);
+    let began = cx.tables.vm_follow.read_began;
+    if follows(cx, from, &part) && take(cx, from, part, began) {
         return;
     }
     let follow = &mut cx.tables.vm_follow;
--- a/crates/daemon/src/configs/platform.rs
+++ b/crates/daemon/src/configs/platform.rs
@@ -14,12 +14,12 @@
     /// How long one read of the log waits for a new record. Default: 1 s.
     pub log_wait: Duration,
     /// Time between two reads of the VM list, at a node that reads for others.
-    /// Default: 5 s.
+    /// Default: 3 s.
     pub vms_every: Duration,
 }
 
 const DEFAULT_LOG_WAIT: Duration = Duration::from_millis(1_000);
-const DEFAULT_VMS_EVERY: Duration = Duration::from_millis(5_000);
+const DEFAULT_VMS_EVERY: Duration = Duration::from_millis(3_000);
 
 impl PlatformConfig {
     pub(crate) fn read(section: &mut Section<'_>) -> Option<Self> {
