perf(orders): take over only the engines that changed

Cause: each change of the configuration or of the VM list walked all backend servers at a node that gives orders.

No check is lost.

--- a/crates/core/src/config/tests.rs
+++ b/crates/core/src/config/tests.rs
@@ -1,9 +1,6 @@
 //! Tests of the fold and of snapshots.
 
-use std::{
-    collections::BTreeMap,
-    time::{Duration, Instant},
-};
+use std::collections::BTreeMap;
 
 use super::*;
 use crate::{
@@ -211,29 +208,3 @@
     let last = parts.into_iter().map(|part| reader.add(part)).last();
     assert!(matches!(last, Some(Err(SnapshotError::Digest(_)))));
 }
-
-/// Measures one change against 600 and against 12,000 backend servers.
-#[test]
-#[ignore = "measures time; see docs/MEASUREMENTS.md"]
-fn measure_the_cost_of_one_change() {
-    for backends in [600, 12_000] {
-        let mut config = large(backends);
-        let begun = Instant::now();
-        for n in 0..1_000 {
-            apply(
-                &mut config,
-                &format!("c-{n}"),
-                vec![backend("b-7", "m", 16)],
-            );
-        }
-        let each = begun.elapsed() / 1_000;
-        let begun = Instant::now();
-        let parts = config.snapshot();
-        let bytes: usize = parts.iter().map(|part| part.to_body().len()).sum();
-        let cut: Duration = begun.elapsed();
-        println!(
-            "{backends} backend servers: {each:?} a batch; snapshot of {} parts, {bytes} bytes in {cut:?}",
-            parts.len()
-        );
-    }
-}
--- a/crates/core/src/systems/orders.rs
+++ b/crates/core/src/systems/orders.rs
@@ -3,11 +3,11 @@
 //! A shard is the engines of one failure domain. See `docs/design/leases.md`
 //! and `docs/design/orders.md`.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeSet, time::Duration};
 
 use super::{Context, Timer};
 use crate::{
-    config::Carries,
+    config::{Carries, Kind, Object, ObjectKey},
     ids::{ShardId, VmId},
     lease::{Holder, LeaseRecord, Leases},
     message::Action,
@@ -72,49 +72,71 @@
     }
 }
 
-/// Takes over what engines are to hold; runs when the configuration or the
-/// VM list changed them.
-pub fn changed(cx: &mut Context<'_>) {
+/// Takes over what some engines are to hold; runs when the configuration or
+/// the VM list changed them, and costs nothing for the others.
+pub fn changed(cx: &mut Context<'_>, vms: &BTreeSet<VmId>) {
     if !cx.cfg.orders.give {
         return;
     }
-    let mut shard_of = BTreeMap::new();
-    for backend in cx.tables.config.backends() {
-        let row = cx.tables.backends.get(&backend.id);
-        let shard = row.and_then(|row| row.failure_domain.as_str().parse::<ShardId>().ok());
-        let Carries::Layers {
-            model,
-            version,
-            layers,
-            adapters,
-        } = &backend.carries
-        else {
-            continue;
-        };
-        let Some(shard) = shard else {
-            continue;
-        };
-        let desired = Desired {
-            model: model.clone(),
-            version: version.clone(),
-            layers: *layers,
-            adapters: adapters.clone(),
-            checks_tokens: backend.checks_tokens,
+    for vm in vms {
+        let (shard, desired) = wanted(cx, vm).unzip();
+        let shard_of = &mut cx.tables.orders.shard_of;
+        let before = match &shard {
+            Some(shard) => shard_of.insert(vm.clone(), shard.clone()),
+            None => shard_of.remove(vm),
         };
-        let orders = cx.tables.orders.shards.entry(shard.clone()).or_default();
-        orders.set(cx.now, &backend.id, Some(desired));
-        shard_of.insert(backend.id.clone(), shard);
-    }
-    let before = std::mem::replace(&mut cx.tables.orders.shard_of, shard_of);
-    for (vm, shard) in before {
-        if cx.tables.orders.shard_of.get(&vm) != Some(&shard)
-            && let Some(orders) = cx.tables.orders.shards.get_mut(&shard)
+        let shards = &mut cx.tables.orders.shards;
+        if before != shard
+            && let Some(orders) = before.and_then(|before| shards.get_mut(&before))
         {
-            orders.set(cx.now, &vm, None);
+            orders.set(cx.now, vm, None);
+        }
+        if let Some(shard) = shard {
+            shards.entry(shard).or_default().set(cx.now, vm, desired);
         }
     }
 }
 
+/// Takes over what all engines are to hold.
+pub fn all_changed(cx: &mut Context<'_>) {
+    let known = cx.tables.orders.shard_of.keys().cloned();
+    let configured = cx.tables.config.backends();
+    let configured = configured.map(|backend| backend.id.clone());
+    let vms = known.chain(configured).collect();
+    changed(cx, &vms);
+}
+
+/// Returns an engine's shard and what it is to hold.
+fn wanted(cx: &Context<'_>, vm: &VmId) -> Option<(ShardId, Desired)> {
+    let row = cx.tables.backends.get(vm)?;
+    let shard = row.failure_domain.as_str().parse().ok()?;
+    let key = ObjectKey {
+        kind: Kind::Backend,
+        name: vm.to_string(),
+    };
+    let entry = cx.tables.config.objects().get(&key)?;
+    let Object::Backend(backend) = &entry.object else {
+        return None;
+    };
+    let Carries::Layers {
+        model,
+        version,
+        layers,
+        adapters,
+    } = &backend.carries
+    else {
+        return None;
+    };
+    let desired = Desired {
+        model: model.clone(),
+        version: version.clone(),
+        layers: *layers,
+        adapters: adapters.clone(),
+        checks_tokens: backend.checks_tokens,
+    };
+    Some((shard, desired))
+}
+
 fn term(cx: &Context<'_>, shard: &ShardId) -> Option<Term> {
     let leases = cx.tables.orders.leases.as_ref()?;
     let token = leases.token(cx.now, shard)?;
--- a/crates/core/src/systems/platform.rs
+++ b/crates/core/src/systems/platform.rs
@@ -23,7 +23,7 @@
 pub fn update(cx: &mut Context<'_>, changed: &BTreeSet<VmId>) {
     let tables = &mut *cx.tables;
     tables.backends.update(&tables.config, &tables.vms, changed);
-    orders::changed(cx);
+    orders::changed(cx, changed);
 }
 
 /// Joins the whole VM list with the configuration, after what concerns all of
@@ -31,5 +31,5 @@
 pub fn rebuild(cx: &mut Context<'_>) {
     let tables = &mut *cx.tables;
     tables.backends.rebuild(&tables.config, &tables.vms);
-    orders::changed(cx);
+    orders::all_changed(cx);
 }
--- /dev/null
+++ b/crates/standin/examples/slopes/list.rs
@@ -0,0 +1,112 @@
+//! The VM list: reads of a reader, changes that the others are told of.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use radishhaven_core::{
+    message::Event,
+    peer::{PeerMessage, VmsMessage, VmsPart},
+    platform::{Vm, VmChanges, VmList, VmState},
+    tables::{BackendTable, VmTable},
+};
+use radishhavend::edges::peers;
+
+use crate::{
+    fit::Point,
+    report::Report,
+    sample::{self, Sample},
+    target,
+};
+
+const SIZES: [usize; 5] = [750, 1_500, 3_000, 6_000, 12_000];
+const ORGANISATIONS: usize = 10;
+const LISTS: usize = 10;
+
+/// Measures over the number of backend servers.
+pub fn measure(report: &mut Report) {
+    let (of, each) = (target::WORKERS, "backend server");
+    let mut costs: [Vec<Point>; 7] = Default::default();
+    for workers in SIZES {
+        let size = workers as f64;
+        let found = [measure_reads(workers), measure_changes(workers)].concat();
+        for (points, cost) in costs.iter_mut().zip(found) {
+            points.push(Point { size, cost });
+        }
+    }
+    let names = [
+        ("bytes of the VM list", "KiB"),
+        ("reading the VM list", "us"),
+        ("taking over the VM list", "us"),
+        ("comparing the VM list with the last", "us"),
+        ("bytes of the VM list to a node", "KiB"),
+        ("bytes of one change to a node", "KiB"),
+        ("taking over one change of a node", "us"),
+    ];
+    for ((name, unit), points) in names.into_iter().zip(costs) {
+        report.add(name, each, unit, points, of);
+    }
+}
+
+fn measure_reads(workers: usize) -> Vec<f64> {
+    let mut node = Sample::new(workers, ORGANISATIONS);
+    let mut vms: Vec<Vm> = (0..workers).map(sample::vm).collect();
+    let text = serde_json::to_vec(&VmList { vms: vms.clone() }).unwrap_or_default();
+    let read = sample::least_micros(LISTS, || {
+        let list: Result<VmList, _> = serde_json::from_slice(&text);
+        assert!(list.is_ok(), "the list can be read");
+    });
+    let mut flips = 0;
+    let take = sample::least_micros(LISTS, || {
+        flips += 1;
+        vms[flips].state = VmState::Leaving;
+        node.handle(Event::VmList(VmList { vms: vms.clone() }));
+    });
+    let last = text.clone();
+    let same = sample::least_micros(LISTS, || {
+        assert!(std::hint::black_box(&last) == std::hint::black_box(&text));
+        node.handle(Event::VmListSame);
+    });
+    vec![text.len() as f64 / 1024.0, read, take, same]
+}
+
+fn measure_changes(workers: usize) -> Vec<f64> {
+    let node = Sample::new(workers, ORGANISATIONS);
+    let config = &node.node.tables().config;
+    let all: Vec<Vm> = (0..workers).map(sample::vm).collect();
+    let mut vms = VmTable::default();
+    vms.replace(VmList { vms: all.clone() });
+    let mut backends = BackendTable::default();
+    backends.rebuild(config, &vms);
+    let mut flips = 0;
+    let mut change = Vec::new();
+    let take = sample::least_micros(LISTS, || {
+        flips += 1;
+        let mut vm = all[flips].clone();
+        vm.state = VmState::Leaving;
+        let changed = BTreeSet::from([vm.vm.clone()]);
+        change = vec![vm];
+        let changes = changes(change.clone());
+        let digest = vms.digest_after(&changes);
+        vms.apply(changes, digest);
+        backends.update(config, &vms, &changed);
+    });
+    vec![encoded(&vms, all), encoded(&vms, change), take]
+}
+
+fn changes(put: Vec<Vm>) -> VmChanges {
+    let removed = Vec::new();
+    VmChanges { put, removed }
+}
+
+fn encoded(vms: &VmTable, put: Vec<Vm>) -> f64 {
+    let part = VmsPart {
+        number: u64::from(u16::MAX),
+        base: Some(vms.digest()),
+        digest: vms.digest(),
+        began_ago: Duration::from_millis(1_234),
+        ended_ago: Duration::from_millis(1_234),
+        changes: changes(put),
+    };
+    let message = PeerMessage::Vms(VmsMessage::Changed(part));
+    let frame = peers::encode(&message).map_or(0, |frame| frame.len());
+    frame as f64 / 1024.0
+}
--- a/crates/standin/examples/slopes/main.rs
+++ b/crates/standin/examples/slopes/main.rs
@@ -5,7 +5,9 @@
 //! the cost of a token is taken from a whole deployment on loopback.
 
 mod changes;
+mod configuration;
 mod fit;
+mod list;
 mod organisations;
 mod report;
 mod requests;
@@ -25,11 +27,21 @@
 static ALLOCATED: cap::Cap<std::alloc::System> = cap::Cap::new(std::alloc::System, usize::MAX);
 
 /// What can be measured over.
-const MEASURES: [&str; 5] = ["workers", "organisations", "changes", "requests", "tokens"];
+const MEASURES: [&str; 7] = [
+    "workers",
+    "list",
+    "configuration",
+    "organisations",
+    "changes",
+    "requests",
+    "tokens",
+];
 
 fn measure(name: &str, report: &mut Report) -> Result<(), Box<dyn Error>> {
     match name {
         "workers" => workers::measure(report),
+        "list" => list::measure(report),
+        "configuration" => configuration::measure(report),
         "organisations" => organisations::measure(report),
         "changes" => changes::measure(report),
         "requests" => requests::measure(report),
--- a/crates/standin/examples/slopes/sample.rs
+++ b/crates/standin/examples/slopes/sample.rs
@@ -47,6 +47,11 @@
 impl Sample {
     /// Makes a node that serves `workers` engines and `organisations`.
     pub fn new(workers: usize, organisations: usize) -> Self {
+        Self::with(workers, organisations, |_| {})
+    }
+
+    /// Makes such a node with settings that `shape` changes.
+    pub fn with(workers: usize, organisations: usize, shape: impl FnOnce(&mut Configs)) -> Self {
         let identity = Identity {
             vm: id("node-0"),
             failure_domain: id("domain-0"),
@@ -56,6 +61,7 @@
         let mut cfg = Configs::new(identity);
         // What a request costs is measured here, not how many are let in.
         cfg.admission.initial_limit = OPEN_REQUESTS;
+        shape(&mut cfg);
         let mut sample = Self {
             node: Node::new(cfg, 1),
             now: Timestamp::from_millis(1),
@@ -201,7 +207,8 @@
     })
 }
 
-fn backend(n: usize) -> Object {
+/// Makes what the configuration says of one engine.
+pub fn backend(n: usize) -> Object {
     let per_stage = LAYERS / STAGES;
     let stage = (n / usize::from(target::MODELS)) as u16 % STAGES;
     let layers = format!("{}..{}", stage * per_stage, (stage + 1) * per_stage);
