perf(dissemination): ask a few peers only, while nobody holds a configuration

Cause: nodes that start together while the log is out all asked all others for their revision once a second, 359 questions and as many answers a node at 360 nodes. Now all are asked in the first round; while nobody holds anything, the next ones ask 8 at random. As soon as one of them holds something, or the log was read, all are asked again before the node serves, so what a node must hold to be ready is the same as before. Ruled out: longer pauses between whole rounds, which make the start slower and save less.

--- a/crates/core/src/systems/dissemination/join.rs
+++ b/crates/core/src/systems/dissemination/join.rs
@@ -1,5 +1,7 @@
 //! Keeps a node that starts or returns from serving an old configuration.
 
+use rand::seq::IteratorRandom;
+
 use super::{Context, relay, send};
 use crate::{
     ids::{Revision, VmId},
@@ -8,6 +10,11 @@
     tables::Join,
 };
 
+/// Peers that are asked in a round after one in which nobody held anything:
+/// nodes that start together while the log is out must not all ask all others
+/// again and again.
+const FEW: usize = 8;
+
 /// Begins to ask the peers; nothing is served until that is over.
 pub(super) fn begin(cx: &mut Context<'_>) {
     if cx.tables.follow.join.is_some() {
@@ -32,7 +39,8 @@
         join.pending.clear();
     }
     finish(cx);
-    if cx.tables.follow.join.is_some() {
+    let join = cx.tables.follow.join.as_ref();
+    if join.is_some_and(|join| join.pending.is_empty()) {
         round(cx);
     }
 }
@@ -40,13 +48,17 @@
 fn round(cx: &mut Context<'_>) {
     let own = &cx.cfg.identity.vm;
     let nodes = cx.tables.vms.nodes();
-    let peers: Vec<VmId> = nodes
-        .filter(|vm| vm.vm != *own && vm.peer_address.is_some())
-        .map(|vm| vm.vm.clone())
-        .collect();
+    let peers = nodes.filter(|vm| vm.vm != *own && vm.peer_address.is_some());
+    let peers = peers.map(|vm| vm.vm.clone());
     let Some(join) = &mut cx.tables.follow.join else {
         return;
     };
+    let held = join.heard.values().any(|revision| *revision > Revision(0));
+    join.all = !join.asked || held || join.log_read;
+    let peers: Vec<VmId> = match join.all {
+        true => peers.collect(),
+        false => peers.choose_multiple(cx.rng, FEW),
+    };
     cx.tables.follow.counters.joins += u64::from(!join.asked);
     join.asked = true;
     join.heard.clear();
@@ -92,6 +104,13 @@
     }
     let newest = join.heard.values().max().copied().unwrap_or_default();
     let log_read = join.log_read;
+    if !join.all {
+        // A few can't tell what the others hold.
+        if log_read || newest > Revision(0) {
+            round(cx);
+        }
+        return;
+    }
     if cx.tables.config.revision() < newest {
         relay::catch_up_soon(cx);
         return;
--- a/crates/core/src/systems/dissemination/tests.rs
+++ b/crates/core/src/systems/dissemination/tests.rs
@@ -249,3 +249,17 @@
     };
     assert_eq!(actions.iter().filter(|a| asks(a)).count(), NODES - 1);
 }
+
+#[test]
+fn nodes_that_start_without_a_log_ask_all_peers_once_and_then_a_few() {
+    const PEERS: usize = 40;
+    let mut lone = world::Lone::new(PEERS);
+    assert_eq!(lone.asked(), PEERS, "the first round");
+    let later: usize = (0..10).map(|_| lone.pass_a_round()).sum();
+    assert!(later <= 10 * 8, "{later} questions in ten rounds");
+    assert!(later > 0);
+    // Somebody has the configuration now, so all are asked before it serves.
+    lone.answer(3);
+    assert!(!lone.node.tables().ready);
+    assert_eq!(lone.pass_a_round().max(lone.asked()), PEERS);
+}
--- a/crates/core/src/systems/dissemination/tests/world.rs
+++ b/crates/core/src/systems/dissemination/tests/world.rs
@@ -484,3 +484,69 @@
     };
     (0..rounds).map(|_| round(&mut rng)).collect()
 }
+
+/// One node whose peers are on the VM list and whose log is out.
+pub struct Lone {
+    pub node: Node,
+    now: Timestamp,
+    questions: Vec<VmId>,
+}
+
+impl Lone {
+    pub fn new(peers: usize) -> Self {
+        let mut lone = Self {
+            node: node(0, 1, 1),
+            now: Timestamp::from_millis(10),
+            questions: Vec::new(),
+        };
+        let mut list = list();
+        let first = list.vms[0].clone();
+        list.vms = (0..=peers)
+            .map(|n| Vm {
+                vm: vm(n),
+                ..first.clone()
+            })
+            .collect();
+        lone.handle(Event::Start);
+        lone.handle(Event::VmList(list));
+        lone.handle(Event::ConfigReadFailed);
+        lone
+    }
+
+    fn handle(&mut self, event: Event) {
+        for action in self.node.handle(self.now, event) {
+            let ask = PeerMessage::Config(crate::peer::ConfigMessage::AskRevision);
+            if let Action::Peer { to, message, .. } = action
+                && message == ask
+            {
+                self.questions.push(to);
+            }
+        }
+    }
+
+    /// Returns the number of questions since it was called last.
+    pub fn asked(&mut self) -> usize {
+        std::mem::take(&mut self.questions).len()
+    }
+
+    pub fn pass_a_round(&mut self) -> usize {
+        self.now = self.now + self.node.configs().dissemination.join_wait;
+        self.handle(Event::Tick);
+        self.asked()
+    }
+
+    /// Lets one of the peers that were asked last say its revision.
+    pub fn answer(&mut self, revision: u64) {
+        self.now = self.now + self.node.configs().dissemination.join_wait;
+        self.handle(Event::Tick);
+        let asked = self.questions.first().cloned().expect("a question");
+        let from = Sender {
+            vm: asked,
+            incarnation: Incarnation(1),
+        };
+        let revision = crate::peer::ConfigMessage::Revision(Revision(revision));
+        let message = PeerMessage::Config(revision);
+        self.questions.clear();
+        self.handle(Event::Peer { from, message });
+    }
+}
--- a/crates/core/src/tables/follow.rs
+++ b/crates/core/src/tables/follow.rs
@@ -35,6 +35,8 @@
 pub struct Join {
     /// Whether peers were asked for their revisions.
     pub asked: bool,
+    /// Whether all peers were asked in this round, and not a few.
+    pub all: bool,
     /// Peers that have not answered.
     pub pending: BTreeSet<VmId>,
     /// What the others have said.
