fix(vm-list): don't ask again at once for a list that is equal and not newer

If the digests are equal nothing is lacking, and the next change is told and asked for then.

cargo test -p radishhaven-core: all passed, 69 in the library.

--- a/crates/core/src/systems/vm_list/ask.rs
+++ b/crates/core/src/systems/vm_list/ask.rs
@@ -78,8 +78,15 @@
     // It was sent after the question, so it was read no earlier than this.
     let began = question.asked - part.began_ago;
     if !follows(cx, from, &part) && began < cx.tables.vm_follow.read_ended {
-        cx.tables.vm_follow.counters.old_parts += 1;
-        return unhelped(cx);
+        let same = part.digest == cx.tables.vms.digest();
+        let follow = &mut cx.tables.vm_follow;
+        follow.counters.old_parts += 1;
+        if !same {
+            return unhelped(cx);
+        }
+        // Nothing is lacking; what changes next is told, and asked for then.
+        follow.next_ask = cx.now + cx.cfg.vm_list.refresh;
+        return;
     }
     if take(cx, from, part, began) {
         cx.tables.vm_follow.next_ask = cx.now + cx.cfg.vm_list.refresh;
