perf(membership): sort the ring once a round, and look at the seats in reach only

Cause, by perf at 360 nodes of the example members: while nodes start, each message that brings news renewed the whole view, the ring of all nodes and the probers of every seat included. Now the ring is sorted in rounds only, and only the 16 seats after the own one are looked at, beyond which nobody probes.

The rest is, by perf, half the copying of the list of live nodes for each news.

--- a/crates/core/src/systems/membership/probe.rs
+++ b/crates/core/src/systems/membership/probe.rs
@@ -37,9 +37,11 @@
         cx.tables.probes.beat += 1;
     }
     view::renew(cx);
+    view::renew_targets(cx);
     judge_round(cx);
     search_old(cx);
     view::renew(cx);
+    view::renew_targets(cx);
     probe_targets(cx);
     probe_random(cx);
     if rounds.is_multiple_of(ROUNDS_PER_ABSENT) {
--- a/crates/core/src/systems/membership/view.rs
+++ b/crates/core/src/systems/membership/view.rs
@@ -11,7 +11,6 @@
     ids::{FailureDomain, VmId},
     peer::MemberStatus,
     rendezvous,
-    tables::MemberView,
 };
 
 /// Nodes that probe one node.
@@ -27,45 +26,64 @@
     pub(super) domain: &'a FailureDomain,
 }
 
-/// Renews the view if members changed since it was made.
+/// Renews who is there, if members changed since it was made.
 pub(super) fn renew(cx: &mut Context<'_>) {
     let version = cx.tables.members.version();
-    if cx.tables.probes.view.version == version {
+    let view = &mut cx.tables.probes.view;
+    if view.version == version {
         return;
     }
-    let mut view = MemberView {
-        version,
-        ..MemberView::default()
-    };
-    let own = &cx.cfg.identity;
-    let mut ring = vec![Seat {
-        vm: &own.vm,
-        domain: &own.failure_domain,
-    }];
+    view.version = version;
+    view.live.clear();
+    view.absent.clear();
     for (vm, row) in cx.tables.members.rows() {
-        let Some(domain) = row.failure_domain() else {
+        if row.place.is_none() {
             continue;
-        };
-        let dead = row.status == MemberStatus::Dead;
-        if !dead {
-            ring.push(Seat { vm, domain });
         }
-        let list = if dead || !row.was_heard() {
+        let absent = row.status == MemberStatus::Dead || !row.was_heard();
+        let list = if absent {
             &mut view.absent
         } else {
             &mut view.live
         };
         list.push(vm.clone());
     }
-    view.targets = targets(ring, &own.vm);
-    cx.tables.probes.view = view;
 }
 
-/// Returns the nodes of a ring that `own` probes.
+/// Renews whom this node probes, if members changed since it was made; the
+/// ring is sorted for it, so it is done once a round and not for each message.
+pub(super) fn renew_targets(cx: &mut Context<'_>) {
+    let version = cx.tables.members.version();
+    if cx.tables.probes.view.targets_version == version {
+        return;
+    }
+    let own = &cx.cfg.identity;
+    let mut ring = vec![Seat {
+        vm: &own.vm,
+        domain: &own.failure_domain,
+    }];
+    let rows = cx.tables.members.rows().iter();
+    let alive = rows.filter(|(_, row)| row.status != MemberStatus::Dead);
+    ring.extend(alive.filter_map(|(vm, row)| {
+        let domain = row.failure_domain()?;
+        Some(Seat { vm, domain })
+    }));
+    let targets = targets(ring, &own.vm);
+    let view = &mut cx.tables.probes.view;
+    view.targets = targets;
+    view.targets_version = version;
+}
+
+/// Returns the nodes of a ring that `own` probes; they stand within reach of
+/// the search after it.
 pub(super) fn targets(mut ring: Vec<Seat<'_>>, own: &VmId) -> BTreeSet<VmId> {
-    ring.sort_by_cached_key(|seat| (rendezvous::score(RING, seat.vm.as_str()), seat.vm.clone()));
-    let probed = |at: &usize| ring[*at].vm != own && probers(&ring, *at).contains(&own);
-    let found = (0..ring.len()).filter(probed);
+    ring.sort_by_cached_key(|seat| (rendezvous::score(RING, seat.vm.as_str()), seat.vm));
+    let Some(place) = ring.iter().position(|seat| seat.vm == own) else {
+        return BTreeSet::new();
+    };
+    let reach = SEARCH_STEPS.min(ring.len() - 1);
+    let after = (1..=reach).map(|step| (place + step) % ring.len());
+    let found = after.filter(|at| probers(&ring, *at).contains(&own));
     found.map(|at| ring[at].vm.clone()).collect()
 }
 
--- a/crates/core/src/tables/probes.rs
+++ b/crates/core/src/tables/probes.rs
@@ -16,6 +16,8 @@
     pub live: Vec<VmId>,
     /// Nodes that are dead or were never heard.
     pub absent: Vec<VmId>,
+    /// The version that `targets` was made from.
+    pub targets_version: u64,
     /// Nodes that this node probes each round.
     pub targets: BTreeSet<VmId>,
 }
