--- a/crates/core/src/configs/mod.rs
+++ b/crates/core/src/configs/mod.rs
@@ -16,6 +16,7 @@
 mod retry;
 mod routing;
 mod snapshots;
+mod vm_list;
 mod watch;
 
 pub use crate::{lease::LeaseConfig, orders::OrderConfig};
@@ -32,6 +33,7 @@
 pub use retry::RetryConfig;
 pub use routing::RoutingConfig;
 pub use snapshots::SnapshotsConfig;
+pub use vm_list::VmListConfig;
 pub use watch::WatchConfig;
 
 /// All settings of the decisions.
@@ -69,6 +71,8 @@
     pub snapshots: SnapshotsConfig,
     /// `[watch]`.
     pub watch: WatchConfig,
+    /// `[vm_list]`.
+    pub vm_list: VmListConfig,
 }
 
 impl Configs {
@@ -91,6 +95,7 @@
             dissemination: DisseminationConfig::default(),
             snapshots: SnapshotsConfig::default(),
             watch: WatchConfig::default(),
+            vm_list: VmListConfig::default(),
         }
     }
 }
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -15,6 +15,7 @@
 mod retry_budget;
 mod services;
 mod tokens;
+mod vm_follow;
 mod vms;
 mod watch;
 
@@ -36,6 +37,7 @@
 pub use retry_budget::RetryBudget;
 pub use services::{CallTimes, ServiceTable};
 pub use tokens::TokenTable;
+pub use vm_follow::{VmFollowCounters, VmFollowTable, VmQuestion, VmSource};
 pub use vms::VmTable;
 pub use watch::{Outbox, Urgency, WatchCounters, WatchTable, Watched};
 
@@ -57,6 +59,8 @@
     pub follow: FollowTable,
     /// The VM list as last heard.
     pub vms: VmTable,
+    /// How the VM list is followed.
+    pub vm_follow: VmFollowTable,
     /// Other entry nodes, as heard from themselves.
     pub members: MemberTable,
     /// This node's own part in membership.
--- a/crates/daemon/src/configs/mod.rs
+++ b/crates/daemon/src/configs/mod.rs
@@ -20,6 +20,7 @@
 mod retry;
 mod routing;
 mod snapshots;
+mod vm_list;
 mod watch;
 
 pub(crate) use self::{
@@ -36,6 +37,7 @@
     retry::read_retry,
     routing::read_routing,
     snapshots::read_snapshots,
+    vm_list::read_vm_list,
     watch::read_watch,
 };
 pub use self::{
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -119,6 +119,7 @@
             dissemination: settings.dissemination.clone(),
             snapshots: settings.snapshots.clone(),
             watch: settings.watch.clone(),
+            vm_list: settings.vm_list.clone(),
         };
         Ok(Self {
             node: Mutex::new(Node::new(cfg, seed)),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -16,14 +16,14 @@
 use radishhaven_core::configs::{
     AdmissionConfig, DirectoryConfig, DisseminationConfig, FlowConfig, HealthConfig, HedgeConfig,
     LeaseConfig, MembershipConfig, OnceConfig, OrderConfig, RecoveryConfig, RetryConfig,
-    RoutingConfig, SnapshotsConfig, WatchConfig,
+    RoutingConfig, SnapshotsConfig, VmListConfig, WatchConfig,
 };
 
 use crate::configs::{
     CallersConfig, LogConfig, NodeConfig, OperatorsConfig, PeersConfig, PlatformConfig,
     read_admission, read_directory, read_dissemination, read_flow, read_health, read_hedge,
     read_lease, read_membership, read_once, read_orders, read_recovery, read_retry, read_routing,
-    read_snapshots, read_watch,
+    read_snapshots, read_vm_list, read_watch,
 };
 
 /// A file with every setting, its default and its unit.
@@ -74,6 +74,8 @@
     pub snapshots: SnapshotsConfig,
     /// `[watch]`.
     pub watch: WatchConfig,
+    /// `[vm_list]`, and the time between two reads of `[platform]`.
+    pub vm_list: VmListConfig,
 }
 
 /// One mistake in a settings file.
@@ -391,6 +393,8 @@
         let dissemination = reader.section("dissemination", read_dissemination);
         let snapshots = reader.section("snapshots", read_snapshots);
         let watch = reader.section("watch", read_watch);
+        let read = platform.as_ref().map(|platform| platform.vms_every);
+        let vm_list = reader.section("vm_list", |section| read_vm_list(section, read));
         reader.reject_other_sections();
         match (node, peers, platform, operators) {
             (Some(node), Some(peers), Some(platform), Some(operators))
@@ -418,6 +422,7 @@
                     dissemination,
                     snapshots,
                     watch,
+                    vm_list,
                 })
             }
             _ => Err(SettingsErrors(reader.errors)),
