feat(readiness): reject new requests until the node holds what its peers hold

Now a new request is answered at once as not run (no capacity), with a time to come back; ids are not minted, no directory names the node (the heartbeat carries `ready`, so the version of the peers' messages is 2), no lease is claimed and no order given. What concerns requests that may run elsewhere goes on. Nothing is judged by the old configuration: neither tokens nor which operations are idempotent. A node that has served goes on when no peer that answers holds more, also while the log is out. After `ready_within_ms` it logs an error and counts it, and waits on.

Two more were found by reading and have a test of their own, since no generated case fails without them: a late answer to an earlier question, and a round that ended during a pause.

The directory's fixtures are ready.

--- a/crates/core/src/configs/dissemination.rs
+++ b/crates/core/src/configs/dissemination.rs
@@ -26,6 +26,9 @@
     /// Time without a sign of the log or of peers after which a node asks
     /// its peers before it serves on. Default: 5 s.
     pub rejoin_after: Duration,
+    /// Time after which a node that does not serve yet says so to the
+    /// operators, and how often it says it again. Default: 10 s.
+    pub ready_within: Duration,
 }
 
 impl Default for DisseminationConfig {
@@ -40,6 +43,7 @@
             join_wait: Duration::from_secs(1),
             kept_records: 4_096,
             rejoin_after: Duration::from_secs(5),
+            ready_within: Duration::from_secs(10),
         }
     }
 }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -8,7 +8,7 @@
     engine::{EngineRefusal, KvCache, SessionRef, StageInput, StepReply},
     ids::{
         Attempt, FencingToken, LayerRange, ModelId, PipelineId, Position, Priority, RequestId,
-        RequestKey, ServiceId, ShardId, StepId, VersionId, VmId,
+        RequestKey, Revision, ServiceId, ShardId, StepId, VersionId, VmId,
     },
     node::Known,
     orders::{Desired, Held},
@@ -337,6 +337,13 @@
         /// The message.
         message: PeerMessage,
     },
+    /// Tell the operators that the node waits and does not serve.
+    WarnNotReady {
+        /// How long it has waited.
+        waited: Duration,
+        /// The newest revision that a peer holds.
+        newest: Revision,
+    },
     /// Append records to the log's configuration stream, in order.
     AppendConfig {
         /// The records' bodies.
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -64,6 +64,13 @@
         systems::once::mint(&mut self.context(now, &mut out), true)
     }
 
+    /// Returns the time after which a caller that can't be served should ask
+    /// again.
+    pub fn retry_after(&mut self, now: Timestamp) -> Duration {
+        let mut out = Vec::new();
+        systems::admission::retry_after(&mut self.context(now, &mut out))
+    }
+
     fn context<'a>(&'a mut self, now: Timestamp, out: &'a mut Vec<Action>) -> Context<'a> {
         Context {
             now,
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -15,7 +15,7 @@
 };
 
 /// Version of the messages; nodes of another version are refused.
-pub const PEER_VERSION: u16 = 1;
+pub const PEER_VERSION: u16 = 2;
 
 /// A message.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,9 +33,18 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ConfigMessage {
     /// Asks which revision the receiver has.
-    AskRevision,
+    AskRevision {
+        /// Random number of the question, so that a late answer to an
+        /// earlier one is not taken for the answer to this one.
+        round: u64,
+    },
     /// Answers [`ConfigMessage::AskRevision`].
-    Revision(Revision),
+    Revision {
+        /// The question's number.
+        round: u64,
+        /// The sender's revision.
+        revision: Revision,
+    },
     /// Asks for records.
     AskRecords {
         /// The revision that the sender has.
@@ -68,6 +77,8 @@
     pub digest: u64,
     /// Whether it is shutting down.
     pub draining: bool,
+    /// Whether it serves callers, as far as its configuration goes.
+    pub ready: bool,
     /// Requests that run on it.
     pub open_requests: u32,
 }
--- a/crates/core/src/systems/admission.rs
+++ b/crates/core/src/systems/admission.rs
@@ -41,6 +41,10 @@
     key: RequestKey,
     submission: Submission,
 ) -> Result<RequestRow, Rejection> {
+    if !cx.tables.ready {
+        let message = "the node is not ready; ask another one, or again later";
+        return Err((NotRun::NoCapacity, message.to_owned()));
+    }
     let organisation = organisation(cx, &submission.token_sha256).ok_or_else(|| {
         (
             NotRun::Unauthorised,
@@ -116,7 +120,9 @@
         Demand::Call {
             service, operation, ..
         } => {
-            let service = cx.tables.config.service(service);
+            // An old configuration does not tell.
+            let known = cx.tables.ready;
+            let service = cx.tables.config.service(service).filter(|_| known);
             service.is_some_and(|s| s.idempotent.contains(operation))
         }
     }
--- a/crates/core/src/systems/directory.rs
+++ b/crates/core/src/systems/directory.rs
@@ -74,7 +74,7 @@
 }
 
 fn own_candidate<'a>(tables: &'a Tables, own: &'a Identity) -> Option<Candidate<'a>> {
-    let serves = tables.draining.is_none() && !leaves(tables, &own.vm);
+    let serves = tables.ready && tables.draining.is_none() && !leaves(tables, &own.vm);
     serves.then(|| Candidate {
         vm: &own.vm,
         address: own.address,
--- a/crates/core/src/systems/directory/tests.rs
+++ b/crates/core/src/systems/directory/tests.rs
@@ -42,7 +42,10 @@
         incarnation: Incarnation(1),
         beat: 1,
         status: MemberStatus::Alive,
-        said: Heartbeat::default(),
+        said: Heartbeat {
+            ready: true,
+            ..Heartbeat::default()
+        },
         place: Some(Place {
             address: address(n),
             peer_address: address(100 + n),
@@ -52,7 +55,10 @@
 }
 
 fn tables(nodes: usize) -> Tables {
-    let mut tables = Tables::default();
+    let mut tables = Tables {
+        ready: true,
+        ..Tables::default()
+    };
     for n in 1..nodes {
         tables.members.merge(fact(n), Timestamp::from_millis(1));
     }
@@ -140,7 +146,7 @@
 
 #[test]
 fn a_node_that_heard_of_nobody_answers_from_the_list() {
-    let mut tables = Tables::default();
+    let mut tables = tables(0);
     tables.vms.replace(VmList {
         vms: vec![
             listed_vm(0, VmState::Live),
--- a/crates/core/src/systems/dissemination.rs
+++ b/crates/core/src/systems/dissemination.rs
@@ -12,7 +12,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use join::{join_round, vms_known};
+pub use join::{join_overdue, join_round, start, vms_known};
 pub use log::{log_answered, read_failed};
 pub use readers::{LogRead, next_read};
 pub use relay::catch_up_due;
@@ -41,11 +41,13 @@
 pub fn message(cx: &mut Context<'_>, from: &VmId, message: ConfigMessage) {
     contact(cx);
     match message {
-        ConfigMessage::AskRevision => {
+        ConfigMessage::AskRevision { round } => {
             let revision = cx.tables.config.revision();
-            send(cx, from, ConfigMessage::Revision(revision));
+            send(cx, from, ConfigMessage::Revision { round, revision });
+        }
+        ConfigMessage::Revision { round, revision } => {
+            join::answered(cx, from, round, revision);
         }
-        ConfigMessage::Revision(revision) => join::answered(cx, from, revision),
         ConfigMessage::AskRecords { from: revision } => relay::give(cx, from, revision),
         ConfigMessage::Records {
             from: revision,
--- a/crates/core/src/systems/dissemination/join.rs
+++ b/crates/core/src/systems/dissemination/join.rs
@@ -1,23 +1,67 @@
 //! Keeps a node that starts or returns from serving an old configuration.
 
+use rand::Rng;
+
 use super::{Context, relay, send};
 use crate::{
     ids::{Revision, VmId},
+    message::Action,
     peer::ConfigMessage,
-    systems::Timer,
+    systems::{Timer, membership},
     tables::Join,
 };
 
 /// Begins to ask the peers; nothing is served until that is over.
 pub(super) fn begin(cx: &mut Context<'_>) {
-    if cx.tables.follow.join.is_some() {
+    if let Some(join) = &cx.tables.follow.join {
+        if join.asked {
+            // What peers answered before the pause is old.
+            round(cx);
+        }
         return;
     }
     cx.tables.ready = false;
-    cx.tables.follow.join = Some(Join::default());
+    cx.tables.follow.join = Some(Join {
+        began: cx.now,
+        again: true,
+        ..Join::default()
+    });
+    membership::announce(cx);
+    watch(cx);
     round(cx);
 }
 
+/// Bounds the time for which a node that has started says nothing of its
+/// wait; runs once.
+pub fn start(cx: &mut Context<'_>) {
+    if let Some(join) = &mut cx.tables.follow.join {
+        join.began = cx.now;
+        watch(cx);
+    }
+}
+
+fn watch(cx: &mut Context<'_>) {
+    let at = cx.now + cx.cfg.dissemination.ready_within;
+    cx.tables.timers.subscribe(at, Timer::JoinOverdue);
+}
+
+/// Tells the operators that the node still does not serve, and goes on
+/// waiting: to serve an old configuration would be worse.
+pub fn join_overdue(cx: &mut Context<'_>) {
+    let Some(join) = &cx.tables.follow.join else {
+        return;
+    };
+    let waited = cx.now.since(join.began);
+    // The subscription may be of an earlier wait, which is over.
+    if waited < cx.cfg.dissemination.ready_within {
+        return;
+    }
+    let newest = join.heard.values().max().copied().unwrap_or_default();
+    cx.tables.follow.counters.joins_overdue += 1;
+    cx.out.push(Action::WarnNotReady { waited, newest });
+    watch(cx);
+}
+
 /// Notes that the VM list is there.
 pub fn vms_known(cx: &mut Context<'_>) {
     let join = cx.tables.follow.join.as_ref();
@@ -28,10 +72,14 @@
 
 /// Ends the wait for peers that did not answer; runs at the round's end.
 pub fn join_round(cx: &mut Context<'_>) {
-    if let Some(join) = &mut cx.tables.follow.join {
+    let Some(join) = &mut cx.tables.follow.join else {
+        return;
+    };
+    // After a pause of this process, the answers may still wait to be read.
+    if cx.now.since(join.asked_at) < cx.cfg.dissemination.join_wait * 2 {
         join.pending.clear();
+        finish(cx);
     }
-    finish(cx);
     if cx.tables.follow.join.is_some() {
         round(cx);
     }
@@ -50,6 +98,9 @@
     cx.tables.follow.counters.joins += u64::from(!join.asked);
     join.asked = true;
     join.heard.clear();
+    join.asked_at = cx.now;
+    join.round = cx.rng.random();
+    let question = ConfigMessage::AskRevision { round: join.round };
     join.pending = peers.iter().cloned().collect();
     let at = cx.now + cx.cfg.dissemination.join_wait;
     let timers = &mut cx.tables.timers;
@@ -58,14 +109,15 @@
     }
     join.timer = Some(timers.subscribe(at, Timer::JoinRound));
     for peer in &peers {
-        send(cx, peer, ConfigMessage::AskRevision);
+        send(cx, peer, question.clone());
     }
     finish(cx);
 }
 
-/// Takes in a peer's revision.
-pub(super) fn answered(cx: &mut Context<'_>, from: &VmId, revision: Revision) {
-    if let Some(join) = &mut cx.tables.follow.join {
+/// Takes in a peer's revision, if it answers the question that is open.
+pub(super) fn answered(cx: &mut Context<'_>, from: &VmId, round: u64, revision: Revision) {
+    let join = cx.tables.follow.join.as_mut();
+    if let Some(join) = join.filter(|join| join.round == round) {
         join.pending.remove(from);
         join.heard.insert(from.clone(), revision);
         finish(cx);
@@ -100,11 +152,14 @@
         cx.tables.follow.log,
         crate::tables::LogState::Following | crate::tables::LogState::Unread
     );
-    if log_read || log_refused && newest > Revision(0) {
+    // A node that has served goes on while the log is out; one that starts
+    // knows nothing.
+    if join.again || log_read || log_refused && newest > Revision(0) {
         if let Some(timer) = join.timer {
             cx.tables.timers.cancel(timer);
         }
         cx.tables.follow.join = None;
         cx.tables.ready = true;
+        membership::announce(cx);
     }
 }
--- a/crates/core/src/systems/dissemination/relay.rs
+++ b/crates/core/src/systems/dissemination/relay.rs
@@ -123,6 +123,8 @@
         Ok(Some(config)) => {
             answered(cx, from);
             adopt(cx, config);
+            // The log may hold another history than the peer.
+            cx.tables.follow.verify = true;
             catch_up_soon(cx);
             join::finish(cx);
         }
--- a/crates/core/src/systems/dissemination/tests.rs
+++ b/crates/core/src/systems/dissemination/tests.rs
@@ -39,6 +39,7 @@
     Log { fault: u8, cut: u8 },
     Retain { keep: u8 },
     Restart { node: u8 },
+    Sleep { node: u8, ms: u16 },
 }
 
 fn run(world: &mut World, step: &Step) {
@@ -68,6 +69,7 @@
         Step::Log { fault, cut } => world.set_fault(fault, cut),
         Step::Retain { keep } => world.retain(keep),
         Step::Restart { node } => world.restart(node as usize % NODES),
+        Step::Sleep { node, ms } => world.sleep(node as usize % NODES, u64::from(ms) % 12_000),
     }
 }
 
@@ -85,21 +87,85 @@
 }
 
 /// Messages are delivered at once and none is lost, so each node can reach
-/// all peers: none may serve an older revision than they had at its start.
+/// all peers: none may take a request on, or be named to callers, at an older
+/// revision than they had when it started or returned from a pause.
 #[test]
 fn a_node_that_starts_serves_nothing_older_than_its_peers() {
+    let mut rejected = 0;
     check(62, INVARIANT_CASES, |(seed, steps): (u64, Vec<Step>)| {
         let mut world = World::new(seed);
         for step in steps.iter().take(MAX_STEPS) {
             let loses = matches!(step, Step::Lose { .. } | Step::Unreachable { .. });
             if !loses {
                 run(&mut world, step);
+                world.judge_starts();
                 world.deliver_all();
                 world.judge();
                 world.judge_starts();
+                rejected += world.judge_requests();
             }
         }
     });
+    // Nodes that are always ready would prove nothing.
+    assert!(rejected > INVARIANT_CASES / 10, "{rejected} were rejected");
+}
+
+#[test]
+fn a_node_that_does_not_get_ready_says_so_and_still_does_not_serve() {
+    let mut world = World::new(8);
+    world.batch(0, 1, false);
+    world.settle(3_000);
+    world.set_fault(Fault::Out as u8, 0);
+    world.restart(1);
+    for _ in 0..25 {
+        world.drop_mail();
+        world.pass(1_000);
+    }
+    let tables = world.node(1).tables();
+    assert!(!tables.ready);
+    assert_eq!(tables.follow.counters.joins_overdue, 2);
+    assert!(world.is_rejected_as_not_ready(1));
+}
+
+#[test]
+fn a_node_that_has_served_goes_on_alone_while_the_log_is_out() {
+    let mut world = World::new(9);
+    world.batch(0, 1, false);
+    world.settle(3_000);
+    world.set_fault(Fault::Out as u8, 0);
+    world.sleep(0, 60_000);
+    assert!(world.is_rejected_as_not_ready(0));
+    for _ in 0..2 {
+        world.drop_mail();
+        world.pass(1_000);
+    }
+    assert!(!world.is_rejected_as_not_ready(0));
+}
+
+#[test]
+fn an_answer_to_an_earlier_question_does_not_end_the_wait() {
+    let mut world = World::new(10);
+    world.settle(3_000);
+    world.sleep(0, 60_000);
+    world.drop_mail();
+    for from in [1, 2] {
+        let (round, revision) = (0, Revision(0));
+        let late = ConfigMessage::Revision { round, revision };
+        world.hand(from, 0, PeerMessage::Config(late));
+    }
+    assert!(world.is_rejected_as_not_ready(0));
+}
+
+#[test]
+fn a_pause_while_peers_are_asked_does_not_end_the_wait() {
+    let mut world = World::new(11);
+    world.settle(3_000);
+    world.sleep(0, 60_000);
+    // The answers come while the process is stopped again.
+    world.sleep(0, 3_000);
+    assert!(world.is_rejected_as_not_ready(0));
+    world.deliver_all();
+    assert!(!world.is_rejected_as_not_ready(0));
 }
 
 #[test]
@@ -244,8 +310,13 @@
     let actions = world.node_mut(0).handle(late, Event::Tick);
     assert!(!world.node(0).tables().ready);
     let asks = |action: &Action| {
-        let ask = PeerMessage::Config(ConfigMessage::AskRevision);
-        matches!(action, Action::Peer { message, .. } if *message == ask)
+        let Action::Peer { message, .. } = action else {
+            return false;
+        };
+        matches!(
+            message,
+            PeerMessage::Config(ConfigMessage::AskRevision { .. })
+        )
     };
     assert_eq!(actions.iter().filter(|a| asks(a)).count(), NODES - 1);
 }
--- a/crates/core/src/systems/membership.rs
+++ b/crates/core/src/systems/membership.rs
@@ -172,6 +172,7 @@
             revision: cx.tables.config.revision(),
             digest: cx.tables.config.digest().short(),
             draining: cx.tables.draining.is_some(),
+            ready: cx.tables.ready,
             open_requests: u32::try_from(cx.tables.requests.len()).unwrap_or(u32::MAX),
         },
         place: peer_address.map(|peer_address| Place {
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -67,6 +67,8 @@
     CatchUp,
     /// The end of the time in which peers should say their revisions.
     JoinRound,
+    /// The end of the time within which the node should have become ready.
+    JoinOverdue,
     /// The next look at whether a snapshot is due.
     SnapshotCheck,
     /// This node's turn to write a snapshot.
@@ -138,6 +140,7 @@
         Event::Start => {
             membership::round(cx);
             orders::start(cx);
+            dissemination::start(cx);
             snapshots::start(cx);
             limits::tick(cx);
         }
@@ -166,6 +169,7 @@
         Timer::Once(timer) => once::expire(cx, timer),
         Timer::CatchUp => dissemination::catch_up_due(cx),
         Timer::JoinRound => dissemination::join_round(cx),
+        Timer::JoinOverdue => dissemination::join_overdue(cx),
         Timer::SnapshotCheck => snapshots::check(cx),
         Timer::Snapshot => snapshots::write(cx),
         Timer::Deadline(key) => answer::deadline(cx, key),
--- a/crates/core/src/systems/once/home.rs
+++ b/crates/core/src/systems/once/home.rs
@@ -28,6 +28,11 @@
         return false;
     };
     let Some(organisation) = admission::organisation(cx, &submission.token_sha256) else {
+        if !cx.tables.ready {
+            // The token may be a new one: nothing can be said of the request.
+            tell(cx, &waiter, &text, HomeAnswer::Nothing);
+            return false;
+        }
         let message = "the bearer token is not known".to_owned();
         let reason = NotRun::Unauthorised;
         tell(cx, &waiter, &text, HomeAnswer::Refused { reason, message });
--- a/crates/core/src/systems/once/mint.rs
+++ b/crates/core/src/systems/once/mint.rs
@@ -45,7 +45,7 @@
     let once = &cx.tables.once;
     let same = |w: &Instance| {
         let member = cx.tables.members.get(&w.vm);
-        member.is_some_and(|m| m.incarnation == w.incarnation && m.serves())
+        member.is_some_and(|m| m.incarnation == w.incarnation && m.stays())
     };
     let keep = cx.now < once.chosen_until && once.chosen.len() == wanted;
     if !keep || !once.chosen.iter().all(same) {
@@ -94,7 +94,7 @@
             vm: vm.clone(),
             incarnation: member.incarnation,
         };
-        let usable = member.serves() && !lost;
+        let usable = member.stays() && !lost;
         usable.then(|| (instance, row.failure_domain.clone()))
     });
     usable.collect()
--- a/crates/core/src/systems/once/mod.rs
+++ b/crates/core/src/systems/once/mod.rs
@@ -47,7 +47,8 @@
 /// Returns it if it goes on here: it may run more than once, it has no id yet,
 /// or it is new and this node is its home. Anything that is said of a request which may run
 /// elsewhere must come from its home or its witnesses, also when this node
-/// would reject it.
+/// would reject it or is not ready. What a node that is not ready returns is
+/// rejected by admission; if it is the home, that uses the id up.
 pub fn arrive(
     cx: &mut Context<'_>,
     key: RequestKey,
@@ -61,6 +62,8 @@
         return Some(submission);
     };
     match MintedId::parse(&id, &cx.cfg.once.key) {
+        // Whether the request needs a minted id is not known yet.
+        Err(_) if !cx.tables.ready => Some(submission),
         Err(refused) => {
             refuse_id(cx, key, refused);
             None
--- a/crates/core/src/systems/once/reply.rs
+++ b/crates/core/src/systems/once/reply.rs
@@ -21,7 +21,11 @@
 /// Keeps a witness's record from a request that it is not about.
 pub fn checked(cx: &Context<'_>, submission: &Submission, recorded: Recorded) -> HomeAnswer {
     let Some(organisation) = admission::organisation(cx, &submission.token_sha256) else {
-        return refusal(Mismatch::Organisation);
+        return match cx.tables.ready {
+            true => refusal(Mismatch::Organisation),
+            // The token may be a new one.
+            false => HomeAnswer::Nothing,
+        };
     };
     let claim = Claim {
         organisation: organisation.id,
--- a/crates/core/src/systems/orders.rs
+++ b/crates/core/src/systems/orders.rs
@@ -38,6 +38,10 @@
     if cx.tables.draining.is_some() {
         return release(cx);
     }
+    if !cx.tables.ready {
+        // Orders of an old configuration would take engines back.
+        return renew(cx);
+    }
     claim(cx);
     renew(cx);
     read_engines(cx);
--- a/crates/core/src/tables/follow.rs
+++ b/crates/core/src/tables/follow.rs
@@ -33,8 +33,16 @@
 /// newer revision.
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct Join {
+    /// When it began.
+    pub began: Timestamp,
+    /// Whether the node has served before in this life.
+    pub again: bool,
     /// Whether peers were asked for their revisions.
     pub asked: bool,
+    /// When they were asked last.
+    pub asked_at: Timestamp,
+    /// The number of the question that is open.
+    pub round: u64,
     /// Peers that have not answered.
     pub pending: BTreeSet<VmId>,
     /// What the others have said.
@@ -65,6 +73,8 @@
     pub snapshots_refused: u64,
     /// Times at which the node asked its peers before it served on.
     pub joins: u64,
+    /// Times at which it was told that the node still does not serve.
+    pub joins_overdue: u64,
 }
 
 /// How this node follows the configuration.
--- a/crates/core/src/tables/members.rs
+++ b/crates/core/src/tables/members.rs
@@ -52,9 +52,14 @@
         self.incarnation > Incarnation(0)
     }
 
+    /// Tells whether the node is there to stay, ready for callers or not.
+    pub fn stays(&self) -> bool {
+        self.was_heard() && self.status == MemberStatus::Alive && !self.said.draining
+    }
+
     /// Tells whether callers may be sent there.
     pub fn serves(&self) -> bool {
-        self.was_heard() && self.status == MemberStatus::Alive && !self.said.draining
+        self.stays() && self.said.ready
     }
 
     /// Returns its failure domain, if it is known.
@@ -145,6 +150,7 @@
         let same = same_life
             && old.status == row.status
             && old.said.draining == row.said.draining
+            && old.said.ready == row.said.ready
             && old.place == row.place;
         if same {
             row.changed = old.changed;
--- a/crates/daemon/src/configs/dissemination.rs
+++ b/crates/daemon/src/configs/dissemination.rs
@@ -30,5 +30,8 @@
         rejoin_after: section
             .millis("rejoin_after_ms", 1_000..=600_000)
             .unwrap_or(d.rejoin_after),
+        ready_within: section
+            .millis("ready_within_ms", 1_000..=600_000)
+            .unwrap_or(d.ready_within),
     }
 }
--- a/crates/daemon/src/edges/callers.rs
+++ b/crates/daemon/src/edges/callers.rs
@@ -24,7 +24,7 @@
 use volo_http::{context::ServerContext, request::Request, response::Response};
 
 use self::{
-    answers::{called, cut, ended_before_start, millis, whole},
+    answers::{called, cut, ended_before_start, millis, not_ready, whole},
     input::{Refusal, header, read_body, token},
     stream::{AnswerReader, stream},
 };
@@ -104,6 +104,11 @@
     }
 
     fn mint(&self, query: Option<&str>) -> Result<Response, Refusal> {
+        if !self.host.read(|node| node.tables().ready) {
+            let now = self.host.now();
+            let after = self.host.with(|node| node.retry_after(now));
+            return Ok(not_ready(after));
+        }
         let count = match query_value(query, "count") {
             None => 1,
             Some(text) => text
--- a/crates/daemon/src/edges/callers/answers.rs
+++ b/crates/daemon/src/edges/callers/answers.rs
@@ -58,6 +58,19 @@
     finish(json(status_of(done.outcome), &body), &done)
 }
 
+/// The node must not serve yet, because its peers may hold a newer configuration.
+pub(super) fn not_ready(retry_after: Duration) -> Response {
+    ended_before_start(Done {
+        id: None,
+        outcome: Outcome::NotRun(NotRun::NoCapacity),
+        tokens: 0,
+        digest: String::new(),
+        body: None,
+        retry_after: Some(retry_after),
+        message: "the node is not ready; ask another one, or again later".to_owned(),
+    })
+}
+
 /// The node is ending before it could decide; the caller sees no outcome.
 pub(super) fn cut() -> Response {
     let outcome = Outcome::Unknown;
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -20,6 +20,7 @@
     peer::Sender,
     time::Timestamp,
 };
+use spdlog::prelude::*;
 use tokio::{net::TcpListener, sync::mpsc};
 
 use crate::{
@@ -270,6 +271,10 @@
                     self.peer_stream_failed();
                 }
             }
+            Action::WarnNotReady { waited, newest } => error!(
+                "the node is still not ready and serves no request",
+                kv: { waited_ms = waited.as_millis() as u64, newest = newest.0 }
+            ),
             Action::AppendConfig { bodies } => platform::append_all(self, bodies),
             Action::EndSession { address, session } => engines::end(self, address, session),
             Action::Call {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -135,6 +135,11 @@
             "Times at which peers were asked before serving",
             counted.joins,
         ),
+        (
+            "config_joins_overdue",
+            "Times at which the node said that it still does not serve",
+            counted.joins_overdue,
+        ),
     ] {
         count(name, help, value);
     }
@@ -195,6 +200,14 @@
         age,
     );
     gauge("ready", "1 while the node serves", u64::from(tables.ready));
+    let waits = follow.join.as_ref().map_or(0, |join| {
+        u64::try_from(now.since(join.began).as_millis()).unwrap_or(u64::MAX)
+    });
+    gauge(
+        "ready_waited_ms",
+        "Milliseconds for which the node waits to become ready; 0 while it is",
+        waits,
+    );
     let mut text = String::new();
     encode(&mut text, &registry)?;
     Ok(text)
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -553,7 +553,7 @@
         });
     }
 
-    /// Waits until every node has the whole log and the whole VM list.
+    /// Waits until every node is ready and has the whole log and VM list.
     ///
     /// # Errors
     ///
@@ -564,7 +564,8 @@
         let is_ready = |node: &NodeProcess| {
             node.node.host.read(|node| {
                 let tables = node.tables();
-                tables.config.revision().0 >= end
+                tables.ready
+                    && tables.config.revision().0 >= end
                     && tables.backends.iter().count() >= backends
                     && tables.vms.nodes().count() >= self.nodes.len()
             })
