test(recover): pause a lease holder and expire records over real nodes

`NodeProcess::pause` blocks all threads of a node's runtime, as a signal would.

- Paused holder: stopped until another node holds all leases and the engines hold a newer version, resumed with the log out.
A first form with the log up was dropped: the node would read of its loss too soon for the test to be sure.

Not done: mass restart over real nodes.

--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -6,7 +6,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
-    sync::Arc,
+    sync::{Arc, mpsc},
     time::{Duration, Instant},
 };
 
@@ -45,6 +45,8 @@
 /// Name of the threads of entry nodes, by which their processor time is told
 /// from that of the stand-ins.
 pub const NODE_THREAD: &str = "node-";
+/// Threads of an entry node.
+const WORKERS: usize = 2;
 /// Time between two looks at whether nodes are ready.
 const READY_POLL: Duration = Duration::from_millis(5);
 
@@ -316,7 +318,7 @@
     /// Fails if the runtime or the node can't be started.
     pub fn start(settings: Settings) -> Result<Self, DeploymentError> {
         let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(2)
+            .worker_threads(WORKERS)
             .thread_name(thread_name(settings.node.vm.as_str()))
             .enable_all()
             .build()?;
@@ -334,6 +336,28 @@
         })
     }
 
+    /// Stops all of the node's threads until what it returns is dropped, as a
+    /// signal would; its sockets stay open meanwhile.
+    pub fn pause(&self) -> Pause {
+        let (stopped, all_stopped) = mpsc::channel();
+        let holds = (0..WORKERS).filter_map(|_| {
+            let (hold, held) = mpsc::channel::<()>();
+            let stopped = stopped.clone();
+            self.runtime.as_ref()?.spawn(async move {
+                // Blocks the thread on purpose, until the other end is dropped.
+                let _ = stopped.send(());
+                let _ = held.recv();
+            });
+            Some(hold)
+        });
+        let pause = Pause {
+            _holds: holds.collect(),
+        };
+        drop(stopped);
+        for () in all_stopped.iter().take(WORKERS) {}
+        pause
+    }
+
     /// Ends the node at once, as if its VM were lost.
     pub fn kill(self) {
         drop(self);
@@ -345,6 +369,12 @@
     }
 }
 
+/// Holds a node's threads while it lives.
+#[derive(Debug)]
+pub struct Pause {
+    _holds: Vec<mpsc::Sender<()>>,
+}
+
 fn thread_name(name: &str) -> String {
     name.chars().take(MAX_THREAD_NAME_BYTES).collect()
 }
--- a/crates/standin/tests/orders.rs
+++ b/crates/standin/tests/orders.rs
@@ -11,7 +11,10 @@
 use radishhaven_proto::engine::{HOLDING_PATH, Holding, ORDER_PATH, Order, OrderReply};
 use radishhaven_standin::{
     deployment::{Deployment, Plan, id},
+    engine::{Engine, EngineRecord},
+    log::LogFault,
     reference,
+    runtime::Running,
 };
 
 const SETTINGS: &str = "[lease]\nduration_ms = 1500\nrenew_ms = 300\n\
@@ -100,25 +103,7 @@
     let fenced = |held: &Holding| held.token > FencingToken(0);
     // The first claim may have offset 0, so move on to a later one.
     wait_for(&deployment, "adopting the tokens", |held| !held.loading).await;
-    let holders = |deployment: &Deployment| {
-        let nodes = deployment.nodes.iter();
-        let holding = nodes.filter(|(_, node)| {
-            node.node.host.read(|node| {
-                let leases = node.tables().orders.leases.as_ref();
-                leases.is_some_and(|leases| {
-                    leases.rows().values().any(|row| row.held_until.is_some())
-                })
-            })
-        });
-        holding.map(|(vm, _)| vm.clone()).collect::<Vec<VmId>>()
-    };
-    let claimed = async {
-        while holders(&deployment).is_empty() {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    };
-    tokio::time::timeout(CAP, claimed).await.expect("a claim");
-    let lost = holders(&deployment).remove(0);
+    let lost = first_holder(&deployment).await;
     deployment.nodes.remove(&lost).expect("it runs").kill();
     let left = deployment
         .nodes
@@ -126,14 +111,43 @@
         .next()
         .cloned()
         .expect("one is left");
+    taken_over(&deployment, &left).await;
+    wait_for(&deployment, "learning the new tokens", fenced).await;
+    late_orders_do_not_last(&deployment).await;
+}
+
+/// Waits until a node holds a lease, and names it.
+async fn first_holder(deployment: &Deployment) -> VmId {
+    let holder = || {
+        let holds = |node: &radishhaven_core::node::Node| {
+            let leases = node.tables().orders.leases.as_ref();
+            leases.is_some_and(|leases| leases.rows().values().any(|row| row.held_until.is_some()))
+        };
+        let mut nodes = deployment.nodes.iter();
+        let found = nodes.find(|(_, node)| node.node.host.read(holds));
+        found.map(|(vm, _)| vm.clone())
+    };
+    let claimed = async {
+        loop {
+            if let Some(vm) = holder() {
+                return vm;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(CAP, claimed).await.expect("a claim")
+}
+
+/// Waits until a node sees itself as the holder of all leases.
+async fn taken_over(deployment: &Deployment, vm: &VmId) {
     let took_over = async {
         loop {
-            let free = deployment.nodes[&left].node.host.read(|node| {
+            let all = deployment.nodes[vm].node.host.read(|node| {
                 let leases = node.tables().orders.leases.as_ref().expect("it follows");
                 let rows = leases.rows().values();
-                rows.clone().count() == 3 && rows.clone().all(|row| row.holder.vm == left)
+                rows.clone().count() == 3 && rows.clone().all(|row| row.holder.vm == *vm)
             });
-            if free {
+            if all {
                 return;
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -142,8 +156,53 @@
     tokio::time::timeout(CAP, took_over)
         .await
         .expect("a takeover");
-    wait_for(&deployment, "learning the new tokens", fenced).await;
-    late_orders_do_not_last(&deployment).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_holder_that_was_paused_gives_no_late_order_that_lasts() {
+    let deployment = start(2).await;
+    wait_for(&deployment, "adopting the tokens", |held| !held.loading).await;
+    let paused = first_holder(&deployment).await;
+    let other = deployment.nodes.keys().find(|vm| **vm != paused);
+    let other = other.cloned().expect("there are two");
+    let pause = deployment.nodes[&paused].pause();
+    taken_over(&deployment, &other).await;
+    // The paused node still has the old version in force, and a lease that
+    // it saw as its own when it was stopped.
+    deployment.publish(&to_version(&deployment, "v2"));
+    let moved = |held: &Holding| held.version == id("v2") && !held.loading;
+    wait_for(&deployment, "loading", moved).await;
+    let orders = |deployment: &Deployment| {
+        let records = |engine: &Running<Engine>| engine.state.records();
+        let records = deployment.engines.values().flat_map(records);
+        let accepted = records.filter_map(|record| match record {
+            EngineRecord::Ordered(record) if record.reply == OrderReply::Accepted => {
+                Some(record.order)
+            }
+            _ => None,
+        });
+        let old = accepted.filter(|order| order.version == id("v1"));
+        old.count()
+    };
+    let before = orders(&deployment);
+    // With the log out, it can't read at once that its lease is over and that
+    // there is a newer version.
+    deployment.log.state.set_faults(vec![LogFault::Outage]);
+    drop(pause);
+    let resumed = async {
+        let host = &deployment.nodes[&paused].node.host;
+        while host.read(|node| !node.tables().ready || node.tables().config.revision().0 < 2) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(CAP, resumed)
+        .await
+        .expect("it resumes");
+    // Several rounds of reading back, within which a late order would come.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(orders(&deployment), before, "orders for the old version");
+    deployment.log.state.set_faults(Vec::new());
+    wait_for(&deployment, "keeping the version", moved).await;
 }
 
 /// Sends every engine an order of an ended lease.
--- a/crates/standin/tests/readiness.rs
+++ b/crates/standin/tests/readiness.rs
@@ -1,5 +1,4 @@
-//! A node that starts while the log is out serves nothing before it has what
-//! its peers have.
+//! Nodes that start: while the log is out, and when records have expired.
 
 use std::time::{Duration, Instant};
 
@@ -9,9 +8,10 @@
     ids::{Revision, VmId},
     outcome::{NotRun, Outcome},
 };
+use radishhaven_proto::platform::CONFIG_STREAM;
 use radishhaven_standin::{
     deployment::{Deployment, Plan, id},
-    log::LogFault,
+    log::{LogCfg, LogFault},
 };
 use serde_json::json;
 
@@ -19,14 +19,14 @@
 /// The service that only the second batch names.
 const LATE_SERVICE: &str = "receipts";
 
-fn second_batch() -> Batch {
+fn service_batch(batch: &str, service: &str) -> Batch {
     let service = Object::Service(Service {
-        id: id(LATE_SERVICE),
+        id: id(service),
         idempotent: ["lookup".to_owned()].into(),
     });
     Batch {
         format: BATCH_FORMAT,
-        batch: id("second"),
+        batch: id(batch),
         base: Default::default(),
         planned: Revision(1),
         source: None,
@@ -48,7 +48,7 @@
     let mut deployment = Deployment::start(Plan::bitacora(3, 1))
         .await
         .expect("it starts");
-    deployment.publish(&second_batch());
+    deployment.publish(&service_batch("second", LATE_SERVICE));
     deployment.ready().await.expect("the second batch arrives");
     deployment.log.state.set_faults(vec![LogFault::Outage]);
     let caller = Caller::new("small-firm").expect("a caller can be made");
@@ -91,3 +91,46 @@
     let unauthorised = Some(Outcome::NotRun(NotRun::Unauthorised));
     assert_eq!(answer.outcome, unauthorised, "{answer:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_alone_starts_from_a_snapshot_when_the_records_have_expired() {
+    let mut plan = Plan::bitacora(2, 1);
+    plan.settings = "[snapshots]\nafter_records = 4\nspread_ms = 20\n".to_owned();
+    plan.log = LogCfg {
+        retain_records: Some(12),
+        ..plan.log
+    };
+    let mut deployment = Deployment::start(plan).await.expect("it starts");
+    for n in 0..24 {
+        let batch = service_batch(&format!("more-{n}"), &format!("service-{n}"));
+        deployment.publish(&batch);
+        deployment.ready().await.expect("the batch arrives");
+        // Time for the snapshot that may be due.
+        tokio::time::sleep(Duration::from_millis(60)).await;
+    }
+    let log = deployment.log.state.read(CONFIG_STREAM, u64::MAX, 0);
+    assert!(log.first > 1, "the first batch is still kept");
+    let state = |deployment: &Deployment, vm: &VmId| {
+        deployment.nodes[vm].node.host.read(|node| {
+            let tables = node.tables();
+            let loaded = tables.follow.counters.snapshots_loaded;
+            (tables.config.digest(), loaded)
+        })
+    };
+    let (vm, domain) = deployment.plan.nodes[0].clone();
+    let (before, _) = state(&deployment, &vm);
+    for (vm, _) in deployment.plan.nodes.clone() {
+        deployment.nodes.remove(&vm).expect("it runs").kill();
+        deployment.unlist(&vm);
+    }
+    deployment.start_node(&vm, &domain).expect("it starts");
+    deployment.ready().await.expect("it gets ready alone");
+    let (after, loaded) = state(&deployment, &vm);
+    assert_eq!((after, loaded), (before, 1));
+    let caller = Caller::new("small-firm").expect("a caller can be made");
+    let node = deployment.callers_address(vm.as_str());
+    let (pipeline, ask) = (&deployment.plan.pipeline, Ask::default());
+    let answer = caller.complete(node, &ask, pipeline, "two stops", 8);
+    let answer = answer.await.expect("the node answers");
+    assert_eq!(answer.outcome, Some(Outcome::Completed), "{answer:?}");
+}
