--- a/crates/core/src/systems/dissemination/tests.rs
+++ b/crates/core/src/systems/dissemination/tests.rs
@@ -142,6 +142,24 @@
     assert!(!world.is_rejected_as_not_ready(0));
 }
 
+#[test]
+fn a_kept_snapshot_is_given_only_while_what_follows_it_is_kept() {
+    let mut world = World::new(12);
+    let grow = |world: &mut World, batches: u8| {
+        for object in 0..batches {
+            world.batch(0, object, false);
+        }
+        world.settle(200);
+    };
+    grow(&mut world, 6);
+    let first = world.given_snapshot(0, 1);
+    grow(&mut world, 1);
+    assert_eq!(world.given_snapshot(0, 1), first, "it is made once");
+    grow(&mut world, 8);
+    let end = world.node(0).tables().config.revision();
+    assert_eq!(world.given_snapshot(0, 1), end);
+}
+
 #[test]
 fn an_answer_to_an_earlier_question_does_not_end_the_wait() {
     let mut world = World::new(10);
--- a/crates/core/src/systems/dissemination/tests/world.rs
+++ b/crates/core/src/systems/dissemination/tests/world.rs
@@ -15,7 +15,7 @@
     message::{Action, Demand, Event, Reply, Submission},
     node::Node,
     outcome::{NotRun, Outcome},
-    peer::{PeerMessage, Sender},
+    peer::{ConfigMessage, PeerMessage, Sender},
     platform::{Record, Vm, VmList, VmRole, VmState},
     systems::directory,
     time::Timestamp,
@@ -344,6 +344,23 @@
         self.handle(to, Event::Peer { from, message });
     }
 
+    /// Lets a node ask another for all records, which has them no more, and
+    /// returns the revision of the snapshot that it gets.
+    pub fn given_snapshot(&mut self, by: usize, to: usize) -> Revision {
+        self.mail.clear();
+        let from = Revision(0);
+        let ask = ConfigMessage::AskRecords { from };
+        self.hand(to, by, PeerMessage::Config(ask));
+        let given = self.mail.iter().find_map(|mail| match &mail.message {
+            PeerMessage::Config(ConfigMessage::Snapshot { body }) => Some(body.clone()),
+            _ => None,
+        });
+        match LogRecord::parse(&given.expect("a snapshot is given")) {
+            Ok(LogRecord::Snapshot(part)) => part.snapshot.revision,
+            other => panic!("not a snapshot: {other:?}"),
+        }
+    }
+
     pub fn drop_mail(&mut self) {
         self.mail.clear();
     }
