--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -5,7 +5,7 @@
     metrics::{counter::ConstCounter, gauge::ConstGauge},
     registry::{Registry, Unit},
 };
-use radishhaven_core::{node::Node, tables::LogState, time::Timestamp};
+use radishhaven_core::{node::Node, peer::MemberStatus, tables::LogState, time::Timestamp};
 
 /// Renders a node's metrics.
 ///
@@ -143,6 +143,26 @@
     ] {
         count(name, help, value);
     }
+    let probes = &tables.probes;
+    for (name, help, value) in [
+        (
+            "member_old_messages",
+            "Messages of ended lives that were ignored",
+            probes.old_messages,
+        ),
+        (
+            "member_own_pauses",
+            "Times that this process found itself paused",
+            probes.own_pauses,
+        ),
+        (
+            "member_superseded",
+            "Times that others knew a later life of this node's VM",
+            probes.superseded,
+        ),
+    ] {
+        count(name, help, value);
+    }
     for (outcome, &value) in &counters.outcomes {
         let name = format!("outcome_{}", outcome.replace([' ', '-', '(', ')'], "_"));
         count(&name, "Answers with this outcome", value);
@@ -199,6 +219,27 @@
         "Milliseconds since the log answered this node",
         age,
     );
+    for (name, help, status) in [
+        (
+            "members_alive",
+            "Other nodes that live",
+            MemberStatus::Alive,
+        ),
+        (
+            "members_suspect",
+            "Other nodes that may be lost",
+            MemberStatus::Suspect,
+        ),
+        (
+            "members_dead",
+            "Other nodes that are lost",
+            MemberStatus::Dead,
+        ),
+    ] {
+        let members = tables.members.iter();
+        let count = members.filter(|(_, row)| row.status == status).count();
+        gauge(name, help, count as u64);
+    }
     gauge("ready", "1 while the node serves", u64::from(tables.ready));
     let waits = follow.join.as_ref().map_or(0, |join| {
         u64::try_from(now.since(join.began).as_millis()).unwrap_or(u64::MAX)
--- a/crates/standin/tests/membership.rs
+++ b/crates/standin/tests/membership.rs
@@ -111,6 +111,41 @@
     assert!(net.all(|node| named(node).len() == 9), "it blames nobody");
 }
 
+#[test]
+fn the_metrics_count_members_by_status() {
+    let mut net = net(9, quick(), 12);
+    net.kill(&Net::vm(4));
+    net.run(SETTLE);
+    let node = &net.nodes[&Net::vm(0)].node;
+    let page = radishhavend::metrics::render(node, net.now).expect("a page");
+    let value = |name: &str| {
+        let mut lines = page.lines().filter_map(|line| line.rsplit_once(' '));
+        let found = lines.find(|(key, _)| *key == format!("radishhaven_{name}"));
+        found.map(|(_, value)| value.to_owned())
+    };
+    let counts = [
+        "members_alive_count",
+        "members_suspect_count",
+        "members_dead_count",
+    ];
+    assert_eq!(
+        counts.map(value),
+        ["7", "0", "1"].map(|n| Some(n.to_owned())),
+        "{page}"
+    );
+    for name in [
+        "member_old_messages",
+        "member_own_pauses",
+        "member_superseded",
+    ] {
+        assert_eq!(
+            value(&format!("{name}_total")).as_deref(),
+            Some("0"),
+            "{page}"
+        );
+    }
+}
+
 #[test]
 fn a_paused_node_blames_nobody_when_it_resumes() {
     let mut net = net(9, quick(), 10);
