fix(watch): let a reported queue count only after a node's own last look

It is up to 2 s old, rounded to a power of two and the same for all nodes, and raised an engine's cost above what each node learns from its own steps, ten times a second and newer. All nodes kept off the same engines.

The new test was written with the change; without it the queue of 8 counts.

--- a/crates/core/src/systems/watch/tests.rs
+++ b/crates/core/src/systems/watch/tests.rs
@@ -247,6 +247,16 @@
     assert_eq!(row.reported_queue(now + FRESH, FRESH), 0);
 }
 
+#[test]
+fn what_a_node_saw_itself_after_a_report_goes_before_it() {
+    let (mut node, now) = watching();
+    answer(&mut node, now, 0, held("v1", "north", false), 9);
+    let mut row = row(&node).clone();
+    assert_eq!(row.reported_queue(now, FRESH), 8);
+    row.latency.observe(now, 1, Duration::from_millis(2), 0);
+    assert_eq!(row.reported_queue(now, FRESH), 0);
+}
+
 fn member(name: &str, domain: &str, port: u16) -> MemberFact {
     MemberFact {
         vm: id(name),
--- a/crates/core/src/tables/backends.rs
+++ b/crates/core/src/tables/backends.rs
@@ -87,10 +87,13 @@
         right && (!adapters || said.adapters == configured.adapters)
     }
 
-    /// Returns the work that waits there by a report younger than `fresh`,
-    /// with what this node has begun since; 0 without one.
+    /// Returns the work that waits there by a report younger than `fresh` and
+    /// than this node's own observation, with what this node has begun since;
+    /// 0 without one.
     pub fn reported_queue(&self, now: Timestamp, fresh: Duration) -> u32 {
         let report = self.report.filter(|report| now.since(report.at) < fresh);
+        // What this node saw of its own steps since is newer and not rounded.
+        let report = report.filter(|report| report.at > self.latency.observed);
         let Some((queue, at)) = report.and_then(|r| Some((r.said.queue?, r.at))) else {
             return 0;
         };
