--- a/crates/core/src/systems/once/mod.rs
+++ b/crates/core/src/systems/once/mod.rs
@@ -1,8 +1,8 @@
 //! Runs non-idempotent requests at most once; see `docs/design/at-most-once.md`.
 //!
-//! [`home`] prepares and ends the requests of this node's own ids, [`inquiry`]
+//! `home` prepares and ends the requests of this node's own ids, `inquiry`
 //! hands those of other homes over and finds out what became of them, and
-//! [`witness`] records for other homes.
+//! `witness` records for other homes.
 
 mod home;
 mod inquiry;
