--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -3,37 +3,33 @@
 //! Each part runs on a runtime of its own inside this process, so that any of
 //! them can be killed alone. Tests and examples share it.
 
+mod plan;
+mod process;
+
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, mpsc},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 use radishhaven_core::{
-    config::{
-        BATCH_FORMAT, Backend, Batch, Carries, Change, Deployment as DeploymentObject, Link, Model,
-        Object, Organisation, Pipeline, RoutingPolicy, Service,
-    },
-    ids::{
-        BatchId, FailureDomain, LayerRange, ModelId, PipelineId, Priority, Revision, ServiceId,
-        VersionId, VmId,
-    },
+    config::Batch,
+    ids::{FailureDomain, VmId},
     platform::{Vm, VmList, VmRole, VmState},
 };
 use radishhaven_proto::platform::CONFIG_STREAM;
-use radishhavend::{
-    host::RunningNode,
-    settings::{Settings, SettingsErrors},
+use radishhavend::settings::{Settings, SettingsErrors};
+
+pub use self::{
+    plan::{EnginePlan, OrganisationPlan, Plan, ServicePlan, VERSION, id},
+    process::{NodeProcess, Pause},
 };
-use sha2::{Digest, Sha256};
-use tokio::runtime::Runtime;
 
 use crate::{
     checker::{CallerRecord, Evidence, Life, PlannedStop},
-    cpu::MAX_THREAD_NAME_BYTES,
-    engine::{Accelerator, Engine, EngineCfg},
-    log::{Log, LogCfg},
+    engine::{Engine, EngineCfg},
+    log::Log,
     runtime::{Running, StartError},
     service::{PlainService, ServiceCfg},
     vms::{Vms, VmsCfg},
@@ -45,8 +41,6 @@
 /// Name of the threads of entry nodes, by which their processor time is told
 /// from that of the stand-ins.
 pub const NODE_THREAD: &str = "node-";
-/// Threads of an entry node.
-const WORKERS: usize = 2;
 /// Time between two looks at whether nodes are ready.
 const READY_POLL: Duration = Duration::from_millis(5);
 
@@ -70,323 +64,6 @@
     NotReady,
 }
 
-/// One engine of a plan.
-#[derive(Debug, Clone)]
-pub struct EnginePlan {
-    /// Its VM.
-    pub vm: VmId,
-    /// Its failure domain.
-    pub domain: FailureDomain,
-    /// Its kind of accelerator.
-    pub accelerator: Accelerator,
-    /// The layers that it holds.
-    pub layers: LayerRange,
-    /// Microseconds that its link adds each way.
-    pub link_delay_us: u64,
-    /// Whether it refuses old fencing tokens.
-    pub checks_tokens: bool,
-}
-
-/// One server of a plain service of a plan.
-#[derive(Debug, Clone)]
-pub struct ServicePlan {
-    /// Its VM.
-    pub vm: VmId,
-    /// Its failure domain.
-    pub domain: FailureDomain,
-}
-
-/// One organisation of a plan; its bearer token is its name.
-#[derive(Debug, Clone)]
-pub struct OrganisationPlan {
-    /// Its name.
-    pub name: String,
-    /// Its highest priority.
-    pub priority: Priority,
-    /// Its bound on requests in flight.
-    pub max_in_flight: u32,
-    /// Its share.
-    pub share: u32,
-}
-
-/// What a deployment is made of.
-#[derive(Debug, Clone)]
-pub struct Plan {
-    /// The pipeline; its model has the same name.
-    pub pipeline: PipelineId,
-    /// Number of layers of the model.
-    pub layers: u16,
-    /// The plain service.
-    pub service: ServiceId,
-    /// Operations of the service that are idempotent.
-    pub idempotent: BTreeSet<String>,
-    /// Entry nodes and their failure domains.
-    pub nodes: Vec<(VmId, FailureDomain)>,
-    /// Engines.
-    pub engines: Vec<EnginePlan>,
-    /// Servers of the plain service.
-    pub services: Vec<ServicePlan>,
-    /// Organisations.
-    pub organisations: Vec<OrganisationPlan>,
-    /// INI lines that are added to each node's settings.
-    pub settings: String,
-    /// Settings of the log.
-    pub log: LogCfg,
-    /// Lag of the VM list in milliseconds.
-    pub vms_lag_ms: u64,
-    /// Factor by which the time of every batch grows.
-    pub slowdown: u64,
-    /// Steps in a batch of an engine at most.
-    pub max_batch: usize,
-    /// How nodes choose backend servers.
-    pub routing: RoutingPolicy,
-    /// Links between failure domains that are configured.
-    pub links: Vec<Link>,
-}
-
-/// The version that all engines of a plan hold.
-pub const VERSION: &str = "v1";
-
-/// Makes an identifier from a name that is known to be valid.
-///
-/// # Panics
-///
-/// Panics if the name is not valid.
-pub fn id<T: std::str::FromStr>(name: &str) -> T
-where
-    T::Err: std::fmt::Debug,
-{
-    name.parse().expect("names in plans are valid")
-}
-
-impl Plan {
-    /// Makes a plan with `nodes` nodes and, for each of three stages,
-    /// `replicas` engines of unlike accelerators, over three failure domains.
-    pub fn new(
-        domains: [&str; 3],
-        pipeline: &str,
-        service: &str,
-        nodes: usize,
-        replicas: usize,
-    ) -> Self {
-        let domain = |n: usize| id::<FailureDomain>(domains[n % domains.len()]);
-        let stages = ["0..8", "8..16", "16..24"];
-        let kinds = [
-            Accelerator::Large,
-            Accelerator::Standard,
-            Accelerator::Small,
-        ];
-        let engine = |n: usize| EnginePlan {
-            vm: id(&format!("engine-{n}")),
-            domain: domain(n / stages.len() + n),
-            accelerator: kinds[(n / stages.len()) % kinds.len()],
-            layers: id(stages[n % stages.len()]),
-            link_delay_us: 0,
-            checks_tokens: n.is_multiple_of(2),
-        };
-        let organisation = |name: &str| OrganisationPlan {
-            name: name.to_owned(),
-            priority: Priority(5),
-            max_in_flight: 10_000,
-            share: 1,
-        };
-        Self {
-            pipeline: id(pipeline),
-            layers: 24,
-            service: id(service),
-            idempotent: BTreeSet::from(["lookup".to_owned()]),
-            nodes: (0..nodes)
-                .map(|n| (id(&format!("node-{n}")), domain(n)))
-                .collect(),
-            engines: (0..replicas * stages.len()).map(engine).collect(),
-            services: (0..3)
-                .map(|n| ServicePlan {
-                    vm: id(&format!("service-{n}")),
-                    domain: domain(n),
-                })
-                .collect(),
-            organisations: vec![organisation("small-firm"), organisation("large-firm")],
-            settings: String::new(),
-            log: LogCfg::default(),
-            vms_lag_ms: 0,
-            slowdown: 1,
-            max_batch: 16,
-            routing: RoutingPolicy::default(),
-            links: Vec::new(),
-        }
-    }
-
-    /// Makes the plan of the users in Montevideo.
-    pub fn bitacora(nodes: usize, replicas: usize) -> Self {
-        let domains = ["mvd-centro", "mvd-cordon", "mvd-pocitos"];
-        Self::new(domains, "dictado", "libro", nodes, replicas)
-    }
-
-    /// Makes the plan of the users in Perth.
-    pub fn roster(nodes: usize, replicas: usize) -> Self {
-        let domains = ["cbd-hall", "northbridge", "east-perth"];
-        Self::new(domains, "brief-writer", "roster-desk", nodes, replicas)
-    }
-
-    /// Returns the batch that configures the whole plan.
-    pub fn batch(&self) -> Batch {
-        let model: ModelId = id(self.pipeline.as_str());
-        let version: VersionId = id(VERSION);
-        let mut objects = vec![
-            Object::Model(Model {
-                id: model.clone(),
-                layers: self.layers,
-            }),
-            Object::Pipeline(Pipeline {
-                id: self.pipeline.clone(),
-                model: model.clone(),
-                version: version.clone(),
-                adapters: BTreeSet::new(),
-            }),
-            Object::Service(Service {
-                id: self.service.clone(),
-                idempotent: self.idempotent.clone(),
-            }),
-            Object::Deployment(DeploymentObject {
-                routing: self.routing,
-            }),
-        ];
-        objects.extend(self.links.iter().cloned().map(Object::Link));
-        objects.extend(
-            self.organisations
-                .iter()
-                .map(|o| Object::Organisation(organisation(o))),
-        );
-        objects.extend(self.engines.iter().map(|e| {
-            let carries = Carries::Layers {
-                model: model.clone(),
-                version: version.clone(),
-                layers: e.layers,
-                adapters: BTreeSet::new(),
-            };
-            Object::Backend(Backend {
-                id: e.vm.clone(),
-                carries,
-                checks_tokens: e.checks_tokens,
-            })
-        }));
-        objects.extend(self.services.iter().map(|s| {
-            let carries = Carries::Service(self.service.clone());
-            Object::Backend(Backend {
-                id: s.vm.clone(),
-                carries,
-                checks_tokens: false,
-            })
-        }));
-        Batch {
-            format: BATCH_FORMAT,
-            batch: id::<BatchId>("first"),
-            planned: Revision(0),
-            source: None,
-            base: BTreeMap::new(),
-            changes: objects.into_iter().map(Change::Put).collect(),
-        }
-    }
-}
-
-fn organisation(plan: &OrganisationPlan) -> Organisation {
-    let token = Sha256::digest(plan.name.as_bytes());
-    Organisation {
-        id: id(&plan.name),
-        token_sha256: token.iter().map(|b| format!("{b:02x}")).collect(),
-        priority: plan.priority,
-        max_in_flight: plan.max_in_flight,
-        share: plan.share,
-    }
-}
-
-/// An entry node on a runtime of its own.
-#[derive(Debug)]
-pub struct NodeProcess {
-    /// The node.
-    pub node: RunningNode,
-    runtime: Option<Runtime>,
-}
-
-impl NodeProcess {
-    /// Starts a node on new ports of loopback.
-    ///
-    /// Its threads carry the VM's name, so that [`crate::cpu`] can tell their cost.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the runtime or the node can't be started.
-    pub fn start(settings: Settings) -> Result<Self, DeploymentError> {
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(WORKERS)
-            .thread_name(thread_name(settings.node.vm.as_str()))
-            .enable_all()
-            .build()?;
-        // The caller may be inside another runtime, which must not be blocked on.
-        let started = std::thread::scope(|scope| {
-            let start = || runtime.block_on(RunningNode::start(settings));
-            scope
-                .spawn(start)
-                .join()
-                .expect("starting a node doesn't panic")
-        });
-        Ok(Self {
-            node: started?,
-            runtime: Some(runtime),
-        })
-    }
-
-    /// Stops all of the node's threads until what it returns is dropped, as a
-    /// signal would; its sockets stay open meanwhile.
-    pub fn pause(&self) -> Pause {
-        let (stopped, all_stopped) = mpsc::channel();
-        let holds = (0..WORKERS).filter_map(|_| {
-            let (hold, held) = mpsc::channel::<()>();
-            let stopped = stopped.clone();
-            self.runtime.as_ref()?.spawn(async move {
-                // Blocks the thread on purpose, until the other end is dropped.
-                let _ = stopped.send(());
-                let _ = held.recv();
-            });
-            Some(hold)
-        });
-        let pause = Pause {
-            _holds: holds.collect(),
-        };
-        drop(stopped);
-        for () in all_stopped.iter().take(WORKERS) {}
-        pause
-    }
-
-    /// Ends the node at once, as if its VM were lost.
-    pub fn kill(self) {
-        drop(self);
-    }
-
-    /// Shuts the node down gracefully; returns whether every request ended.
-    pub async fn drain(self) -> bool {
-        self.node.drain().await
-    }
-}
-
-/// Holds a node's threads while it lives.
-#[derive(Debug)]
-pub struct Pause {
-    _holds: Vec<mpsc::Sender<()>>,
-}
-
-fn thread_name(name: &str) -> String {
-    name.chars().take(MAX_THREAD_NAME_BYTES).collect()
-}
-
-impl Drop for NodeProcess {
-    fn drop(&mut self) {
-        if let Some(runtime) = self.runtime.take() {
-            runtime.shutdown_background();
-        }
-    }
-}
-
 /// A deployment that runs.
 #[derive(Debug)]
 pub struct Deployment {
--- a/crates/standin/tests/orders.rs
+++ b/crates/standin/tests/orders.rs
@@ -4,8 +4,7 @@
 
 use radishhaven_client::{Ask, Caller, JsonClient};
 use radishhaven_core::{
-    config::{BATCH_FORMAT, Batch, Carries, Change, Object},
-    ids::{FencingToken, Revision, VmId},
+    ids::{FencingToken, VmId},
     outcome::Outcome,
 };
 use radishhaven_proto::engine::{HOLDING_PATH, Holding, ORDER_PATH, Order, OrderReply};
@@ -50,36 +49,10 @@
     }
 }
 
-/// The batch that moves the pipeline and all engines to another version.
-fn to_version(deployment: &Deployment, version: &str) -> Batch {
-    let mut batch = deployment.plan.batch();
-    batch.changes.retain_mut(|change| match change {
-        Change::Put(Object::Pipeline(pipeline)) => {
-            pipeline.version = id(version);
-            true
-        }
-        Change::Put(Object::Backend(backend)) => match &mut backend.carries {
-            Carries::Layers { version: v, .. } => {
-                *v = id(version);
-                true
-            }
-            Carries::Service(_) => false,
-        },
-        _ => false,
-    });
-    let keys = batch.changes.iter().map(Change::key);
-    Batch {
-        format: BATCH_FORMAT,
-        batch: id(&format!("to-{version}")),
-        base: keys.map(|key| (key, Revision(1))).collect(),
-        ..batch
-    }
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn engines_load_the_version_that_is_configured() {
     let deployment = start(3).await;
-    deployment.publish(&to_version(&deployment, "v2"));
+    deployment.publish(&deployment.plan.batch_to_version("v2"));
     wait_for(&deployment, "loading", |held| {
         held.version == id("v2") && !held.loading
     })
@@ -169,7 +142,7 @@
     taken_over(&deployment, &other).await;
     // The paused node still has the old version in force, and a lease that
     // it saw as its own when it was stopped.
-    deployment.publish(&to_version(&deployment, "v2"));
+    deployment.publish(&deployment.plan.batch_to_version("v2"));
     let moved = |held: &Holding| held.version == id("v2") && !held.loading;
     wait_for(&deployment, "loading", moved).await;
     let orders = |deployment: &Deployment| {
--- a/crates/standin/tests/watch.rs
+++ b/crates/standin/tests/watch.rs
@@ -4,8 +4,8 @@
 
 use radishhaven_client::{Ask, Caller, JsonClient};
 use radishhaven_core::{
-    config::{BATCH_FORMAT, Batch, Carries, Change, Object},
-    ids::{FencingToken, Revision, VmId},
+    config::Carries,
+    ids::{FencingToken, VmId},
     node::Node,
     outcome::{NotRun, Outcome},
     watch::Holds,
@@ -77,32 +77,6 @@
     Holds::of_carries(&carries).expect("it is an engine")
 }
 
-/// The batch that moves the pipeline and all engines to another version.
-fn to_version(deployment: &Deployment, version: &str) -> Batch {
-    let mut batch = deployment.plan.batch();
-    batch.changes.retain_mut(|change| match change {
-        Change::Put(Object::Pipeline(pipeline)) => {
-            pipeline.version = id(version);
-            true
-        }
-        Change::Put(Object::Backend(backend)) => match &mut backend.carries {
-            Carries::Layers { version: v, .. } => {
-                *v = id(version);
-                true
-            }
-            Carries::Service(_) => false,
-        },
-        _ => false,
-    });
-    let keys = batch.changes.iter().map(Change::key);
-    Batch {
-        format: BATCH_FORMAT,
-        batch: id(&format!("to-{version}")),
-        base: keys.map(|key| (key, Revision(1))).collect(),
-        ..batch
-    }
-}
-
 async fn order(deployment: &Deployment, vm: &VmId, version: &str) {
     let http = JsonClient::new().expect("a client");
     let engine = &deployment.engines[vm];
@@ -150,7 +124,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn engines_that_load_a_version_late_get_no_work_for_it_before() {
     let deployment = start(3, 2).await;
-    let revision = deployment.publish(&to_version(&deployment, "v2")) + 1;
+    let revision = deployment.publish(&deployment.plan.batch_to_version("v2")) + 1;
     until(&deployment, "the batch", |node| {
         node.tables().config.revision().0 >= revision
     })
