--- /dev/null
+++ b/crates/core/src/systems/dissemination/tests/world/log.rs
@@ -0,0 +1,150 @@
+//! The log of the world: what is appended, kept, read and fails.
+
+use super::*;
+
+impl World {
+    /// Makes a batch as an operator at a node would.
+    pub fn propose(&mut self, by: u8, object: u8) -> String {
+        let by = by as usize % NODES;
+        self.batches += 1;
+        let name = |text: String| text.parse().expect("a name");
+        let model = || Model {
+            id: format!("m{}", object % 3).parse().expect("a name"),
+            layers: 8 + u16::from(object % 5),
+        };
+        let key = |text: String| text.parse::<ObjectKey>().expect("a key");
+        let backend = Backend {
+            id: name(format!("b{}", object % 4)),
+            carries: Carries::Layers {
+                model: format!("m{}", object / 16 % 3).parse().expect("a name"),
+                version: "v1".parse().expect("a name"),
+                layers: LayerRange::new(0, 8 + u16::from(object % 3)).expect("a range"),
+                adapters: Default::default(),
+            },
+            checks_tokens: false,
+        };
+        let changes = match object / 4 % 5 {
+            0 => vec![Change::Delete(key(format!("model/m{}", object % 3)))],
+            1 => vec![Change::Delete(key(format!("backend/b{}", object % 4)))],
+            2 => vec![Change::Put(Object::Backend(backend))],
+            3 => vec![
+                Change::Put(Object::Model(model())),
+                Change::Put(Object::Backend(backend)),
+            ],
+            _ => vec![Change::Put(Object::Model(model()))],
+        };
+        let config = &self.nodes[by].tables().config;
+        let seen = |change: &Change| {
+            let entry = config.objects().get(&change.key());
+            entry.map(|entry| (change.key(), entry.changed))
+        };
+        let batch = Batch {
+            format: BATCH_FORMAT,
+            batch: format!("batch-{}", self.batches).parse().expect("an id"),
+            base: changes.iter().filter_map(seen).collect::<BTreeMap<_, _>>(),
+            planned: config.revision(),
+            source: None,
+            changes,
+        };
+        serde_json::to_string(&batch).expect("a batch can be written")
+    }
+
+    pub fn batch(&mut self, by: u8, object: u8, twice: bool) {
+        let body = self.propose(by, object);
+        if twice {
+            self.append(body.clone());
+        }
+        self.append(body);
+    }
+
+    /// Appends a record that is in the log already.
+    pub fn repeat(&mut self, which: u8) {
+        if !self.records.is_empty() {
+            let body = self.records[which as usize % self.records.len()].clone();
+            self.append(body);
+        }
+    }
+
+    pub fn append(&mut self, body: String) {
+        if self.fault != Fault::None {
+            return;
+        }
+        let offset = self.records.len() as u64;
+        let record = self.record(offset, &body);
+        self.folded.fold(&record).expect("the next record");
+        self.oracle.fold(&body);
+        self.truth
+            .push((self.folded.digest(), self.oracle.objects.clone()));
+        self.records.push(body);
+    }
+
+    /// Appends a snapshot that lacks an object and names the right digest.
+    pub fn append_wrong_snapshot(&mut self) {
+        let mut parts = self.folded.snapshot();
+        if parts[0].entries.pop().is_some() {
+            self.append(parts[0].to_body());
+        }
+    }
+
+    fn answer(&self, from: u64) -> Event {
+        let mut end = self.records.len();
+        if self.fault == Fault::Shorter {
+            end = self.cut.max(self.first as usize);
+        }
+        let begin = from.max(self.first) as usize;
+        let body = |n: usize| match self.fault == Fault::OtherHistory && n >= self.cut {
+            true => format!("another record {n}"),
+            false => self.records[n].clone(),
+        };
+        let records = (begin..end).map(|n| self.record(n as u64, &body(n)));
+        Event::ConfigRecords {
+            first: self.first,
+            end: end as u64,
+            records: records.take(16).collect(),
+        }
+    }
+
+    pub fn read(&mut self, n: usize) {
+        let from = self.nodes[n].next_log_read(self.now).from;
+        let event = match self.fault {
+            Fault::Out => Event::ConfigReadFailed,
+            _ => self.answer(from),
+        };
+        self.handle(n, event);
+    }
+
+    pub fn set_fault(&mut self, fault: u8, cut: u8) {
+        let fault = FAULTS[fault as usize % FAULTS.len()];
+        let revisions = self.nodes.iter().map(|n| n.tables().config.revision().0);
+        let lowest = revisions.min().unwrap_or_default() as usize;
+        if fault == Fault::OtherHistory {
+            // What no node has folded can't be told from the truth.
+            if lowest <= self.first as usize {
+                return;
+            }
+            self.cut = lowest - 1;
+        } else {
+            self.cut = cut as usize % (self.records.len() + 1);
+        }
+        self.fault = fault;
+        // The waiting reads end when another server takes over.
+        for n in 0..NODES {
+            self.handle(n, Event::ConfigReadFailed);
+        }
+    }
+
+    /// Lets records expire, as far as a whole snapshot makes up for them.
+    pub fn retain(&mut self, keep: u8) {
+        let parts = self.records.iter().skip(self.first as usize);
+        let covered = parts.filter_map(|body| match LogRecord::parse(body) {
+            Ok(LogRecord::Snapshot(part)) => {
+                let whole = SnapshotReader::default().add(part).ok().flatten();
+                whole.map(|config| config.revision().0)
+            }
+            _ => None,
+        });
+        let covered = covered.max().unwrap_or_default();
+        let wanted = self.records.len().saturating_sub(keep as usize) as u64;
+        self.first = self.first.max(covered.min(wanted));
+    }
+}
--- a/crates/core/tests/fakes/mod.rs
+++ b/crates/core/tests/fakes/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
 pub mod engine;
+pub mod objects;
 pub mod services;
 pub mod trace;
 pub mod world;
--- a/crates/core/tests/fakes/services.rs
+++ b/crates/core/tests/fakes/services.rs
@@ -8,9 +8,9 @@
 
 use bolero_generator::TypeGenerator;
 use radishhaven_core::{
-    config::{BATCH_FORMAT, Backend, Batch, Carries, Change, Object, Organisation, Service},
+    config::{Batch, Object, Service},
     configs::{Configs, Identity},
-    ids::{Attempt, Incarnation, Priority, RequestKey, Revision},
+    ids::{Attempt, Incarnation, RequestKey},
     message::{Action, AttemptError, Demand, Event, Reply, Submission},
     node::Node,
     outcome::Outcome,
@@ -20,7 +20,7 @@
 use serde_json::json;
 use sha2::{Digest, Sha256};
 
-use super::{id, trace};
+use super::{id, objects, trace};
 
 /// Servers of the service.
 pub const SERVERS: usize = 3;
@@ -83,35 +83,15 @@
 }
 
 fn batch() -> Batch {
-    let token = Sha256::digest(b"token");
-    let mut objects = vec![
+    let mut all = vec![
         Object::Service(Service {
             id: id("libro"),
             idempotent: BTreeSet::from(["lookup".to_owned()]),
         }),
-        Object::Organisation(Organisation {
-            id: id("small-firm"),
-            token_sha256: token.iter().map(|b| format!("{b:02x}")).collect(),
-            priority: Priority(5),
-            max_in_flight: 1_000,
-            share: 1,
-        }),
+        objects::organisation(5),
     ];
-    objects.extend((0..SERVERS).map(|n| {
-        Object::Backend(Backend {
-            id: id(&vm(n)),
-            carries: Carries::Service(id("libro")),
-            checks_tokens: false,
-        })
-    }));
-    Batch {
-        format: BATCH_FORMAT,
-        batch: id("first"),
-        base: BTreeMap::new(),
-        planned: Revision(0),
-        source: None,
-        changes: objects.into_iter().map(Change::Put).collect(),
-    }
+    all.extend((0..SERVERS).map(|n| objects::server(&vm(n), "libro")));
+    objects::batch(all)
 }
 
 impl Services {
--- a/crates/core/tests/fakes/world.rs
+++ b/crates/core/tests/fakes/world.rs
@@ -1,5 +1,8 @@
 //! One node among fake engines, with faults on every exchange.
 
+mod check;
+mod exchanges;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
@@ -7,13 +10,10 @@
 };
 
 use radishhaven_core::{
-    config::{
-        BATCH_FORMAT, Backend, Batch, Carries, Change, Model, Object, Organisation, Pipeline,
-        Service,
-    },
+    config::{Batch, Object, Service},
     configs::{Configs, Identity},
     engine::{EngineRefusal, KvCache, SessionRef, StepReply},
-    ids::{Incarnation, LayerRange, Position, Priority, RequestKey, Revision},
+    ids::{Incarnation, LayerRange, Position, RequestKey},
     message::{Action, AttemptError, Demand, Event, Reply, Submission},
     node::Node,
     outcome::Outcome,
@@ -25,7 +25,7 @@
 
 use super::{
     engine::{Engine, LAYERS, Reference},
-    id, trace,
+    id, objects, trace,
 };
 
 /// Layers of the engines, by their number.
@@ -104,56 +104,21 @@
 }
 
 fn batch() -> Batch {
-    let layers = |(start, end)| Carries::Layers {
-        model: id("dictado"),
-        version: id("v1"),
-        layers: LayerRange::new(start, end).expect("a range"),
-        adapters: BTreeSet::new(),
-    };
-    let token = Sha256::digest(b"token");
-    let mut objects = vec![
-        Object::Model(Model {
-            id: id("dictado"),
-            layers: LAYERS,
-        }),
-        Object::Pipeline(Pipeline {
-            id: id("dictado"),
-            model: id("dictado"),
-            version: id("v1"),
-            adapters: BTreeSet::new(),
-        }),
+    let mut all = vec![
+        objects::model(LAYERS),
+        objects::pipeline(BTreeSet::new()),
         Object::Service(Service {
             id: id("libro"),
             idempotent: BTreeSet::new(),
         }),
-        Object::Organisation(Organisation {
-            id: id("small-firm"),
-            token_sha256: token.iter().map(|b| format!("{b:02x}")).collect(),
-            priority: Priority(5),
-            max_in_flight: 1_000,
-            share: 1,
-        }),
+        objects::organisation(5),
     ];
-    objects.extend(HELD.iter().enumerate().map(|(n, held)| {
-        Object::Backend(Backend {
-            id: id(&format!("engine-{n}")),
-            carries: layers(*held),
-            checks_tokens: true,
-        })
-    }));
-    objects.push(Object::Backend(Backend {
-        id: id(SERVICE),
-        carries: Carries::Service(id("libro")),
-        checks_tokens: false,
+    all.extend(HELD.iter().enumerate().map(|(n, (start, end))| {
+        let layers = LayerRange::new(*start, *end).expect("a range");
+        objects::engine(n, layers, BTreeSet::new())
     }));
-    Batch {
-        format: BATCH_FORMAT,
-        batch: id("first"),
-        base: BTreeMap::new(),
-        planned: Revision(0),
-        source: None,
-        changes: objects.into_iter().map(Change::Put).collect(),
-    }
+    all.push(objects::server(SERVICE, "libro"));
+    objects::batch(all)
 }
 
 impl World {
@@ -354,302 +319,6 @@
         }
     }
 
-    fn perform(&mut self, action: Action) {
-        match &action {
-            Action::Reply { key, reply } => self.see(*key, reply.clone()),
-            Action::Call { key, attempt, .. } => {
-                let event = Event::CallDone {
-                    key: *key,
-                    attempt: *attempt,
-                    result: Ok(serde_json::json!({ "call": 0 })),
-                };
-                self.later(Duration::from_millis(2), Delivery::ToNode(Box::new(event)));
-            }
-            Action::Step { address, order, .. } => {
-                self.opened.insert((*address, order.session.clone()));
-                self.send(action);
-            }
-            Action::Import {
-                address, session, ..
-            } => {
-                self.opened.insert((*address, session.clone()));
-                self.send(action);
-            }
-            Action::EndSession { address, session } => {
-                self.ended.insert((*address, session.clone()));
-                self.later(
-                    Duration::from_micros(200),
-                    Delivery::ToEngine(Box::new(action)),
-                );
-            }
-            Action::Export { .. } => self.send(action),
-            _ => {}
-        }
-    }
-
-    fn send(&mut self, action: Action) {
-        let slow = self.goes_wrong() && self.rng.random_bool(0.2);
-        let us = if slow {
-            self.rng.random_range(0..2_000_000)
-        } else {
-            500
-        };
-        self.later(
-            Duration::from_micros(us),
-            Delivery::ToEngine(Box::new(action)),
-        );
-    }
-
-    fn later(&mut self, delay: Duration, delivery: Delivery) {
-        self.sent += 1;
-        self.queue.insert((self.now + delay, self.sent), delivery);
-    }
-
-    fn goes_wrong(&mut self) -> bool {
-        self.faults.percent > 0 && self.rng.random_range(0..100) < self.faults.percent
-    }
-
-    fn see(&mut self, key: RequestKey, reply: Reply) {
-        let seen = self.seen.get_mut(&key).expect("the request was submitted");
-        assert!(seen.outcomes.is_empty(), "{key}: {reply:?} after the end");
-        match reply {
-            Reply::Admitted { id } => seen.id = Some(id.to_string()),
-            Reply::Delta { index, text } => {
-                assert_eq!(index, seen.deltas, "{key}: a delta is missing or doubled");
-                seen.deltas += 1;
-                let unread = seen.deltas - seen.taken;
-                let most = self.node.configs().flow.max_unread_parts;
-                assert!(unread <= most, "{key}: {unread} parts are unread");
-                seen.text.push_str(&text);
-            }
-            Reply::Done(done) => seen.outcomes.push(done.outcome),
-            Reply::Status(_) => panic!("{key}: nobody inquired"),
-        }
-    }
-
-    /// Lets an action reach its engine and sends the answer, or what a fault
-    /// makes of it.
-    fn arrive(&mut self, action: Action) {
-        let target = match &action {
-            Action::Step { address, .. }
-            | Action::Import { address, .. }
-            | Action::Export { address, .. }
-            | Action::EndSession { address, .. } => *address,
-            other => panic!("{other:?} doesn't go to an engine"),
-        };
-        let wrong = self.goes_wrong();
-        let fate = if wrong {
-            self.rng.random_range(0..7)
-        } else {
-            7
-        };
-        let found = self.engines.iter_mut().find(|e| e.address == target);
-        let Some(engine) = found.filter(|e| e.alive) else {
-            return self.answer(action, Err(AttemptError::NotSent));
-        };
-        if engine.stalled {
-            // The work waits; whoever asked hears nothing in time.
-            return self.later(
-                Duration::from_millis(700),
-                Delivery::ToEngine(Box::new(action)),
-            );
-        }
-        match action {
-            Action::EndSession { session, .. } => engine.end(&session),
-            Action::Step { .. } if fate == 0 => {
-                let refusals = [
-                    EngineRefusal::Busy,
-                    EngineRefusal::NotRun,
-                    EngineRefusal::NotHeld,
-                ];
-                let refusal = refusals[self.rng.random_range(0..refusals.len())];
-                self.answer(action, Err(AttemptError::Refused(refusal)));
-            }
-            Action::Step { ref order, .. } => {
-                let result = engine.step(order);
-                let reply = self.spoil(fate, result);
-                self.answer_late(fate, action, reply);
-            }
-            Action::Import {
-                ref session,
-                ref cache,
-                ..
-            } => {
-                let result = engine.import(session, cache).map_err(AttemptError::Refused);
-                let lost = fate < 3;
-                let result = if lost {
-                    Err(AttemptError::Lost)
-                } else {
-                    result
-                };
-                self.imported(action, result);
-            }
-            Action::Export {
-                key, ref session, ..
-            } => {
-                let empty = KvCache {
-                    model: id("dictado"),
-                    version: id("v1"),
-                    layers: engine.layers,
-                    next: Position(0),
-                    state: Vec::new(),
-                };
-                let result = engine
-                    .export(session, &empty)
-                    .map_err(AttemptError::Refused);
-                let result = if fate < 3 {
-                    Err(AttemptError::Lost)
-                } else {
-                    result
-                };
-                let event = Event::ExportDone {
-                    key,
-                    session: session.clone(),
-                    result,
-                };
-                self.later(Duration::from_millis(1), Delivery::ToNode(Box::new(event)));
-            }
-            other => panic!("{other:?} doesn't go to an engine"),
-        }
-    }
-
-    /// Turns the right answer into a lost, crossed or malformed one.
-    fn spoil(
-        &mut self,
-        fate: u32,
-        result: Result<StepReply, EngineRefusal>,
-    ) -> Result<StepReply, AttemptError> {
-        let reply = result.map_err(AttemptError::Refused)?;
-        let before = self.last_reply.replace(reply.clone());
-        match (fate, before) {
-            (1, _) => Err(AttemptError::Lost),
-            (2, Some(other)) => Ok(other),
-            (3, _) => Err(AttemptError::Malformed),
-            _ => Ok(reply),
-        }
-    }
-
-    fn answer_late(&mut self, fate: u32, action: Action, result: Result<StepReply, AttemptError>) {
-        if self.drops > 0 {
-            self.drops -= 1;
-            return;
-        }
-        match fate {
-            4 => {
-                let ms = self.rng.random_range(1..3_000);
-                self.answer_after(Duration::from_millis(ms), &action, result);
-            }
-            5 => {
-                self.answer_after(Duration::from_millis(1), &action, result.clone());
-                let ms = self.rng.random_range(1..30);
-                self.answer_after(Duration::from_millis(ms), &action, result);
-            }
-            // No answer ever comes.
-            6 => {}
-            _ => {
-                let delay = self.step_delay(&action);
-                self.answer_after(delay, &action, result);
-            }
-        }
-    }
-
-    fn step_delay(&mut self, action: &Action) -> Duration {
-        let Action::Step { address, .. } = action else {
-            return self.step_time;
-        };
-        if !self.serial {
-            return self.step_time;
-        }
-        let busy_until = self.busy_until.entry(*address).or_default();
-        *busy_until = (*busy_until).max(self.now) + self.step_time;
-        busy_until.since(self.now)
-    }
-
-    fn answer(&mut self, action: Action, result: Result<StepReply, AttemptError>) {
-        match &action {
-            Action::Step { .. } => self.answer_after(Duration::from_millis(1), &action, result),
-            Action::Import { .. } => self.imported(action, result.map(|_| ())),
-            Action::Export { key, session, .. } => {
-                let result = Err(AttemptError::NotSent);
-                let event = Event::ExportDone {
-                    key: *key,
-                    session: session.clone(),
-                    result,
-                };
-                self.later(Duration::from_millis(1), Delivery::ToNode(Box::new(event)));
-            }
-            _ => {}
-        }
-    }
-
-    fn answer_after(
-        &mut self,
-        delay: Duration,
-        action: &Action,
-        result: Result<StepReply, AttemptError>,
-    ) {
-        if let Action::Step { key, step, .. } = action {
-            let event = Event::StepDone {
-                key: *key,
-                step: *step,
-                result,
-            };
-            self.later(delay, Delivery::ToNode(Box::new(event)));
-        }
-    }
-
-    fn imported(&mut self, action: Action, result: Result<(), AttemptError>) {
-        if let Action::Import { key, step, .. } = action {
-            let event = Event::ImportDone { key, step, result };
-            self.later(Duration::from_millis(1), Delivery::ToNode(Box::new(event)));
-        }
-    }
-
-    /// Judges everything that must hold once the world is quiet.
-    pub fn check(&self) {
-        for (key, seen) in &self.seen {
-            self.check_request(*key, seen);
-        }
-        let tables = self.node.tables();
-        assert!(tables.requests.is_empty(), "a request is still open");
-        assert_eq!(
-            tables.timers.len(),
-            self.timers,
-            "a subscription is left: {:?}",
-            tables.timers
-        );
-        for backend in tables.backends.iter() {
-            assert_eq!(backend.in_flight, 0, "{} has places taken", backend.vm);
-        }
-        let left: Vec<_> = self.opened.difference(&self.ended).collect();
-        assert!(left.is_empty(), "sessions were not ended: {left:?}");
-        // A step that was late for its session's end opens it anew where that
-        // end was forgotten; real engines drop such a session by their own rules.
-        let remembering = self.engines.iter().filter(|e| !e.died);
-        let open: usize = remembering.map(Engine::open_sessions).sum();
-        assert_eq!(open, 0, "engines hold sessions");
-    }
-
-    fn check_request(&self, key: RequestKey, seen: &Seen) {
-        let right = seen.reference.text();
-        assert!(
-            right.starts_with(&seen.text),
-            "{key}: {:?} of {right:?}",
-            seen.text
-        );
-        let expected = usize::from(!seen.gone);
-        assert!(seen.outcomes.len() >= expected, "{key}: no outcome");
-        let all = self.engines.iter().flat_map(|e| &e.runs);
-        let mut own = all.filter(|run| Some(run.session.request.as_str()) == seen.id.as_deref());
-        match seen.outcomes.first() {
-            Some(Outcome::Completed) => assert_eq!(seen.text, right, "{key}: not whole"),
-            Some(Outcome::NotRun(_)) => assert!(own.next().is_none(), "{key}: it ran"),
-            _ => {}
-        }
-        let foreign = own.find(|run| !seen.reference.allows(run));
-        assert!(foreign.is_none(), "{key}: {foreign:?} has another's input");
-    }
-
     pub fn engine_of(&self, n: usize) -> &Engine {
         &self.engines[n]
     }
--- /dev/null
+++ b/crates/core/tests/fakes/world/exchanges.rs
@@ -0,0 +1,257 @@
+//! Carries actions out: what reaches engines, what goes wrong, what callers
+//! see.
+
+use super::*;
+
+impl World {
+    pub(super) fn perform(&mut self, action: Action) {
+        match &action {
+            Action::Reply { key, reply } => self.see(*key, reply.clone()),
+            Action::Call { key, attempt, .. } => {
+                let event = Event::CallDone {
+                    key: *key,
+                    attempt: *attempt,
+                    result: Ok(serde_json::json!({ "call": 0 })),
+                };
+                self.later(Duration::from_millis(2), Delivery::ToNode(Box::new(event)));
+            }
+            Action::Step { address, order, .. } => {
+                self.opened.insert((*address, order.session.clone()));
+                self.send(action);
+            }
+            Action::Import {
+                address, session, ..
+            } => {
+                self.opened.insert((*address, session.clone()));
+                self.send(action);
+            }
+            Action::EndSession { address, session } => {
+                self.ended.insert((*address, session.clone()));
+                self.later(
+                    Duration::from_micros(200),
+                    Delivery::ToEngine(Box::new(action)),
+                );
+            }
+            Action::Export { .. } => self.send(action),
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, action: Action) {
+        let slow = self.goes_wrong() && self.rng.random_bool(0.2);
+        let us = if slow {
+            self.rng.random_range(0..2_000_000)
+        } else {
+            500
+        };
+        self.later(
+            Duration::from_micros(us),
+            Delivery::ToEngine(Box::new(action)),
+        );
+    }
+
+    fn later(&mut self, delay: Duration, delivery: Delivery) {
+        self.sent += 1;
+        self.queue.insert((self.now + delay, self.sent), delivery);
+    }
+
+    fn goes_wrong(&mut self) -> bool {
+        self.faults.percent > 0 && self.rng.random_range(0..100) < self.faults.percent
+    }
+
+    fn see(&mut self, key: RequestKey, reply: Reply) {
+        let seen = self.seen.get_mut(&key).expect("the request was submitted");
+        assert!(seen.outcomes.is_empty(), "{key}: {reply:?} after the end");
+        match reply {
+            Reply::Admitted { id } => seen.id = Some(id.to_string()),
+            Reply::Delta { index, text } => {
+                assert_eq!(index, seen.deltas, "{key}: a delta is missing or doubled");
+                seen.deltas += 1;
+                let unread = seen.deltas - seen.taken;
+                let most = self.node.configs().flow.max_unread_parts;
+                assert!(unread <= most, "{key}: {unread} parts are unread");
+                seen.text.push_str(&text);
+            }
+            Reply::Done(done) => seen.outcomes.push(done.outcome),
+            Reply::Status(_) => panic!("{key}: nobody inquired"),
+        }
+    }
+
+    /// Lets an action reach its engine and sends the answer, or what a fault
+    /// makes of it.
+    pub(super) fn arrive(&mut self, action: Action) {
+        let target = match &action {
+            Action::Step { address, .. }
+            | Action::Import { address, .. }
+            | Action::Export { address, .. }
+            | Action::EndSession { address, .. } => *address,
+            other => panic!("{other:?} doesn't go to an engine"),
+        };
+        let wrong = self.goes_wrong();
+        let fate = if wrong {
+            self.rng.random_range(0..7)
+        } else {
+            7
+        };
+        let found = self.engines.iter_mut().find(|e| e.address == target);
+        let Some(engine) = found.filter(|e| e.alive) else {
+            return self.answer(action, Err(AttemptError::NotSent));
+        };
+        if engine.stalled {
+            // The work waits; whoever asked hears nothing in time.
+            return self.later(
+                Duration::from_millis(700),
+                Delivery::ToEngine(Box::new(action)),
+            );
+        }
+        match action {
+            Action::EndSession { session, .. } => engine.end(&session),
+            Action::Step { .. } if fate == 0 => {
+                let refusals = [
+                    EngineRefusal::Busy,
+                    EngineRefusal::NotRun,
+                    EngineRefusal::NotHeld,
+                ];
+                let refusal = refusals[self.rng.random_range(0..refusals.len())];
+                self.answer(action, Err(AttemptError::Refused(refusal)));
+            }
+            Action::Step { ref order, .. } => {
+                let result = engine.step(order);
+                let reply = self.spoil(fate, result);
+                self.answer_late(fate, action, reply);
+            }
+            Action::Import {
+                ref session,
+                ref cache,
+                ..
+            } => {
+                let result = engine.import(session, cache).map_err(AttemptError::Refused);
+                let lost = fate < 3;
+                let result = if lost {
+                    Err(AttemptError::Lost)
+                } else {
+                    result
+                };
+                self.imported(action, result);
+            }
+            Action::Export {
+                key, ref session, ..
+            } => {
+                let empty = KvCache {
+                    model: id("dictado"),
+                    version: id("v1"),
+                    layers: engine.layers,
+                    next: Position(0),
+                    state: Vec::new(),
+                };
+                let result = engine
+                    .export(session, &empty)
+                    .map_err(AttemptError::Refused);
+                let result = if fate < 3 {
+                    Err(AttemptError::Lost)
+                } else {
+                    result
+                };
+                let event = Event::ExportDone {
+                    key,
+                    session: session.clone(),
+                    result,
+                };
+                self.later(Duration::from_millis(1), Delivery::ToNode(Box::new(event)));
+            }
+            other => panic!("{other:?} doesn't go to an engine"),
+        }
+    }
+
+    /// Turns the right answer into a lost, crossed or malformed one.
+    fn spoil(
+        &mut self,
+        fate: u32,
+        result: Result<StepReply, EngineRefusal>,
+    ) -> Result<StepReply, AttemptError> {
+        let reply = result.map_err(AttemptError::Refused)?;
+        let before = self.last_reply.replace(reply.clone());
+        match (fate, before) {
+            (1, _) => Err(AttemptError::Lost),
+            (2, Some(other)) => Ok(other),
+            (3, _) => Err(AttemptError::Malformed),
+            _ => Ok(reply),
+        }
+    }
+
+    fn answer_late(&mut self, fate: u32, action: Action, result: Result<StepReply, AttemptError>) {
+        if self.drops > 0 {
+            self.drops -= 1;
+            return;
+        }
+        match fate {
+            4 => {
+                let ms = self.rng.random_range(1..3_000);
+                self.answer_after(Duration::from_millis(ms), &action, result);
+            }
+            5 => {
+                self.answer_after(Duration::from_millis(1), &action, result.clone());
+                let ms = self.rng.random_range(1..30);
+                self.answer_after(Duration::from_millis(ms), &action, result);
+            }
+            // No answer ever comes.
+            6 => {}
+            _ => {
+                let delay = self.step_delay(&action);
+                self.answer_after(delay, &action, result);
+            }
+        }
+    }
+
+    fn step_delay(&mut self, action: &Action) -> Duration {
+        let Action::Step { address, .. } = action else {
+            return self.step_time;
+        };
+        if !self.serial {
+            return self.step_time;
+        }
+        let busy_until = self.busy_until.entry(*address).or_default();
+        *busy_until = (*busy_until).max(self.now) + self.step_time;
+        busy_until.since(self.now)
+    }
+
+    fn answer(&mut self, action: Action, result: Result<StepReply, AttemptError>) {
+        match &action {
+            Action::Step { .. } => self.answer_after(Duration::from_millis(1), &action, result),
+            Action::Import { .. } => self.imported(action, result.map(|_| ())),
+            Action::Export { key, session, .. } => {
+                let result = Err(AttemptError::NotSent);
+                let event = Event::ExportDone {
+                    key: *key,
+                    session: session.clone(),
+                    result,
+                };
+                self.later(Duration::from_millis(1), Delivery::ToNode(Box::new(event)));
+            }
+            _ => {}
+        }
+    }
+
+    fn answer_after(
+        &mut self,
+        delay: Duration,
+        action: &Action,
+        result: Result<StepReply, AttemptError>,
+    ) {
+        if let Action::Step { key, step, .. } = action {
+            let event = Event::StepDone {
+                key: *key,
+                step: *step,
+                result,
+            };
+            self.later(delay, Delivery::ToNode(Box::new(event)));
+        }
+    }
+
+    fn imported(&mut self, action: Action, result: Result<(), AttemptError>) {
+        if let Action::Import { key, step, .. } = action {
+            let event = Event::ImportDone { key, step, result };
+            self.later(Duration::from_millis(1), Delivery::ToNode(Box::new(event)));
+        }
+    }
+}
--- a/crates/core/tests/health.rs
+++ b/crates/core/tests/health.rs
@@ -1,20 +1,21 @@
 //! Health of backend servers over random histories: the cap, the return, the
 //! probes and the slow start; and what counts as slow.
 
+mod fakes;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
 use bolero_generator::TypeGenerator;
+use fakes::{id, objects};
 use radishhaven_cases::{INVARIANT_CASES, check};
 use radishhaven_core::{
-    config::{
-        BATCH_FORMAT, Backend, Batch, Carries, Change, Model, Object, Organisation, Pipeline,
-    },
+    config::Batch,
     configs::{Configs, Identity},
     health::{Health, Phase, Sign, Usual},
-    ids::{Incarnation, LayerRange, Priority, RequestKey, Revision},
+    ids::{Incarnation, LayerRange, RequestKey},
     message::{Demand, Event, Submission},
     platform::{Record, Vm, VmList, VmRole, VmState},
     systems::{self, Context, health},
@@ -34,13 +35,6 @@
 /// The most choices of a history that are judged one by one.
 const MAX_CHOICES: usize = 24;
 
-fn id<T: std::str::FromStr>(name: &str) -> T
-where
-    T::Err: std::fmt::Debug,
-{
-    name.parse().expect("the name is valid")
-}
-
 #[derive(Debug, Clone, Copy, TypeGenerator)]
 enum Op {
     Answered {
@@ -230,49 +224,17 @@
 
 fn batch() -> Batch {
     let half = LAYERS / 2;
-    let mut objects = vec![
-        Object::Model(Model {
-            id: id("dictado"),
-            layers: LAYERS,
-        }),
-        Object::Pipeline(Pipeline {
-            id: id("dictado"),
-            model: id("dictado"),
-            version: id("v1"),
-            adapters: BTreeSet::new(),
-        }),
-        Object::Organisation(Organisation {
-            id: id("small-firm"),
-            token_sha256: Sha256::digest(b"token")
-                .iter()
-                .map(|b| format!("{b:02x}"))
-                .collect(),
-            priority: Priority(9),
-            max_in_flight: 1_000,
-            share: 1,
-        }),
+    let mut all = vec![
+        objects::model(LAYERS),
+        objects::pipeline(BTreeSet::new()),
+        objects::organisation(9),
     ];
-    objects.extend((0..u16::from(SERVERS)).map(|n| {
+    all.extend((0..u16::from(SERVERS)).map(|n| {
         let start = n % 2 * half;
-        Object::Backend(Backend {
-            id: id(&format!("engine-{n}")),
-            carries: Carries::Layers {
-                model: id("dictado"),
-                version: id("v1"),
-                layers: LayerRange::new(start, start + half).expect("a range"),
-                adapters: BTreeSet::new(),
-            },
-            checks_tokens: true,
-        })
+        let layers = LayerRange::new(start, start + half).expect("a range");
+        objects::engine(usize::from(n), layers, BTreeSet::new())
     }));
-    Batch {
-        format: BATCH_FORMAT,
-        batch: id("first"),
-        base: BTreeMap::new(),
-        planned: Revision(0),
-        source: None,
-        changes: objects.into_iter().map(Change::Put).collect(),
-    }
+    objects::batch(all)
 }
 
 fn out(rows: &[&BackendRow], now: Timestamp) -> usize {
--- a/crates/core/tests/policy.rs
+++ b/crates/core/tests/policy.rs
@@ -1,20 +1,20 @@
 //! Routing and limits under random deployments and loads: which chains are
 //! chosen, how long requests wait, and how limits are shared.
 
+mod fakes;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
 use bolero_generator::TypeGenerator;
+use fakes::{id, objects};
 use radishhaven_cases::{INVARIANT_CASES, check};
 use radishhaven_core::{
-    config::{
-        BATCH_FORMAT, Backend, Batch, Carries, Change, Deployment, Model, Object, Organisation,
-        Pipeline, RoutingPolicy,
-    },
+    config::{Batch, Deployment, Object, RoutingPolicy},
     configs::{Configs, Identity},
-    ids::{Incarnation, LayerRange, OrganisationId, Priority, RequestKey, Revision},
+    ids::{Incarnation, LayerRange, OrganisationId, Priority, RequestKey},
     message::{Action, Demand, Event, Reply, Submission},
     node::Node,
     outcome::{NotRun, Outcome},
@@ -28,13 +28,6 @@
 const LAYERS: u16 = 6;
 const START: Timestamp = Timestamp::from_millis(1_000);
 
-fn id<T: std::str::FromStr>(name: &str) -> T
-where
-    T::Err: std::fmt::Debug,
-{
-    name.parse().expect("the name is valid")
-}
-
 /// One engine of a random deployment.
 #[derive(Debug, Clone, TypeGenerator)]
 struct EngineCase {
@@ -76,18 +69,9 @@
             .into_iter()
             .collect::<BTreeSet<_>>()
     };
-    let token = Sha256::digest(b"token");
-    let mut objects = vec![
-        Object::Model(Model {
-            id: id("dictado"),
-            layers: LAYERS,
-        }),
-        Object::Pipeline(Pipeline {
-            id: id("dictado"),
-            model: id("dictado"),
-            version: id("v1"),
-            adapters: adapters(case.adapter),
-        }),
+    let mut all = vec![
+        objects::model(LAYERS),
+        objects::pipeline(adapters(case.adapter)),
         Object::Deployment(Deployment {
             routing: match case.policy {
                 0 => RoutingPolicy::Predicted,
@@ -95,35 +79,13 @@
                 _ => RoutingPolicy::RoundRobin,
             },
         }),
-        Object::Organisation(Organisation {
-            id: id("small-firm"),
-            token_sha256: token.iter().map(|b| format!("{b:02x}")).collect(),
-            priority: Priority(9),
-            max_in_flight: 1_000,
-            share: 1,
-        }),
+        objects::organisation(9),
     ];
     let engines = case.engines.iter().take(MAX_ENGINES).enumerate();
-    objects.extend(engines.map(|(n, engine)| {
-        Object::Backend(Backend {
-            id: id(&format!("engine-{n}")),
-            carries: Carries::Layers {
-                model: id("dictado"),
-                version: id("v1"),
-                layers: engine.layers(),
-                adapters: adapters(engine.adapter),
-            },
-            checks_tokens: true,
-        })
-    }));
-    Batch {
-        format: BATCH_FORMAT,
-        batch: id("first"),
-        base: BTreeMap::new(),
-        planned: Revision(0),
-        source: None,
-        changes: objects.into_iter().map(Change::Put).collect(),
-    }
+    all.extend(
+        engines.map(|(n, engine)| objects::engine(n, engine.layers(), adapters(engine.adapter))),
+    );
+    objects::batch(all)
 }
 
 fn vm(name: &str, role: VmRole, state: VmState, port: u16) -> Vm {
