refactor(recovery): take the time of the last answer from what latency keeps

Cause: a backend server's row kept the moment of its last answered step twice, as `answered.at` and as `latency.observed`; both were set in the same place and reset at the same new address. The second one stays.

--- a/crates/core/src/systems/completion.rs
+++ b/crates/core/src/systems/completion.rs
@@ -292,14 +292,15 @@
     let work = completion(cx, key)?;
     let session = work.open_session()?;
     let vm = &session.stage.vm;
-    let answered = cx.tables.backends.get(vm)?.answered;
+    let backend = cx.tables.backends.get(vm)?;
+    let answered = backend.answered;
     let bound = step_bound(cx, vm, work.open.positions);
     let newest = match session.next {
         Position(0) => answered.begin_sent,
         _ => answered.sent,
     };
     let overtaken = newest >= work.open.sent + bound;
-    let until = answered.at + bound;
+    let until = backend.latency.observed + bound;
     (!overtaken && until > cx.now).then_some(until)
 }
 
@@ -353,7 +354,7 @@
     let vm = session.stage.vm.clone();
     let took = now.since(sent);
     if let Some(backend) = cx.tables.backends.get_mut(&vm) {
-        backend.note_answer(now, sent, first == Position(0));
+        backend.note_answer(sent, first == Position(0));
     }
     if let Some((wait, service)) = routing::observe(cx, &vm, positions, took) {
         limits::observe(cx, key, wait, service);
--- a/crates/core/src/tables/backends.rs
+++ b/crates/core/src/tables/backends.rs
@@ -22,11 +22,9 @@
     watch::{Holds, Report},
 };
 
-/// The newest signs that a backend server answers.
+/// The newest steps that a backend server has answered.
 #[derive(Debug, Clone, Copy, Default, Serialize)]
 pub struct Answered {
-    /// When the last answer came.
-    pub at: Timestamp,
     /// When the latest one of all answered steps was sent.
     pub sent: Timestamp,
     /// Likewise of those that began a session; engines may let them wait
@@ -58,7 +56,7 @@
     pub latency: Latency,
     /// Sessions and calls that this node has ever begun there.
     pub begun: u64,
-    /// The newest signs that it answers.
+    /// The newest steps that it has answered.
     pub answered: Answered,
     /// When the last of them were begun.
     #[serde(skip)]
@@ -109,8 +107,7 @@
 
     /// Notes an answer to a step that was sent at `sent` and perhaps began a
     /// session.
-    pub fn note_answer(&mut self, now: Timestamp, sent: Timestamp, begins: bool) {
-        self.answered.at = now;
+    pub fn note_answer(&mut self, sent: Timestamp, begins: bool) {
         self.answered.sent = self.answered.sent.max(sent);
         if begins {
             self.answered.begin_sent = self.answered.begin_sent.max(sent);
