refactor(engines): write the exchange with an engine once

`exchange` does it for all three; what differs is the request and the event. Ruled out: the same for the end of a session and for orders, whose answers are not looked at.

--- a/crates/daemon/src/edges/engines.rs
+++ b/crates/daemon/src/edges/engines.rs
@@ -4,7 +4,7 @@
 
 use radishhaven_client::HttpError;
 use radishhaven_core::{
-    engine::{EngineRefusal, KvCache, SessionRef, StepReply},
+    engine::{EngineRefusal, KvCache, SessionRef},
     ids::{RequestKey, StepId, VmId},
     message::{AttemptError, Event, StepOrder},
     watch::Reading,
@@ -14,6 +14,8 @@
     LoadReport, STEP_PATH, StepRequest,
 };
 
+use serde::{Serialize, de::DeserializeOwned};
+
 use super::orders;
 use crate::host::Host;
 
@@ -28,25 +30,19 @@
     address: SocketAddr,
     order: StepOrder,
 ) {
-    let host = host.clone();
-    tokio::spawn(async move {
-        let within = order.within;
-        let req = StepRequest {
-            session: order.session,
-            model: order.model,
-            version: order.version,
-            layers: order.layers,
-            first: order.first,
-            input: order.input,
-            priority: order.priority,
-            deadline_ms: u64::try_from(within.as_millis()).ok(),
-        };
-        let sent = host
-            .http
-            .post::<_, StepReply>(address, STEP_PATH, &req, within)
-            .await;
-        let result = sent.map_err(attempt_error);
-        host.handle(Event::StepDone { key, step, result });
+    let within = order.within;
+    let req = StepRequest {
+        session: order.session,
+        model: order.model,
+        version: order.version,
+        layers: order.layers,
+        first: order.first,
+        input: order.input,
+        priority: order.priority,
+        deadline_ms: u64::try_from(within.as_millis()).ok(),
+    };
+    exchange(host, (address, STEP_PATH), req, within, move |_, result| {
+        Event::StepDone { key, step, result }
     });
 }
 
@@ -60,16 +56,14 @@
     cache: KvCache,
     within: Duration,
 ) {
-    let host = host.clone();
-    tokio::spawn(async move {
-        let req = KvImport { session, cache };
-        let sent = host
-            .http
-            .post::<_, ()>(address, KV_IMPORT_PATH, &req, within)
-            .await;
-        let result = sent.map_err(attempt_error);
-        host.handle(Event::ImportDone { key, step, result });
-    });
+    let req = KvImport { session, cache };
+    exchange(
+        host,
+        (address, KV_IMPORT_PATH),
+        req,
+        within,
+        move |_, result| Event::ImportDone { key, step, result },
+    );
 }
 
 /// Exports a session's KV cache and hands it to the decisions.
@@ -80,17 +74,31 @@
     session: SessionRef,
     within: Duration,
 ) {
-    let host = host.clone();
-    tokio::spawn(async move {
-        let sent = host
-            .http
-            .post::<_, KvCache>(address, KV_EXPORT_PATH, &session, within)
-            .await;
-        host.handle(Event::ExportDone {
+    let target = (address, KV_EXPORT_PATH);
+    exchange(host, target, session, within, move |session, result| {
+        Event::ExportDone {
             key,
             session,
-            result: sent.map_err(attempt_error),
-        });
+            result,
+        }
+    });
+}
+
+/// Asks an engine and hands the event that its answer makes to the decisions.
+fn exchange<Req, Rep>(
+    host: &Arc<Host>,
+    (address, path): (SocketAddr, &'static str),
+    req: Req,
+    within: Duration,
+    event: impl FnOnce(Req, Result<Rep, AttemptError>) -> Event + Send + 'static,
+) where
+    Req: Serialize + Send + Sync + 'static,
+    Rep: DeserializeOwned + Send + 'static,
+{
+    let host = host.clone();
+    tokio::spawn(async move {
+        let sent = host.http.post::<_, Rep>(address, path, &req, within).await;
+        host.handle(event(req, sent.map_err(attempt_error)));
     });
 }
 
