refactor(load): name the node of an incident, as there always is one

Cause: incidents carried an optional node, so that one without a node would have done nothing and shown a run without a fault. Plans have nodes; the type says so now.

--- a/crates/standin/examples/load/incident.rs
+++ b/crates/standin/examples/load/incident.rs
@@ -17,10 +17,10 @@
     Fault(Vec<EnginePlan>, EngineFault),
     /// The VM list shows these engines as leaving.
     Leave(Vec<EnginePlan>),
-    /// A node is lost, if there is one.
-    KillNode(Option<(VmId, FailureDomain)>),
-    /// It comes back empty, at another address.
-    StartNode(Option<(VmId, FailureDomain)>),
+    /// A node is lost.
+    KillNode(VmId),
+    /// A node comes back empty, at another address.
+    StartNode(VmId, FailureDomain),
     /// The log fails in these ways only.
     Log(Vec<LogFault>),
     /// All servers of the plain service fail in a way.
@@ -46,19 +46,12 @@
                 }
             }
             Self::Leave(engines) => engines.iter().for_each(|e| deployment.leave(&e.vm)),
-            Self::KillNode(node) => {
-                let node = node
-                    .as_ref()
-                    .and_then(|(vm, _)| deployment.nodes.remove(vm));
-                if let Some(running) = node {
+            Self::KillNode(vm) => {
+                if let Some(running) = deployment.nodes.remove(vm) {
                     running.kill();
                 }
             }
-            Self::StartNode(node) => {
-                if let Some((vm, domain)) = node {
-                    deployment.start_node(vm, domain)?;
-                }
-            }
+            Self::StartNode(vm, domain) => deployment.start_node(vm, domain)?,
             Self::Log(faults) => deployment.log.state.set_faults(faults.clone()),
             Self::Service(fault) => {
                 for service in deployment.services.values() {
--- a/crates/standin/examples/load/scenario.rs
+++ b/crates/standin/examples/load/scenario.rs
@@ -162,7 +162,7 @@
             let lost = engines.iter().filter(|e| e.domain == *domain);
             lost.cloned().collect::<Vec<EnginePlan>>()
         };
-        let node = plan.nodes.first().cloned();
+        let (node, domain) = plan.nodes[0].clone();
         let first = match self {
             Self::Steady | Self::Overload | Self::SlowLink | Self::NoisyOrganisation => {
                 return Vec::new();
@@ -178,7 +178,7 @@
         };
         let mut incidents = vec![(INCIDENT_AT, first)];
         match self {
-            Self::NodeRestart => incidents.push((BACK_AT, Incident::StartNode(node))),
+            Self::NodeRestart => incidents.push((BACK_AT, Incident::StartNode(node, domain))),
             Self::LogOutage => {
                 let slow = LogFault::Slow {
                     delay_ms: SLOW_LOG_MS,
