test(vm-list): the same answer must not date a list that a peer gave

Cause: the check that an unchanged answer of the platform dates only a list of an own read was never seen to matter: without it all 10,000 histories pass, as they reach no list that changes and changes back around a read. A node could date a list of a peer anew by it, and keep something older.

The case is now made by hand. Without the check the list is dated 2.05 s later than it was (10.06 s instead of 8.01 s) and the test fails; with it, it passes.

--- a/crates/core/src/systems/vm_list/tests.rs
+++ b/crates/core/src/systems/vm_list/tests.rs
@@ -6,7 +6,10 @@
 use radishhaven_cases::{INVARIANT_CASES, check};
 
 use self::world::{NODES, World};
-use crate::peer::{PeerMessage, VmsMessage};
+use crate::{
+    message::Event,
+    peer::{PeerMessage, VmsMessage},
+};
 
 #[derive(Debug, Clone, TypeGenerator)]
 enum Step {
@@ -98,6 +101,20 @@
     assert_eq!(counters.late_reads, 1);
 }
 
+#[test]
+fn the_same_answer_does_not_date_a_list_that_a_peer_gave() {
+    let mut world = World::new(13);
+    world.settle(10_000);
+    let follower = (0..NODES).find(|n| world.relies(*n)).expect("a follower");
+    let dated = |world: &World| world.node(follower).tables().vm_follow.read_ended;
+    let before = dated(&world);
+    world.begin_read(follower);
+    world.pass(50);
+    let now = World::clock(follower, world.now);
+    world.node_mut(follower).handle(now, Event::VmListSame);
+    assert_eq!(dated(&world), before);
+}
+
 #[test]
 fn only_readers_read_and_the_others_are_told_what_changed() {
     let mut world = World::new(9);
