fix(gateway): keep paths in one failure domain, and take nothing in the last second

(2) A test of the planner's layout showed a path across two domains on idle engines: a crossing cost 300 ms of a 2 s path, while one crossing for every request fills the shared pipe. (3) A plain service whose only server pauses after a failure refused everything (test an_answer_without_length..., failed before).

Now streams are taken for 0.3 and others for 0.75 of the grace period, then refused at once (`core::gateway::drain`); a crossing costs 1,000 ms; servers that pause are the last resort.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod budget;
 pub mod config;
+pub mod drain;
 pub mod paths;
 pub mod placement;
 pub mod plain;
--- a/crates/core/src/gateway/paths.rs
+++ b/crates/core/src/gateway/paths.rs
@@ -23,7 +23,7 @@
 const MEMORY_LIMIT: f64 = 0.92;
 /// Cost of handing activations to another failure domain, in milliseconds: the
 /// pipe is shared by all requests, and one crossing for each of them fills it.
-const CROSSING_MS: f64 = 300.0;
+const CROSSING_MS: f64 = 1_000.0;
 /// Weight of memory in use on an engine's cost, so that requests spread before
 /// an engine has to preempt any.
 const MEMORY_WEIGHT: f64 = 3.0;
--- a/crates/core/src/gateway/plain.rs
+++ b/crates/core/src/gateway/plain.rs
@@ -1,6 +1,6 @@
 //! Chooses a server of a plain service.
 
-use super::servers::{ServerRow, Servers};
+use super::servers::{ServerRow, ServerState, Servers};
 use crate::{
     ids::{ServiceId, VmId},
     time::Timestamp,
@@ -14,7 +14,8 @@
 const JITTER: f64 = 0.9;
 
 /// Chooses the server with the least work for its slots; `draw` gives numbers
-/// from 0 to 1.
+/// from 0 to 1. Servers that pause after a failure are used when there is no
+/// other: one that fails at times is better than none.
 pub fn choose<'a>(
     servers: &'a Servers,
     service: &'a ServiceId,
@@ -23,16 +24,17 @@
     mut draw: impl FnMut() -> f64,
 ) -> Option<(&'a VmId, &'a ServerRow)> {
     let fits = |row: &ServerRow| row.all_requests() < row.entry.slots * (1 + QUEUED_PER_SLOT);
-    let mut best: Option<(f64, &VmId, &ServerRow)> = None;
+    let mut best: Option<(bool, f64, &VmId, &ServerRow)> = None;
     for (id, row) in servers.of(service) {
-        if !row.usable(now) || avoid.contains(id) || !fits(row) {
+        if row.entry.state != ServerState::Ready || avoid.contains(id) || !fits(row) {
             continue;
         }
+        let pauses = !row.usable(now);
         let load = f64::from(row.all_requests()) + JITTER * draw();
         let cost = (load + 1.0) / f64::from(row.entry.slots.max(1)) * (1.0 + row.latency_ms);
-        if best.is_none_or(|(lowest, _, _)| cost < lowest) {
-            best = Some((cost, id, row));
+        if best.is_none_or(|(paused, lowest, _, _)| (pauses, cost) < (paused, lowest)) {
+            best = Some((pauses, cost, id, row));
         }
     }
-    best.map(|(_, id, row)| (id, row))
+    best.map(|(_, _, id, row)| (id, row))
 }
--- /dev/null
+++ b/crates/core/tests/gateway_fakes/mod.rs
@@ -0,0 +1,216 @@
+//! Engines, plain servers and a configuration like those of the deployments.
+
+#![allow(dead_code)]
+
+use std::{collections::BTreeMap, time::Duration};
+
+use radishhaven_core::{
+    gateway::{
+        Configuration, EngineSpec, Gateway, Organisation, Route, RouteKind, Server, ServerState,
+        Service,
+        budget::BudgetConfig,
+        config::{Accelerator, CallerLimits},
+        paths::Need,
+        state::GatewayConfig,
+    },
+    ids::{LayerRange, Priority, VmId},
+    time::Timestamp,
+};
+
+/// The service whose engines hold layers.
+pub const ENGINES: &str = "dictado";
+/// The plain service.
+pub const PLAIN: &str = "libro";
+/// The host of all routes.
+pub const HOST: &str = "ficu95.example";
+/// The only key.
+pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
+/// A request of the usual size.
+pub const USUAL: Need = Need {
+    prompt: 774,
+    output: 200,
+};
+
+/// Cards of one deployment: failure domain, kind, count.
+pub const CARDS: [(&str, &str, usize); 9] = [
+    ("centro", "a100", 1),
+    ("cordon", "a100", 1),
+    ("pocitos", "a100", 2),
+    ("centro", "l40s", 3),
+    ("cordon", "l40s", 6),
+    ("pocitos", "l40s", 2),
+    ("centro", "l4", 8),
+    ("cordon", "l4", 5),
+    ("pocitos", "l4", 5),
+];
+
+pub fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("the test's names are valid")
+}
+
+pub fn ms(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+pub fn spec() -> EngineSpec {
+    let kind = |mb, pace, read_factor| Accelerator {
+        mb,
+        pace,
+        read_factor,
+    };
+    EngineSpec {
+        slots: 192,
+        layers: 80,
+        layer_mb: 1_750.0,
+        kv_bytes: 918_000.0,
+        load: Duration::from_secs(14),
+        loads_at_once: 5,
+        step_ms: 1.02,
+        per_request_ms: 0.00714,
+        per_context_k_ms: 0.00956,
+        read_per_s: 105_000.0,
+        activation_bytes: 45_900.0,
+        pipe_mbps: 26_000.0,
+        usual_prompt: 774,
+        usual_output: 200,
+        kinds: BTreeMap::from([
+            ("a100".to_owned(), kind(72_000.0, 2.4, 3.2)),
+            ("l40s".to_owned(), kind(43_200.0, 5.6, 2.7)),
+            ("l4".to_owned(), kind(21_600.0, 16.0, 8.2)),
+        ]),
+        delays: Vec::new(),
+    }
+}
+
+fn route(path: &str, kind: RouteKind, service: &str) -> Route {
+    Route {
+        host: HOST.to_owned(),
+        path_prefix: path.to_owned(),
+        kind,
+        timeout: Duration::from_secs(20),
+        target_latency: Duration::from_millis(500),
+        target_gap: Some(Duration::from_millis(200)),
+        priority: Priority(1),
+        max_attempts: 2,
+        public: false,
+        split: vec![(id(service), 1)],
+    }
+}
+
+pub fn configuration(version: u64) -> Configuration {
+    let streaming = RouteKind::Streaming { resumable: true };
+    let mut public = route("/open/", RouteKind::Idempotent, PLAIN);
+    public.public = true;
+    Configuration {
+        version,
+        routes: BTreeMap::from([
+            ("trip".to_owned(), route("/trip/", streaming, ENGINES)),
+            ("open".to_owned(), public),
+            (
+                "log".to_owned(),
+                route("/log/", RouteKind::NonIdempotent, PLAIN),
+            ),
+            (
+                "deep".to_owned(),
+                route("/log/deep/", RouteKind::Idempotent, PLAIN),
+            ),
+        ]),
+        services: BTreeMap::from([
+            (
+                id(ENGINES),
+                Service {
+                    health_path: "/health".to_owned(),
+                    engine: Some(spec()),
+                },
+            ),
+            (
+                id(PLAIN),
+                Service {
+                    health_path: "/health".to_owned(),
+                    engine: None,
+                },
+            ),
+        ]),
+        limits: CallerLimits::default(),
+        organisations: Some(BTreeMap::from([(
+            id("hule930"),
+            Organisation {
+                keys: vec![KEY.to_owned()],
+                priority: None,
+            },
+        )])),
+    }
+}
+
+pub fn server(number: usize, service: &str, domain: &str) -> Server {
+    let address = format!("10.0.{}.{}:8080", number / 250, number % 250 + 1);
+    Server {
+        service: id(service),
+        address: address.parse().expect("an address"),
+        domain: id(domain),
+        state: ServerState::Ready,
+        slots: if service == PLAIN { 6 } else { 192 },
+        accelerator: None,
+        layers: None,
+        born: Some(1),
+    }
+}
+
+pub fn engine(number: usize, domain: &str, kind: &str, layers: Option<(u16, u16)>) -> Server {
+    Server {
+        accelerator: Some(kind.to_owned()),
+        layers: layers.map(|(start, end)| LayerRange::new(start, end).expect("a range")),
+        ..server(number, ENGINES, domain)
+    }
+}
+
+pub fn name(number: usize) -> VmId {
+    id(&format!("i-{number:03}"))
+}
+
+/// The engines of the deployment, without layers.
+pub fn empty_engines() -> BTreeMap<VmId, Server> {
+    let cards = CARDS
+        .iter()
+        .flat_map(|(domain, kind, count)| std::iter::repeat_n((*domain, *kind), *count));
+    cards
+        .enumerate()
+        .map(|(number, (domain, kind))| (name(number), engine(number, domain, kind, None)))
+        .collect()
+}
+
+pub fn gateway_config() -> GatewayConfig {
+    GatewayConfig {
+        proof_bound: Duration::from_millis(4_500),
+        budget: BudgetConfig {
+            ratio: 0.2,
+            window: Duration::from_secs(10),
+            slack: 198.0,
+        },
+    }
+}
+
+/// A gateway with a fresh configuration and these servers.
+pub fn gateway(now: Timestamp, servers: BTreeMap<VmId, Server>) -> Gateway {
+    let mut gateway = Gateway::new(gateway_config(), 7);
+    gateway.set_configuration(configuration(1));
+    gateway.confirm(now);
+    gateway.set_servers(now, servers);
+    gateway.set_nodes(7);
+    gateway
+}
+
+/// The engines of the deployment, holding what the planner gives them.
+pub fn placed_engines() -> BTreeMap<VmId, Server> {
+    use radishhaven_core::gateway::{Servers, placement::plan};
+    let mut engines = empty_engines();
+    let mut servers = Servers::default();
+    for (id, engine) in &engines {
+        servers.apply(ms(0), id, Some(engine.clone()));
+    }
+    for assignment in plan(&spec(), &servers, &id(ENGINES), &BTreeMap::new()) {
+        let engine = engines.get_mut(&assignment.server).expect("it is there");
+        engine.layers = Some(assignment.layers);
+    }
+    engines
+}
--- /dev/null
+++ b/crates/core/tests/gateway_paths.rs
@@ -0,0 +1,115 @@
+//! The engines that a generation passes through.
+
+mod gateway_fakes;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bolero_generator::TypeGenerator;
+use gateway_fakes::{ENGINES, USUAL, engine, id, ms, name, placed_engines, spec};
+use radishhaven_cases::{INVARIANT_CASES, check};
+use radishhaven_core::{
+    gateway::{
+        Path, Server, ServerState, Servers,
+        paths::{Need, choose},
+    },
+    ids::VmId,
+};
+
+fn servers(engines: &BTreeMap<VmId, Server>) -> Servers {
+    let mut servers = Servers::default();
+    for (id, engine) in engines {
+        servers.apply(ms(0), id, Some(engine.clone()));
+    }
+    servers
+}
+
+fn path(servers: &Servers, need: Need, avoid: &[VmId]) -> Option<Path> {
+    choose(&spec(), servers, &id(ENGINES), ms(0), need, avoid, || 0.5)
+}
+
+#[test]
+fn a_path_stays_in_one_failure_domain_while_it_can() {
+    let engines = placed_engines();
+    let path = path(&servers(&engines), USUAL, &[]).expect("there is room");
+    let domains: BTreeSet<&str> = path
+        .stages
+        .iter()
+        .map(|stage| engines[&stage.server].domain.as_str())
+        .collect();
+    assert_eq!(domains.len(), 1);
+}
+
+#[test]
+fn an_engine_that_is_avoided_or_drains_takes_no_part() {
+    let mut engines = placed_engines();
+    let first = path(&servers(&engines), USUAL, &[]).expect("there is room");
+    let avoided = first.stages[0].server.clone();
+    let drains = first.stages[1].server.clone();
+    engines.get_mut(&drains).expect("it is there").state = ServerState::Draining;
+    let second = path(&servers(&engines), USUAL, &[avoided.clone()]).expect("there are others");
+    let used = |id: &VmId| second.stages.iter().any(|stage| stage.server == *id);
+    assert!(!used(&avoided) && !used(&drains));
+}
+
+#[test]
+fn no_path_leads_through_engines_whose_memory_is_promised() {
+    let engines = BTreeMap::from([(name(0), engine(0, "centro", "l40s", Some((0, 20))))]);
+    let mut servers = servers(&engines);
+    let mut small = spec();
+    small.layers = 20;
+    let room = small.kv_tokens(&small.kinds["l40s"], 20).expect("it fits");
+    servers.get_mut(&name(0)).expect("it is there").tokens = u64::from(room);
+    let full = choose(&small, &servers, &id(ENGINES), ms(0), USUAL, &[], || 0.5);
+    assert_eq!(full, None);
+}
+
+#[derive(Debug, TypeGenerator)]
+struct Case {
+    engines: Vec<(u8, u8, u8, u8, u16)>,
+    prompt: u16,
+    output: u8,
+}
+
+/// Whatever engines hold, a path runs every layer once and in order, only
+/// where it is held, and names no engine twice.
+#[test]
+fn a_path_runs_every_layer_once_and_in_order() {
+    let found = std::cell::Cell::new(0_u32);
+    check(2, INVARIANT_CASES, |case: Case| {
+        let mut engines = BTreeMap::new();
+        for (number, (domain, kind, start, count, tokens)) in
+            case.engines.iter().take(80).enumerate()
+        {
+            let domain = ["centro", "cordon", "pocitos"][usize::from(domain % 3)];
+            let kind = ["a100", "l40s", "l4"][usize::from(kind % 3)];
+            let start = u16::from(start % 16) * 5;
+            let end = (start + u16::from(count % 8 + 1) * 5).min(80);
+            let held = engine(number, domain, kind, Some((start, end)));
+            engines.insert(name(number), (held, u64::from(*tokens)));
+        }
+        let mut servers = Servers::default();
+        for (id, (engine, tokens)) in &engines {
+            servers.apply(ms(0), id, Some(engine.clone()));
+            servers.get_mut(id).expect("it was added").tokens = *tokens;
+        }
+        let need = Need {
+            prompt: u32::from(case.prompt % 4_000),
+            output: u32::from(case.output),
+        };
+        let Some(path) = path(&servers, need, &[]) else {
+            return;
+        };
+        found.set(found.get() + 1);
+        let mut next = 0;
+        let mut seen = BTreeSet::new();
+        for stage in &path.stages {
+            let held = engines[&stage.server].0.layers.expect("it holds layers");
+            assert_eq!(stage.layers.start(), next, "a gap or an overlap");
+            assert!(held.start() <= stage.layers.start() && stage.layers.end() <= held.end());
+            assert!(seen.insert(&stage.server), "an engine occurs twice");
+            next = stage.layers.end();
+        }
+        assert_eq!(next, 80, "the path ends early");
+    });
+    assert!(found.get() > 500, "only {} cases had a path", found.get());
+}
--- /dev/null
+++ b/crates/core/tests/gateway_placement.rs
@@ -0,0 +1,120 @@
+//! Which layers engines are told to hold.
+
+mod gateway_fakes;
+
+use std::collections::BTreeMap;
+
+use bolero_generator::TypeGenerator;
+use gateway_fakes::{CARDS, ENGINES, empty_engines, engine, id, ms, name, placed_engines, spec};
+use radishhaven_cases::{INVARIANT_CASES, check};
+use radishhaven_core::{
+    gateway::{
+        Server, Servers,
+        placement::{fill_hole, plan},
+    },
+    ids::VmId,
+};
+
+fn servers(engines: &BTreeMap<VmId, Server>) -> Servers {
+    let mut servers = Servers::default();
+    for (id, engine) in engines {
+        servers.apply(ms(0), id, Some(engine.clone()));
+    }
+    servers
+}
+
+/// Returns how often each layer is held in a domain, or in all.
+fn held(engines: &BTreeMap<VmId, Server>, domain: Option<&str>) -> Vec<u32> {
+    let mut held = vec![0; usize::from(spec().layers)];
+    for engine in engines.values() {
+        if domain.is_some_and(|domain| engine.domain.as_str() != domain) {
+            continue;
+        }
+        for layer in engine.layers.iter().flat_map(|l| l.start()..l.end()) {
+            held[usize::from(layer)] += 1;
+        }
+    }
+    held
+}
+
+#[test]
+fn every_domain_gets_a_whole_copy() {
+    let engines = placed_engines();
+    for domain in ["centro", "cordon", "pocitos"] {
+        let least = held(&engines, Some(domain)).into_iter().min();
+        assert!(least >= Some(1), "{domain} lacks a layer");
+    }
+}
+
+#[test]
+fn an_engine_that_comes_back_empty_takes_what_is_held_least() {
+    let mut engines = placed_engines();
+    let lost = engines[&name(0)].layers.expect("it holds layers");
+    engines.insert(name(0), engine(0, "centro", "a100", None));
+    let assignments = plan(&spec(), &servers(&engines), &id(ENGINES), &BTreeMap::new());
+    assert_eq!(assignments.len(), 1);
+    assert_eq!(assignments[0].layers, lost);
+}
+
+#[test]
+fn layers_that_are_held_nowhere_move_to_an_engine_that_can_be_spared() {
+    let mut engines = placed_engines();
+    let missing = 0..20;
+    engines.retain(|_, engine| {
+        let held = engine.layers.expect("it holds layers");
+        !missing.contains(&held.start())
+    });
+    let move_one = fill_hole(&spec(), &servers(&engines), &id(ENGINES), &BTreeMap::new());
+    let assignment = move_one.expect("some engine can be spared");
+    assert_eq!(assignment.layers.start(), 0);
+    let given_up = engines[&assignment.server].layers.expect("it holds layers");
+    let rest = held(&engines, None);
+    let spared = (given_up.start()..given_up.end()).all(|layer| rest[usize::from(layer)] >= 2);
+    assert!(spared, "{given_up} would be held nowhere");
+}
+
+#[derive(Debug, TypeGenerator)]
+struct Deployment {
+    cards: Vec<(u8, u8)>,
+    lost: u64,
+}
+
+/// No engine is ever told to hold more than its memory holds, whatever cards
+/// there are and whichever of them hold layers already.
+#[test]
+fn no_engine_is_told_to_hold_more_than_fits() {
+    let spec = spec();
+    check(1, INVARIANT_CASES, |case: Deployment| {
+        let mut engines = BTreeMap::new();
+        for (number, (domain, kind)) in case.cards.iter().take(60).enumerate() {
+            let domain = ["centro", "cordon", "pocitos"][usize::from(domain % 3)];
+            let kind = ["a100", "l40s", "l4"][usize::from(kind % 3)];
+            engines.insert(name(number), engine(number, domain, kind, None));
+        }
+        for round in 0..2 {
+            for assignment in plan(&spec, &servers(&engines), &id(ENGINES), &BTreeMap::new()) {
+                let engine = engines.get_mut(&assignment.server).expect("it is there");
+                let kind = engine.accelerator.as_ref().expect("it has one");
+                let mb = f64::from(assignment.layers.count()) * spec.layer_mb;
+                assert!(mb <= spec.kinds[kind].mb, "{kind} {}", assignment.layers);
+                assert!(assignment.layers.end() <= spec.layers);
+                engine.layers = Some(assignment.layers);
+            }
+            if round == 0 {
+                for (number, engine) in engines.values_mut().enumerate() {
+                    if case.lost >> (number % 64) & 1 == 1 {
+                        engine.layers = None;
+                    }
+                }
+            }
+        }
+    });
+}
+
+#[test]
+fn the_plan_uses_every_card() {
+    let engines = placed_engines();
+    let cards: usize = CARDS.iter().map(|(_, _, count)| count).sum();
+    let placed = engines.values().filter(|e| e.layers.is_some()).count();
+    assert_eq!((placed, empty_engines().len()), (cards, cards));
+}
--- /dev/null
+++ b/crates/core/tests/gateway_requests.rs
@@ -0,0 +1,260 @@
+//! What a gateway decides about requests: routes, keys, budgets, silence.
+
+mod gateway_fakes;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bolero_generator::TypeGenerator;
+use gateway_fakes::{
+    ENGINES, HOST, KEY, PLAIN, USUAL, configuration, gateway, gateway_config, id, ms, name,
+    placed_engines, server,
+};
+use radishhaven_cases::check;
+use radishhaven_core::{
+    gateway::{
+        Gateway, RouteKind, Settled, Ticket,
+        admission::LONGEST_WAIT,
+        budget::{BudgetConfig, RetryBudget},
+        drain,
+        progress::{FIRST_LOOK, Verdict},
+        routes::Denied,
+        state::{Begin, Rejected, Target},
+    },
+    ids::VmId,
+    time::Timestamp,
+};
+
+const TARGET: Duration = Duration::from_millis(500);
+
+fn start(gateway: &mut Gateway, now: Timestamp) -> Ticket {
+    let routed = gateway
+        .route(now, HOST, "/trip/1", Some(KEY))
+        .expect("the route is there");
+    match gateway.begin(now, &routed, &id(ENGINES), Some(USUAL)) {
+        Begin::Start(ticket) => ticket,
+        other => panic!("it did not start: {other:?}"),
+    }
+}
+
+fn servers_of(ticket: &Ticket) -> Vec<VmId> {
+    match &ticket.target {
+        Target::Engines(path) => path.stages.iter().map(|s| s.server.clone()).collect(),
+        Target::Plain { server, .. } => vec![server.clone()],
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_selects_the_route() {
+    let gateway = gateway(ms(0), BTreeMap::new());
+    let find = |host, path| gateway.route(ms(0), host, path, Some(KEY)).map(|r| r.name);
+    assert_eq!(find(HOST, "/log/deep/1").as_deref(), Ok("deep"));
+    assert_eq!(find(HOST, "/log/1").as_deref(), Ok("log"));
+    assert_eq!(
+        find(HOST, "/lo"),
+        Err(Rejected::Denied(Denied::NoRoute)),
+        "a prefix ends with a slash"
+    );
+    assert_eq!(
+        find("other.example", "/log/1"),
+        Err(Rejected::Denied(Denied::NoRoute))
+    );
+}
+
+#[test]
+fn a_key_is_asked_for_unless_the_route_is_public() {
+    let gateway = gateway(ms(0), BTreeMap::new());
+    let denied = Err(Rejected::Denied(Denied::UnknownKey));
+    let find = |path, key| {
+        gateway
+            .route(ms(0), HOST, path, key)
+            .map(|r| r.organisation)
+    };
+    assert_eq!(find("/log/1", None), denied);
+    assert_eq!(find("/log/1", Some("other")), denied);
+    assert_eq!(find("/log/1", Some(KEY)), Ok(Some(id("hule930"))));
+    assert_eq!(find("/open/1", None), Ok(None));
+}
+
+/// A key that was taken away while this node could not read the store must
+/// not be served, and what is no longer certain is not denied either.
+#[test]
+fn without_recent_proof_keys_are_neither_served_nor_denied() {
+    let gateway = gateway(ms(1_000), BTreeMap::new());
+    let late = ms(1_000) + gateway_config().proof_bound;
+    let find = |path, key| gateway.route(late, HOST, path, key).map(|r| r.name);
+    assert_eq!(find("/log/1", Some(KEY)), Err(Rejected::Unconfirmed));
+    assert_eq!(find("/log/1", Some("other")), Err(Rejected::Unconfirmed));
+    assert_eq!(find("/nowhere/1", Some(KEY)), Err(Rejected::Unconfirmed));
+    assert_eq!(find("/open/1", None).as_deref(), Ok("open"));
+}
+
+#[test]
+fn an_older_configuration_never_replaces_a_newer_one() {
+    let mut gateway = gateway(ms(0), BTreeMap::new());
+    assert!(gateway.set_configuration(configuration(9)));
+    assert!(!gateway.set_configuration(configuration(8)));
+    assert_eq!(gateway.configuration().map(|c| c.version), Some(9));
+}
+
+#[test]
+fn a_server_that_starts_again_under_its_id_holds_nothing_of_before() {
+    let mut gateway = gateway(ms(0), placed_engines());
+    let ticket = start(&mut gateway, ms(1));
+    let first = servers_of(&ticket)[0].clone();
+    let mut reborn = gateway
+        .servers()
+        .get(&first)
+        .expect("it is there")
+        .entry
+        .clone();
+    reborn.born = Some(2);
+    reborn.layers = None;
+    gateway.set_server(ms(2), &first, Some(reborn));
+    let row = gateway.servers().get(&first).expect("it is there");
+    assert_eq!((row.requests, row.tokens), (0, 0));
+    // What ran there before must not be taken off the new life's counts.
+    gateway.settle(ms(3), &ticket, Settled::Abandoned);
+    assert_eq!(gateway.servers().get(&first).map(|r| r.requests), Some(0));
+}
+
+/// One engine of a path goes silent while the others bring events of other
+/// streams: the stream moves, and only that engine is suspect.
+#[test]
+fn an_engine_through_which_nothing_comes_is_the_suspect() {
+    let mut gateway = gateway(ms(0), placed_engines());
+    let ticket = start(&mut gateway, ms(0));
+    let ids = servers_of(&ticket);
+    let silent = FIRST_LOOK + Duration::from_millis(10);
+    let now = ms(0) + silent;
+    let others = Ticket {
+        service: id(ENGINES),
+        target: match &ticket.target {
+            Target::Engines(path) => {
+                let mut path = path.clone();
+                path.stages.remove(0);
+                Target::Engines(path)
+            }
+            Target::Plain { .. } => panic!("engines were asked for"),
+        },
+        since: ms(0),
+    };
+    gateway.progressed(now - Duration::from_millis(50), &others);
+    let verdict = gateway.judge_silence(now, &ticket, silent, true, TARGET);
+    assert_eq!(verdict, Verdict::Move(vec![ids[0].clone()]));
+}
+
+#[test]
+fn a_stream_is_not_moved_while_its_engines_are_merely_slow() {
+    let mut gateway = gateway(ms(0), placed_engines());
+    let ticket = start(&mut gateway, ms(0));
+    let silent = FIRST_LOOK * 2;
+    let now = ms(0) + silent;
+    gateway.progressed(now, &ticket);
+    let verdict = gateway.judge_silence(now, &ticket, silent, true, TARGET);
+    assert!(matches!(verdict, Verdict::Wait(_)), "{verdict:?}");
+}
+
+/// Engines are full: what can start in time waits, the rest is refused at once
+/// with a time to come back, and whoever waits starts when room is made.
+#[test]
+fn requests_beyond_the_room_wait_only_while_they_can_start_in_time() {
+    let mut gateway = gateway(ms(0), placed_engines());
+    let routed = gateway
+        .route(ms(0), HOST, "/trip/1", Some(KEY))
+        .expect("the route is there");
+    let mut running = Vec::new();
+    let mut waiting = Vec::new();
+    let mut refused = 0;
+    for _ in 0..2_000 {
+        match gateway.begin(ms(0), &routed, &id(ENGINES), Some(USUAL)) {
+            Begin::Start(ticket) => running.push(ticket),
+            Begin::Wait(key, until) => {
+                assert_eq!(until, ms(0) + LONGEST_WAIT);
+                waiting.push(key);
+            }
+            Begin::Refuse(after) => {
+                assert!(after > Duration::ZERO);
+                refused += 1;
+            }
+        }
+    }
+    assert!(running.len() > 300, "only {} run at once", running.len());
+    assert!(!waiting.is_empty() && refused > 1_000);
+    for ticket in running.drain(..20) {
+        gateway.settle(ms(500), &ticket, Settled::Abandoned);
+    }
+    let started = gateway.serve_waiting(ms(500));
+    assert_eq!(
+        started.first().map(|(key, _)| *key),
+        waiting.first().copied()
+    );
+}
+
+#[test]
+fn a_plain_server_that_fails_is_left_alone_for_a_while() {
+    let servers = (0..3).map(|n| (name(n), server(n, PLAIN, "centro")));
+    let mut gateway = gateway(ms(0), servers.collect());
+    gateway.failed(ms(0), &name(0));
+    gateway.failed(ms(0), &name(1));
+    let routed = gateway.route(ms(1), HOST, "/log/1", Some(KEY));
+    let routed = routed.expect("the route is there");
+    for _ in 0..10 {
+        let begin = gateway.begin(ms(1), &routed, &id(PLAIN), None);
+        let Begin::Start(ticket) = begin else {
+            panic!("the third server has room");
+        };
+        assert_eq!(servers_of(&ticket), [name(2)]);
+    }
+}
+
+#[derive(Debug, TypeGenerator)]
+struct Load {
+    nodes: u8,
+    steps: Vec<(u8, u16, bool)>,
+}
+
+/// Whatever nodes do, their repeats in any window stay within the budget that
+/// all of them share, as long as each knows how many they are.
+#[test]
+fn all_nodes_together_stay_within_the_retry_budget() {
+    let cfg = BudgetConfig {
+        ratio: 0.2,
+        window: Duration::from_secs(10),
+        slack: 198.0,
+    };
+    check(3, 2_000, |case: Load| {
+        let nodes = usize::from(case.nodes % 9) + 1;
+        let mut budgets: Vec<RetryBudget> = (0..nodes).map(|_| RetryBudget::default()).collect();
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        let mut now = ms(20_000);
+        for (node, pause, request) in case.steps {
+            now = now + Duration::from_millis(u64::from(pause % 200));
+            let budget = &mut budgets[usize::from(node) % nodes];
+            if request {
+                budget.request(now, &cfg);
+                requests.push(now);
+            }
+            for _ in 0..4 {
+                if budget.take(now, &cfg, nodes as u32) {
+                    repeats.push(now);
+                }
+            }
+            let within = |times: &[Timestamp]| {
+                let oldest = now - cfg.window;
+                times.iter().filter(|&&time| time >= oldest).count() as f64
+            };
+            let allowed = cfg.ratio * within(&requests) + cfg.slack;
+            assert!(within(&repeats) <= allowed);
+        }
+    });
+}
+
+#[test]
+fn what_is_taken_during_a_shutdown_can_end_before_it() {
+    let grace = Duration::from_secs(8);
+    let streaming = RouteKind::Streaming { resumable: true };
+    let takes = |kind, ms| drain::takes(kind, Duration::from_millis(ms), grace);
+    assert!(takes(streaming, 2_000) && !takes(streaming, 2_500));
+    assert!(takes(RouteKind::Idempotent, 5_900) && !takes(RouteKind::Idempotent, 6_100));
+    assert!(!takes(RouteKind::NonIdempotent, 6_100));
+}
--- a/crates/daemon/src/gateway/connections.rs
+++ b/crates/daemon/src/gateway/connections.rs
@@ -20,17 +20,21 @@
 /// Most bytes of a request's head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
-/// Listens on an address.
-pub(super) fn listen(address: SocketAddr) -> Result<TcpListener, GatewayStartError> {
-    let bound = || {
-        let socket = match address {
+/// Listens on an address, and puts the port there that was bound.
+pub(super) fn listen(address: &mut SocketAddr) -> Result<TcpListener, GatewayStartError> {
+    let asked = *address;
+    let mut bound = || {
+        let socket = match asked {
             SocketAddr::V4(_) => TcpSocket::new_v4()?,
             SocketAddr::V6(_) => TcpSocket::new_v6()?,
         };
         socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(LISTEN_BACKLOG)
+        socket.bind(asked)?;
+        let listener = socket.listen(LISTEN_BACKLOG)?;
+        *address = listener.local_addr()?;
+        Ok(listener)
     };
+    let address = asked;
     bound().map_err(|source| GatewayStartError::Listen { address, source })
 }
 
--- a/crates/daemon/src/gateway/host.rs
+++ b/crates/daemon/src/gateway/host.rs
@@ -4,16 +4,17 @@
     collections::BTreeMap,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+        atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
 
 use radishhaven_core::{
     gateway::{
-        Gateway, Settled, Ticket,
+        Gateway, RouteKind, Settled, Ticket,
         admission::WaitKey,
+        drain,
         paths::Need,
         routes::Routed,
         state::{Begin, Target},
@@ -66,7 +67,8 @@
     pub(super) store: Store,
     /// Counters and histograms.
     pub(super) metrics: GatewayMetrics,
-    draining: AtomicBool,
+    /// When the shutdown began.
+    draining: OnceLock<Timestamp>,
     open: AtomicU64,
 }
 
@@ -160,11 +162,16 @@
             store: Store::new(settings.store.address),
             settings,
             metrics: GatewayMetrics::default(),
-            draining: AtomicBool::new(false),
+            draining: OnceLock::new(),
             open: AtomicU64::new(0),
         }
     }
 
+    /// Returns the settings, with the ports that were bound.
+    pub fn settings(&self) -> &GatewaySettings {
+        &self.settings
+    }
+
     /// Returns the current time as the decisions see it.
     pub(super) fn now(&self) -> Timestamp {
         self.clock.now()
@@ -182,12 +189,21 @@
 
     /// Tells whether the node is shutting down.
     pub(super) fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        self.draining.get().is_some()
+    }
+
+    /// Tells whether a request of a kind is still taken.
+    pub(super) fn takes(&self, kind: RouteKind) -> bool {
+        let Some(begun) = self.draining.get() else {
+            return true;
+        };
+        let spent = self.now().since(*begun);
+        drain::takes(kind, spent, self.settings.bounds.grace)
     }
 
     /// Begins the shutdown.
     pub(super) fn drain(&self) {
-        self.draining.store(true, Ordering::Relaxed);
+        self.draining.get_or_init(|| self.now());
     }
 
     /// Returns the number of requests that are not answered yet.
--- a/crates/daemon/src/gateway/load.rs
+++ b/crates/daemon/src/gateway/load.rs
@@ -25,10 +25,16 @@
     load: LoadReport,
 }
 
-/// Binds the socket for reports.
-pub(super) async fn bind(address: SocketAddr) -> Result<UdpSocket, GatewayStartError> {
-    let socket = UdpSocket::bind(address).await;
-    socket.map_err(|source| GatewayStartError::Listen { address, source })
+/// Binds the socket for reports, and puts the port there that was bound.
+pub(super) async fn bind(address: &mut SocketAddr) -> Result<UdpSocket, GatewayStartError> {
+    let asked = *address;
+    let failed = |source| GatewayStartError::Listen {
+        address: asked,
+        source,
+    };
+    let socket = UdpSocket::bind(asked).await.map_err(failed)?;
+    *address = socket.local_addr().map_err(failed)?;
+    Ok(socket)
 }
 
 /// Sends and takes in reports until the process ends.
--- a/crates/daemon/src/gateway/shutdown.rs
+++ b/crates/daemon/src/gateway/shutdown.rs
@@ -37,8 +37,7 @@
         let mut term = receive(SignalKind::terminate())?;
         let mut interrupt = receive(SignalKind::interrupt())?;
         let mut hangup = receive(SignalKind::hangup())?;
-        let host = Arc::new(Self::new(settings));
-        host.clone().start().await?;
+        let host = Self::start(settings).await?;
         loop {
             tokio::select! {
                 _ = term.recv() => break,
@@ -52,46 +51,53 @@
         Ok(host.shut_down().await)
     }
 
-    async fn start(self: Arc<Self>) -> Result<(), GatewayStartError> {
-        let node = &self.settings.node;
-        let callers = connections::listen(node.callers)?;
-        let readiness = connections::listen(node.readiness)?;
-        let addresses = connections::listen(node.directory)?;
-        let metrics_listener = connections::listen(node.metrics)?;
-        let socket = load::bind(node.peers).await?;
+    /// Starts a gateway on the current runtime; ports that are zero become
+    /// those that were bound.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address can't be listened on.
+    pub async fn start(mut settings: GatewaySettings) -> Result<Arc<Self>, GatewayStartError> {
+        let node = &mut settings.node;
+        let callers = connections::listen(&mut node.callers)?;
+        let readiness = connections::listen(&mut node.readiness)?;
+        let addresses = connections::listen(&mut node.directory)?;
+        let metrics_listener = connections::listen(&mut node.metrics)?;
+        let socket = load::bind(&mut node.peers).await?;
         info!("the gateway starts", kv: {
             vm = node.vm.as_str(),
             failure_domain = node.failure_domain.as_str(),
             callers = node.callers.to_string(),
-            store = self.settings.store.address.to_string(),
+            store = settings.store.address.to_string(),
         });
-        let host = self.clone();
+        let host = Arc::new(Self::new(settings));
+        let shared = host.clone();
         tokio::spawn(connections::serve(callers, move |req| {
-            ingress::answer(host.clone(), req)
+            ingress::answer(shared.clone(), req)
         }));
-        let host = self.clone();
+        let shared = host.clone();
         tokio::spawn(connections::serve(readiness, move |req| {
-            std::future::ready(directory::readiness(&host, &req))
+            std::future::ready(directory::readiness(&shared, &req))
         }));
-        let host = self.clone();
+        let shared = host.clone();
         tokio::spawn(connections::serve(addresses, move |req| {
-            std::future::ready(directory::resolve(&host, &req))
+            std::future::ready(directory::resolve(&shared, &req))
         }));
-        let host = self.clone();
+        let shared = host.clone();
         tokio::spawn(connections::serve(metrics_listener, move |_| {
-            std::future::ready(metrics::render(&host))
+            std::future::ready(metrics::render(&shared))
         }));
-        tokio::spawn(follow::configuration(self.clone()));
-        tokio::spawn(follow::registry(self.clone()));
-        tokio::spawn(members::follow(self.clone()));
-        tokio::spawn(placer::run(self.clone()));
-        tokio::spawn(load::exchange(self.clone(), socket));
-        Ok(())
+        tokio::spawn(follow::configuration(host.clone()));
+        tokio::spawn(follow::registry(host.clone()));
+        tokio::spawn(members::follow(host.clone()));
+        tokio::spawn(placer::run(host.clone()));
+        tokio::spawn(load::exchange(host.clone(), socket));
+        Ok(host)
     }
 
     /// Tells callers and peers that the node leaves, serves what still comes,
     /// and ends when nothing is open any more.
-    async fn shut_down(&self) -> bool {
+    pub async fn shut_down(&self) -> bool {
         let begun = self.now();
         self.drain();
         info!("shutting down gracefully", kv: { open = self.open_requests() });
