perf(placement): copies of a domain's fastest cards

Now a copy takes as many of a domain's fastest cards as give the most room over squared time; what is left makes copies over all domains; a card that comes back empty takes the layers whose cards are slowest. Ruled out: room over time alone, which put all 12 cards of one domain into one slow copy.

--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -1,34 +1,41 @@
-//! Decides which layers an engine without layers takes.
+//! Decides which layers engines hold.
 //!
-//! Layers are dealt out in blocks on common boundaries, so that engines of the
-//! same block can stand in for each other. Each failure domain gets a whole
-//! copy first, since activations are large and the links between domains are
-//! shared; what is left fills where copies are fewest.
+//! At the start each failure domain gets a copy of its own, since activations
+//! are large and the links between domains are shared. A copy takes the
+//! domain's fastest cards, as many as pay: more cards leave more memory for
+//! requests, slower ones keep each request longer.
+//! What is left makes copies over all domains. Later, an engine that comes back
+//! empty takes the layers that are held worst.
 
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 use serde::Serialize;
 
 use super::{
     config::{Accelerator, EngineSpec},
-    servers::{ServerState, Servers},
+    servers::{ServerRow, ServerState, Servers},
 };
 use crate::{
     ids::{FailureDomain, LayerRange, ServiceId, VmId},
     time::Timestamp,
 };
 
-/// Parts into which the layers are cut at most; a part is the smallest range
-/// that an engine is given.
-const BLOCKS: u16 = 16;
-/// KV cache tokens that an engine of a domain's own copy keeps room for: about
-/// 160 requests of the usual size.
-const COPY_TOKENS: u32 = 150_000;
-/// KV cache tokens that an engine of a further copy keeps room for: about 30
-/// requests of the usual size, for more copies of slow engines.
-const SPARE_TOKENS: u32 = 30_000;
-/// Weight of a block's coverage in the own domain against that in all domains.
-const DOMAIN_WEIGHT: f64 = 16.0;
+/// KV cache tokens that an engine must have room for to be part of a copy:
+/// about 30 requests of the usual size.
+const LEAST_TOKENS: u32 = 30_000;
+/// KV cache tokens that an engine keeps room for when it fills a gap: about 60
+/// requests of the usual size.
+const REPAIR_TOKENS: u32 = 60_000;
+/// Steps in which the room of a copy is looked for, in tokens.
+const TOKEN_STEP: u32 = 5_000;
+/// Room beyond which a copy takes no further cards, in tokens: more requests
+/// than this would wait for the engines' passes, not for memory.
+const MOST_TOKENS: u32 = 300_000;
+/// Weight of a layer's coverage in the own domain against that in all domains.
+const DOMAIN_WEIGHT: f64 = 4.0;
+/// Coverage that stands for none, in cards of pace 1; a slow card covers a
+/// sixteenth.
+const NO_COVERAGE: f64 = 0.02;
 
 /// The layers that an engine is to hold.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -39,130 +46,222 @@
     pub layers: LayerRange,
 }
 
-/// How often each block is held, in one domain and in all.
-#[derive(Debug, Default)]
-struct Coverage {
-    all: Vec<u32>,
-    domains: BTreeMap<FailureDomain, Vec<u32>>,
+/// Engines whose last order may still be carried out, with what they were told
+/// to hold and when.
+pub type Ordered = BTreeMap<VmId, (LayerRange, Timestamp)>;
+
+/// An engine without layers.
+#[derive(Debug, Clone)]
+struct Card<'a> {
+    id: &'a VmId,
+    domain: &'a FailureDomain,
+    kind: &'a Accelerator,
+}
+
+/// How well each layer is held, as a sum of the speed of the cards.
+#[derive(Debug)]
+struct Coverage<'a> {
+    all: Vec<f64>,
+    domains: BTreeMap<&'a FailureDomain, Vec<f64>>,
 }
 
-impl Coverage {
-    fn new(blocks: usize) -> Self {
+impl<'a> Coverage<'a> {
+    fn new(spec: &EngineSpec) -> Self {
         Self {
-            all: vec![0; blocks],
+            all: vec![0.0; usize::from(spec.layers)],
             domains: BTreeMap::new(),
         }
     }
 
-    fn domain(&mut self, domain: &FailureDomain) -> &mut Vec<u32> {
-        let blocks = self.all.len();
+    fn domain(&mut self, domain: &'a FailureDomain) -> &mut Vec<f64> {
+        let layers = self.all.len();
         self.domains
-            .entry(domain.clone())
-            .or_insert_with(|| vec![0; blocks])
+            .entry(domain)
+            .or_insert_with(|| vec![0.0; layers])
     }
 
-    fn add(&mut self, domain: &FailureDomain, blocks: std::ops::Range<usize>) {
-        for block in blocks {
-            self.all[block] += 1;
-            self.domain(domain)[block] += 1;
+    fn add(&mut self, domain: &'a FailureDomain, held: LayerRange, kind: &Accelerator) {
+        for layer in usize::from(held.start())..usize::from(held.end()).min(self.all.len()) {
+            self.all[layer] += 1.0 / kind.pace;
+            self.domain(domain)[layer] += 1.0 / kind.pace;
         }
     }
 
-    fn whole(&mut self, domain: &FailureDomain) -> bool {
-        self.domain(domain).iter().all(|&count| count > 0)
-    }
-
-    /// Returns how much a domain gains by holding a block once more.
-    fn gain(&mut self, domain: &FailureDomain, block: usize) -> f64 {
-        let near = f64::from(self.domain(domain)[block]);
-        let all = f64::from(self.all[block]);
-        DOMAIN_WEIGHT / (1.0 + near).powi(3) + 1.0 / (1.0 + all).powi(2)
+    /// Returns how much is gained for each layer by holding it once more.
+    fn gains(&mut self, domain: &'a FailureDomain) -> Vec<f64> {
+        let near = self.domain(domain).clone();
+        let both = near.iter().zip(&self.all);
+        both.map(|(near, all)| DOMAIN_WEIGHT / (NO_COVERAGE + near) + 1.0 / (NO_COVERAGE + all))
+            .collect()
     }
 }
 
-/// Returns the number of layers in a block.
-fn block_layers(spec: &EngineSpec) -> u16 {
-    spec.layers.div_ceil(BLOCKS).max(1)
+/// Returns how many layers an engine holds at most while it keeps room for
+/// `tokens`.
+fn most_layers(spec: &EngineSpec, kind: &Accelerator, tokens: u32) -> u16 {
+    let token_mb = spec.kv_bytes / f64::from(spec.layers) / 1e6;
+    let layers = kind.mb / (spec.layer_mb + f64::from(tokens) * token_mb);
+    (layers as u16).min(spec.layers)
 }
 
-/// Returns how many blocks an engine takes while it keeps room for `tokens`.
-fn width(spec: &EngineSpec, kind: &Accelerator, tokens: u32) -> u16 {
-    let block = block_layers(spec);
-    let fits = |blocks: &u16| {
-        let layers = (blocks * block).min(spec.layers);
-        spec.kv_tokens(kind, layers).is_some_and(|t| t >= tokens)
-    };
-    let most = spec.layers.div_ceil(block);
-    (1..=most).rev().find(fits).unwrap_or(0)
+/// Returns what an engine holds, or was told to hold.
+fn holds(id: &VmId, row: &ServerRow, ordered: &Ordered) -> Option<LayerRange> {
+    let told = ordered.get(id).map(|(layers, _)| *layers);
+    told.or(row.entry.layers)
 }
 
-/// Plans the engines of a service that hold nothing; `busy` names those whose
-/// last order may still be carried out, with what they were told to hold.
+/// Plans the engines of a service that hold nothing.
 pub fn plan(
     spec: &EngineSpec,
     servers: &Servers,
     service: &ServiceId,
-    busy: &BTreeMap<VmId, (LayerRange, Timestamp)>,
+    ordered: &Ordered,
 ) -> Vec<Assignment> {
-    let block = block_layers(spec);
-    let blocks = usize::from(spec.layers.div_ceil(block));
-    let mut coverage = Coverage::new(blocks);
-    let mut empty = Vec::new();
+    let mut coverage = Coverage::new(spec);
+    let mut cards = Vec::new();
+    let mut none_held = true;
     for (id, row) in servers.of(service) {
-        if row.entry.state != ServerState::Ready {
+        let Some(kind) = row.accelerator(spec) else {
             continue;
+        };
+        let domain = &row.entry.domain;
+        match holds(id, row, ordered) {
+            _ if row.entry.state != ServerState::Ready => {}
+            Some(held) => {
+                none_held = false;
+                coverage.add(domain, held, kind);
+            }
+            None => cards.push(Card { id, domain, kind }),
         }
-        let ordered = busy.get(id).map(|(layers, _)| *layers);
-        match (ordered.or(row.entry.layers), row.accelerator(spec)) {
-            (Some(held), _) => coverage.add(&row.entry.domain, inner_blocks(held, block)),
-            (None, Some(kind)) => empty.push((id, row, kind)),
-            (None, None) => {}
-        }
     }
-    // Fast engines come first: their wide ranges leave the fewest seams.
-    empty.sort_by(|(a, _, x), (b, _, y)| x.pace.total_cmp(&y.pace).then(a.cmp(b)));
+    // Fast cards come first, in copies as in repairs.
+    cards.sort_by(|a, b| a.kind.pace.total_cmp(&b.kind.pace).then(a.id.cmp(b.id)));
+    if !none_held {
+        return repair(spec, &mut coverage, cards);
+    }
+    let (mut assignments, left) = lay_out(spec, &mut coverage, cards);
+    assignments.extend(repair(spec, &mut coverage, left));
+    assignments
+}
+
+/// Makes copies within domains, then over all of them; returns the cards that
+/// are part of none.
+fn lay_out<'a>(
+    spec: &EngineSpec,
+    coverage: &mut Coverage<'a>,
+    cards: Vec<Card<'a>>,
+) -> (Vec<Assignment>, Vec<Card<'a>>) {
+    let mut by_domain: BTreeMap<&FailureDomain, Vec<Card<'a>>> = BTreeMap::new();
+    for card in cards {
+        by_domain.entry(card.domain).or_default().push(card);
+    }
     let mut assignments = Vec::new();
-    for (id, row, kind) in empty {
-        let domain = &row.entry.domain;
-        let mut room = width(spec, kind, COPY_TOKENS);
-        if room == 0 || coverage.whole(domain) {
-            room = room.max(width(spec, kind, SPARE_TOKENS));
+    let mut left = Vec::new();
+    for cards in by_domain.into_values() {
+        left.extend(copies(spec, coverage, cards, &mut assignments));
+    }
+    left.sort_by(|a, b| a.kind.pace.total_cmp(&b.kind.pace));
+    let left = copies(spec, coverage, left, &mut assignments);
+    (assignments, left)
+}
+
+/// Makes as many copies as the cards give; returns those that are left.
+fn copies<'a>(
+    spec: &EngineSpec,
+    coverage: &mut Coverage<'a>,
+    mut cards: Vec<Card<'a>>,
+    assignments: &mut Vec<Assignment>,
+) -> Vec<Card<'a>> {
+    while let Some((count, tokens)) = best_copy(spec, &cards) {
+        let rest = cards.split_off(count);
+        let mut start = 0;
+        for (card, width) in cards.iter().zip(widths(spec, &cards, tokens)) {
+            if let Ok(layers) = LayerRange::new(start, start + width) {
+                coverage.add(card.domain, layers, card.kind);
+                let server = card.id.clone();
+                assignments.push(Assignment { server, layers });
+            }
+            start += width;
         }
-        let Some(first) = best_start(&mut coverage, domain, usize::from(room)) else {
+        cards = rest;
+    }
+    cards
+}
+
+/// Returns how many of the fastest cards make the best copy, and the tokens
+/// that each of them keeps room for.
+fn best_copy(spec: &EngineSpec, cards: &[Card<'_>]) -> Option<(usize, u32)> {
+    let mut best: Option<(f64, usize, u32)> = None;
+    for count in 1..=cards.len() {
+        let cards = &cards[..count];
+        let fits = |tokens: &u32| {
+            let layers = cards.iter().map(|c| most_layers(spec, c.kind, *tokens));
+            layers.map(u32::from).sum::<u32>() >= u32::from(spec.layers)
+        };
+        let rooms = (LEAST_TOKENS..=MOST_TOKENS).step_by(TOKEN_STEP as usize);
+        let Some(tokens) = rooms.filter(fits).last() else {
             continue;
         };
-        let end = first + usize::from(room);
-        coverage.add(domain, first..end);
-        let (start, end) = (first as u16 * block, end as u16 * block);
-        if let Ok(layers) = LayerRange::new(start, end.min(spec.layers)) {
-            let server = id.clone();
-            assignments.push(Assignment { server, layers });
+        let widths = widths(spec, cards, tokens);
+        let time = cards
+            .iter()
+            .zip(widths)
+            .map(|(card, width)| card.kind.pace * f64::from(width));
+        // The rate is room over time. Time counts once more, since a request
+        // that runs for longer is hit by more failures.
+        let worth = f64::from(tokens) / time.sum::<f64>().powi(2);
+        if best.is_none_or(|(most, _, _)| worth > most) {
+            best = Some((worth, count, tokens));
         }
     }
-    assignments
+    best.map(|(_, count, tokens)| (count, tokens))
 }
 
-/// Returns the blocks that lie wholly inside a range.
-fn inner_blocks(held: LayerRange, block: u16) -> std::ops::Range<usize> {
-    usize::from(held.start().div_ceil(block))..usize::from(held.end().div_ceil(block))
+/// Returns the layers of each card of a copy; the slowest ones give up what is
+/// more than the model has.
+fn widths(spec: &EngineSpec, cards: &[Card<'_>], tokens: u32) -> Vec<u16> {
+    let most = |card: &Card<'_>| most_layers(spec, card.kind, tokens);
+    let mut widths: Vec<u16> = cards.iter().map(most).collect();
+    let mut excess = widths.iter().sum::<u16>().saturating_sub(spec.layers);
+    while excess > 0 {
+        for width in widths.iter_mut().rev() {
+            if excess > 0 && *width > 0 {
+                *width -= 1;
+                excess -= 1;
+            }
+        }
+    }
+    widths
 }
 
-/// Returns the first block of the run of `room` blocks that gains the most.
-fn best_start(coverage: &mut Coverage, domain: &FailureDomain, room: usize) -> Option<usize> {
-    let blocks = coverage.all.len();
-    if room == 0 || room > blocks {
-        return None;
-    }
-    let mut best = None;
-    for start in 0..=blocks - room {
-        let gain: f64 = (start..start + room)
-            .map(|block| coverage.gain(domain, block))
-            .sum();
-        if best.is_none_or(|(most, _)| gain > most + 1e-9) {
-            best = Some((gain, start));
-        }
+/// Gives each card the run of layers that is held worst.
+fn repair<'a>(
+    spec: &EngineSpec,
+    coverage: &mut Coverage<'a>,
+    cards: Vec<Card<'a>>,
+) -> Vec<Assignment> {
+    let mut assignments = Vec::new();
+    for card in cards {
+        let width = most_layers(spec, card.kind, REPAIR_TOKENS);
+        let width = width.max(most_layers(spec, card.kind, LEAST_TOKENS).min(1));
+        let gains = coverage.gains(card.domain);
+        let Some(layers) = best_run(&gains, width) else {
+            continue;
+        };
+        coverage.add(card.domain, layers, card.kind);
+        let server = card.id.clone();
+        assignments.push(Assignment { server, layers });
     }
-    best.map(|(_, start)| start)
+    assignments
+}
+
+/// Returns the run of `width` layers that gains the most.
+fn best_run(gains: &[f64], width: u16) -> Option<LayerRange> {
+    let runs = gains.windows(usize::from(width.max(1))).enumerate();
+    let gained = runs.map(|(start, run)| (run.iter().sum::<f64>(), Reverse(start)));
+    let (_, Reverse(start)) = gained.max_by(|(a, x), (b, y)| a.total_cmp(b).then(x.cmp(y)))?;
+    let start = u16::try_from(start).ok()?;
+    LayerRange::new(start, start + width).ok()
 }
 
 /// Finds an engine to move when layers are held nowhere and no engine is empty:
@@ -171,44 +270,36 @@
     spec: &EngineSpec,
     servers: &Servers,
     service: &ServiceId,
-    busy: &BTreeMap<VmId, (LayerRange, Timestamp)>,
+    ordered: &Ordered,
 ) -> Option<Assignment> {
-    let block = block_layers(spec);
-    let mut held = vec![0_u32; usize::from(spec.layers.div_ceil(block))];
-    for (id, row) in servers.of(service) {
-        let ordered = busy.get(id).map(|(layers, _)| *layers);
-        if row.entry.state != ServerState::Ready {
-            continue;
-        }
-        for index in ordered
-            .or(row.entry.layers)
-            .map(|l| inner_blocks(l, block))
-            .into_iter()
-            .flatten()
-        {
-            held[index] += 1;
+    let mut held = vec![0_u32; usize::from(spec.layers)];
+    let ready = |row: &ServerRow| row.entry.state == ServerState::Ready;
+    for (id, row) in servers.of(service).filter(|(_, row)| ready(row)) {
+        for layer in holds(id, row, ordered).into_iter().flat_map(layers_of) {
+            if let Some(count) = held.get_mut(layer) {
+                *count += 1;
+            }
         }
     }
     let hole = held.iter().position(|&count| count == 0)?;
-    let spare = |range: LayerRange| {
-        let counts = inner_blocks(range, block).map(|index| held[index]);
-        counts.min().unwrap_or(0)
-    };
+    let least = |range| layers_of(range).filter_map(|l| held.get(l)).min().copied();
     let (id, row, least) = servers
         .of(service)
-        .filter(|(id, row)| row.entry.state == ServerState::Ready && !busy.contains_key(*id))
-        .filter_map(|(id, row)| row.entry.layers.map(|l| (id, row, spare(l))))
+        .filter(|(id, row)| ready(row) && !ordered.contains_key(*id))
+        .filter_map(|(id, row)| Some((id, row, least(row.entry.layers?)?)))
         .max_by_key(|(_, _, least)| *least)?;
     if least < 2 {
         return None;
     }
-    let room = width(spec, row.accelerator(spec)?, COPY_TOKENS).max(1);
-    let run = held[hole..].iter().take_while(|&&count| count == 0).count() as u16;
-    let start = hole as u16 * block;
-    let end = (start + room.min(run) * block).min(spec.layers);
+    let room = most_layers(spec, row.accelerator(spec)?, REPAIR_TOKENS).max(1);
+    let run = held[hole..].iter().take_while(|&&count| count == 0).count();
+    let start = u16::try_from(hole).ok()?;
+    let end = start + room.min(u16::try_from(run).ok()?);
     let layers = LayerRange::new(start, end).ok()?;
-    Some(Assignment {
-        server: id.clone(),
-        layers,
-    })
+    let server = id.clone();
+    Some(Assignment { server, layers })
+}
+
+fn layers_of(range: LayerRange) -> std::ops::Range<usize> {
+    usize::from(range.start())..usize::from(range.end())
 }
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -10,7 +10,7 @@
 use radishhaven_platform::{
     configuration,
     names::{CONFIGURATION_KEY, OPERATOR_TOPIC, REGISTRY_TOPIC},
-    registry::{self, Entry},
+    registry::{self, Entry, EntryError},
     store::{KeyedRecord, Lane, Records, StoreError},
 };
 use spdlog::prelude::*;
@@ -152,6 +152,9 @@
     unusable: BTreeMap<Vec<u8>, String>,
     /// Until when no server is removed.
     keep_until: Option<Timestamp>,
+    /// Whether servers here say when they started; an entry that doesn't say
+    /// it was then written by something else.
+    names_start: bool,
 }
 
 /// Most unusable entries that are remembered.
@@ -237,6 +240,7 @@
     ) -> Option<(VmId, Option<Entry>)> {
         let decoded = registry::decode_id(&record.key).and_then(|id| {
             let entry = record.value.as_deref().map(registry::decode).transpose()?;
+            self.check_start(entry.as_ref())?;
             Ok((id, entry))
         });
         match decoded {
@@ -249,6 +253,17 @@
         }
     }
 
+    fn check_start(&mut self, entry: Option<&Entry>) -> Result<(), EntryError> {
+        let Some(entry) = entry else {
+            return Ok(());
+        };
+        if self.names_start && entry.server.born.is_none() {
+            return Err(EntryError::NoStart);
+        }
+        self.names_start |= entry.server.born.is_some();
+        Ok(())
+    }
+
     fn note_unusable(&mut self, key: &[u8], error: String) {
         if self.unusable.get(key) == Some(&error) || self.unusable.len() >= MAX_UNUSABLE {
             return;
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -1,13 +1,13 @@
 //! Gives engines their layers, while this node holds the lease for orders.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use radishhaven_core::{
     gateway::{
         EngineSpec,
         placement::{self, Assignment},
     },
-    ids::{FencingToken, LayerRange, ServiceId, VmId},
+    ids::{FencingToken, ServiceId},
     time::Timestamp,
 };
 use radishhaven_platform::engine::{self, Ordered};
@@ -24,7 +24,7 @@
 /// follows within two heartbeats.
 const ORDER_SLACK: Duration = Duration::from_millis(3_500);
 
-type Busy = BTreeMap<VmId, (LayerRange, Timestamp)>;
+type Busy = placement::Ordered;
 
 /// Places layers until the process ends.
 pub(super) async fn run(host: Arc<GatewayHost>) {
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -101,6 +101,10 @@
     /// When progress was last noted.
     noted: Timestamp,
     begun: bool,
+    /// Time from the request's arrival to its first event.
+    first: Duration,
+    /// Longest time between two events.
+    longest_gap: Duration,
     resumable: bool,
     resumes: u32,
     events: u64,
@@ -124,6 +128,8 @@
         heard: now,
         noted: now,
         begun: false,
+        first: Duration::ZERO,
+        longest_gap: Duration::ZERO,
         resumable,
         resumes: 0,
         events: 0,
@@ -188,16 +194,15 @@
         };
         self.splitter.push(&data);
         let now = self.job.host.now();
-        self.heard = now;
-        if !self.begun {
+        if self.begun {
+            self.longest_gap = self.longest_gap.max(now.since(self.heard));
+        } else {
             self.begun = true;
-            let took = now.since(self.job.arrived);
-            self.job
-                .host
-                .metrics
-                .first_event
-                .observe(took.as_secs_f64());
+            self.first = now.since(self.job.arrived);
+            let first = self.first.as_secs_f64();
+            self.job.host.metrics.first_event.observe(first);
         }
+        self.heard = now;
         if now.since(self.noted) >= PROGRESS_INTERVAL {
             self.noted = now;
             if let Some(hold) = &self.hold {
@@ -234,6 +239,13 @@
             hold.settle(Settled::Answered { took });
         }
         served(&self.job, self.status, "stream");
+        info!("a stream ended", kv: {
+            request = self.job.outgoing.attempt.as_str(),
+            events = self.events,
+            resumes = self.resumes,
+            first_ms = self.first.as_millis() as u64,
+            longest_gap_ms = self.longest_gap.as_millis() as u64,
+        });
         let rest = self.splitter.rest();
         (!rest.is_empty()).then_some(Ok(rest))
     }
@@ -304,7 +316,9 @@
             self.splitter.clear();
             self.body = answer.body;
             self.driver = Some(answer.driver);
-            self.heard = self.job.host.now();
+            let now = self.job.host.now();
+            self.longest_gap = self.longest_gap.max(now.since(self.heard));
+            self.heard = now;
             self.hold = Some(hold);
             self.job.host.metrics.resumed.inc();
         }
