perf(placement): move engines when losses leave layers unevenly held

`rebalance` moves the engine whose move makes the layers most evenly held (weighted by speed, domains first), one at a time, if the lack falls by 7% or more.

--- a/crates/core/src/gateway/paths.rs
+++ b/crates/core/src/gateway/paths.rs
@@ -212,7 +212,9 @@
         + spec.per_request_ms * running
         + spec.per_context_k_ms * row.all_tokens() as f64 / 1e3;
     let write = f64::from(need.output) * step * kind.pace * share;
-    let read = f64::from(need.prompt) * 1e3 / spec.read_per_s * kind.read_factor * share;
+    // Prompts are read in turn.
+    let unread = f64::from(need.prompt) + row.all_reading() as f64;
+    let read = unread * 1e3 / spec.read_per_s * kind.read_factor * share;
     Some((write + read) * (1.0 + MEMORY_WEIGHT * fill * fill))
 }
 
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -37,6 +37,10 @@
 /// sixteenth.
 const NO_COVERAGE: f64 = 0.02;
 
+/// What the layers may lack after a move, against before, for the move to be
+/// worth the load and the time in which the engine takes no requests.
+const WORTH_A_MOVE: f64 = 0.93;
+
 /// The layers that an engine is to hold.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Assignment {
@@ -87,6 +91,20 @@
         }
     }
 
+    fn remove(&mut self, domain: &'a FailureDomain, held: LayerRange, kind: &Accelerator) {
+        for layer in usize::from(held.start())..usize::from(held.end()).min(self.all.len()) {
+            self.all[layer] -= 1.0 / kind.pace;
+            self.domain(domain)[layer] -= 1.0 / kind.pace;
+        }
+    }
+
+    /// Returns how much the layers lack; less is better.
+    fn lack(&self) -> f64 {
+        let lack = |held: &f64| 1.0 / (NO_COVERAGE + held.max(0.0));
+        let near = self.domains.values().flatten().map(lack).sum::<f64>();
+        DOMAIN_WEIGHT * near + self.all.iter().map(lack).sum::<f64>()
+    }
+
     /// Returns how much is gained for each layer by holding it once more.
     fn gains(&mut self, domain: &'a FailureDomain) -> Vec<f64> {
         let near = self.domain(domain).clone();
@@ -264,42 +282,43 @@
     LayerRange::new(start, start + width).ok()
 }
 
-/// Finds an engine to move when layers are held nowhere and no engine is empty:
-/// one whose own layers are all held elsewhere, from the most held ones.
-pub fn fill_hole(
+/// Finds an engine to move when engines were lost and none is empty: the one
+/// whose move makes the layers most evenly held, if that is worth a load.
+pub fn rebalance(
     spec: &EngineSpec,
     servers: &Servers,
     service: &ServiceId,
     ordered: &Ordered,
 ) -> Option<Assignment> {
-    let mut held = vec![0_u32; usize::from(spec.layers)];
-    let ready = |row: &ServerRow| row.entry.state == ServerState::Ready;
-    for (id, row) in servers.of(service).filter(|(_, row)| ready(row)) {
-        for layer in holds(id, row, ordered).into_iter().flat_map(layers_of) {
-            if let Some(count) = held.get_mut(layer) {
-                *count += 1;
+    let mut coverage = Coverage::new(spec);
+    let mut engines = Vec::new();
+    for (id, row) in servers.of(service) {
+        let held = holds(id, row, ordered).zip(row.accelerator(spec));
+        let Some((held, kind)) = held.filter(|_| row.entry.state == ServerState::Ready) else {
+            continue;
+        };
+        let domain = &row.entry.domain;
+        coverage.add(domain, held, kind);
+        let card = Card { id, domain, kind };
+        engines.extend((!ordered.contains_key(id)).then_some((card, held)));
+    }
+    let present = coverage.lack();
+    let mut best: Option<(f64, Assignment)> = None;
+    for (card, held) in engines {
+        coverage.remove(card.domain, held, card.kind);
+        let width = most_layers(spec, card.kind, REPAIR_TOKENS);
+        let gains = coverage.gains(card.domain);
+        if let Some(layers) = best_run(&gains, width) {
+            coverage.add(card.domain, layers, card.kind);
+            let lack = coverage.lack();
+            coverage.remove(card.domain, layers, card.kind);
+            if best.as_ref().is_none_or(|(least, _)| lack < *least) {
+                let server = card.id.clone();
+                best = Some((lack, Assignment { server, layers }));
             }
         }
+        coverage.add(card.domain, held, card.kind);
     }
-    let hole = held.iter().position(|&count| count == 0)?;
-    let least = |range| layers_of(range).filter_map(|l| held.get(l)).min().copied();
-    let (id, row, least) = servers
-        .of(service)
-        .filter(|(id, row)| ready(row) && !ordered.contains_key(*id))
-        .filter_map(|(id, row)| Some((id, row, least(row.entry.layers?)?)))
-        .max_by_key(|(_, _, least)| *least)?;
-    if least < 2 {
-        return None;
-    }
-    let room = most_layers(spec, row.accelerator(spec)?, REPAIR_TOKENS).max(1);
-    let run = held[hole..].iter().take_while(|&&count| count == 0).count();
-    let start = u16::try_from(hole).ok()?;
-    let end = start + room.min(u16::try_from(run).ok()?);
-    let layers = LayerRange::new(start, end).ok()?;
-    let server = id.clone();
-    Some(Assignment { server, layers })
-}
-
-fn layers_of(range: LayerRange) -> std::ops::Range<usize> {
-    usize::from(range.start())..usize::from(range.end())
+    let (lack, assignment) = best?;
+    (lack < present * WORTH_A_MOVE).then_some(assignment)
 }
--- a/crates/core/src/gateway/servers.rs
+++ b/crates/core/src/gateway/servers.rs
@@ -51,10 +51,14 @@
     pub requests: u32,
     /// Tokens that those requests may come to hold.
     pub tokens: u64,
+    /// Prompt tokens of requests of this node that have brought no event yet.
+    pub reading: u64,
     /// Requests of other nodes that run there, as they last said.
     pub peer_requests: u32,
     /// Tokens of requests of other nodes, as they last said.
     pub peer_tokens: u64,
+    /// Prompt tokens that other nodes' requests still wait for there.
+    pub peer_reading: u64,
     /// Until when no new request is sent there, after a failure.
     pub avoid_until: Timestamp,
     /// Failures since the last success.
@@ -72,8 +76,10 @@
             since: now,
             requests: 0,
             tokens: 0,
+            reading: 0,
             peer_requests: 0,
             peer_tokens: 0,
+            peer_reading: 0,
             avoid_until: Timestamp::default(),
             failures: 0,
             seen: now,
@@ -91,6 +97,11 @@
         self.tokens + self.peer_tokens
     }
 
+    /// Returns the prompt tokens that are to be read there before a new one.
+    pub fn all_reading(&self) -> u64 {
+        self.reading + self.peer_reading
+    }
+
     /// Returns the accelerator's figures.
     pub fn accelerator<'a>(&self, spec: &'a EngineSpec) -> Option<&'a Accelerator> {
         spec.kinds.get(self.entry.accelerator.as_ref()?)
@@ -194,7 +205,7 @@
     /// Forgets what other nodes said of their load.
     pub fn clear_peer_load(&mut self) {
         for row in self.rows.values_mut() {
-            (row.peer_requests, row.peer_tokens) = (0, 0);
+            (row.peer_requests, row.peer_tokens, row.peer_reading) = (0, 0, 0);
         }
     }
 
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use super::{
     admission::{self, WaitKey, WaitQueue},
@@ -29,7 +29,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 /// Longest pause of a server that fails.
 const LONGEST_PAUSE: Duration = Duration::from_millis(3_200);
-/// Pause of a server that had no room.
+/// Pause of a server that had no room; it doubles with each refusal in a row,
+/// as one that leaves unseen refuses all.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
 /// Pause of a server that does not hold what the registry says; the registry
 /// follows within a heartbeat.
@@ -69,6 +70,8 @@
     pub service: ServiceId,
     /// The servers in order; a plain service has one, with no layers to name.
     pub target: Target,
+    /// Prompt tokens whose reading nothing has come of yet.
+    pub reading: u32,
     /// When the hold began.
     pub since: Timestamp,
 }
@@ -139,8 +142,27 @@
     Refuse(Duration),
 }
 
-/// A peer's load at each server: requests and tokens.
-pub type LoadReport = Vec<(VmId, u32, u64)>;
+/// A node's load at one server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerLoad {
+    /// The server.
+    pub server: VmId,
+    /// Requests that run there.
+    pub requests: u32,
+    /// Tokens that they may come to hold.
+    pub tokens: u64,
+    /// Prompt tokens that are still to be read.
+    pub reading: u64,
+}
+
+/// What a node tells its peers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeReport {
+    /// Whether it takes new callers.
+    pub serves: bool,
+    /// Its load.
+    pub load: Vec<ServerLoad>,
+}
 
 /// All that a gateway decides with.
 #[derive(Debug)]
@@ -152,7 +174,7 @@
     servers: Servers,
     budgets: BTreeMap<ServiceId, RetryBudget>,
     queue: WaitQueue,
-    peers: BTreeMap<String, (Timestamp, LoadReport)>,
+    peers: BTreeMap<VmId, (Timestamp, NodeReport)>,
     nodes: u32,
     rng: StdRng,
 }
@@ -332,8 +354,10 @@
                 }
             }
         };
+        let reading = need.map_or(0, |need| need.prompt);
         for (id, tokens) in target.holds() {
             if let Some(row) = self.servers.get_mut(id) {
+                row.reading += u64::from(reading);
                 if row.requests == 0 {
                     row.seen = now;
                 }
@@ -344,6 +368,7 @@
         Some(Ticket {
             service: service.clone(),
             target,
+            reading,
             since: now,
         })
     }
@@ -354,6 +379,17 @@
             if let Some(row) = self.servers.get_mut(id).filter(|r| r.since <= ticket.since) {
                 row.requests = row.requests.saturating_sub(1);
                 row.tokens = row.tokens.saturating_sub(tokens);
+                row.reading = row.reading.saturating_sub(ticket.reading.into());
+            }
+        }
+    }
+
+    /// Notes that a stream's first event came: its prompt has been read.
+    pub fn begun(&mut self, ticket: &mut Ticket) {
+        let reading = u64::from(std::mem::take(&mut ticket.reading));
+        for (id, _) in ticket.target.holds() {
+            if let Some(row) = self.servers.get_mut(id).filter(|r| r.since <= ticket.since) {
+                row.reading = row.reading.saturating_sub(reading);
             }
         }
     }
@@ -375,7 +411,7 @@
             }
             Settled::Full { by } => {
                 if let Some(id) = at_fault(&self.servers, by) {
-                    self.pause(now, &id, FULL_PAUSE);
+                    self.refused(now, &id);
                 }
             }
             Settled::Misdirected { by } => {
@@ -400,6 +436,14 @@
         }
     }
 
+    fn refused(&mut self, now: Timestamp, id: &VmId) {
+        if let Some(row) = self.servers.get_mut(id) {
+            let pause = FULL_PAUSE * 2_u32.saturating_pow(row.failures.min(8));
+            row.failures = row.failures.saturating_add(1);
+            row.avoid_until = row.avoid_until.max(now + pause.min(LONGEST_PAUSE));
+        }
+    }
+
     fn pause(&mut self, now: Timestamp, id: &VmId, time: Duration) {
         if let Some(row) = self.servers.get_mut(id) {
             row.avoid_until = row.avoid_until.max(now + time);
@@ -476,26 +520,40 @@
         self.queue.len()
     }
 
-    /// Returns this node's load for its peers.
-    pub fn load(&self) -> LoadReport {
+    /// Returns what this node tells its peers; `serves` says whether it takes
+    /// new callers.
+    pub fn report(&self, serves: bool) -> NodeReport {
         let rows = self.servers.iter().filter(|(_, row)| row.requests > 0);
-        rows.map(|(id, row)| (id.clone(), row.requests, row.tokens))
-            .collect()
+        let load = rows.map(|(id, row)| ServerLoad {
+            server: id.clone(),
+            requests: row.requests,
+            tokens: row.tokens,
+            reading: row.reading,
+        });
+        NodeReport {
+            serves,
+            load: load.collect(),
+        }
     }
 
-    /// Takes in a peer's load and adds up what all peers said.
-    pub fn set_peer_load(&mut self, now: Timestamp, peer: String, report: LoadReport) {
+    /// Takes in what a peer told and adds up the load of all peers.
+    pub fn set_peer(&mut self, now: Timestamp, peer: VmId, report: NodeReport) {
         self.peers.insert(peer, (now, report));
-        self.peers
-            .retain(|_, (at, _)| now.since(*at) < PEER_LOAD_AGE);
+        let age = PEER_LOAD_AGE;
+        self.peers.retain(|_, (at, _)| now.since(*at) < age);
         self.servers.clear_peer_load();
-        for (_, report) in self.peers.values() {
-            for (id, requests, tokens) in report {
-                if let Some(row) = self.servers.get_mut(id) {
-                    row.peer_requests += requests;
-                    row.peer_tokens += tokens;
-                }
+        for load in self.peers.values().flat_map(|(_, report)| &report.load) {
+            if let Some(row) = self.servers.get_mut(&load.server) {
+                row.peer_requests += load.requests;
+                row.peer_tokens += load.tokens;
+                row.peer_reading += load.reading;
             }
         }
     }
+
+    /// Tells what a peer last said of itself, if that was recently.
+    pub fn peer(&self, now: Timestamp, peer: &VmId) -> Option<&NodeReport> {
+        let (at, report) = self.peers.get(peer)?;
+        (now.since(*at) < PEER_LOAD_AGE).then_some(report)
+    }
 }
--- a/crates/core/tests/gateway_placement.rs
+++ b/crates/core/tests/gateway_placement.rs
@@ -10,7 +10,7 @@
 use radishhaven_core::{
     gateway::{
         Server, Servers,
-        placement::{fill_hole, plan},
+        placement::{plan, rebalance},
     },
     ids::VmId,
 };
@@ -66,7 +66,7 @@
         let held = engine.layers.expect("it holds layers");
         !missing.contains(&held.start())
     });
-    let move_one = fill_hole(&spec(), &servers(&engines), &id(ENGINES), &BTreeMap::new());
+    let move_one = rebalance(&spec(), &servers(&engines), &id(ENGINES), &BTreeMap::new());
     let assignment = move_one.expect("some engine can be spared");
     assert_eq!(assignment.layers.start(), 0);
     let given_up = engines[&assignment.server].layers.expect("it holds layers");
@@ -120,3 +120,20 @@
     let placed = engines.values().filter(|e| e.layers.is_some()).count();
     assert_eq!((placed, empty_engines().len()), (cards, cards));
 }
+
+/// Two engines of one domain's only fast copy are lost: the others are moved
+/// one after the other until nothing is gained any more, and that ends.
+#[test]
+fn moves_come_to_an_end_and_leave_no_layer_out() {
+    let mut engines = placed_engines();
+    engines.remove(&name(7));
+    engines.remove(&name(12));
+    let mut moves = 0;
+    while let Some(next) = rebalance(&spec(), &servers(&engines), &id(ENGINES), &BTreeMap::new()) {
+        engines.get_mut(&next.server).expect("it is there").layers = Some(next.layers);
+        moves += 1;
+        assert!(moves < 8, "engines are moved on and on");
+    }
+    assert!(moves > 0);
+    assert!(held(&engines, Some("cordon")).into_iter().min() >= Some(1));
+}
--- a/crates/core/tests/gateway_requests.rs
+++ b/crates/core/tests/gateway_requests.rs
@@ -136,6 +136,7 @@
             }
             Target::Plain { .. } => panic!("engines were asked for"),
         },
+        reading: 0,
         since: ms(0),
     };
     gateway.progressed(now - Duration::from_millis(50), &others);
--- a/crates/daemon/src/gateway/directory.rs
+++ b/crates/daemon/src/gateway/directory.rs
@@ -1,12 +1,14 @@
 //! Tells callers which nodes to use, and the platform whether this one is
 //! ready.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
+use radishhaven_core::gateway::Gateway;
 use radishhaven_platform::{
     caller::Directory,
+    members::Member,
     names::{READINESS_PATH, RESOLVE_PATH},
 };
 
@@ -27,12 +29,9 @@
         return text(StatusCode::NOT_FOUND, "no such path");
     }
     let own = host.settings.node.callers;
-    let mut addresses: Vec<_> = locked(&host.peers)
-        .members
-        .iter()
-        .map(|member| member.callers)
-        .filter(|&address| address != own)
-        .collect();
+    let members = locked(&host.peers).members.clone();
+    let mut addresses = serving(host, &members);
+    addresses.retain(|&address| address != own);
     if host.is_ready() {
         addresses.insert(0, own);
     }
@@ -55,6 +54,18 @@
     resp
 }
 
+/// Returns the members that have not said that they stopped serving. One that
+/// is not heard stays: callers try another address sooner than they come back
+/// to one that was left out.
+fn serving(host: &Arc<GatewayHost>, members: &[Member]) -> Vec<SocketAddr> {
+    let now = host.now();
+    let stopped = |m: &&Member, g: &Gateway| g.peer(now, &m.vm).is_some_and(|peer| !peer.serves);
+    host.decide(|g| {
+        let serving = members.iter().filter(|member| !stopped(member, g));
+        serving.map(|member| member.callers).collect()
+    })
+}
+
 /// Answers whether the node is ready.
 pub(super) fn readiness(host: &Arc<GatewayHost>, req: &Request<Incoming>) -> Response<Body> {
     if req.uri().path() != READINESS_PATH {
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -106,11 +106,13 @@
             Sent::Ran(answer) => return Attempted::Answer(answer, hold),
             Sent::NotRun(by) => {
                 self.not_run += 1;
+                self.avoid_at(&hold, by);
                 self.note(&hold, "not run", sent_at, &named(by));
                 hold.settle(Settled::Full { by });
             }
             Sent::Misdirected(by) => {
                 self.not_run += 1;
+                self.avoid_at(&hold, by);
                 self.note(&hold, "misdirected", sent_at, &named(by));
                 hold.settle(Settled::Misdirected { by });
             }
@@ -128,6 +130,13 @@
         Attempted::Again
     }
 
+    /// Keeps this request from the server that did not run it.
+    fn avoid_at(&mut self, hold: &Hold, by: Option<std::net::SocketAddr>) {
+        let named = by.and_then(|at| self.host.decide(|g| g.servers().at(at).cloned()));
+        let first = || hold.target().first().map(|(id, _)| id.clone());
+        self.avoid.extend(named.or_else(first));
+    }
+
     /// Notes that servers did not answer.
     pub(super) fn blame(&mut self, suspects: &[VmId]) {
         let now = self.host.now();
--- a/crates/daemon/src/gateway/host.rs
+++ b/crates/daemon/src/gateway/host.rs
@@ -98,6 +98,13 @@
         self.ticket.as_ref().expect("a hold is settled only once")
     }
 
+    /// Notes that the first event came.
+    pub(super) fn begun(&mut self) {
+        if let Some(ticket) = &mut self.ticket {
+            self.host.decide(|g| g.begun(ticket));
+        }
+    }
+
     /// Returns where the request is sent.
     pub(super) fn target(&self) -> &Target {
         &self.ticket().target
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -1,6 +1,6 @@
 //! Takes requests of callers in.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use http::{HeaderValue, Method, Request, Response, StatusCode, header, request};
 use http_body_util::{BodyExt, Limited};
@@ -22,10 +22,6 @@
     host::GatewayHost,
 };
 
-/// Time after which a caller should try another node when this one shuts
-/// down: the others are not known to lack room.
-const ELSEWHERE: Duration = Duration::from_millis(50);
-
 /// Answers one request.
 pub(super) async fn answer(host: Arc<GatewayHost>, req: Request<Incoming>) -> Response<Body> {
     let open = host.open_request();
@@ -43,7 +39,8 @@
         Ok((routed, _)) if !host.takes(routed.route.kind) => {
             let status = StatusCode::SERVICE_UNAVAILABLE;
             let mut resp = reject(&host, &routed.name, &attempt, status, "shutting down");
-            set_retry_after(&mut resp, ELSEWHERE);
+            let after = host.decide(|g| g.return_after());
+            set_retry_after(&mut resp, after);
             resp
         }
         Ok((routed, service)) => {
--- a/crates/daemon/src/gateway/load.rs
+++ b/crates/daemon/src/gateway/load.rs
@@ -2,9 +2,9 @@
 //!
 //! A report says all there is, so that a lost one is made good by the next.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use radishhaven_core::{gateway::state::LoadReport, ids::VmId};
+use radishhaven_core::{gateway::state::NodeReport, ids::VmId};
 use serde::{Deserialize, Serialize};
 use spdlog::prelude::*;
 use tokio::{net::UdpSocket, time::MissedTickBehavior};
@@ -22,7 +22,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct Report {
     from: VmId,
-    load: LoadReport,
+    node: NodeReport,
 }
 
 /// Binds the socket for reports, and puts the port there that was bound.
@@ -42,10 +42,9 @@
     let mut interval = tokio::time::interval(INTERVAL);
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buf = vec![0; MAX_BYTES];
-    let mut last = BTreeMap::new();
     loop {
         tokio::select! {
-            _ = interval.tick() => tell(&host, &socket, &mut last).await,
+            _ = interval.tick() => tell(&host, &socket).await,
             received = socket.recv_from(&mut buf) => match received {
                 Ok((length, _)) => hear(&host, &buf[..length]),
                 Err(error) => {
@@ -57,12 +56,11 @@
     }
 }
 
-async fn tell(host: &Arc<GatewayHost>, socket: &UdpSocket, last: &mut BTreeMap<SocketAddr, bool>) {
-    let load = host.decide(|g| g.load());
-    let idle = load.is_empty();
+async fn tell(host: &Arc<GatewayHost>, socket: &UdpSocket) {
+    let serves = host.is_ready();
     let report = Report {
         from: host.settings.node.vm.clone(),
-        load,
+        node: host.decide(|g| g.report(serves)),
     };
     let encoded = bincode::serde::encode_to_vec(&report, bincode::config::standard());
     let bytes = match encoded {
@@ -84,11 +82,6 @@
         .filter(|&address| address != own)
         .collect();
     for address in members {
-        // A node without load says so once.
-        let told_idle = last.insert(address, idle).unwrap_or(true);
-        if idle && told_idle {
-            continue;
-        }
         if let Err(error) = socket.send_to(&bytes, address).await {
             debug!("a load report was not sent", kv: { peer = address.to_string(), error = error.to_string() });
         }
@@ -98,9 +91,9 @@
 fn hear(host: &Arc<GatewayHost>, bytes: &[u8]) {
     let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
     match decoded {
-        Ok((Report { from, load }, _)) => {
+        Ok((Report { from, node }, _)) => {
             let now = host.now();
-            host.decide(|g| g.set_peer_load(now, from.to_string(), load));
+            host.decide(|g| g.set_peer(now, from, node));
         }
         Err(error) => {
             host.metrics.malformed.inc();
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -85,9 +85,9 @@
             return Vec::new();
         }
         let orders = placement::plan(spec, servers, service, busy);
-        if orders.is_empty() {
-            let hole = placement::fill_hole(spec, servers, service, busy);
-            return hole.into_iter().collect();
+        if orders.is_empty() && busy.is_empty() {
+            let next = placement::rebalance(spec, servers, service, busy);
+            return next.into_iter().collect();
         }
         if fresh {
             return orders;
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -202,6 +202,9 @@
             let first = self.first.as_secs_f64();
             self.job.host.metrics.first_event.observe(first);
         }
+        if let Some(hold) = self.hold.as_mut().filter(|h| h.ticket().reading > 0) {
+            hold.begun();
+        }
         self.heard = now;
         if now.since(self.noted) >= PROGRESS_INTERVAL {
             self.noted = now;
