perf(gateway): try a failing server with one request, and see prompts in line

Pauses now double for every kind of failure, and after one a single request tries the server.

The log of a stream's end names its path, its first event and its longest gap.

--- a/crates/core/src/gateway/paths.rs
+++ b/crates/core/src/gateway/paths.rs
@@ -23,7 +23,10 @@
 const MEMORY_LIMIT: f64 = 0.92;
 /// Cost of handing activations to another failure domain, in milliseconds: the
 /// pipe is shared by all requests, and one crossing for each of them fills it.
-const CROSSING_MS: f64 = 1_000.0;
+const CROSSING_MS: f64 = 500.0;
+/// Weight of the time to the first event: an answer that begins late is late,
+/// however soon it ends.
+const FIRST_EVENT_WEIGHT: f64 = 2.0;
 /// Weight of memory in use on an engine's cost, so that requests spread before
 /// an engine has to preempt any.
 const MEMORY_WEIGHT: f64 = 3.0;
@@ -59,6 +62,8 @@
     /// Its KV cache that the request may come to take, in tokens over all
     /// layers that it holds.
     pub tokens: u64,
+    /// Whether activations come from another failure domain.
+    pub crosses: bool,
 }
 
 /// Engines in the order in which a token passes through them.
@@ -66,7 +71,8 @@
 pub struct Path {
     /// The stages; they cover all layers once and in order.
     pub stages: Vec<Stage>,
-    /// The predicted time to the last token, in milliseconds.
+    /// The predicted time to the last token in milliseconds, with the time to
+    /// the first one and crossings weighted.
     pub cost_ms: f64,
 }
 
@@ -99,7 +105,7 @@
     avoid: &[VmId],
     mut draw: impl FnMut() -> f64,
 ) -> Option<Path> {
-    let mut domains: Vec<&FailureDomain> = Vec::new();
+    let mut domains: Vec<(&FailureDomain, u64)> = Vec::new();
     let mut candidates = Vec::new();
     for (id, row) in servers.of(service) {
         let Some(held) = row.entry.layers else {
@@ -112,11 +118,12 @@
         let Some(capacity) = kind.and_then(|kind| spec.kv_tokens(kind, held.count())) else {
             continue;
         };
-        let domain = domains.iter().position(|d| **d == row.entry.domain);
+        let domain = domains.iter().position(|(d, _)| **d == row.entry.domain);
         let domain = domain.unwrap_or_else(|| {
-            domains.push(&row.entry.domain);
+            domains.push((&row.entry.domain, 0));
             domains.len() - 1
         });
+        domains[domain].1 += row.inbound + row.peer_inbound;
         candidates.push(Candidate {
             id,
             row,
@@ -126,19 +133,22 @@
             factor: 1.0 + JITTER * draw(),
         });
     }
-    let best = search(spec, &candidates, domains.len(), need);
+    let inbound: Vec<u64> = domains.into_iter().map(|(_, tokens)| tokens).collect();
+    let best = search(spec, &candidates, &inbound, need);
     trace_back(spec, &candidates, &best, need)
 }
 
 type Table = BTreeMap<u16, Vec<Best>>;
 
-fn search(spec: &EngineSpec, candidates: &[Candidate<'_>], domains: usize, need: Need) -> Table {
+/// Finds the lowest costs; `inbound` has the tokens whose activations are on
+/// their way into each domain.
+fn search(spec: &EngineSpec, candidates: &[Candidate<'_>], inbound: &[u64], need: Need) -> Table {
     let unreached = vec![
         Best {
             cost: f64::INFINITY,
             via: None,
         };
-        domains
+        inbound.len()
     ];
     let mut best: Table = BTreeMap::new();
     for candidate in candidates {
@@ -154,7 +164,8 @@
             let Some(own) = stage_cost(spec, candidate, position, need) else {
                 continue;
             };
-            let (before, from) = arrive(spec, here.as_deref(), candidate.domain, need);
+            let crossing = crossing_cost(spec, inbound[candidate.domain], need);
+            let (before, from) = arrive(here.as_deref(), candidate.domain, crossing);
             let cost = before + own * candidate.factor;
             let slot = best
                 .get_mut(&candidate.held.end())
@@ -172,17 +183,13 @@
 
 /// Returns the lowest cost of standing in `domain` with all earlier layers run,
 /// and the domain that ran them.
-fn arrive(spec: &EngineSpec, here: Option<&[Best]>, domain: usize, need: Need) -> (f64, usize) {
+fn arrive(here: Option<&[Best]>, domain: usize, crossing: f64) -> (f64, usize) {
     let Some(here) = here else {
         return (0.0, domain);
     };
     let mut lowest = (f64::INFINITY, domain);
     for (from, best) in here.iter().enumerate() {
-        let crossing = if from == domain {
-            0.0
-        } else {
-            CROSSING_MS + transfer_ms(spec, need)
-        };
+        let crossing = if from == domain { 0.0 } else { crossing };
         if best.cost + crossing < lowest.0 {
             lowest = (best.cost + crossing, from);
         }
@@ -190,9 +197,12 @@
     lowest
 }
 
-fn transfer_ms(spec: &EngineSpec, need: Need) -> f64 {
-    let bits = need.tokens() as f64 * spec.activation_bytes * 8.0;
-    bits / (spec.pipe_mbps.max(1.0) * 1e3)
+/// Returns the cost of handing activations to another domain, behind those of
+/// `inbound` tokens that are on their way there.
+fn crossing_cost(spec: &EngineSpec, inbound: u64, need: Need) -> f64 {
+    let ms = |tokens: f64| tokens * spec.activation_bytes * 8.0 / (spec.pipe_mbps.max(1.0) * 1e3);
+    let first = ms(f64::from(need.prompt) + inbound as f64);
+    CROSSING_MS + FIRST_EVENT_WEIGHT * first + ms(f64::from(need.output))
 }
 
 /// Returns the time that a request spends at an engine from one layer to the
@@ -215,7 +225,7 @@
     // Prompts are read in turn.
     let unread = f64::from(need.prompt) + row.all_reading() as f64;
     let read = unread * 1e3 / spec.read_per_s * kind.read_factor * share;
-    Some((write + read) * (1.0 + MEMORY_WEIGHT * fill * fill))
+    Some((write + FIRST_EVENT_WEIGHT * read) * (1.0 + MEMORY_WEIGHT * fill * fill))
 }
 
 /// Returns the KV cache that a request takes at an engine that runs `run` of
@@ -247,6 +257,7 @@
             address: candidate.row.entry.address,
             layers: LayerRange::new(start, position).ok()?,
             tokens: held_tokens(need, run, candidate.held) as u64,
+            crosses: start > 0 && from != domain,
         });
         (position, domain) = (start, from);
     }
--- a/crates/core/src/gateway/servers.rs
+++ b/crates/core/src/gateway/servers.rs
@@ -53,12 +53,16 @@
     pub tokens: u64,
     /// Prompt tokens of requests of this node that have brought no event yet.
     pub reading: u64,
+    /// Of these, tokens whose activations come from another failure domain.
+    pub inbound: u64,
     /// Requests of other nodes that run there, as they last said.
     pub peer_requests: u32,
     /// Tokens of requests of other nodes, as they last said.
     pub peer_tokens: u64,
     /// Prompt tokens that other nodes' requests still wait for there.
     pub peer_reading: u64,
+    /// Of these, tokens whose activations come from another failure domain.
+    pub peer_inbound: u64,
     /// Until when no new request is sent there, after a failure.
     pub avoid_until: Timestamp,
     /// Failures since the last success.
@@ -77,9 +81,11 @@
             requests: 0,
             tokens: 0,
             reading: 0,
+            inbound: 0,
             peer_requests: 0,
             peer_tokens: 0,
             peer_reading: 0,
+            peer_inbound: 0,
             avoid_until: Timestamp::default(),
             failures: 0,
             seen: now,
@@ -97,6 +103,29 @@
         self.tokens + self.peer_tokens
     }
 
+    /// Notes a sign that the server works.
+    pub(super) fn recovered(&mut self, now: Timestamp) {
+        self.seen = now;
+        if self.failures > 0 {
+            self.failures = 0;
+            self.avoid_until = now;
+        }
+    }
+
+    /// Counts a prompt that is to be read.
+    pub(super) fn await_reading(&mut self, tokens: u32, crosses: bool) {
+        self.reading += u64::from(tokens);
+        self.inbound += if crosses { u64::from(tokens) } else { 0 };
+    }
+
+    /// Counts a prompt as read.
+    pub(super) fn end_reading(&mut self, tokens: u32, crosses: bool) {
+        let tokens = u64::from(tokens);
+        self.reading = self.reading.saturating_sub(tokens);
+        let inbound = if crosses { tokens } else { 0 };
+        self.inbound = self.inbound.saturating_sub(inbound);
+    }
+
     /// Returns the prompt tokens that are to be read there before a new one.
     pub fn all_reading(&self) -> u64 {
         self.reading + self.peer_reading
@@ -205,7 +234,8 @@
     /// Forgets what other nodes said of their load.
     pub fn clear_peer_load(&mut self) {
         for row in self.rows.values_mut() {
-            (row.peer_requests, row.peer_tokens, row.peer_reading) = (0, 0, 0);
+            (row.peer_requests, row.peer_tokens) = (0, 0);
+            (row.peer_reading, row.peer_inbound) = (0, 0);
         }
     }
 
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -1,6 +1,6 @@
 //! A gateway's state and what it decides about each request.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, fmt, sync::Arc, time::Duration};
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde::{Deserialize, Serialize};
@@ -14,7 +14,7 @@
     progress::{self, Verdict},
     proof::Proof,
     routes::{Denied, RouteTable, Routed},
-    servers::{Server, ServerChange, Servers},
+    servers::{Server, ServerChange, ServerRow, Servers},
 };
 use crate::{
     ids::{ServiceId, VmId},
@@ -29,6 +29,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 /// Longest pause of a server that fails.
 const LONGEST_PAUSE: Duration = Duration::from_millis(3_200);
+/// Time that the first request has after a pause to show that the server is
+/// sound again; a first event comes within a fifth of a second.
+const TRIAL: Duration = Duration::from_millis(250);
 /// Pause of a server that had no room; it doubles with each refusal in a row,
 /// as one that leaves unseen refuses all.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
@@ -90,6 +93,31 @@
     Engines(Path),
 }
 
+/// Names the servers; an engine behind a link to another failure domain is
+/// marked by `>`.
+impl fmt::Display for Target {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Plain { server, .. } => server.fmt(f),
+            Self::Engines(path) => {
+                write!(f, "{:.0}ms", path.cost_ms)?;
+                for stage in &path.stages {
+                    let link = if stage.crosses { " > " } else { " " };
+                    write!(f, "{link}{}={}", stage.server, stage.layers)?;
+                }
+                Ok(())
+            }
+        }
+    }
+}
+
+/// What a request holds at one server.
+struct Held<'a> {
+    server: &'a VmId,
+    tokens: u64,
+    crosses: bool,
+}
+
 impl Target {
     /// Returns the server that the request is sent to.
     pub fn first(&self) -> Option<(&VmId, std::net::SocketAddr)> {
@@ -99,10 +127,21 @@
         }
     }
 
-    fn holds(&self) -> Vec<(&VmId, u64)> {
+    fn holds(&self) -> Vec<Held<'_>> {
         match self {
-            Self::Plain { server, .. } => vec![(server, 0)],
-            Self::Engines(path) => path.stages.iter().map(|s| (&s.server, s.tokens)).collect(),
+            Self::Plain { server, .. } => vec![Held {
+                server,
+                tokens: 0,
+                crosses: false,
+            }],
+            Self::Engines(path) => {
+                let held = path.stages.iter().map(|stage| Held {
+                    server: &stage.server,
+                    tokens: stage.tokens,
+                    crosses: stage.crosses,
+                });
+                held.collect()
+            }
         }
     }
 }
@@ -153,6 +192,8 @@
     pub tokens: u64,
     /// Prompt tokens that are still to be read.
     pub reading: u64,
+    /// Of these, tokens whose activations come from another failure domain.
+    pub inbound: u64,
 }
 
 /// What a node tells its peers.
@@ -355,14 +396,18 @@
             }
         };
         let reading = need.map_or(0, |need| need.prompt);
-        for (id, tokens) in target.holds() {
-            if let Some(row) = self.servers.get_mut(id) {
-                row.reading += u64::from(reading);
+        for held in target.holds() {
+            if let Some(row) = self.servers.get_mut(held.server) {
                 if row.requests == 0 {
                     row.seen = now;
                 }
                 row.requests += 1;
-                row.tokens += tokens;
+                row.tokens += held.tokens;
+                if row.failures > 0 {
+                    // One request tries the server; others follow its success.
+                    row.avoid_until = now + TRIAL;
+                }
+                row.await_reading(reading, held.crosses);
             }
         }
         Some(Ticket {
@@ -374,22 +419,27 @@
     }
 
     fn release(&mut self, ticket: &Ticket) {
-        for (id, tokens) in ticket.target.holds() {
-            // A server that started again since then has counts of its own.
-            if let Some(row) = self.servers.get_mut(id).filter(|r| r.since <= ticket.since) {
+        for held in ticket.target.holds() {
+            if let Some(row) = self.row_since(held.server, ticket.since) {
                 row.requests = row.requests.saturating_sub(1);
-                row.tokens = row.tokens.saturating_sub(tokens);
-                row.reading = row.reading.saturating_sub(ticket.reading.into());
+                row.tokens = row.tokens.saturating_sub(held.tokens);
+                row.end_reading(ticket.reading, held.crosses);
             }
         }
     }
 
+    /// Returns a server unless it started again after `since`: it then has
+    /// counts of its own.
+    fn row_since(&mut self, id: &VmId, since: Timestamp) -> Option<&mut ServerRow> {
+        self.servers.get_mut(id).filter(|row| row.since <= since)
+    }
+
     /// Notes that a stream's first event came: its prompt has been read.
     pub fn begun(&mut self, ticket: &mut Ticket) {
-        let reading = u64::from(std::mem::take(&mut ticket.reading));
-        for (id, _) in ticket.target.holds() {
-            if let Some(row) = self.servers.get_mut(id).filter(|r| r.since <= ticket.since) {
-                row.reading = row.reading.saturating_sub(reading);
+        let reading = std::mem::take(&mut ticket.reading);
+        for held in ticket.target.holds() {
+            if let Some(row) = self.row_since(held.server, ticket.since) {
+                row.end_reading(reading, held.crosses);
             }
         }
     }
@@ -405,13 +455,13 @@
         };
         match settled {
             Settled::Answered { took } => {
-                for (id, _) in ticket.target.holds() {
-                    self.succeeded(now, id, took);
+                for held in ticket.target.holds() {
+                    self.succeeded(now, held.server, took);
                 }
             }
             Settled::Full { by } => {
                 if let Some(id) = at_fault(&self.servers, by) {
-                    self.refused(now, &id);
+                    self.pause(now, &id, FULL_PAUSE);
                 }
             }
             Settled::Misdirected { by } => {
@@ -430,42 +480,33 @@
 
     fn succeeded(&mut self, now: Timestamp, id: &VmId, took: Duration) {
         if let Some(row) = self.servers.get_mut(id) {
-            row.failures = 0;
-            row.seen = now;
+            row.recovered(now);
             row.latency_ms += (took.as_secs_f64() * 1e3 - row.latency_ms) * LATENCY_GAIN;
         }
     }
 
-    fn refused(&mut self, now: Timestamp, id: &VmId) {
+    /// Pauses a server: for `first`, and twice as long each time in a row.
+    fn pause(&mut self, now: Timestamp, id: &VmId, first: Duration) {
         if let Some(row) = self.servers.get_mut(id) {
-            let pause = FULL_PAUSE * 2_u32.saturating_pow(row.failures.min(8));
+            let pause = first * 2_u32.saturating_pow(row.failures.min(8));
             row.failures = row.failures.saturating_add(1);
             row.avoid_until = row.avoid_until.max(now + pause.min(LONGEST_PAUSE));
         }
     }
 
-    fn pause(&mut self, now: Timestamp, id: &VmId, time: Duration) {
-        if let Some(row) = self.servers.get_mut(id) {
-            row.avoid_until = row.avoid_until.max(now + time);
-        }
-    }
-
     /// Notes that a server failed a request; it pauses for longer each time.
     pub fn failed(&mut self, now: Timestamp, id: &VmId) {
+        self.pause(now, id, FIRST_PAUSE);
         if let Some(row) = self.servers.get_mut(id) {
-            let pause = FIRST_PAUSE * 2_u32.saturating_pow(row.failures.min(8));
-            row.failures = row.failures.saturating_add(1);
             row.latency_ms += (FAILURE_MS - row.latency_ms) * LATENCY_GAIN;
-            row.avoid_until = row.avoid_until.max(now + pause.min(LONGEST_PAUSE));
         }
     }
 
     /// Notes that a stream brought an event, which every engine took part in.
     pub fn progressed(&mut self, now: Timestamp, ticket: &Ticket) {
-        for (id, _) in ticket.target.holds() {
-            if let Some(row) = self.servers.get_mut(id) {
-                row.seen = now;
-                row.failures = 0;
+        for held in ticket.target.holds() {
+            if let Some(row) = self.servers.get_mut(held.server) {
+                row.recovered(now);
             }
         }
     }
@@ -529,6 +570,7 @@
             requests: row.requests,
             tokens: row.tokens,
             reading: row.reading,
+            inbound: row.inbound,
         });
         NodeReport {
             serves,
@@ -547,6 +589,7 @@
                 row.peer_requests += load.requests;
                 row.peer_tokens += load.tokens;
                 row.peer_reading += load.reading;
+                row.peer_inbound += load.inbound;
             }
         }
     }
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -237,7 +237,9 @@
     fn finish(&mut self) -> Option<Result<Bytes, BodyError>> {
         self.ended = true;
         let now = self.job.host.now();
+        let mut path = String::new();
         if let Some(hold) = self.hold.take() {
+            path = hold.target().to_string();
             let took = now.since(hold.ticket().since);
             hold.settle(Settled::Answered { took });
         }
@@ -248,6 +250,7 @@
             resumes = self.resumes,
             first_ms = self.first.as_millis() as u64,
             longest_gap_ms = self.longest_gap.as_millis() as u64,
+            path = path.as_str(),
         });
         let rest = self.splitter.rest();
         (!rest.is_empty()).then_some(Ok(rest))
