--- a/crates/core/src/gateway/progress.rs
+++ b/crates/core/src/gateway/progress.rs
@@ -9,16 +9,16 @@
 use super::{paths::Path, servers::Servers};
 use crate::{ids::VmId, time::Timestamp};
 
-/// Silence of a stream from which its path's suspects are looked for; events
-/// usually follow one another within a tenth of this.
-pub const FIRST_LOOK: Duration = Duration::from_millis(350);
+/// Silence of a stream from which its path's suspects are looked for: more than
+/// the time in which peers tell what they see, and several times the usual
+/// pause between events.
+pub const FIRST_LOOK: Duration = Duration::from_millis(450);
 /// Silence after which a stream moves although no engine is suspect; callers
 /// leave after two seconds.
 const LONGEST_GAP: Duration = Duration::from_millis(1_000);
-/// Wait for the first event after which a request moves although no engine is
-/// suspect; prompts are read in turn, so this takes longer than a gap.
-const LONGEST_START: Duration = Duration::from_millis(1_400);
 
+/// Time between two looks at a silent stream.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
 /// Part of its target after which a request moves to another plain server.
 const PLAIN_PATIENCE: f64 = 0.6;
 
@@ -43,21 +43,22 @@
         return Verdict::Wait(FIRST_LOOK - silent);
     }
     let quiet = |id: &VmId| match servers.get(id) {
-        Some(row) => now.since(row.seen) >= FIRST_LOOK,
+        Some(row) => row.quiet(now) >= FIRST_LOOK,
         None => true,
     };
     let stages = path.stages.iter().map(|stage| &stage.server);
     let suspects: Vec<VmId> = stages.filter(|id| quiet(id)).cloned().collect();
-    let longest = if begun { LONGEST_GAP } else { LONGEST_START };
     // A path without any sign of life tells nothing about which engine it is.
     let told_apart = suspects.len() < path.stages.len();
-    if !suspects.is_empty() && (told_apart || silent >= longest) {
+    if !suspects.is_empty() && (told_apart || silent >= LONGEST_GAP) {
         return Verdict::Move(suspects);
     }
-    if silent >= longest {
+    // A prompt that waits for its turn at sound engines would only wait again
+    // elsewhere, and be read twice.
+    if begun && silent >= LONGEST_GAP {
         return Verdict::Move(Vec::new());
     }
-    Verdict::Wait((longest - silent).min(FIRST_LOOK / 4))
+    Verdict::Wait(LOOK_AGAIN)
 }
 
 /// Decides about a request that may be repeated and that a plain server has
--- a/crates/core/src/gateway/servers.rs
+++ b/crates/core/src/gateway/servers.rs
@@ -1,6 +1,6 @@
 //! The backend servers that the registry names, and what runs at each.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -67,8 +67,10 @@
     pub avoid_until: Timestamp,
     /// Failures since the last success.
     pub failures: u32,
-    /// When an exchange last showed that the server is alive.
+    /// When an exchange of any node last showed that the server works.
     pub seen: Timestamp,
+    /// When this node last began to have requests there.
+    pub busy_since: Timestamp,
     /// Recent time of an answer of a plain server, in milliseconds.
     pub latency_ms: f64,
 }
@@ -89,6 +91,7 @@
             avoid_until: Timestamp::default(),
             failures: 0,
             seen: now,
+            busy_since: now,
             latency_ms: 0.0,
         }
     }
@@ -136,6 +139,12 @@
         spec.kinds.get(self.entry.accelerator.as_ref()?)
     }
 
+    /// Returns for how long nothing has come of the requests there, as far as
+    /// this node and its peers know.
+    pub fn quiet(&self, now: Timestamp) -> Duration {
+        now.since(self.seen.max(self.busy_since))
+    }
+
     /// Tells whether new work may go there.
     pub fn usable(&self, now: Timestamp) -> bool {
         self.entry.state == ServerState::Ready && now >= self.avoid_until
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -1,20 +1,22 @@
 //! A gateway's state and what it decides about each request.
 
-use std::{collections::BTreeMap, fmt, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
 use super::{
     admission::{self, WaitKey, WaitQueue},
     budget::{BudgetConfig, RetryBudget},
     config::Configuration,
-    paths::{self, Need, Path},
+    paths::{self, Need},
+    peers::NodeReport,
     plain,
     progress::{self, Verdict},
     proof::Proof,
     routes::{Denied, RouteTable, Routed},
     servers::{Server, ServerChange, ServerRow, Servers},
+    ticket::{Settled, Target, Ticket},
 };
 use crate::{
     ids::{ServiceId, VmId},
@@ -23,8 +25,6 @@
 
 /// Nodes assumed to share the budgets before any has been seen.
 const ASSUMED_NODES: u32 = 16;
-/// Age from which a peer's report of its load no longer counts.
-const PEER_LOAD_AGE: Duration = Duration::from_millis(1_500);
 /// Pause of a server after its first failure in a row; it doubles with each.
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 /// Longest pause of a server that fails.
@@ -66,110 +66,6 @@
     Denied(#[from] Denied),
 }
 
-/// A request's hold on the servers that it runs at; it must be settled.
-#[derive(Debug)]
-pub struct Ticket {
-    /// The service.
-    pub service: ServiceId,
-    /// The servers in order; a plain service has one, with no layers to name.
-    pub target: Target,
-    /// Prompt tokens whose reading nothing has come of yet.
-    pub reading: u32,
-    /// When the hold began.
-    pub since: Timestamp,
-}
-
-/// Where a request is sent.
-#[derive(Debug, Clone, PartialEq, Serialize)]
-pub enum Target {
-    /// One server of a plain service.
-    Plain {
-        /// The server.
-        server: VmId,
-        /// Where it listens.
-        address: std::net::SocketAddr,
-    },
-    /// Engines that hand activations on.
-    Engines(Path),
-}
-
-/// Names the servers; an engine behind a link to another failure domain is
-/// marked by `>`.
-impl fmt::Display for Target {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Plain { server, .. } => server.fmt(f),
-            Self::Engines(path) => {
-                write!(f, "{:.0}ms", path.cost_ms)?;
-                for stage in &path.stages {
-                    let link = if stage.crosses { " > " } else { " " };
-                    write!(f, "{link}{}={}", stage.server, stage.layers)?;
-                }
-                Ok(())
-            }
-        }
-    }
-}
-
-/// What a request holds at one server.
-struct Held<'a> {
-    server: &'a VmId,
-    tokens: u64,
-    crosses: bool,
-}
-
-impl Target {
-    /// Returns the server that the request is sent to.
-    pub fn first(&self) -> Option<(&VmId, std::net::SocketAddr)> {
-        match self {
-            Self::Plain { server, address } => Some((server, *address)),
-            Self::Engines(path) => path.stages.first().map(|s| (&s.server, s.address)),
-        }
-    }
-
-    fn holds(&self) -> Vec<Held<'_>> {
-        match self {
-            Self::Plain { server, .. } => vec![Held {
-                server,
-                tokens: 0,
-                crosses: false,
-            }],
-            Self::Engines(path) => {
-                let held = path.stages.iter().map(|stage| Held {
-                    server: &stage.server,
-                    tokens: stage.tokens,
-                    crosses: stage.crosses,
-                });
-                held.collect()
-            }
-        }
-    }
-}
-
-/// How a request ended at the servers of a ticket.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Settled {
-    /// It was answered.
-    Answered {
-        /// Time until the answer, or its first event.
-        took: Duration,
-    },
-    /// A server had no room or was leaving; nothing ran.
-    Full {
-        /// The server at fault; the first one when it is not said.
-        by: Option<std::net::SocketAddr>,
-    },
-    /// A server is not what the registry says; nothing ran.
-    Misdirected {
-        /// The server at fault; the first one when it is not said.
-        by: Option<std::net::SocketAddr>,
-    },
-    /// The connection to the first server failed or its answer was wrong.
-    Failed,
-    /// It says nothing about the servers: the caller left, or time was up.
-    Abandoned,
-}
-
 /// What happens to a new request.
 #[derive(Debug)]
 pub enum Begin {
@@ -181,30 +77,6 @@
     Refuse(Duration),
 }
 
-/// A node's load at one server.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServerLoad {
-    /// The server.
-    pub server: VmId,
-    /// Requests that run there.
-    pub requests: u32,
-    /// Tokens that they may come to hold.
-    pub tokens: u64,
-    /// Prompt tokens that are still to be read.
-    pub reading: u64,
-    /// Of these, tokens whose activations come from another failure domain.
-    pub inbound: u64,
-}
-
-/// What a node tells its peers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct NodeReport {
-    /// Whether it takes new callers.
-    pub serves: bool,
-    /// Its load.
-    pub load: Vec<ServerLoad>,
-}
-
 /// All that a gateway decides with.
 #[derive(Debug)]
 pub struct Gateway {
@@ -212,10 +84,10 @@
     configuration: Option<Arc<Configuration>>,
     routes: RouteTable,
     proof: Proof,
-    servers: Servers,
+    pub(super) servers: Servers,
     budgets: BTreeMap<ServiceId, RetryBudget>,
     queue: WaitQueue,
-    peers: BTreeMap<VmId, (Timestamp, NodeReport)>,
+    pub(super) peers: BTreeMap<VmId, (Timestamp, NodeReport)>,
     nodes: u32,
     rng: StdRng,
 }
@@ -399,7 +271,7 @@
         for held in target.holds() {
             if let Some(row) = self.servers.get_mut(held.server) {
                 if row.requests == 0 {
-                    row.seen = now;
+                    row.busy_since = now;
                 }
                 row.requests += 1;
                 row.tokens += held.tokens;
@@ -560,43 +432,4 @@
     pub fn waiting(&self) -> usize {
         self.queue.len()
     }
-
-    /// Returns what this node tells its peers; `serves` says whether it takes
-    /// new callers.
-    pub fn report(&self, serves: bool) -> NodeReport {
-        let rows = self.servers.iter().filter(|(_, row)| row.requests > 0);
-        let load = rows.map(|(id, row)| ServerLoad {
-            server: id.clone(),
-            requests: row.requests,
-            tokens: row.tokens,
-            reading: row.reading,
-            inbound: row.inbound,
-        });
-        NodeReport {
-            serves,
-            load: load.collect(),
-        }
-    }
-
-    /// Takes in what a peer told and adds up the load of all peers.
-    pub fn set_peer(&mut self, now: Timestamp, peer: VmId, report: NodeReport) {
-        self.peers.insert(peer, (now, report));
-        let age = PEER_LOAD_AGE;
-        self.peers.retain(|_, (at, _)| now.since(*at) < age);
-        self.servers.clear_peer_load();
-        for load in self.peers.values().flat_map(|(_, report)| &report.load) {
-            if let Some(row) = self.servers.get_mut(&load.server) {
-                row.peer_requests += load.requests;
-                row.peer_tokens += load.tokens;
-                row.peer_reading += load.reading;
-                row.peer_inbound += load.inbound;
-            }
-        }
-    }
-
-    /// Tells what a peer last said of itself, if that was recently.
-    pub fn peer(&self, now: Timestamp, peer: &VmId) -> Option<&NodeReport> {
-        let (at, report) = self.peers.get(peer)?;
-        (now.since(*at) < PEER_LOAD_AGE).then_some(report)
-    }
 }
--- a/crates/core/tests/gateway_requests.rs
+++ b/crates/core/tests/gateway_requests.rs
@@ -12,13 +12,13 @@
 use radishhaven_cases::check;
 use radishhaven_core::{
     gateway::{
-        Gateway, RouteKind, Settled, Ticket,
+        Gateway, RouteKind, Settled, Target, Ticket,
         admission::LONGEST_WAIT,
         budget::{BudgetConfig, RetryBudget},
         drain,
         progress::{FIRST_LOOK, Verdict},
         routes::Denied,
-        state::{Begin, Rejected, Target},
+        state::{Begin, Rejected},
     },
     ids::VmId,
     time::Timestamp,
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use radishhaven_client::{Connection, ConnectionError, ConnectionTimes, Driver};
-use radishhaven_core::{gateway::state::Target, ids::OrganisationId};
+use radishhaven_core::{gateway::Target, ids::OrganisationId};
 use radishhaven_platform::{
     answer::{self, Head},
     caller::{self, Forwarding},
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -19,14 +19,14 @@
 
 /// How long one read waits for a new configuration. Each read that ends
 /// renews the proof that the configuration is the newest one.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_200);
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_500);
 /// Time beyond its wait in which a read must be answered.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time between two reads of the registry at most.
-const REGISTRY_INTERVAL: Duration = Duration::from_millis(700);
+const REGISTRY_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Reads of the registry within the time in which a leaving server must get
 /// nothing new.
-const READS_PER_DRAIN: u32 = 3;
+const READS_PER_DRAIN: u32 = 2;
 /// Pause after a call to the store failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Time after the store's return within which servers whose entries ran out
--- a/crates/daemon/src/gateway/host.rs
+++ b/crates/daemon/src/gateway/host.rs
@@ -12,12 +12,8 @@
 
 use radishhaven_core::{
     gateway::{
-        Gateway, RouteKind, Settled, Ticket,
-        admission::WaitKey,
-        drain,
-        paths::Need,
-        routes::Routed,
-        state::{Begin, Target},
+        Gateway, RouteKind, Settled, Target, Ticket, admission::WaitKey, drain, paths::Need,
+        routes::Routed, state::Begin,
     },
     ids::{FencingToken, ServiceId, VmId},
     time::Timestamp,
--- a/crates/daemon/src/gateway/load.rs
+++ b/crates/daemon/src/gateway/load.rs
@@ -4,7 +4,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use radishhaven_core::{gateway::state::NodeReport, ids::VmId};
+use radishhaven_core::{gateway::peers::NodeReport, ids::VmId};
 use serde::{Deserialize, Serialize};
 use spdlog::prelude::*;
 use tokio::{net::UdpSocket, time::MissedTickBehavior};
@@ -58,9 +58,10 @@
 
 async fn tell(host: &Arc<GatewayHost>, socket: &UdpSocket) {
     let serves = host.is_ready();
+    let now = host.now();
     let report = Report {
         from: host.settings.node.vm.clone(),
-        node: host.decide(|g| g.report(serves)),
+        node: host.decide(|g| g.report(now, serves)),
     };
     let encoded = bincode::serde::encode_to_vec(&report, bincode::config::standard());
     let bytes = match encoded {
