--- a/crates/core/tests/gateway_requests.rs
+++ b/crates/core/tests/gateway_requests.rs
@@ -16,6 +16,7 @@
         admission::LONGEST_WAIT,
         budget::{BudgetConfig, RetryBudget},
         drain,
+        peers::{NodeReport, ServerLoad},
         progress::{FIRST_LOOK, Verdict},
         routes::Denied,
         state::{Begin, Rejected},
@@ -259,3 +260,66 @@
     assert!(takes(RouteKind::Idempotent, 5_900) && !takes(RouteKind::Idempotent, 6_100));
     assert!(!takes(RouteKind::NonIdempotent, 6_100));
 }
+
+/// This node sees nothing through an engine, but a peer does: it is slow here,
+/// not dead.
+#[test]
+fn progress_that_a_peer_saw_clears_an_engine() {
+    let mut gateway = gateway(ms(0), placed_engines());
+    let ticket = start(&mut gateway, ms(0));
+    let silent = FIRST_LOOK + Duration::from_millis(10);
+    let now = ms(0) + silent;
+    let load = servers_of(&ticket).into_iter().map(|server| ServerLoad {
+        server,
+        requests: 1,
+        tokens: 900,
+        reading: 0,
+        inbound: 0,
+        seen_ms: 100,
+    });
+    let report = NodeReport {
+        serves: true,
+        load: load.collect(),
+    };
+    gateway.set_peer(now, id("front-2"), report);
+    let verdict = gateway.judge_silence(now, &ticket, silent, true, TARGET);
+    assert!(matches!(verdict, Verdict::Wait(_)), "{verdict:?}");
+}
+
+/// Prompts are read in turn: one that waits at sound engines would only wait
+/// again elsewhere, and be read twice.
+#[test]
+fn a_prompt_that_waits_for_its_turn_stays() {
+    let mut gateway = gateway(ms(0), placed_engines());
+    let ticket = start(&mut gateway, ms(0));
+    let silent = Duration::from_millis(1_800);
+    let now = ms(0) + silent;
+    gateway.progressed(now, &ticket);
+    let verdict = gateway.judge_silence(now, &ticket, silent, false, TARGET);
+    assert!(matches!(verdict, Verdict::Wait(_)), "{verdict:?}");
+}
+
+/// A server that is gone but still listed answers "misdirected": it is tried by
+/// one request after each pause, not by all that are under way.
+#[test]
+fn a_server_that_failed_is_tried_by_one_request() {
+    let servers = BTreeMap::from([
+        (name(0), server(0, PLAIN, "centro")),
+        (name(1), server(1, PLAIN, "centro")),
+    ]);
+    let mut gateway = gateway(ms(0), servers);
+    gateway.failed(ms(0), &name(0));
+    let later = ms(1_000);
+    gateway.confirm(later);
+    let routed = gateway
+        .route(later, HOST, "/log/1", Some(KEY))
+        .expect("the route is there");
+    let mut tried = 0;
+    for _ in 0..12 {
+        match gateway.begin(later, &routed, &id(PLAIN), None) {
+            Begin::Start(ticket) => tried += u32::from(servers_of(&ticket) == [name(0)]),
+            other => panic!("the other server has room: {other:?}"),
+        }
+    }
+    assert!(tried <= 1, "{tried} requests tried it at once");
+}
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -6,7 +6,7 @@
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{
-        counter::Counter,
+        counter::{ConstCounter, Counter},
         family::Family,
         gauge::ConstGauge,
         histogram::{Histogram, exponential_buckets},
@@ -155,6 +155,8 @@
     let mut registry = Registry::with_prefix("radishhaven_gateway");
     host.metrics.register(&mut registry);
     let now = host.now();
+    let dropped = ConstCounter::new(crate::logging::dropped());
+    registry.register("log_lines_dropped", "Log lines dropped", dropped);
     let mut gauge = |name: &str, help: &str, value: i64| {
         registry.register(name, help, ConstGauge::new(value));
     };
