fix(gateway): an older life's entry gives way only to silence

Cause: found by reading. The registry's records of one id are ordered by start and count, so that a late record of an earlier life is not used; a server that starts again with its clock set back would have been left out for good, and a whole listing that met such a record would have dropped the present server. After three heartbeats of silence the older start is taken, and a listing keeps what is present. Ruled out: the log's order alone, as late records of earlier lives come.

Test: an_entry_of_an_earlier_life_is_not_used.

--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -146,8 +146,8 @@
 /// What is known of the registry beside the servers themselves.
 #[derive(Debug, Default)]
 struct Registry {
-    /// The newest entry of each life of a server.
-    heartbeats: BTreeMap<VmId, (Option<u64>, u64)>,
+    /// The newest entry of each server.
+    heartbeats: BTreeMap<VmId, Heartbeat>,
     /// Keys of entries that could not be used, so that each is logged once.
     unusable: BTreeMap<Vec<u8>, String>,
     /// Until when no server is removed.
@@ -157,6 +157,17 @@
     names_start: bool,
 }
 
+/// The newest entry of a server, by its start and its count, and when it came.
+#[derive(Debug)]
+struct Heartbeat {
+    entry: (Option<u64>, u64),
+    at: Timestamp,
+}
+
+/// Heartbeats of silence after which the newest entry no longer stands against
+/// an older one: the server may have started again with its clock set back.
+const SILENT_HEARTBEATS: u32 = 3;
+
 /// Most unusable entries that are remembered.
 const MAX_UNUSABLE: usize = 256;
 
@@ -207,7 +218,11 @@
                 continue;
             };
             match entry {
-                Some(entry) if !self.is_newest(&id, &entry) => {}
+                Some(entry) if !self.is_newest(host, now, &id, &entry) => {
+                    // A late entry of an earlier life; the present one holds.
+                    let present = host.decide(|g| g.servers().get(&id).map(|r| r.entry.clone()));
+                    listed.extend(present.filter(|_| whole).map(|present| (id, present)));
+                }
                 Some(entry) if whole => {
                     listed.insert(id, entry.server);
                 }
@@ -277,15 +292,19 @@
 
     /// Tells whether an entry is not older than one that was taken in. A life
     /// of a server is known by its start, and counts its entries.
-    fn is_newest(&mut self, id: &VmId, entry: &Entry) -> bool {
+    fn is_newest(&mut self, host: &GatewayHost, now: Timestamp, id: &VmId, entry: &Entry) -> bool {
         let this = (entry.server.born, entry.heartbeat);
-        match self.heartbeats.get(id) {
-            Some(newest) if *newest > this => false,
-            _ => {
-                self.heartbeats.insert(id.clone(), this);
-                true
-            }
+        let silence = host.settings.store.heartbeat * SILENT_HEARTBEATS;
+        let newest = self.heartbeats.get(id);
+        if newest.is_some_and(|newest| newest.entry > this && now.since(newest.at) < silence) {
+            return false;
         }
+        let heartbeat = Heartbeat {
+            entry: this,
+            at: now,
+        };
+        self.heartbeats.insert(id.clone(), heartbeat);
+        true
     }
 }
 
