--- a/crates/core/src/gateway/paths.rs
+++ b/crates/core/src/gateway/paths.rs
@@ -23,7 +23,7 @@
 const MEMORY_LIMIT: f64 = 0.92;
 /// Cost of handing activations to another failure domain, in milliseconds: the
 /// pipe is shared by all requests, and one crossing for each of them fills it.
-const CROSSING_MS: f64 = 500.0;
+const CROSSING_MS: f64 = 2_000.0;
 /// Weight of the time to the first event: an answer that begins late is late,
 /// however soon it ends.
 const FIRST_EVENT_WEIGHT: f64 = 2.0;
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -39,7 +39,7 @@
 
 /// What the layers may lack after a move, against before, for the move to be
 /// worth the load and the time in which the engine takes no requests.
-const WORTH_A_MOVE: f64 = 0.93;
+const WORTH_A_MOVE: f64 = 0.85;
 
 /// The layers that an engine is to hold.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
