--- a/crates/core/tests/gateway_fakes/mod.rs
+++ b/crates/core/tests/gateway_fakes/mod.rs
@@ -200,15 +200,20 @@
     gateway
 }
 
+/// A table of these servers.
+pub fn table(servers: &BTreeMap<VmId, Server>) -> radishhaven_core::gateway::Servers {
+    let mut table = radishhaven_core::gateway::Servers::default();
+    for (id, server) in servers {
+        table.apply(ms(0), id, Some(server.clone()));
+    }
+    table
+}
+
 /// The engines of the deployment, holding what the planner gives them.
 pub fn placed_engines() -> BTreeMap<VmId, Server> {
-    use radishhaven_core::gateway::{Servers, placement::plan};
+    use radishhaven_core::gateway::placement::plan;
     let mut engines = empty_engines();
-    let mut servers = Servers::default();
-    for (id, engine) in &engines {
-        servers.apply(ms(0), id, Some(engine.clone()));
-    }
-    for assignment in plan(&spec(), &servers, &id(ENGINES), &BTreeMap::new()) {
+    for assignment in plan(&spec(), &table(&engines), &id(ENGINES), &BTreeMap::new()) {
         let engine = engines.get_mut(&assignment.server).expect("it is there");
         engine.layers = Some(assignment.layers);
     }
--- a/crates/core/tests/gateway_paths.rs
+++ b/crates/core/tests/gateway_paths.rs
@@ -5,24 +5,16 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use bolero_generator::TypeGenerator;
-use gateway_fakes::{ENGINES, USUAL, engine, id, ms, name, placed_engines, spec};
+use gateway_fakes::{ENGINES, USUAL, engine, id, ms, name, placed_engines, spec, table};
 use radishhaven_cases::{INVARIANT_CASES, check};
 use radishhaven_core::{
     gateway::{
-        Path, Server, ServerState, Servers,
+        Path, ServerState, Servers,
         paths::{Need, choose},
     },
     ids::VmId,
 };
 
-fn servers(engines: &BTreeMap<VmId, Server>) -> Servers {
-    let mut servers = Servers::default();
-    for (id, engine) in engines {
-        servers.apply(ms(0), id, Some(engine.clone()));
-    }
-    servers
-}
-
 fn path(servers: &Servers, need: Need, avoid: &[VmId]) -> Option<Path> {
     choose(&spec(), servers, &id(ENGINES), ms(0), need, avoid, || 0.5)
 }
@@ -30,7 +22,7 @@
 #[test]
 fn a_path_stays_in_one_failure_domain_while_it_can() {
     let engines = placed_engines();
-    let path = path(&servers(&engines), USUAL, &[]).expect("there is room");
+    let path = path(&table(&engines), USUAL, &[]).expect("there is room");
     let domains: BTreeSet<&str> = path
         .stages
         .iter()
@@ -42,12 +34,12 @@
 #[test]
 fn an_engine_that_is_avoided_or_drains_takes_no_part() {
     let mut engines = placed_engines();
-    let first = path(&servers(&engines), USUAL, &[]).expect("there is room");
+    let first = path(&table(&engines), USUAL, &[]).expect("there is room");
     let avoided = first.stages[0].server.clone();
     let drains = first.stages[1].server.clone();
     engines.get_mut(&drains).expect("it is there").state = ServerState::Draining;
     let second =
-        path(&servers(&engines), USUAL, std::slice::from_ref(&avoided)).expect("there are others");
+        path(&table(&engines), USUAL, std::slice::from_ref(&avoided)).expect("there are others");
     let used = |id: &VmId| second.stages.iter().any(|stage| stage.server == *id);
     assert!(!used(&avoided) && !used(&drains));
 }
@@ -55,7 +47,7 @@
 #[test]
 fn no_path_leads_through_engines_whose_memory_is_promised() {
     let engines = BTreeMap::from([(name(0), engine(0, "centro", "l40s", Some((0, 20))))]);
-    let mut servers = servers(&engines);
+    let mut servers = table(&engines);
     let mut small = spec();
     small.layers = 20;
     let room = small.kv_tokens(&small.kinds["l40s"], 20).expect("it fits");
--- a/crates/core/tests/gateway_placement.rs
+++ b/crates/core/tests/gateway_placement.rs
@@ -5,24 +5,16 @@
 use std::collections::BTreeMap;
 
 use bolero_generator::TypeGenerator;
-use gateway_fakes::{CARDS, ENGINES, empty_engines, engine, id, ms, name, placed_engines, spec};
+use gateway_fakes::{CARDS, ENGINES, empty_engines, engine, id, name, placed_engines, spec, table};
 use radishhaven_cases::{INVARIANT_CASES, check};
 use radishhaven_core::{
     gateway::{
-        Server, Servers,
+        Server,
         placement::{plan, rebalance},
     },
     ids::VmId,
 };
 
-fn servers(engines: &BTreeMap<VmId, Server>) -> Servers {
-    let mut servers = Servers::default();
-    for (id, engine) in engines {
-        servers.apply(ms(0), id, Some(engine.clone()));
-    }
-    servers
-}
-
 /// Returns how often each layer is held in a domain, or in all.
 fn held(engines: &BTreeMap<VmId, Server>, domain: Option<&str>) -> Vec<u32> {
     let mut held = vec![0; usize::from(spec().layers)];
@@ -51,7 +43,7 @@
     let mut engines = placed_engines();
     let lost = engines[&name(0)].layers.expect("it holds layers");
     engines.insert(name(0), engine(0, "centro", "a100", None));
-    let assignments = plan(&spec(), &servers(&engines), &id(ENGINES), &BTreeMap::new());
+    let assignments = plan(&spec(), &table(&engines), &id(ENGINES), &BTreeMap::new());
     assert_eq!(assignments.len(), 1);
     let taken = assignments[0].layers;
     let whole = taken.start() <= lost.start() && lost.end() <= taken.end();
@@ -66,7 +58,7 @@
         let held = engine.layers.expect("it holds layers");
         !missing.contains(&held.start())
     });
-    let move_one = rebalance(&spec(), &servers(&engines), &id(ENGINES), &BTreeMap::new());
+    let move_one = rebalance(&spec(), &table(&engines), &id(ENGINES), &BTreeMap::new());
     let assignment = move_one.expect("some engine can be spared");
     assert_eq!(assignment.layers.start(), 0);
     let given_up = engines[&assignment.server].layers.expect("it holds layers");
@@ -94,7 +86,7 @@
             engines.insert(name(number), engine(number, domain, kind, None));
         }
         for round in 0..2 {
-            for assignment in plan(&spec, &servers(&engines), &id(ENGINES), &BTreeMap::new()) {
+            for assignment in plan(&spec, &table(&engines), &id(ENGINES), &BTreeMap::new()) {
                 let engine = engines.get_mut(&assignment.server).expect("it is there");
                 let kind = engine.accelerator.as_ref().expect("it has one");
                 let mb = f64::from(assignment.layers.count()) * spec.layer_mb;
@@ -129,7 +121,7 @@
     engines.remove(&name(7));
     engines.remove(&name(12));
     let mut moves = 0;
-    while let Some(next) = rebalance(&spec(), &servers(&engines), &id(ENGINES), &BTreeMap::new()) {
+    while let Some(next) = rebalance(&spec(), &table(&engines), &id(ENGINES), &BTreeMap::new()) {
         engines.get_mut(&next.server).expect("it is there").layers = Some(next.layers);
         moves += 1;
         assert!(moves < 8, "engines are moved on and on");
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod body;
 mod connections;
 mod directory;
+mod dump;
 mod exchange;
 mod follow;
 mod forward;
--- a/crates/daemon/src/gateway/shutdown.rs
+++ b/crates/daemon/src/gateway/shutdown.rs
@@ -6,8 +6,8 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use super::{
-    GatewayHost, GatewaySettings, GatewayStartError, connections, directory, follow, ingress, load,
-    members, metrics, placer,
+    GatewayHost, GatewaySettings, GatewayStartError, connections, directory, dump, follow, ingress,
+    load, members, metrics, placer,
 };
 
 /// Part of the time until SIGKILL that a shutdown may take.
@@ -84,8 +84,11 @@
             std::future::ready(directory::resolve(&shared, &req))
         }));
         let shared = host.clone();
-        tokio::spawn(connections::serve(metrics_listener, move |_| {
-            std::future::ready(metrics::render(&shared))
+        tokio::spawn(connections::serve(metrics_listener, move |req| {
+            std::future::ready(match req.uri().path() {
+                dump::DUMP_PATH => dump::render(&shared),
+                _ => metrics::render(&shared),
+            })
         }));
         tokio::spawn(follow::configuration(host.clone()));
         tokio::spawn(follow::registry(host.clone()));
