fix(gateway): ask for no wait while the store's reads fail

Ruled out: the connection, as other calls of the same node were answered at 26.1 s.

Test reads_do_not_wait_while_the_store_is_away failed before (a refused read asked for 1500 ms) and passes.

--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -48,6 +48,11 @@
         Self { name, lost: None }
     }
 
+    /// Tells whether the last call failed.
+    fn is_lost(&self) -> bool {
+        self.lost.is_some()
+    }
+
     /// Notes an answer.
     pub(super) fn answered(&mut self, now: Timestamp) {
         if let Some(since) = self.lost.take() {
@@ -93,13 +98,12 @@
     let mut next = None;
     loop {
         let sent = host.now();
-        let result = read(
-            &host,
-            Lane::Configuration,
-            OPERATOR_TOPIC,
-            next,
-            CONFIGURATION_WAIT,
-        );
+        // After a failure the proof counts, not the wait for what is new.
+        let wait = match dependency.is_lost() {
+            true => Duration::ZERO,
+            false => CONFIGURATION_WAIT,
+        };
+        let result = read(&host, Lane::Configuration, OPERATOR_TOPIC, next, wait);
         match result.await {
             Ok(records) => {
                 dependency.answered(host.now());
