refactor(gateway): placement's timing among the decisions, a request's steps apart

Cause: reading the change as a newcomer. Which orders are given now (waiting for engines at the start, loads at a time, orders that came to nothing) stood beside the placer's input and output and had no test; `ingress::answer` did five things in one match.

`placement::next` decides and is tested (the_first_plan_waits_until..., loads_are few_at_a_time...); `ingress` accepts, reads and forwards in functions of their own. No decision changed.

--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -7,7 +7,7 @@
 //! What is left makes copies over all domains. Later, an engine that comes back
 //! empty takes the layers that are held worst.
 
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
 use serde::Serialize;
 
@@ -41,6 +41,15 @@
 /// worth the load and the time in which the engine takes no requests.
 const WORTH_A_MOVE: f64 = 0.85;
 
+/// Time without a new engine after which the first plan is made; engines
+/// register within a heartbeat of their start.
+const SETTLE: Duration = Duration::from_millis(1_300);
+/// Times that a load may take when others share the store of weights.
+const LOADS_SHARED: u32 = 2;
+/// Time beyond loading after which an order counts as lost: the registry
+/// follows within two heartbeats.
+const ORDER_SLACK: Duration = Duration::from_millis(3_500);
+
 /// The layers that an engine is to hold.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Assignment {
@@ -128,6 +137,52 @@
     told.or(row.entry.layers)
 }
 
+/// Returns the orders that are to be given now, and forgets those that were
+/// carried out or lost.
+pub fn next(
+    spec: &EngineSpec,
+    servers: &Servers,
+    service: &ServiceId,
+    ordered: &mut Ordered,
+    now: Timestamp,
+) -> Vec<Assignment> {
+    ordered.retain(|id, (layers, at)| is_open(spec, servers.get(id), *layers, *at, now));
+    let newest = servers.of(service).map(|(_, row)| row.since).max();
+    let none_held = servers
+        .of(service)
+        .all(|(id, row)| holds(id, row, ordered).is_none());
+    let settled = newest.is_some_and(|newest| now.since(newest) >= SETTLE);
+    if none_held && !settled {
+        return Vec::new();
+    }
+    let mut next = plan(spec, servers, service, ordered);
+    if next.is_empty() && ordered.is_empty() {
+        next.extend(rebalance(spec, servers, service, ordered));
+    } else if !none_held {
+        // More loads at a time make each of them slower.
+        next.truncate((spec.loads_at_once as usize).saturating_sub(ordered.len()));
+    }
+    next.sort_by_key(|assignment| assignment.layers);
+    next
+}
+
+/// Tells whether an order may still be carried out.
+fn is_open(
+    spec: &EngineSpec,
+    row: Option<&ServerRow>,
+    layers: LayerRange,
+    at: Timestamp,
+    now: Timestamp,
+) -> bool {
+    let Some(row) = row else {
+        return false;
+    };
+    let share = f64::from(layers.count()) / f64::from(spec.layers);
+    let limit = spec.load.mul_f64(share) * LOADS_SHARED + ORDER_SLACK;
+    let done = row.entry.layers == Some(layers);
+    !done && row.since <= at && now.since(at) < limit
+}
+
 /// Plans the engines of a service that hold nothing.
 pub fn plan(
     spec: &EngineSpec,
--- a/crates/core/tests/gateway_placement.rs
+++ b/crates/core/tests/gateway_placement.rs
@@ -5,12 +5,14 @@
 use std::collections::BTreeMap;
 
 use bolero_generator::TypeGenerator;
-use gateway_fakes::{CARDS, ENGINES, empty_engines, engine, id, name, placed_engines, spec, table};
+use gateway_fakes::{
+    CARDS, ENGINES, empty_engines, engine, id, ms, name, placed_engines, spec, table,
+};
 use radishhaven_cases::{INVARIANT_CASES, check};
 use radishhaven_core::{
     gateway::{
         Server,
-        placement::{plan, rebalance},
+        placement::{Ordered, next, plan, rebalance},
     },
     ids::VmId,
 };
@@ -129,3 +131,37 @@
     assert!(moves > 0);
     assert!(held(&engines, Some("cordon")).into_iter().min() >= Some(1));
 }
+
+/// At the start engines register one after the other: nothing is ordered until
+/// no new one has come for a while, then all at once.
+#[test]
+fn the_first_plan_waits_until_all_engines_are_there() {
+    let servers = table(&empty_engines());
+    let mut ordered = Ordered::new();
+    let mut at = |time| next(&spec(), &servers, &id(ENGINES), &mut ordered, time).len();
+    assert_eq!(at(ms(1_000)), 0);
+    assert_eq!(at(ms(1_400)), empty_engines().len());
+}
+
+/// Later, no more loads run at a time than the store of weights serves at
+/// full speed, and an order that came to nothing is given again.
+#[test]
+fn loads_are_few_at_a_time_and_lost_orders_are_given_again() {
+    let mut engines = placed_engines();
+    for number in 0..8 {
+        engines.get_mut(&name(number)).expect("it is there").layers = None;
+    }
+    let servers = table(&engines);
+    let mut ordered = Ordered::new();
+    let mut at = |time| {
+        let orders = next(&spec(), &servers, &id(ENGINES), &mut ordered, time);
+        let told = orders.into_iter().map(|a| (a.server, (a.layers, time)));
+        let told: Vec<_> = told.collect();
+        let count = told.len();
+        ordered.extend(told);
+        count
+    };
+    assert_eq!(at(ms(2_000)), 5);
+    assert_eq!(at(ms(2_300)), 0);
+    assert_eq!(at(ms(60_000)), 5);
+}
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -2,12 +2,16 @@
 
 use std::sync::Arc;
 
-use http::{HeaderValue, Method, Request, Response, StatusCode, header, request};
-use http_body_util::{BodyExt, Limited};
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header, request};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use radishhaven_core::gateway::{
-    routes::{Denied, Routed},
-    state::Rejected,
+use radishhaven_core::{
+    gateway::{
+        routes::{Denied, Routed},
+        state::Rejected,
+    },
+    ids::ServiceId,
 };
 use radishhaven_platform::{
     answer,
@@ -19,7 +23,7 @@
     body::{Body, text},
     exchange::Outgoing,
     forward::{Job, forward, set_retry_after},
-    host::GatewayHost,
+    host::{GatewayHost, OpenRequest},
 };
 
 /// Answers one request.
@@ -27,87 +31,9 @@
     let open = host.open_request();
     let (head, body) = req.into_parts();
     let asked = caller::decode(&head.headers);
-    let attempt = asked.attempt.clone();
     let mut resp = match accept(&host, &head, &asked) {
-        Ok((routed, _)) if !method_fits(&head) => reject(
-            &host,
-            &routed.name,
-            &attempt,
-            StatusCode::METHOD_NOT_ALLOWED,
-            "method",
-        ),
-        Ok((routed, _)) if !host.takes(routed.route.kind) => {
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            let mut resp = reject(&host, &routed.name, &attempt, status, "shutting down");
-            let after = host.decide(|g| g.return_after());
-            set_retry_after(&mut resp, after);
-            resp
-        }
-        Ok((routed, service)) => {
-            let arrived = host.now();
-            let route = &routed.route;
-            let kept = asked
-                .deadline
-                .map_or(route.timeout, |d| d.min(route.timeout));
-            let ends = arrived + kept;
-            let limit = host.decide(|g| g.configuration().map(|c| c.limits.max_body_bytes));
-            let body = Limited::new(body, limit.unwrap_or_default()).collect();
-            match tokio::time::timeout(kept, body).await {
-                Ok(Ok(body)) => {
-                    let outgoing = Outgoing {
-                        method: head.method,
-                        uri: head.uri.path_and_query().map_or_else(
-                            || http::Uri::from_static("/"),
-                            |path| http::Uri::from(path.clone()),
-                        ),
-                        headers: head.headers,
-                        body: body.to_bytes(),
-                        attempt: asked.attempt,
-                        organisation: routed.organisation.clone(),
-                    };
-                    let job = Job {
-                        host: host.clone(),
-                        outgoing,
-                        routed,
-                        service,
-                        need: asked.need,
-                        arrived,
-                        ends,
-                        last_event: asked.last_event,
-                        runs: 0,
-                        not_run: 0,
-                        avoid: Vec::new(),
-                        _open: open,
-                    };
-                    forward(job).await
-                }
-                Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-                    let status = StatusCode::PAYLOAD_TOO_LARGE;
-                    reject(
-                        &host,
-                        &routed.name,
-                        &attempt,
-                        status,
-                        "the body is too large",
-                    )
-                }
-                Ok(Err(_)) => {
-                    let status = StatusCode::BAD_REQUEST;
-                    reject(&host, &routed.name, &attempt, status, "the body broke off")
-                }
-                Err(_) => {
-                    let status = StatusCode::REQUEST_TIMEOUT;
-                    reject(
-                        &host,
-                        &routed.name,
-                        &attempt,
-                        status,
-                        "the body came too slowly",
-                    )
-                }
-            }
-        }
-        Err(rejected) => turn_away(&host, &attempt, rejected),
+        Ok(accepted) => take(&host, head, body, asked, accepted, open).await,
+        Err(rejected) => turn_away(&host, &asked.attempt, rejected),
     };
     if host.is_draining() {
         let close = HeaderValue::from_static("close");
@@ -116,16 +42,90 @@
     resp
 }
 
-/// A tunnel is no request to forward.
-fn method_fits(head: &request::Parts) -> bool {
-    head.method != Method::CONNECT
+/// Reads the body of a request that the configuration allows, and forwards it.
+async fn take(
+    host: &Arc<GatewayHost>,
+    head: request::Parts,
+    body: Incoming,
+    asked: CallerRequest,
+    (routed, service): (Routed, ServiceId),
+    open: OpenRequest,
+) -> Response<Body> {
+    let refuse = |status, reason| reject(host, &routed.name, &asked.attempt, status, reason);
+    if head.method == Method::CONNECT {
+        return refuse(StatusCode::METHOD_NOT_ALLOWED, "a tunnel is not forwarded");
+    }
+    if !host.takes(routed.route.kind) {
+        let mut resp = refuse(StatusCode::SERVICE_UNAVAILABLE, "shutting down");
+        set_retry_after(&mut resp, host.decide(|g| g.return_after()));
+        return resp;
+    }
+    let arrived = host.now();
+    let timeout = routed.route.timeout;
+    let kept = asked.deadline.map_or(timeout, |d| d.min(timeout));
+    let body = match tokio::time::timeout(kept, read(host, body)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(Unread::TooLarge)) => {
+            return refuse(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+        }
+        Ok(Err(Unread::Broken)) => return refuse(StatusCode::BAD_REQUEST, "the body broke off"),
+        Err(_) => return refuse(StatusCode::REQUEST_TIMEOUT, "the body came too slowly"),
+    };
+    let outgoing = Outgoing {
+        method: head.method,
+        uri: path_of(&head.uri),
+        headers: head.headers,
+        body,
+        attempt: asked.attempt,
+        organisation: routed.organisation.clone(),
+    };
+    let job = Job {
+        host: host.clone(),
+        outgoing,
+        routed,
+        service,
+        need: asked.need,
+        arrived,
+        ends: arrived + kept,
+        last_event: asked.last_event,
+        runs: 0,
+        not_run: 0,
+        avoid: Vec::new(),
+        _open: open,
+    };
+    forward(job).await
+}
+
+/// Why a body was not read.
+enum Unread {
+    TooLarge,
+    Broken,
+}
+
+/// Reads a body up to the size that the operators allow.
+async fn read(host: &Arc<GatewayHost>, body: Incoming) -> Result<Bytes, Unread> {
+    let limit = host.decide(|g| g.configuration().map(|c| c.limits.max_body_bytes));
+    let whole = Limited::new(body, limit.unwrap_or_default())
+        .collect()
+        .await;
+    match whole {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Unread::TooLarge),
+        Err(_) => Err(Unread::Broken),
+    }
+}
+
+/// Returns path and query, which are all that a server is asked for.
+fn path_of(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(|| Uri::from_static("/"), Uri::from)
 }
 
 fn accept(
     host: &Arc<GatewayHost>,
     head: &request::Parts,
     asked: &CallerRequest,
-) -> Result<(Routed, radishhaven_core::ids::ServiceId), Rejected> {
+) -> Result<(Routed, ServiceId), Rejected> {
     let named = head.headers.get(header::HOST).and_then(|v| v.to_str().ok());
     let named = named.or_else(|| head.uri.authority().map(|a| a.as_str()));
     let name = named.unwrap_or_default();
