feat(gateway): many nodes share the reading of the store through hubs

Cause: each node read the whole registry once a second, waited on the configuration, and sent its load to every other node five times a second.

Change: beyond 12 nodes one in sixteen, ranked by rendezvous hashing, is a hub; the others ask one hub every 200 ms and learn the load of all others, what the registry changed since their offset, and the version and proof age of the configuration. Ages count from the question. Whoever hears nothing younger than 1.3 s reads the store itself. Reports tell only what the node saw itself, since an age that came from a peer grew younger on its way round. Directory answers name other nodes at each node when there are more than 64. Members are listed after a change and every 20 s instead of every 5 s.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod budget;
 pub mod config;
 pub mod drain;
+pub mod hubs;
 pub mod paths;
 pub mod peers;
 pub mod placement;
@@ -19,6 +20,7 @@
 pub mod routes;
 pub mod servers;
 pub mod state;
+pub mod store_view;
 pub mod ticket;
 
 pub use config::{Configuration, EngineSpec, Organisation, Route, RouteKind, Service};
--- a/crates/core/src/gateway/servers.rs
+++ b/crates/core/src/gateway/servers.rs
@@ -1,6 +1,10 @@
 //! The backend servers that the registry names, and what runs at each.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -69,6 +73,9 @@
     pub failures: u32,
     /// When an exchange of any node last showed that the server works.
     pub seen: Timestamp,
+    /// When an exchange of this node last showed it. Only this is told to
+    /// peers: what came from them would grow younger on its way round.
+    pub seen_here: Timestamp,
     /// When this node last began to have requests there.
     pub busy_since: Timestamp,
     /// Recent time of an answer of a plain server, in milliseconds.
@@ -91,6 +98,7 @@
             avoid_until: Timestamp::default(),
             failures: 0,
             seen: now,
+            seen_here: now,
             busy_since: now,
             latency_ms: 0.0,
         }
@@ -108,7 +116,7 @@
 
     /// Notes a sign that the server works.
     pub(super) fn recovered(&mut self, now: Timestamp) {
-        self.seen = now;
+        (self.seen, self.seen_here) = (now, now);
         if self.failures > 0 {
             self.failures = 0;
             self.avoid_until = now;
@@ -168,11 +176,21 @@
 #[derive(Debug, Default)]
 pub struct Servers {
     rows: BTreeMap<VmId, ServerRow>,
+    /// Servers whose entries changed since this was last taken.
+    changed: BTreeSet<VmId>,
 }
 
 impl Servers {
     /// Takes in what the registry says of one server; `None` removes it.
     pub fn apply(&mut self, now: Timestamp, id: &VmId, entry: Option<Server>) -> ServerChange {
+        let change = self.change(now, id, entry);
+        if change != ServerChange::None {
+            self.changed.insert(id.clone());
+        }
+        change
+    }
+
+    fn change(&mut self, now: Timestamp, id: &VmId, entry: Option<Server>) -> ServerChange {
         let Some(entry) = entry else {
             return match self.rows.remove(id) {
                 Some(_) => ServerChange::Removed,
@@ -205,10 +223,16 @@
             .collect();
         for id in &gone {
             self.rows.remove(id);
+            self.changed.insert(id.clone());
         }
         gone
     }
 
+    /// Returns the servers whose entries changed since this was last asked.
+    pub(super) fn take_changed(&mut self) -> BTreeSet<VmId> {
+        std::mem::take(&mut self.changed)
+    }
+
     /// Returns one server.
     pub fn get(&self, id: &VmId) -> Option<&ServerRow> {
         self.rows.get(id)
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -10,12 +10,13 @@
     budget::{BudgetConfig, RetryBudget},
     config::Configuration,
     paths::{self, Need},
-    peers::NodeReport,
+    peers::Peer,
     plain,
     progress::{self, Verdict},
     proof::Proof,
     routes::{Denied, RouteTable, Routed},
     servers::{Server, ServerChange, ServerRow, Servers},
+    store_view::RegistryView,
     ticket::{Settled, Target, Ticket},
 };
 use crate::{
@@ -87,7 +88,8 @@
     pub(super) servers: Servers,
     budgets: BTreeMap<ServiceId, RetryBudget>,
     queue: WaitQueue,
-    pub(super) peers: BTreeMap<VmId, (Timestamp, NodeReport)>,
+    pub(super) registry: RegistryView,
+    pub(super) peers: BTreeMap<VmId, Peer>,
     nodes: u32,
     rng: StdRng,
 }
@@ -103,6 +105,7 @@
             servers: Servers::default(),
             budgets: BTreeMap::new(),
             queue: WaitQueue::default(),
+            registry: RegistryView::default(),
             peers: BTreeMap::new(),
             nodes: ASSUMED_NODES,
             rng: StdRng::seed_from_u64(seed),
--- a/crates/core/tests/gateway_requests.rs
+++ b/crates/core/tests/gateway_requests.rs
@@ -16,7 +16,7 @@
         admission::LONGEST_WAIT,
         budget::{BudgetConfig, RetryBudget},
         drain,
-        peers::{NodeReport, ServerLoad},
+        peers::{NodeReport, ServerLoad, Source},
         progress::{FIRST_LOOK, Verdict},
         routes::Denied,
         state::{Begin, Rejected},
@@ -328,9 +328,10 @@
     });
     let report = NodeReport {
         serves: true,
+        stopped: Vec::new(),
         load: load.collect(),
     };
-    gateway.set_peer(now, id("front-2"), report);
+    gateway.set_peer(now, id("front-2"), Source::Hub, report);
     let verdict = gateway.judge_silence(now, &ticket, silent, true, TARGET);
     assert!(matches!(verdict, Verdict::Wait(_)), "{verdict:?}");
 }
--- a/crates/daemon/src/gateway/directory.rs
+++ b/crates/daemon/src/gateway/directory.rs
@@ -5,7 +5,7 @@
 
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
-use radishhaven_core::gateway::Gateway;
+use radishhaven_core::rendezvous;
 use radishhaven_platform::{
     caller::Directory,
     members::Member,
@@ -29,7 +29,10 @@
         return text(StatusCode::NOT_FOUND, "no such path");
     }
     let own = host.settings.node.callers;
-    let members = locked(&host.peers).members.clone();
+    let mut members = locked(&host.peers).members.clone();
+    // With more nodes than an answer names, each node names others.
+    let own_vm = host.settings.node.vm.as_str();
+    members.sort_by_cached_key(|member| rendezvous::score(own_vm, member.vm.as_str()));
     let mut addresses = serving(host, &members);
     addresses.retain(|&address| address != own);
     if host.is_ready() {
@@ -59,9 +62,8 @@
 /// to one that was left out.
 fn serving(host: &Arc<GatewayHost>, members: &[Member]) -> Vec<SocketAddr> {
     let now = host.now();
-    let stopped = |m: &&Member, g: &Gateway| g.peer(now, &m.vm).is_some_and(|peer| !peer.serves);
     host.decide(|g| {
-        let serving = members.iter().filter(|member| !stopped(member, g));
+        let serving = members.iter().filter(|m| !g.has_stopped(now, &m.vm));
         serving.map(|member| member.callers).collect()
     })
 }
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -3,7 +3,11 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use radishhaven_core::{
-    gateway::servers::{Server, ServerChange, ServerState},
+    gateway::{
+        Gateway,
+        servers::{Server, ServerChange, ServerState},
+        store_view::StoreView,
+    },
     ids::VmId,
     time::Timestamp,
 };
@@ -27,8 +31,21 @@
 /// Reads of the registry within the time in which a leaving server must get
 /// nothing new.
 const READS_PER_DRAIN: u32 = 2;
+/// The same while other nodes rely on this one: proof is as old as the read
+/// that gave it was long, and twice that before the next one is answered.
+const CONFIGURATION_WAIT_FOR_LEAVES: Duration = Duration::from_millis(450);
+/// Time between two reads of the registry while other nodes rely on this one.
+const REGISTRY_INTERVAL_FOR_LEAVES: Duration = Duration::from_millis(500);
+/// Age of what a hub told from which a leaf reads the store itself: a hub
+/// that reads it is never that late, and a configuration must be in force
+/// within two seconds.
+const RELAYED_AGE: Duration = Duration::from_millis(1_300);
+/// Time between two looks at what a hub told.
+const RELAY_LOOK: Duration = Duration::from_millis(100);
 /// Pause after a call to the store failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// The same at a leaf, whose hub learns first that the store is back.
+const LEAF_RETRY_PAUSE: Duration = Duration::from_millis(600);
 /// Time after the store's return within which servers whose entries ran out
 /// meanwhile are back; until then none is removed.
 const RETURN_TIME: Duration = Duration::from_millis(2_300);
@@ -97,10 +114,17 @@
     let mut dependency = Dependency::new("configuration");
     let mut next = None;
     loop {
+        while is_relayed(&host, |g, now| g.proof_age(now)) {
+            tokio::select! {
+                () = host.newer_configuration.notified() => break,
+                () = tokio::time::sleep(RELAY_LOOK) => {}
+            }
+        }
         let sent = host.now();
         // After a failure the proof counts, not the wait for what is new.
-        let wait = match dependency.is_lost() {
+        let wait = match dependency.is_lost() || host.is_leaf() {
             true => Duration::ZERO,
+            false if host.has_leaves() => CONFIGURATION_WAIT_FOR_LEAVES,
             false => CONFIGURATION_WAIT,
         };
         let result = read(&host, Lane::Configuration, OPERATOR_TOPIC, next, wait);
@@ -115,12 +139,45 @@
             Err(StoreError::Expired) => next = None,
             Err(error) => {
                 dependency.failed(&host, &error);
-                tokio::time::sleep(RETRY_PAUSE).await;
+                tokio::time::sleep(retry_pause(&host)).await;
             }
         }
     }
 }
 
+/// Tells whether a hub keeps what this node knows fresh; `age` tells how old
+/// it is.
+fn is_relayed(host: &GatewayHost, age: impl Fn(&Gateway, Timestamp) -> Option<Duration>) -> bool {
+    let now = host.now();
+    host.is_leaf()
+        && host
+            .decide(|g| age(g, now))
+            .is_some_and(|age| age < RELAYED_AGE)
+}
+
+fn retry_pause(host: &GatewayHost) -> Duration {
+    match host.is_leaf() {
+        true => LEAF_RETRY_PAUSE,
+        false => RETRY_PAUSE,
+    }
+}
+
+/// Takes in what a hub answered to a question that was sent at `asked`.
+pub(super) fn take_view(host: &Arc<GatewayHost>, asked: Timestamp, view: StoreView) {
+    let now = host.now();
+    let learned = host.decide(|g| g.take_view(now, asked, view));
+    if learned.newer_configuration {
+        host.newer_configuration.notify_one();
+    }
+    let changed = !learned.changes.is_empty();
+    for (id, change) in learned.changes {
+        note_change(host, &id, change, "hub");
+    }
+    if changed {
+        host.serve_waiting();
+    }
+}
+
 /// Takes a record in; returns whether it could be understood.
 fn take_configuration(host: &GatewayHost, record: &KeyedRecord) -> bool {
     if record.key != CONFIGURATION_KEY.as_bytes() {
@@ -179,39 +236,49 @@
 pub(super) async fn registry(host: Arc<GatewayHost>) {
     let mut dependency = Dependency::new("registry");
     let mut registry = Registry::default();
-    let mut next = None;
-    let mut answered = host.now();
-    let interval = REGISTRY_INTERVAL.min(host.settings.bounds.drain / READS_PER_DRAIN);
+    let mut whole = true;
     loop {
+        while !whole && is_relayed(&host, |g, now| g.registry_age(now)) {
+            tokio::time::sleep(RELAY_LOOK).await;
+        }
+        let sent = host.now();
+        let next = host.decide(|g| g.registry_end()).filter(|_| !whole);
         let result = read(&host, Lane::Registry, REGISTRY_TOPIC, next, Duration::ZERO).await;
         let now = host.now();
         match result {
             Ok(records) => {
                 dependency.answered(now);
-                if now.since(answered) > AWAY && !host.decide(|g| g.servers().is_empty()) {
+                let age = host.decide(|g| g.registry_age(now));
+                if age.is_some_and(|age| age > AWAY) {
                     registry.keep_until = Some(now + RETURN_TIME);
                 }
-                answered = now;
-                let whole = next.is_none();
-                next = Some(records.next);
-                registry.take(&host, now, &records.records, whole);
-                if registry.keep_until.is_some_and(|until| now >= until) {
+                registry.take(&host, now, &records.records, next.is_none());
+                host.decide(|g| g.registry_read(sent, records.next));
+                whole = registry.keep_until.is_some_and(|until| now >= until);
+                if whole {
                     registry.keep_until = None;
-                    next = None;
                     continue;
                 }
                 host.serve_waiting();
-                tokio::time::sleep(interval).await;
+                tokio::time::sleep(registry_interval(&host)).await;
             }
-            Err(StoreError::Expired) => next = None,
+            Err(StoreError::Expired) => whole = true,
             Err(error) => {
                 dependency.failed(&host, &error);
-                tokio::time::sleep(RETRY_PAUSE).await;
+                tokio::time::sleep(retry_pause(&host)).await;
             }
         }
     }
 }
 
+fn registry_interval(host: &GatewayHost) -> Duration {
+    let interval = match host.has_leaves() {
+        true => REGISTRY_INTERVAL_FOR_LEAVES,
+        false => REGISTRY_INTERVAL,
+    };
+    interval.min(host.settings.bounds.drain / READS_PER_DRAIN)
+}
+
 impl Registry {
     /// Takes records in; `whole` says that they are all there are.
     fn take(&mut self, host: &GatewayHost, now: Timestamp, records: &[KeyedRecord], whole: bool) {
@@ -313,11 +380,19 @@
 }
 
 fn apply(host: &GatewayHost, now: Timestamp, id: &VmId, server: Option<Server>) {
-    let leaving = server
-        .as_ref()
-        .is_some_and(|s| s.state == ServerState::Draining);
-    let layers = server.as_ref().and_then(|s| s.layers);
     let change = host.decide(|g| g.set_server(now, id, server));
+    note_change(host, id, change, "store");
+}
+
+/// Logs what changed about a server; `source` says who told it.
+fn note_change(host: &GatewayHost, id: &VmId, change: ServerChange, source: &str) {
+    let entry = host.decide(|g| g.servers().get(id).map(|row| row.entry.clone()));
+    let leaving = entry
+        .as_ref()
+        .is_some_and(|e| e.state == ServerState::Draining);
+    let layers = entry.as_ref().and_then(|e| e.layers).map(|l| l.to_string());
+    let accelerator = entry.as_ref().and_then(|e| e.accelerator.clone());
+    let domain = entry.map(|e| e.domain.to_string());
     let what = match change {
         ServerChange::None => return,
         ServerChange::Added => "added",
@@ -328,6 +403,9 @@
     info!("the registry changed", kv: {
         server = id.as_str(),
         change = what,
-        layers = layers.map(|l| l.to_string()).unwrap_or_default(),
+        layers = layers.unwrap_or_default(),
+        accelerator = accelerator.unwrap_or_default(),
+        domain = domain.unwrap_or_default(),
+        source,
     });
 }
--- a/crates/daemon/src/gateway/host.rs
+++ b/crates/daemon/src/gateway/host.rs
@@ -12,14 +12,14 @@
 
 use radishhaven_core::{
     gateway::{
-        Gateway, RouteKind, Settled, Target, Ticket, admission::WaitKey, drain, paths::Need,
-        routes::Routed, state::Begin,
+        Gateway, RouteKind, Settled, Target, Ticket, admission::WaitKey, drain, hubs::Standing,
+        paths::Need, routes::Routed, state::Begin,
     },
     ids::{FencingToken, ServiceId, VmId},
     time::Timestamp,
 };
 use radishhaven_platform::{members::Member, store::Store};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use super::{GatewaySettings, metrics::GatewayMetrics};
 use crate::clock::Clock;
@@ -45,6 +45,8 @@
 pub struct Peers {
     /// The nodes that serve, as the store last said.
     pub members: Vec<Member>,
+    /// This node's part among them.
+    pub standing: Standing,
     /// The token for orders and until when it is good, if this node leads.
     pub leads: Option<(FencingToken, Timestamp)>,
 }
@@ -56,6 +58,8 @@
     waiters: Mutex<BTreeMap<WaitKey, oneshot::Sender<Hold>>>,
     /// What is known of the peers.
     pub(super) peers: Mutex<Peers>,
+    /// Wakes the reader of the configuration when a hub knows a newer one.
+    pub(super) newer_configuration: Notify,
     clock: Clock,
     /// The settings.
     pub(super) settings: GatewaySettings,
@@ -161,6 +165,7 @@
             gateway: Mutex::new(Gateway::new(settings.decisions(), seed)),
             waiters: Mutex::default(),
             peers: Mutex::default(),
+            newer_configuration: Notify::new(),
             clock: Clock::start(),
             store: Store::new(settings.store.address),
             settings,
@@ -190,6 +195,17 @@
         !self.is_draining() && self.decide(|g| g.is_ready())
     }
 
+    /// Tells whether a hub reads the store for this node.
+    pub(super) fn is_leaf(&self) -> bool {
+        matches!(locked(&self.peers).standing, Standing::Leaf { .. })
+    }
+
+    /// Tells whether this node reads the store for others.
+    pub(super) fn has_leaves(&self) -> bool {
+        let standing = &locked(&self.peers).standing;
+        matches!(standing, Standing::Hub { has_leaves, .. } if *has_leaves)
+    }
+
     /// Tells whether the node is shutting down.
     pub(super) fn is_draining(&self) -> bool {
         self.draining.get().is_some()
--- a/crates/daemon/src/gateway/members.rs
+++ b/crates/daemon/src/gateway/members.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use radishhaven_core::gateway::hubs::{self, Standing};
 use radishhaven_platform::members::{self, Joined, Member};
 use spdlog::prelude::*;
 
@@ -18,7 +19,10 @@
 /// Longest time that a call may take.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time between two lists of the members while nothing changes.
-const LIST_INTERVAL: Duration = Duration::from_millis(5_000);
+const LIST_INTERVAL: Duration = Duration::from_millis(20_000);
+/// Time after a change of the group in which partitions have moved: members
+/// give them up with their next join, and a new one shows only then.
+const SETTLED: Duration = Duration::from_millis(1_300);
 /// Part of the time to live during which a holder trusts that it leads, since
 /// the join was sent.
 const LEAD_PART: f64 = 0.9;
@@ -44,7 +48,7 @@
     let ttl = TTL.max(host.settings.store.least_ttl);
     let mut dependency = Dependency::new("members");
     let mut generation = 0;
-    let mut listed = None;
+    let mut next_list = host.now();
     while !host.is_draining() {
         if !host.is_ready() {
             tokio::time::sleep(NOT_READY_PAUSE).await;
@@ -55,12 +59,16 @@
             Ok(joined) => {
                 dependency.answered(host.now());
                 take_lead(&host, &joined, sent + ttl.mul_f64(LEAD_PART));
+                let now = host.now();
                 let changed = joined.generation != generation;
                 generation = joined.generation;
-                let old = listed.is_none_or(|at| host.now().since(at) >= LIST_INTERVAL);
-                if changed || old {
-                    listed = Some(host.now());
+                // A leaf lists once a change has settled: there are many, and
+                // hubs tell them meanwhile who stops.
+                if changed && host.is_leaf() {
+                    next_list = next_list.min(now + SETTLED);
+                } else if changed || now >= next_list {
                     list(&host, generation, &mut dependency).await;
+                    next_list = now + if changed { SETTLED } else { LIST_INTERVAL };
                 }
             }
             Err(error) => dependency.failed(&host, &error),
@@ -93,8 +101,24 @@
             let nodes = u32::try_from(members.len()).unwrap_or(u32::MAX);
             host.decide(|g| g.set_nodes(nodes.saturating_add(EXTRA_NODES)));
             info!("the members were listed", kv: { nodes, generation });
-            locked(&host.peers).members = members;
+            let standing = hubs::standing(members.iter().map(|m| &m.vm), &host.settings.node.vm);
+            let mut peers = locked(&host.peers);
+            let changed = peers.standing != standing;
+            (peers.members, peers.standing) = (members, standing.clone());
+            drop(peers);
+            if changed {
+                note_standing(&standing);
+            }
         }
         Err(error) => dependency.failed(host, &error),
     }
 }
+
+fn note_standing(standing: &Standing) {
+    let (part, hubs) = match standing {
+        Standing::Hub { others, .. } => ("hub", others),
+        Standing::Leaf { hubs } => ("leaf", hubs),
+    };
+    let hubs: Vec<&str> = hubs.iter().map(|vm| vm.as_str()).collect();
+    info!("this node's part among the nodes changed", kv: { part, hubs = hubs.join(",").as_str() });
+}
--- a/crates/daemon/src/gateway/shutdown.rs
+++ b/crates/daemon/src/gateway/shutdown.rs
@@ -7,7 +7,7 @@
 
 use super::{
     GatewayHost, GatewaySettings, GatewayStartError, connections, directory, dump, follow, ingress,
-    load, members, metrics, placer,
+    members, metrics, peers, placer,
 };
 
 /// Part of the time until SIGKILL that a shutdown may take.
@@ -63,7 +63,7 @@
         let readiness = connections::listen(&mut node.readiness)?;
         let addresses = connections::listen(&mut node.directory)?;
         let metrics_listener = connections::listen(&mut node.metrics)?;
-        let socket = load::bind(&mut node.peers).await?;
+        let socket = peers::bind(&mut node.peers).await?;
         info!("the gateway starts", kv: {
             vm = node.vm.as_str(),
             failure_domain = node.failure_domain.as_str(),
@@ -94,7 +94,7 @@
         tokio::spawn(follow::registry(host.clone()));
         tokio::spawn(members::follow(host.clone()));
         tokio::spawn(placer::run(host.clone()));
-        tokio::spawn(load::exchange(host.clone(), socket));
+        tokio::spawn(peers::exchange(host.clone(), socket));
         Ok(host)
     }
 
