feat(daemon): explain a request from log lines

Cause: an engineer with a request's id had to follow grep by hand over the lines of all nodes. radishhavend explain ID < LOGS names the cause, what the node knew and how old it was, what became of the servers that failed, and prints the lines it rests on.

Test: lines of two nodes with a cut stream, a refusal, a rejection, a late stream, a request without an end, and an unknown one.

--- a/crates/core/src/gateway/paths.rs
+++ b/crates/core/src/gateway/paths.rs
@@ -74,6 +74,8 @@
     /// The predicted time to the last token in milliseconds, with the time to
     /// the first one and crossings weighted.
     pub cost_ms: f64,
+    /// The predicted time to the first event in milliseconds.
+    pub first_ms: f64,
 }
 
 struct Candidate<'a> {
@@ -222,12 +224,19 @@
         + spec.per_request_ms * running
         + spec.per_context_k_ms * row.all_tokens() as f64 / 1e3;
     let write = f64::from(need.output) * step * kind.pace * share;
-    // Prompts are read in turn.
-    let unread = f64::from(need.prompt) + row.all_reading() as f64;
-    let read = unread * 1e3 / spec.read_per_s * kind.read_factor * share;
+    let read = reading_ms(spec, candidate, start, need)?;
     Some((write + FIRST_EVENT_WEIGHT * read) * (1.0 + MEMORY_WEIGHT * fill * fill))
 }
 
+/// Returns the time until an engine has read a prompt through the layers from
+/// one to the end of what it holds; prompts are read in turn.
+fn reading_ms(spec: &EngineSpec, candidate: &Candidate<'_>, start: u16, need: Need) -> Option<f64> {
+    let kind = candidate.row.accelerator(spec)?;
+    let share = f64::from(candidate.held.end() - start) / f64::from(spec.layers);
+    let unread = f64::from(need.prompt) + candidate.row.all_reading() as f64;
+    Some(unread * 1e3 / spec.read_per_s * kind.read_factor * share)
+}
+
 /// Returns the KV cache that a request takes at an engine that runs `run` of
 /// the layers that it holds, counted over all of them.
 fn held_tokens(need: Need, run: f64, held: LayerRange) -> f64 {
@@ -247,10 +256,12 @@
         .min_by(|(_, a), (_, b)| a.cost.total_cmp(&b.cost))?;
     let cost_ms = last.cost;
     let mut stages = Vec::new();
+    let mut first_ms = 0.0;
     let mut position = spec.layers;
     while position > 0 {
         let (index, start, from) = best.get(&position)?[domain].via?;
         let candidate = &candidates[index];
+        first_ms += reading_ms(spec, candidate, start, need)?;
         let run = f64::from(position - start);
         stages.push(Stage {
             server: candidate.id.clone(),
@@ -262,5 +273,9 @@
         (position, domain) = (start, from);
     }
     stages.reverse();
-    Some(Path { stages, cost_ms })
+    Some(Path {
+        stages,
+        cost_ms,
+        first_ms,
+    })
 }
--- a/crates/core/src/gateway/ticket.rs
+++ b/crates/core/src/gateway/ticket.rs
@@ -45,6 +45,7 @@
             Self::Plain { server, .. } => server.fmt(f),
             Self::Engines(path) => {
                 write!(f, "{:.0}ms", path.cost_ms)?;
+                write!(f, " first {:.0}ms", path.first_ms)?;
                 for stage in &path.stages {
                     let link = if stage.crosses { " > " } else { " " };
                     write!(f, "{link}{}={}", stage.server, stage.layers)?;
--- /dev/null
+++ b/crates/daemon/src/commands/explain.rs
@@ -0,0 +1,38 @@
+//! `explain`: tells from log lines what became of one request.
+
+use std::{
+    io::{self, BufRead, Write},
+    process::ExitCode,
+};
+
+use crate::explain::Explanation;
+
+/// Exit code when no line names the request.
+const EXIT_UNKNOWN: u8 = 1;
+
+/// Reads log lines from standard input and prints what they say of a request.
+pub fn run(request: &str) -> ExitCode {
+    let mut explanation = Explanation::new(request);
+    let mut stdin = io::stdin().lock();
+    let mut line = Vec::new();
+    loop {
+        line.clear();
+        match stdin.read_until(b'\n', &mut line) {
+            Ok(0) => break,
+            Ok(_) => explanation.read(&String::from_utf8_lossy(&line)),
+            Err(error) => {
+                eprintln!("radishhavend: cannot read the log lines: {error}");
+                return ExitCode::FAILURE;
+            }
+        }
+    }
+    let text = explanation.to_string();
+    if let Err(error) = io::stdout().write_all(text.as_bytes()) {
+        eprintln!("radishhavend: cannot print the explanation: {error}");
+        return ExitCode::FAILURE;
+    }
+    if explanation.is_empty() {
+        return ExitCode::from(EXIT_UNKNOWN);
+    }
+    ExitCode::SUCCESS
+}
--- a/crates/daemon/src/commands/mod.rs
+++ b/crates/daemon/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The command line: one file for each command.
 
 mod check;
+mod explain;
 mod print_defaults;
 mod route;
 mod serve;
@@ -53,6 +54,16 @@
                 .about("Checks the settings only")
                 .arg(config),
         )
+        .subcommand(
+            Command::new("explain")
+                .about("Tells from log lines on standard input what became of a request")
+                .arg(
+                    Arg::new("request")
+                        .value_name("ID")
+                        .required(true)
+                        .help("The id of the caller's attempt"),
+                ),
+        )
         .subcommand(Command::new("print-defaults").about("Prints all settings with defaults"))
 }
 
@@ -65,6 +76,10 @@
             route::run(settings, path(args).to_owned())
         }),
         Some(("check-route", args)) => with_settings(args, GatewaySettings::load, check::run_route),
+        Some(("explain", args)) => explain::run(
+            args.get_one::<String>("request")
+                .expect("clap requires the argument"),
+        ),
         Some(("print-defaults", _)) => print_defaults::run(),
         _ => ExitCode::from(2),
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod commands;
 pub mod configs;
 pub mod edges;
+pub mod explain;
 pub mod gateway;
 pub mod host;
 pub mod logging;
--- /dev/null
+++ b/crates/daemon/tests/explain.rs
@@ -0,0 +1,90 @@
+//! What `explain` tells of requests from the lines of several nodes.
+
+use radishhavend::explain::Explanation;
+
+const LINES: &str = r#"
+   1.0 front-1 {"level":"info","timestamp":1000,"payload":"a dependency is lost","kv":{"dependency":"configuration","error":"no answer within 2.3s"},"tid":1}
+   4.1 front-1 {"level":"info","timestamp":4100,"payload":"a send ended without an answer","kv":{"request":"dead","route":"r-1","server":"i-1","outcome":"silent","detail":"i-2","took_ms":470,"runs":0,"not_run":0}}
+   4.2 front-1 {"level":"info","timestamp":4200,"payload":"a stream moves to another path","kv":{"request":"cut","why":"silent","suspects":"i-2,i-3","silent_ms":455,"after_event":"17","resumed":false}}
+   4.9 front-1 {"level":"warn","timestamp":4900,"payload":"a stream was cut","kv":{"request":"cut","reason":"broken","events":17,"resumes":0,"silent_ms":2200,"took_ms":3100}}
+   5.0 front-2 {"level":"info","timestamp":5000,"payload":"an engine was told which layers to hold","kv":{"server":"i-3","layers":"0..18","token":4,"outcome":"begun","error":""}}
+   5.1 front-1 {"level":"info","timestamp":5100,"payload":"the registry changed","kv":{"server":"i-2","change":"removed","layers":""}}
+   5.1 front-2 {"level":"info","timestamp":5100,"payload":"the registry changed","kv":{"server":"i-2","change":"removed","layers":""}}
+   5.2 front-1 {"level":"info","timestamp":5200,"payload":"the registry changed","kv":{"server":"i-9","change":"removed","layers":""}}
+   6.0 front-2 {"level":"info","timestamp":6000,"payload":"a request ended without a server's answer","kv":{"request":"full","route":"r-1","status":503,"reason":"no room in time","waited_ms":1200,"took_ms":1201,"runs":0,"not_run":0,"proof_ms":900}}
+   6.1 front-1 {"level":"info","timestamp":6100,"payload":"a request was rejected","kv":{"request":"denied","route":"","status":503,"reason":"the configuration was not confirmed recently","version":13,"proof_ms":4600}}
+   6.2 front-2 {"level":"info","timestamp":6200,"payload":"a stream ended","kv":{"request":"late","events":57,"resumes":1,"waited_ms":0,"first_ms":41,"longest_gap_ms":624,"path":"900ms first 40ms i-4=0..40 > i-5=40..80"}}
+   not a line of a log
+   {"timestamp":"broken","payload":7}
+"#;
+
+fn explain(request: &str) -> String {
+    let mut explanation = Explanation::new(request);
+    LINES.lines().for_each(|line| explanation.read(line));
+    explanation.to_string()
+}
+
+#[track_caller]
+fn says(text: &str, parts: &[&str]) {
+    for part in parts {
+        assert!(text.contains(part), "{part:?} is not in:\n{text}");
+    }
+}
+
+#[test]
+fn a_cut_stream_names_the_engines_and_what_became_of_them() {
+    let text = explain("cut");
+    says(
+        &text,
+        &[
+            "Cause: The stream was cut: broken.",
+            "silent at i-2,i-3 after 455 ms",
+            "i-2 was removed from the registry",
+            "i-3 was told to hold 0..18",
+        ],
+    );
+    assert!(!text.contains("i-9"), "another server:\n{text}");
+    let removed = text.lines().filter(|line| line.contains("change=removed"));
+    assert_eq!(removed.count(), 1, "its own node's line is enough:\n{text}");
+}
+
+#[test]
+fn a_refusal_says_how_long_it_waited_and_that_nothing_ran() {
+    let text = explain("full");
+    says(
+        &text,
+        &[
+            "503",
+            "waited 1200 ms for room: no room in time; no backend server ran it",
+        ],
+    );
+}
+
+#[test]
+fn a_rejection_says_what_the_node_knew_and_why_no_more() {
+    let text = explain("denied");
+    says(
+        &text,
+        &[
+            "version 13, confirmed 4600 ms before",
+            "lost its configuration",
+            "no answer within 2.3s",
+        ],
+    );
+}
+
+#[test]
+fn a_late_stream_says_where_its_time_went() {
+    let text = explain("late");
+    says(
+        &text,
+        &["longest pause 624 ms; moved 1 times", "crosses 1 links"],
+    );
+}
+
+#[test]
+fn a_request_whose_end_is_not_logged_is_told_apart_from_an_unknown_one() {
+    says(&explain("dead"), &["do not tell how it ended", "silent"]);
+    let unknown = explain("never-seen");
+    says(&unknown, &["No line names never-seen"]);
+}
