fix(gateway): progress of older streams no longer ends the pause after a refusal

Cause: an engine that is full or gives up its layers answers new work with 503 and still ends what it has.

Change: only a request that was taken after the refusal ends the pause.

Ruled out: silent engines, which pause by another way and are unchanged.

Test: fails without the change (an older stream ended the pause).

--- a/crates/core/src/gateway/servers.rs
+++ b/crates/core/src/gateway/servers.rs
@@ -71,6 +71,9 @@
     pub avoid_until: Timestamp,
     /// Failures since the last success.
     pub failures: u32,
+    /// When the server last refused new work, unless it has taken some since.
+    /// One that gives up its layers, or is full, still ends what it has.
+    pub refused_at: Option<Timestamp>,
     /// When an exchange of any node last showed that the server works.
     pub seen: Timestamp,
     /// When an exchange of this node last showed it. Only this is told to
@@ -97,6 +100,7 @@
             peer_inbound: 0,
             avoid_until: Timestamp::default(),
             failures: 0,
+            refused_at: None,
             seen: now,
             seen_here: now,
             busy_since: now,
@@ -114,11 +118,13 @@
         self.tokens + self.peer_tokens
     }
 
-    /// Notes a sign that the server works.
-    pub(super) fn recovered(&mut self, now: Timestamp) {
+    /// Notes a sign that the server works, by a request that was sent at
+    /// `sent`. It ends a pause, but for one after a refusal of new work if the
+    /// request had been taken before that.
+    pub(super) fn recovered(&mut self, now: Timestamp, sent: Timestamp) {
         (self.seen, self.seen_here) = (now, now);
-        if self.failures > 0 {
-            self.failures = 0;
+        if self.failures > 0 && self.refused_at.is_none_or(|refused| sent > refused) {
+            (self.failures, self.refused_at) = (0, None);
             self.avoid_until = now;
         }
     }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -335,17 +335,17 @@
         match settled {
             Settled::Answered { took } => {
                 for held in ticket.target.holds() {
-                    self.succeeded(now, held.server, took);
+                    self.succeeded(now, held.server, ticket.since, took);
                 }
             }
             Settled::Full { by } => {
                 if let Some(id) = at_fault(&self.servers, by) {
-                    self.pause(now, &id, FULL_PAUSE);
+                    self.refused(now, &id, FULL_PAUSE);
                 }
             }
             Settled::Misdirected { by } => {
                 if let Some(id) = at_fault(&self.servers, by) {
-                    self.pause(now, &id, MISDIRECTED_PAUSE);
+                    self.refused(now, &id, MISDIRECTED_PAUSE);
                 }
             }
             Settled::Failed => {
@@ -357,13 +357,21 @@
         }
     }
 
-    fn succeeded(&mut self, now: Timestamp, id: &VmId, took: Duration) {
+    fn succeeded(&mut self, now: Timestamp, id: &VmId, sent: Timestamp, took: Duration) {
         if let Some(row) = self.servers.get_mut(id) {
-            row.recovered(now);
+            row.recovered(now, sent);
             row.latency_ms += (took.as_secs_f64() * 1e3 - row.latency_ms) * LATENCY_GAIN;
         }
     }
 
+    /// Pauses a server that takes no new work.
+    fn refused(&mut self, now: Timestamp, id: &VmId, first: Duration) {
+        self.pause(now, id, first);
+        if let Some(row) = self.servers.get_mut(id) {
+            row.refused_at = Some(now);
+        }
+    }
+
     /// Pauses a server: for `first`, and twice as long each time in a row.
     fn pause(&mut self, now: Timestamp, id: &VmId, first: Duration) {
         if let Some(row) = self.servers.get_mut(id) {
@@ -385,7 +393,7 @@
     pub fn progressed(&mut self, now: Timestamp, ticket: &Ticket) {
         for held in ticket.target.holds() {
             if let Some(row) = self.servers.get_mut(held.server) {
-                row.recovered(now);
+                row.recovered(now, ticket.since);
             }
         }
     }
--- a/crates/core/tests/gateway_requests.rs
+++ b/crates/core/tests/gateway_requests.rs
@@ -373,3 +373,31 @@
     }
     assert!(tried <= 1, "{tried} requests tried it at once");
 }
+
+/// An engine that gives up its layers refuses new work and still ends what it
+/// has: events of older streams must not send new ones there, as after the
+/// moves that follow the store's return.
+#[test]
+fn progress_of_older_streams_does_not_end_the_pause_of_one_that_refuses() {
+    let mut gateway = gateway(ms(0), placed_engines());
+    let older = start(&mut gateway, ms(0));
+    let refused = start(&mut gateway, ms(10));
+    let first = servers_of(&older)[0].clone();
+    let by = gateway.servers().get(&first).map(|row| row.entry.address);
+    gateway.settle(ms(20), &refused, Settled::Full { by });
+    gateway.progressed(ms(30), &older);
+    let pauses = |gateway: &Gateway, at| {
+        let row = gateway.servers().get(&first).expect("it is there");
+        !row.usable(at)
+    };
+    assert!(pauses(&gateway, ms(40)), "an older stream ended the pause");
+    // One that was taken after the refusal does end it.
+    let newer = Ticket {
+        service: older.service.clone(),
+        target: older.target.clone(),
+        reading: 0,
+        since: ms(50),
+    };
+    gateway.progressed(ms(60), &newer);
+    assert!(!pauses(&gateway, ms(61)));
+}
