--- a/crates/daemon/src/explain.rs
+++ b/crates/daemon/src/explain.rs
@@ -289,7 +289,7 @@
 /// Says what the registry, or the placement, did with a server.
 fn fate(server: &str, context: &[&Line]) -> Option<String> {
     let about = context.iter().filter(|line| line.text("server") == server);
-    let changes = about.filter_map(|line| match line.payload.as_str() {
+    let mut changes = about.filter_map(|line| match line.payload.as_str() {
         "an engine was told which layers to hold" => {
             Some(format!("was told to hold {}", line.text("layers")))
         }
@@ -302,7 +302,7 @@
         },
         _ => None,
     });
-    changes.last()
+    changes.next_back()
 }
 
 impl fmt::Display for Explanation {
