fix(daemon): count the log lines that are dropped

Cause: a line that does not fit the bounded queue is an error of the logger, and only the sink had the handler that counts, so that log_lines_dropped stayed at zero.

Also tests of a gateway's settings: the template filled in is valid, and wrong, empty and missing values are named with what is allowed.

--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -49,23 +49,46 @@
         LogFormat::Text => Arc::new(builder.formatter(FullFormatter::new()).build()?),
         LogFormat::Json => Arc::new(builder.formatter(JsonFormatter::new()).build()?),
     };
+    spdlog::set_default_logger(Arc::new(bounded(cfg, sink)?));
+    Ok(())
+}
+
+/// Returns a logger that hands records on to `sink` in a thread of its own;
+/// what comes while too many wait is dropped and counted.
+///
+/// # Errors
+///
+/// Fails if the log library refuses the thread.
+pub fn bounded(cfg: &LogConfig, sink: Arc<dyn Sink>) -> spdlog::Result<Logger> {
     let capacity = MAX_QUEUED.try_into().expect("the constant is not zero");
     let pool = ThreadPool::builder().capacity(capacity).build_arc()?;
-    let count = ErrorHandler::new(|_| {
-        DROPPED.fetch_add(1, Ordering::Relaxed);
-    });
-    let bounded = AsyncPoolSink::builder()
+    // A record that is dropped is an error of the logger, and one that is not
+    // written is an error of the sink.
+    let count = || {
+        ErrorHandler::new(|_| {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        })
+    };
+    let sink = AsyncPoolSink::builder()
         .sink(sink)
         .thread_pool(pool)
         .overflow_policy(OverflowPolicy::DropIncoming)
-        .error_handler(count)
+        .error_handler(count())
         .build()?;
-    install(cfg, Arc::new(bounded))
+    Logger::builder()
+        .sink(Arc::new(sink))
+        .level_filter(filter(cfg))
+        .error_handler(count())
+        .build()
+}
+
+fn filter(cfg: &LogConfig) -> spdlog::LevelFilter {
+    spdlog::LevelFilter::MoreSevereEqual(cfg.level)
 }
 
 fn install(cfg: &LogConfig, sink: Arc<dyn Sink>) -> spdlog::Result<()> {
-    let filter = spdlog::LevelFilter::MoreSevereEqual(cfg.level);
-    let logger = Logger::builder().sink(sink).level_filter(filter).build()?;
+    let level = filter(cfg);
+    let logger = Logger::builder().sink(sink).level_filter(level).build()?;
     spdlog::set_default_logger(Arc::new(logger));
     Ok(())
 }
--- /dev/null
+++ b/crates/daemon/tests/gateway_settings.rs
@@ -0,0 +1,96 @@
+//! The settings of a gateway: what is valid, and what is said of the rest.
+
+use radishhavend::gateway::GatewaySettings;
+
+/// The template that the platform fills in.
+const TEMPLATE: &str = include_str!("../../../deploy/gateway.ini");
+
+/// Fills the template in as the platform does for one VM.
+fn filled() -> String {
+    let values = [
+        ("{{node_name}}", "front-1"),
+        ("{{zone}}", "centro"),
+        ("{{listen.front}}", "10.1.0.9:8428"),
+        ("{{listen.ready}}", "10.1.0.9:8423"),
+        ("{{listen.directory}}", "10.1.0.9:8422"),
+        ("{{ip}}", "10.1.0.9"),
+        ("{{internal_ports.0}}", "7020"),
+        ("{{internal_ports.1}}", "7035"),
+        ("{{platform.address}}", "10.200.1.7:8223"),
+        ("{{heartbeat_ms}}", "1200"),
+        ("{{platform.ttl_min_ms}}", "1000"),
+        ("{{bounds.revoke_ms}}", "5000"),
+        ("{{bounds.drain_ms}}", "2000"),
+        ("{{bounds.grace_period_s}}", "8"),
+        ("{{bounds.ttl_max_s}}", "5"),
+        ("{{bounds.budget_ratio}}", "0.2"),
+        ("{{bounds.budget_window_s}}", "10"),
+        ("{{bounds.budget_slack}}", "198"),
+    ];
+    let fill = |text: String, (name, value): &(&str, &str)| text.replace(name, value);
+    values.iter().fold(TEMPLATE.to_owned(), fill)
+}
+
+fn messages(text: &str) -> Vec<String> {
+    match GatewaySettings::parse("gateway.ini", text) {
+        Ok(_) => Vec::new(),
+        Err(errors) => errors.0.iter().map(ToString::to_string).collect(),
+    }
+}
+
+#[test]
+fn the_template_filled_in_is_valid() {
+    let text = filled();
+    assert!(!text.contains("{{"), "a value is missing:\n{text}");
+    let settings = GatewaySettings::parse("gateway.ini", &text).expect("it is valid");
+    assert_eq!(settings.node.vm.as_str(), "front-1");
+    assert_eq!(settings.bounds.drain.as_millis(), 2_000);
+}
+
+/// The platform fills nothing in for a value that it does not have.
+#[test]
+fn a_value_that_the_platform_lacks_is_named_with_what_is_allowed() {
+    let text = filled().replace("drain_ms = 2000", "drain_ms = ");
+    let found = messages(&text);
+    assert_eq!(found.len(), 1, "{found:#?}");
+    assert!(
+        found[0].starts_with("gateway.ini: [bounds] drain_ms = : allowed is a number from 0"),
+        "{found:#?}"
+    );
+}
+
+#[test]
+fn every_wrong_value_is_reported_at_once() {
+    let text = filled()
+        .replace("callers = 10.1.0.9:8428", "callers = here")
+        .replace("revoke_ms = 5000", "revoke_ms = -1")
+        .replace("retry_ratio = 0.2", "retry_ratio = NaN")
+        .replace("vm = front-1", "vm = front 1")
+        .replace("level = info", "level = loud");
+    let found = messages(&text);
+    for key in [
+        "callers = here",
+        "revoke_ms = -1",
+        "retry_ratio = NaN",
+        "vm = front 1",
+        "level = loud",
+    ] {
+        assert!(found.iter().any(|m| m.contains(key)), "{key}: {found:#?}");
+    }
+    assert_eq!(found.len(), 5, "{found:#?}");
+}
+
+#[test]
+fn a_section_that_is_missing_is_named() {
+    let text = filled();
+    let (before, after) = text.split_once("[store]").expect("the section is there");
+    let (_, after) = after.split_once("[bounds]").expect("the section is there");
+    let found = messages(&format!("{before}[bounds]{after}"));
+    for key in ["address", "heartbeat_ms", "least_ttl_ms"] {
+        let missing = format!("gateway.ini: [store] {key} is missing");
+        assert!(
+            found.iter().any(|m| m.starts_with(&missing)),
+            "{missing}: {found:#?}"
+        );
+    }
+}
