feat(gateway): log each send and how every request ends

Change: a line for each send with the path, its predicted times, the version and the age of the registry; a line when the caller leaves, another when the node stops first.

--- a/crates/daemon/src/explain.rs
+++ b/crates/daemon/src/explain.rs
@@ -201,7 +201,36 @@
                 fault(&story, &context)
             );
         }
-        "The lines do not tell how it ended: its caller left, or its node was killed.".to_owned()
+        if let Some(line) = find("the node stopped before the end") {
+            return format!(
+                "The node was stopped, and the request was still open after {} ms, when the time \
+                 for its shutdown was over. {}",
+                line.number("took_ms"),
+                fault(&story, &context)
+            );
+        }
+        if let Some(line) = find("the caller left before the end") {
+            let (took, waited) = (line.number("took_ms"), line.number("waited_ms"));
+            return format!(
+                "The caller left, or its connection broke, after {took} ms, of which the request waited {waited} ms for room; \
+                 it had been sent {} times. {}",
+                story
+                    .iter()
+                    .filter(|l| l.payload == "a request is sent")
+                    .count(),
+                fault(&story, &context)
+            );
+        }
+        let started = |line: &&&Line| line.payload == "the gateway starts";
+        match context.iter().find(started) {
+            Some(line) => format!(
+                "Its node ended without a word and started again at {}.",
+                line.timestamp
+            ),
+            None => "The lines do not tell how it ended: its node was killed, or lines were \
+                     dropped (log_lines_dropped)."
+                .to_owned(),
+        }
     }
 }
 
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -1,7 +1,13 @@
 //! Sends a request to backend servers until one answers or nothing more may
 //! be tried.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header, response};
@@ -58,10 +64,34 @@
     pub(super) not_run: u32,
     /// Servers that this request does not go to again.
     pub(super) avoid: Vec<VmId>,
+    /// Whether how it ended was logged.
+    pub(super) ended: AtomicBool,
     /// Counts the request as open.
     pub(super) _open: OpenRequest,
 }
 
+/// A caller that leaves drops the request wherever it is, and so does the end
+/// of the process.
+impl Drop for Job {
+    fn drop(&mut self) {
+        if *self.ended.get_mut() {
+            return;
+        }
+        let what = match self.host.is_stopping() {
+            true => "the node stopped before the end",
+            false => "the caller left before the end",
+        };
+        info!("{}", what, kv: {
+            request = self.outgoing.attempt.as_str(),
+            route = self.routed.name.as_str(),
+            waited_ms = self.waited.as_millis() as u64,
+            took_ms = self.host.now().since(self.arrived).as_millis() as u64,
+            runs = self.runs,
+            not_run = self.not_run,
+        });
+    }
+}
+
 /// How one send ended, for the request.
 pub(super) enum Attempted {
     /// The server answers.
@@ -88,6 +118,7 @@
     /// Sends once and settles the hold unless the server answers.
     pub(super) async fn attempt(&mut self, hold: Hold) -> Attempted {
         let sent_at = self.host.now();
+        self.note_send(&hold);
         let sent = match self.watch(&hold).await {
             Watched::Sent(sent) => sent,
             Watched::Silent(suspects) => {
@@ -148,6 +179,26 @@
         }
     }
 
+    /// Logs where a request goes, and how old the knowledge is that says so.
+    fn note_send(&self, hold: &Hold) {
+        let now = self.host.now();
+        let (version, registry) = self.host.decide(|g| {
+            let version = g.configuration().map_or(0, |c| c.version);
+            (version, g.registry_age(now))
+        });
+        info!("a request is sent", kv: {
+            request = self.outgoing.attempt.as_str(),
+            route = self.routed.name.as_str(),
+            path = hold.target().to_string().as_str(),
+            waited_ms = self.waited.as_millis() as u64,
+            left_ms = self.left().as_millis() as u64,
+            version,
+            registry_ms = registry.map_or(0, |age| age.as_millis() as u64),
+            runs = self.runs,
+            not_run = self.not_run,
+        });
+    }
+
     fn note(&self, hold: &Hold, outcome: &str, sent_at: Timestamp, detail: &str) {
         let now = self.host.now();
         info!("a send ended without an answer", kv: {
@@ -325,6 +376,7 @@
 
 /// Notes that a server's answer went to the caller.
 pub(super) fn served(job: &Job, status: StatusCode, how: &str) {
+    job.ended.store(true, Ordering::Relaxed);
     let took = job.host.now().since(job.arrived);
     job.host.metrics.answered(status, took);
     info!("a request was answered", kv: {
@@ -356,6 +408,7 @@
 
 /// Ends a request with an answer of the node's own.
 fn ended(job: &Job, status: StatusCode, reason: &str) -> Response<Body> {
+    job.ended.store(true, Ordering::Relaxed);
     let took = job.host.now().since(job.arrived);
     job.host.metrics.answered(status, took);
     info!("a request ended without a server's answer", kv: {
--- a/crates/daemon/src/gateway/host.rs
+++ b/crates/daemon/src/gateway/host.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, OnceLock, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -69,6 +69,8 @@
     pub(super) metrics: GatewayMetrics,
     /// When the shutdown began.
     draining: OnceLock<Timestamp>,
+    /// Whether the process ends now, whatever is still open.
+    stopping: AtomicBool,
     open: AtomicU64,
 }
 
@@ -171,6 +173,7 @@
             settings,
             metrics: GatewayMetrics::default(),
             draining: OnceLock::new(),
+            stopping: AtomicBool::new(false),
             open: AtomicU64::new(0),
         }
     }
@@ -225,6 +228,16 @@
         self.draining.get_or_init(|| self.now());
     }
 
+    /// Notes that the process ends now.
+    pub(super) fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells whether the process ends now.
+    pub(super) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of requests that are not answered yet.
     pub(super) fn open_requests(&self) -> u64 {
         self.open.load(Ordering::Relaxed)
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -1,6 +1,9 @@
 //! Takes requests of callers in.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::AtomicBool},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header, request};
@@ -92,6 +95,7 @@
         runs: 0,
         not_run: 0,
         avoid: Vec::new(),
+        ended: AtomicBool::new(false),
         _open: open,
     };
     forward(job).await
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -3,7 +3,7 @@
 //! Only whole events are passed on, so that a stream that another engine goes
 //! on with has no piece twice and none cut.
 
-use std::time::Duration;
+use std::{sync::atomic::Ordering, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
@@ -259,6 +259,7 @@
 
     fn fail(&mut self, reason: &str, error: BodyError) -> BodyError {
         self.ended = true;
+        self.job.ended.store(true, Ordering::Relaxed);
         self.hold = None;
         self.driver = None;
         let now = self.job.host.now();
--- a/crates/daemon/src/gateway/shutdown.rs
+++ b/crates/daemon/src/gateway/shutdown.rs
@@ -116,6 +116,7 @@
         }
         let whole = self.open_requests() == 0;
         tokio::time::sleep(FLUSH).await;
+        self.stop();
         info!("stopped", kv: { all_requests_ended = whole, open = self.open_requests() });
         whole
     }
--- a/crates/daemon/tests/explain.rs
+++ b/crates/daemon/tests/explain.rs
@@ -14,6 +14,11 @@
    6.0 front-2 {"level":"info","timestamp":6000,"payload":"a request ended without a server's answer","kv":{"request":"full","route":"r-1","status":503,"reason":"no room in time","waited_ms":1200,"took_ms":1201,"runs":0,"not_run":0,"proof_ms":900}}
    6.1 front-1 {"level":"info","timestamp":6100,"payload":"a request was rejected","kv":{"request":"denied","route":"","status":503,"reason":"the configuration was not confirmed recently","version":13,"proof_ms":4600}}
    6.2 front-2 {"level":"info","timestamp":6200,"payload":"a stream ended","kv":{"request":"late","events":57,"resumes":1,"waited_ms":0,"first_ms":41,"longest_gap_ms":624,"path":"900ms first 40ms i-4=0..40 > i-5=40..80"}}
+   7.0 front-3 {"level":"info","timestamp":7000,"payload":"a request is sent","kv":{"request":"left","route":"r-1","path":"700ms first 30ms i-6=0..80","waited_ms":12,"left_ms":19000,"version":3,"registry_ms":400,"runs":0,"not_run":0}}
+   8.9 front-3 {"level":"info","timestamp":8900,"payload":"the caller left before the end","kv":{"request":"left","route":"r-1","waited_ms":12,"took_ms":1912,"runs":0,"not_run":0}}
+   9.0 front-4 {"level":"info","timestamp":9000,"payload":"a request is sent","kv":{"request":"killed","route":"r-1","path":"700ms first 30ms i-6=0..80","waited_ms":0,"left_ms":19000,"version":3,"registry_ms":400,"runs":0,"not_run":0}}
+   9.5 front-5 {"level":"info","timestamp":9500,"payload":"the node stopped before the end","kv":{"request":"stopped","route":"r-1","waited_ms":0,"took_ms":8100,"runs":1,"not_run":0}}
+   9.9 front-4 {"level":"info","timestamp":9900,"payload":"the gateway starts","kv":{"vm":"front-4"}}
    not a line of a log
    {"timestamp":"broken","payload":7}
 "#;
@@ -85,6 +90,17 @@
 #[test]
 fn a_request_whose_end_is_not_logged_is_told_apart_from_an_unknown_one() {
     says(&explain("dead"), &["do not tell how it ended", "silent"]);
+    says(
+        &explain("left"),
+        &[
+            "The caller left, or its connection broke, after 1912 ms",
+            "sent 1 times",
+        ],
+    );
+    says(
+        &explain("killed"),
+        &["ended without a word and started again at 9900"],
+    );
     let unknown = explain("never-seen");
     says(&unknown, &["No line names never-seen"]);
 }
