refactor(gateway): a request's job apart from forwarding, a file for each thing followed

No decision changes. explain names the loss of the configuration, on which answers rest, and not the last dependency that was lost.

--- a/crates/daemon/src/explain.rs
+++ b/crates/daemon/src/explain.rs
@@ -237,9 +237,10 @@
 fn rejected(line: &Line, context: &[&Line]) -> String {
     let (status, reason) = (line.text("status"), line.text("reason"));
     let (version, proof) = (line.text("version"), line.number("proof_ms"));
-    let lost = context
-        .iter()
-        .rfind(|l| l.payload == "a dependency is lost");
+    // What the node may answer rests on the configuration alone.
+    let is_lost =
+        |l: &&&Line| l.payload == "a dependency is lost" && l.text("dependency") == "configuration";
+    let lost = context.iter().rfind(is_lost);
     let store = lost.map(|l| {
         let (dependency, error) = (l.text("dependency"), l.text("error"));
         format!(" The node had lost its {dependency} in the store: {error}.")
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow/registry.rs
@@ -1,209 +1,35 @@
-//! Follows the configuration and the registry of backend servers in the store.
+//! Follows the registry of backend servers.
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use radishhaven_core::{
-    gateway::{
-        Gateway,
-        servers::{Server, ServerChange, ServerState},
-        store_view::StoreView,
-    },
+    gateway::servers::{Server, ServerChange, ServerState},
     ids::VmId,
     time::Timestamp,
 };
 use radishhaven_platform::{
-    configuration,
-    names::{CONFIGURATION_KEY, OPERATOR_TOPIC, REGISTRY_TOPIC},
+    names::REGISTRY_TOPIC,
     registry::{self, Entry, EntryError},
-    store::{KeyedRecord, Lane, Records, StoreError},
+    store::{KeyedRecord, Lane, StoreError},
 };
 use spdlog::prelude::*;
 
-use super::host::GatewayHost;
+use super::{Dependency, RELAY_LOOK, is_relayed, read, retry_pause};
+use crate::gateway::host::GatewayHost;
 
-/// How long one read waits for a new configuration. Each read that ends
-/// renews the proof that the configuration is the newest one.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_500);
-/// Time beyond its wait in which a read must be answered.
-const READ_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time between two reads of the registry at most.
 const REGISTRY_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Reads of the registry within the time in which a leaving server must get
 /// nothing new.
 const READS_PER_DRAIN: u32 = 2;
-/// The same while other nodes rely on this one: proof is as old as the read
-/// that gave it was long, and twice that before the next one is answered.
-const CONFIGURATION_WAIT_FOR_LEAVES: Duration = Duration::from_millis(450);
 /// Time between two reads of the registry while other nodes rely on this one.
 const REGISTRY_INTERVAL_FOR_LEAVES: Duration = Duration::from_millis(500);
-/// Age of what a hub told from which a leaf reads the store itself: a hub
-/// that reads it is never that late, and a configuration must be in force
-/// within two seconds.
-const RELAYED_AGE: Duration = Duration::from_millis(1_300);
-/// Time between two looks at what a hub told.
-const RELAY_LOOK: Duration = Duration::from_millis(100);
-/// Pause after a call to the store failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
-/// The same at a leaf, whose hub learns first that the store is back.
-const LEAF_RETRY_PAUSE: Duration = Duration::from_millis(600);
 /// Time after the store's return within which servers whose entries ran out
 /// meanwhile are back; until then none is removed.
 const RETURN_TIME: Duration = Duration::from_millis(2_300);
 /// Time without an answer from which entries may have run out unseen.
 const AWAY: Duration = Duration::from_millis(2_500);
 
-/// Whether the store answers one kind of call; changes are logged once.
-#[derive(Debug)]
-pub(super) struct Dependency {
-    name: &'static str,
-    lost: Option<Timestamp>,
-}
-
-impl Dependency {
-    /// Starts as reachable.
-    pub(super) fn new(name: &'static str) -> Self {
-        Self { name, lost: None }
-    }
-
-    /// Tells whether the last call failed.
-    fn is_lost(&self) -> bool {
-        self.lost.is_some()
-    }
-
-    /// Notes an answer.
-    pub(super) fn answered(&mut self, now: Timestamp) {
-        if let Some(since) = self.lost.take() {
-            info!("a dependency is back", kv: {
-                dependency = self.name,
-                away_ms = now.since(since).as_millis() as u64,
-            });
-        }
-    }
-
-    /// Notes a failure.
-    pub(super) fn failed(&mut self, host: &GatewayHost, error: &StoreError) {
-        host.metrics.store_failed(self.name);
-        if self.lost.is_none() {
-            self.lost = Some(host.now());
-            warn!("a dependency is lost", kv: {
-                dependency = self.name,
-                error = error.to_string(),
-            });
-        }
-    }
-}
-
-async fn read(
-    host: &GatewayHost,
-    lane: Lane,
-    topic: &str,
-    next: Option<u64>,
-    wait: Duration,
-) -> Result<Records, StoreError> {
-    match next {
-        None => host.store.newest(lane, topic, READ_TIMEOUT).await,
-        Some(from) => {
-            let within = wait + READ_TIMEOUT;
-            host.store.read(lane, topic, from, wait, within).await
-        }
-    }
-}
-
-/// Follows the configuration until the process ends.
-pub(super) async fn configuration(host: Arc<GatewayHost>) {
-    let mut dependency = Dependency::new("configuration");
-    let mut next = None;
-    loop {
-        while is_relayed(&host, |g, now| g.proof_age(now)) {
-            tokio::select! {
-                () = host.newer_configuration.notified() => break,
-                () = tokio::time::sleep(RELAY_LOOK) => {}
-            }
-        }
-        let sent = host.now();
-        // After a failure the proof counts, not the wait for what is new.
-        let wait = match dependency.is_lost() || host.is_leaf() {
-            true => Duration::ZERO,
-            false if host.has_leaves() => CONFIGURATION_WAIT_FOR_LEAVES,
-            false => CONFIGURATION_WAIT,
-        };
-        let result = read(&host, Lane::Configuration, OPERATOR_TOPIC, next, wait);
-        match result.await {
-            Ok(records) => {
-                dependency.answered(host.now());
-                next = Some(records.next);
-                if records.records.iter().all(|r| take_configuration(&host, r)) {
-                    host.decide(|g| g.confirm(sent));
-                }
-            }
-            Err(StoreError::Expired) => next = None,
-            Err(error) => {
-                dependency.failed(&host, &error);
-                tokio::time::sleep(retry_pause(&host)).await;
-            }
-        }
-    }
-}
-
-/// Tells whether a hub keeps what this node knows fresh; `age` tells how old
-/// it is.
-fn is_relayed(host: &GatewayHost, age: impl Fn(&Gateway, Timestamp) -> Option<Duration>) -> bool {
-    let now = host.now();
-    host.is_leaf()
-        && host
-            .decide(|g| age(g, now))
-            .is_some_and(|age| age < RELAYED_AGE)
-}
-
-fn retry_pause(host: &GatewayHost) -> Duration {
-    match host.is_leaf() {
-        true => LEAF_RETRY_PAUSE,
-        false => RETRY_PAUSE,
-    }
-}
-
-/// Takes in what a hub answered to a question that was sent at `asked`.
-pub(super) fn take_view(host: &Arc<GatewayHost>, asked: Timestamp, view: StoreView) {
-    let now = host.now();
-    let learned = host.decide(|g| g.take_view(now, asked, view));
-    if learned.newer_configuration {
-        host.newer_configuration.notify_one();
-    }
-    let changed = !learned.changes.is_empty();
-    for (id, change) in learned.changes {
-        note_change(host, &id, change, "hub");
-    }
-    if changed {
-        host.serve_waiting();
-    }
-}
-
-/// Takes a record in; returns whether it could be understood.
-fn take_configuration(host: &GatewayHost, record: &KeyedRecord) -> bool {
-    if record.key != CONFIGURATION_KEY.as_bytes() {
-        return true;
-    }
-    let Some(value) = &record.value else {
-        return true;
-    };
-    match configuration::decode(value) {
-        Ok(configuration) => {
-            let version = configuration.version;
-            let routes = configuration.routes.len();
-            let taken = host.decide(|g| g.set_configuration(configuration));
-            if taken {
-                info!("a configuration is in force", kv: { version, routes });
-            }
-            true
-        }
-        Err(error) => {
-            host.metrics.malformed.inc();
-            error!("a configuration cannot be used", kv: { error = error.to_string() });
-            false
-        }
-    }
-}
-
 /// What is known of the registry beside the servers themselves.
 #[derive(Debug, Default)]
 struct Registry {
@@ -233,7 +59,7 @@
 const MAX_UNUSABLE: usize = 256;
 
 /// Follows the registry until the process ends.
-pub(super) async fn registry(host: Arc<GatewayHost>) {
+pub(in crate::gateway) async fn follow(host: Arc<GatewayHost>) {
     let mut dependency = Dependency::new("registry");
     let mut registry = Registry::default();
     let mut whole = true;
@@ -385,7 +211,7 @@
 }
 
 /// Logs what changed about a server; `source` says who told it.
-fn note_change(host: &GatewayHost, id: &VmId, change: ServerChange, source: &str) {
+pub(super) fn note_change(host: &GatewayHost, id: &VmId, change: ServerChange, source: &str) {
     let entry = host.decide(|g| g.servers().get(id).map(|row| row.entry.clone()));
     let leaving = entry
         .as_ref()
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -25,8 +25,9 @@
 use super::{
     body::{Body, text},
     exchange::Outgoing,
-    forward::{Job, forward, set_retry_after},
+    forward::{forward, set_retry_after},
     host::{GatewayHost, OpenRequest},
+    job::Job,
 };
 
 /// Answers one request.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod forward;
 mod host;
 mod ingress;
+mod job;
 mod members;
 mod metrics;
 mod peers;
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -182,16 +182,7 @@
             sent,
             registry,
         } => {
-            let serves = host.is_ready();
-            let answer = host.decide(|g| {
-                g.set_peer(now, from.clone(), Source::Leaf, node);
-                Message::Answer {
-                    from: host.settings.node.vm.clone(),
-                    node: g.report(now, serves, Audience::Leaf(&from)),
-                    sent,
-                    view: g.store_view(now, registry),
-                }
-            });
+            let answer = answer(host, now, from, node, (sent, registry));
             if let Some(bytes) = encode(&answer) {
                 send(socket, &bytes, address).await;
             }
@@ -211,3 +202,24 @@
         }
     }
 }
+
+/// Takes a leaf's load in and returns what the leaf is told; the pair has the
+/// time of its question and up to where it knows the registry.
+fn answer(
+    host: &GatewayHost,
+    now: Timestamp,
+    leaf: VmId,
+    node: NodeReport,
+    (sent, registry): (Timestamp, Option<u64>),
+) -> Message {
+    let serves = host.is_ready();
+    host.decide(|g| {
+        g.set_peer(now, leaf.clone(), Source::Leaf, node);
+        Message::Answer {
+            from: host.settings.node.vm.clone(),
+            node: g.report(now, serves, Audience::Leaf(&leaf)),
+            sent,
+            view: g.store_view(now, registry),
+        }
+    })
+}
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -22,8 +22,9 @@
 use super::{
     body::{Body, BodyError},
     exchange::Answer,
-    forward::{Attempted, Job, served},
+    forward::served,
     host::Hold,
+    job::{Attempted, Job},
 };
 
 /// Time between two notes of progress at the engines of a stream; events come
--- a/crates/daemon/src/gateway/shutdown.rs
+++ b/crates/daemon/src/gateway/shutdown.rs
@@ -90,8 +90,8 @@
                 _ => metrics::render(&shared),
             })
         }));
-        tokio::spawn(follow::configuration(host.clone()));
-        tokio::spawn(follow::registry(host.clone()));
+        tokio::spawn(follow::configuration::follow(host.clone()));
+        tokio::spawn(follow::registry::follow(host.clone()));
         tokio::spawn(members::follow(host.clone()));
         tokio::spawn(placer::run(host.clone()));
         tokio::spawn(peers::exchange(host.clone(), socket));
