fix(gateway): cut streams of bytes that are no events

Cause: a stream counted any bytes as progress, buffered them without a bound and, if they contained a blank line, forwarded them. A server that sends such bytes without end held its caller to the deadline and filled the memory. Ruled out: heads without end and invalid heads (the client library bounds them), endless bodies of plain services (bounded before, at 16 MiB). Change: only whole, well-formed events are progress and are forwarded; an event is bounded to 256 KiB; other bytes close the connection, count against the first server of the path, and the stream is resumed elsewhere.

--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -4,7 +4,7 @@
 //! Only complete events are forwarded. A stream that another engine resumes
 //! therefore has no duplicate and no truncated event.
 
-use std::{sync::atomic::Ordering, time::Duration};
+use std::{io::ErrorKind, sync::atomic::Ordering, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
@@ -38,6 +38,24 @@
 /// again.
 const SILENCE_RECHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Maximum size of an event in bytes. A stream with a longer one is broken, so
+/// that bytes without any event don't fill the memory.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// Why received bytes are not a stream of events.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub(super) enum InvalidStream {
+    /// A line is neither a field nor a comment.
+    #[error("the bytes are no event")]
+    NoEvent,
+    /// The body does not follow the transfer encoding.
+    #[error("the transfer encoding is invalid")]
+    Encoding,
+    /// An event does not end within [`MAX_EVENT_BYTES`].
+    #[error("an event is too long")]
+    TooLong,
+}
+
 /// Splits bytes into server-sent events.
 #[derive(Debug, Default)]
 pub(super) struct EventSplitter {
@@ -51,14 +69,32 @@
     }
 
     /// Returns the next complete event, including the blank line that ends it.
-    pub(super) fn next_event(&mut self) -> Option<Bytes> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are not an event.
+    pub(super) fn next_event(&mut self) -> Result<Option<Bytes>, InvalidStream> {
+        let Some(end) = self.event_end() else {
+            return match self.buf.len() > MAX_EVENT_BYTES {
+                true => Err(InvalidStream::TooLong),
+                false => Ok(None),
+            };
+        };
+        // Invalid bytes stay in the buffer, so that no later event is taken for
+        // the next one.
+        match is_event(&self.buf[..end]) {
+            true => Ok(Some(self.buf.split_to(end).freeze())),
+            false => Err(InvalidStream::NoEvent),
+        }
+    }
+
+    fn event_end(&self) -> Option<usize> {
         let lf_end = find(&self.buf, b"\n\n").map(|at| at + 2);
         let crlf_end = find(&self.buf, b"\r\n\r\n").map(|at| at + 4);
-        let end = match (lf_end, crlf_end) {
-            (Some(a), Some(b)) => a.min(b),
-            (a, b) => a.or(b)?,
-        };
-        Some(self.buf.split_to(end).freeze())
+        match (lf_end, crlf_end) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        }
     }
 
     /// Returns the bytes left at the end of the stream.
@@ -77,6 +113,29 @@
         .position(|window| window == pattern)
 }
 
+/// Returns whether the connection broke because of the bytes that arrived, and
+/// not because it was closed.
+fn is_malformed(error: &hyper::Error) -> bool {
+    let source = std::error::Error::source(error);
+    let io_error = source.and_then(|source| source.downcast_ref::<std::io::Error>());
+    io_error.is_some_and(|error| {
+        matches!(
+            error.kind(),
+            ErrorKind::InvalidInput | ErrorKind::InvalidData
+        )
+    })
+}
+
+/// Returns whether every line is a field with a name or a comment.
+fn is_event(event: &[u8]) -> bool {
+    let is_name_byte = |b: &u8| b.is_ascii_alphanumeric() || b"-_".contains(b);
+    event.split(|b| *b == b'\n').all(|line| {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let name = line.split(|b| *b == b':').next().unwrap_or_default();
+        name.iter().all(is_name_byte)
+    })
+}
+
 /// Returns the id of an event.
 pub(super) fn event_id(event: &[u8]) -> Option<&str> {
     let text = std::str::from_utf8(event).ok()?;
@@ -101,7 +160,7 @@
     driver: Option<Driver>,
     status: http::StatusCode,
     splitter: EventSplitter,
-    /// When data was last received.
+    /// When an event was last received. Other bytes are no progress.
     last_received: Timestamp,
     /// When progress was last recorded.
     last_recorded: Timestamp,
@@ -156,10 +215,17 @@
             if self.ended {
                 return None;
             }
-            if let Some(events) = self.complete_events() {
-                return Some(Ok(events));
-            }
             let now = self.job.host.now();
+            match self.complete_events(now) {
+                Ok(Some(events)) => return Some(Ok(events)),
+                Ok(None) => {}
+                Err(error) => {
+                    if let Some(error) = self.handle_invalid(error).await {
+                        return Some(Err(error));
+                    }
+                    continue;
+                }
+            }
             if now >= self.job.deadline {
                 return Some(Err(self.fail("time up", BodyError::DeadlineExceeded)));
             }
@@ -175,8 +241,17 @@
             let wait = wait.min(self.job.remaining());
             match tokio::time::timeout(wait, self.body.frame()).await {
                 Err(_) => {}
-                Ok(Some(Ok(frame))) => self.receive(frame),
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.splitter.push(&data);
+                    }
+                }
                 Ok(None) => return self.finish(),
+                Ok(Some(Err(error))) if is_malformed(&error) => {
+                    if let Some(error) = self.handle_invalid(InvalidStream::Encoding).await {
+                        return Some(Err(error));
+                    }
+                }
                 Ok(Some(Err(error))) => {
                     if let Some(error) = self.handle_disconnect(&error.to_string()).await {
                         return Some(Err(error));
@@ -196,12 +271,7 @@
         }
     }
 
-    fn receive(&mut self, frame: Frame<Bytes>) {
-        let Ok(data) = frame.into_data() else {
-            return;
-        };
-        self.splitter.push(&data);
-        let now = self.job.host.now();
+    fn record_events(&mut self, now: Timestamp) {
         if self.has_events {
             self.longest_gap = self.longest_gap.max(now.since(self.last_received));
         } else {
@@ -229,14 +299,24 @@
     }
 
     /// Returns all complete events that were received and not yet forwarded.
-    fn complete_events(&mut self) -> Option<Bytes> {
-        if !self.resumable {
-            return Some(self.splitter.take_rest()).filter(|rest| !rest.is_empty());
-        }
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the received bytes are not events.
+    fn complete_events(&mut self, now: Timestamp) -> Result<Option<Bytes>, InvalidStream> {
         let mut events = BytesMut::new();
-        while let Some(event) = self.splitter.next_event() {
+        let mut received = 0;
+        loop {
+            let event = match self.splitter.next_event() {
+                Ok(Some(event)) => event,
+                Ok(None) => break,
+                // The events before the invalid bytes are forwarded first.
+                Err(_) if !events.is_empty() => break,
+                Err(error) => return Err(error),
+            };
+            received += 1;
             let id = event_id(&event);
-            if !is_newer(self.job.last_event.as_deref(), id) {
+            if self.resumable && !is_newer(self.job.last_event.as_deref(), id) {
                 continue;
             }
             if let Some(id) = id {
@@ -245,7 +325,10 @@
             self.event_count += 1;
             events.extend_from_slice(&event);
         }
-        (!events.is_empty()).then(|| events.freeze())
+        if received > 0 {
+            self.record_events(now);
+        }
+        Ok((!events.is_empty()).then(|| events.freeze()))
     }
 
     fn finish(&mut self) -> Option<Result<Bytes, BodyError>> {
@@ -289,6 +372,24 @@
         error
     }
 
+    /// Handles bytes that are not events: the connection is closed, the first
+    /// server of the path counts as failed, and the stream is resumed elsewhere.
+    /// Returns an error if it can't be resumed.
+    async fn handle_invalid(&mut self, error: InvalidStream) -> Option<BodyError> {
+        let guard = self.guard.take();
+        self.driver = None;
+        self.splitter.clear();
+        if let Some(guard) = guard {
+            let sent_at = guard.ticket().acquired_at;
+            self.job
+                .log_failed_send(&guard, "invalid stream", sent_at, &error.to_string());
+            let first = guard.target().first().map(|(id, _)| id.clone());
+            self.job.excluded.extend(first);
+            guard.settle(TicketOutcome::Failed);
+        }
+        self.handle_disconnect(&error.to_string()).await
+    }
+
     /// Handles an interrupted connection. Returns an error if the stream can't
     /// be resumed.
     async fn handle_disconnect(&mut self, reason: &str) -> Option<BodyError> {
