--- a/crates/core/src/gateway/freshness.rs
+++ b/crates/core/src/gateway/freshness.rs
@@ -4,8 +4,25 @@
 
 use serde::Serialize;
 
+use super::store_view::StoreEra;
 use crate::time::Timestamp;
 
+/// Time after the store has returned from an older copy within which operators
+/// write the configuration again. A read of the copy alone confirms nothing
+/// until then, because the copy may lack the newest configuration.
+const REWRITE_TIME: Duration = Duration::from_millis(2_300);
+
+/// A read of the configuration from the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConfigurationRead {
+    /// The era of the store that answered.
+    pub era: StoreEra,
+    /// When the read was sent.
+    pub sent: Timestamp,
+    /// Whether the read returned a configuration that was written in this era.
+    pub written: bool,
+}
+
 /// The latest confirmation that the configuration is the newest one.
 ///
 /// A confirmation counts from the time at which the read was sent. The response
@@ -13,15 +30,41 @@
 #[derive(Debug, Clone, Copy, Default, Serialize)]
 pub struct Freshness {
     sent: Option<Timestamp>,
+    era: Option<StoreEra>,
+    /// Time from which reads of the current era confirm the configuration.
+    trusted_from: Timestamp,
 }
 
 impl Freshness {
-    /// Records a read of the configuration that was sent at `sent` and
-    /// answered.
+    /// Records a confirmation by data that was current at `sent`.
     pub fn confirm(&mut self, sent: Timestamp) {
         self.sent = self.sent.max(Some(sent));
     }
 
+    /// Records a read of the configuration that was answered at `now`. It
+    /// confirms the configuration unless the store has returned from an older
+    /// copy and the configuration may still be missing from it.
+    pub fn record_read(&mut self, now: Timestamp, read: ConfigurationRead) {
+        match self.era {
+            Some(era) if read.era < era => return,
+            Some(era) if read.era > era => self.trusted_from = now + REWRITE_TIME,
+            _ => {}
+        }
+        self.era = Some(read.era);
+        if read.written {
+            self.trusted_from = self.trusted_from.min(read.sent);
+        }
+        if read.sent >= self.trusted_from {
+            self.confirm(read.sent);
+        }
+    }
+
+    /// Returns whether nothing was confirmed yet since the store has returned
+    /// from an older copy.
+    pub fn awaits_rewrite(&self) -> bool {
+        self.sent < Some(self.trusted_from)
+    }
+
     /// Returns the time since the latest confirmation, or `None` if there is
     /// none yet.
     pub fn age(&self, now: Timestamp) -> Option<Duration> {
--- a/crates/core/src/gateway/hubs.rs
+++ b/crates/core/src/gateway/hubs.rs
@@ -6,15 +6,16 @@
 //! every other node is a leaf, which exchanges load and store updates with one
 //! hub. See `docs/design/platform.md`.
 
+use super::members::{Member, Millicores};
 use crate::{ids::VmId, rendezvous};
 
 /// Number of nodes up to which every node is a hub. With 12 nodes, each one
 /// sends 55 reports per second, which costs 0.1 % of a core
 /// (`docs/CAPACITY.md`).
 pub const MAX_MESH_NODES: usize = 12;
-/// Leaves per hub, on average. At the report interval they cause 80 exchanges
-/// per second.
-const LEAVES_PER_HUB: usize = 16;
+/// Nodes per hub, on average. At the report interval its leaves cause 115
+/// exchanges per second.
+const NODES_PER_HUB: usize = 24;
 /// Minimum number of hubs, so that the failure of one or two leaves another
 /// one.
 const MIN_HUBS: usize = 3;
@@ -49,24 +50,41 @@
 
 /// Returns the role of the node `own` among all members. A node that has no
 /// member list, or is not in it yet, reads the store itself.
-pub fn hub_role<'a>(members: impl Iterator<Item = &'a VmId>, own: &VmId) -> HubRole {
-    let mut members: Vec<&VmId> = members.collect();
-    let is_member = members.contains(&own);
-    let has_leaves = is_member && members.len() > MAX_MESH_NODES;
-    if members.len() > MAX_MESH_NODES {
-        let hubs = members.len().div_ceil(LEAVES_PER_HUB).max(MIN_HUBS);
-        members.sort_by_key(|vm| rendezvous::score(HUB_RANKING_KEY, vm.as_str()));
-        members.truncate(hubs);
-    }
-    if members.contains(&own) || !is_member {
-        let others = members.into_iter().filter(|vm| *vm != own);
+///
+/// Hubs are the nodes with the largest processor shares, since a hub works for
+/// many leaves. A leaf prefers the hubs of its own failure domain.
+pub fn hub_role(members: &[Member], own: &VmId) -> HubRole {
+    let own_member = members.iter().find(|member| member.vm == *own);
+    let hubs = elect_hubs(members);
+    let is_hub = hubs.iter().any(|hub| hub.vm == *own);
+    let Some(own_member) = own_member.filter(|_| !is_hub) else {
+        let others = hubs.into_iter().map(|hub| &hub.vm).filter(|vm| *vm != own);
         return HubRole::Hub {
             others: others.cloned().collect(),
-            has_leaves,
+            has_leaves: is_hub && members.len() > MAX_MESH_NODES,
         };
-    }
-    members.sort_by_key(|vm| rendezvous::score(own.as_str(), vm.as_str()));
+    };
+    let mut hubs = hubs;
+    hubs.sort_by_key(|hub| {
+        let is_remote = hub.failure_domain != own_member.failure_domain;
+        (is_remote, rendezvous::score(own.as_str(), hub.vm.as_str()))
+    });
     HubRole::Leaf {
-        hubs: members.into_iter().cloned().collect(),
+        hubs: hubs.into_iter().map(|hub| hub.vm.clone()).collect(),
+    }
+}
+
+fn elect_hubs(members: &[Member]) -> Vec<&Member> {
+    let mut hubs: Vec<&Member> = members.iter().collect();
+    if members.len() <= MAX_MESH_NODES {
+        return hubs;
     }
+    let largest = members.iter().map(|member| member.processor).max();
+    let large = Millicores(largest.map_or(0, |largest| largest.0 / 2));
+    hubs.sort_by_key(|member| {
+        let score = rendezvous::score(HUB_RANKING_KEY, member.vm.as_str());
+        (member.processor < large, score)
+    });
+    hubs.truncate(members.len().div_ceil(NODES_PER_HUB).max(MIN_HUBS));
+    hubs
 }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -14,6 +14,8 @@
 pub mod drain;
 pub mod freshness;
 pub mod hubs;
+pub mod members;
+pub mod notices;
 pub mod paths;
 pub mod peers;
 pub mod placement;
@@ -29,4 +31,5 @@
 pub use paths::{Path, Stage};
 pub use servers::{Server, ServerState, Servers};
 pub use state::Gateway;
+pub use store_view::{StoreEra, StorePosition};
 pub use ticket::{Target, Ticket, TicketOutcome};
--- a/crates/core/src/gateway/paths.rs
+++ b/crates/core/src/gateway/paths.rs
@@ -86,6 +86,8 @@
     layers: LayerRange,
     domain: usize,
     capacity: f64,
+    /// Whether the request may be sent to this engine, as the first of a path.
+    may_be_first: bool,
     jitter: f64,
 }
 
@@ -135,6 +137,7 @@
             layers: held,
             domain,
             capacity: f64::from(capacity),
+            may_be_first: row.is_entry_open(now) && row.total_requests() < spec.slots,
             jitter: 1.0 + JITTER * draw(),
         });
     }
@@ -231,7 +234,7 @@
     let share = run / f64::from(spec.layers);
     let tokens = row.total_tokens() as f64 + kv_tokens_held(estimate, run, candidate.layers);
     let fill = tokens / candidate.capacity.max(1.0);
-    if fill > MAX_KV_FILL || (start == 0 && row.total_requests() >= spec.slots) {
+    if fill > MAX_KV_FILL || (start == 0 && !candidate.may_be_first) {
         return None;
     }
     let running = f64::from(row.total_requests() + 1);
--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::state::Gateway;
+use super::{notices::Incarnation, state::Gateway};
 use crate::{ids::VmId, time::Timestamp};
 
 /// Age after which a peer's report is ignored.
@@ -41,8 +41,12 @@
     /// Whether the node accepts new callers.
     #[serde(rename = "serves")]
     pub accepts_callers: bool,
+    /// The version of the node's configuration.
+    pub configuration_version: Option<u64>,
     /// Nodes covered by this report that accept no new callers.
     pub stopped: Vec<VmId>,
+    /// Servers that stated recently to the covered nodes that they are leaving.
+    pub leaving: BTreeMap<VmId, Incarnation>,
     /// The load of the node and of the nodes that it reports for.
     pub load: Vec<ServerLoad>,
 }
@@ -110,9 +114,11 @@
         let mut load: BTreeMap<VmId, ServerLoad> =
             own.map(|load| (load.server.clone(), load)).collect();
         let mut stopped = Vec::new();
+        let mut leaving = self.own_leaving(now);
         for (id, peer) in self.aggregated_peers(now, recipient) {
             stopped.extend((!peer.report.accepts_callers).then(|| id.clone()));
             stopped.extend(peer.report.stopped.iter().cloned());
+            leaving.extend(peer.report.leaving.clone());
             let age_ms = now.since(peer.received_at).as_millis() as u64;
             for other in &peer.report.load {
                 let mut other = other.clone();
@@ -125,7 +131,9 @@
         }
         NodeReport {
             accepts_callers,
+            configuration_version: self.configuration().map(|c| c.version),
             stopped,
+            leaving,
             load: load.into_values().collect(),
         }
     }
@@ -154,6 +162,10 @@
                 row.last_progress = row.last_progress.max(progress_at);
             }
         }
+        self.apply_leaving(&report.leaving);
+        if let Some(version) = report.configuration_version {
+            self.record_configuration_version(version);
+        }
         let received_at = now;
         self.peers.insert(
             peer,
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -16,7 +16,7 @@
 
 use super::{
     config::{Accelerator, EngineSpec},
-    servers::{ServerRow, ServerState, Servers},
+    servers::{ServerRow, Servers},
 };
 use crate::{
     ids::{FailureDomain, LayerRange, ServiceId, VmId},
@@ -213,7 +213,7 @@
         };
         let domain = &row.entry.domain;
         match assigned_layers(id, row, pending) {
-            _ if row.entry.state != ServerState::Ready => {}
+            _ if row.is_leaving() => {}
             Some(held) => {
                 all_empty = false;
                 coverage.add(domain, held, kind);
@@ -369,7 +369,7 @@
     let mut engines = Vec::new();
     for (id, row) in servers.of_service(service) {
         let held = assigned_layers(id, row, pending).zip(row.accelerator(spec));
-        let Some((held, kind)) = held.filter(|_| row.entry.state == ServerState::Ready) else {
+        let Some((held, kind)) = held.filter(|_| !row.is_leaving()) else {
             continue;
         };
         let domain = &row.entry.domain;
--- a/crates/core/src/gateway/plain.rs
+++ b/crates/core/src/gateway/plain.rs
@@ -2,7 +2,7 @@
 //!
 //! A plain service has no model: any of its servers can answer a request alone.
 
-use super::servers::{ServerRow, ServerState, Servers};
+use super::servers::{ServerRow, Servers};
 use crate::{
     ids::{ServiceId, VmId},
     time::Timestamp,
@@ -20,7 +20,8 @@
 ///
 /// `draw` returns random numbers in `0.0..1.0`. A server that is backing off
 /// after a failure is selected only if there is no other, because a server that
-/// fails at times is better than none.
+/// fails at times is better than none. One that is leaving or asked for a pause
+/// is never selected.
 pub fn choose<'a>(
     servers: &'a Servers,
     service: &'a ServiceId,
@@ -32,7 +33,7 @@
         |row: &ServerRow| row.total_requests() < row.entry.slots * (1 + MAX_QUEUED_PER_SLOT);
     let mut best: Option<(bool, f64, &VmId, &ServerRow)> = None;
     for (id, row) in servers.of_service(service) {
-        if row.entry.state != ServerState::Ready || avoid.contains(id) || !has_capacity(row) {
+        if !row.is_entry_open(now) || avoid.contains(id) || !has_capacity(row) {
             continue;
         }
         let backing_off = !row.is_available(now);
--- a/crates/core/src/gateway/servers.rs
+++ b/crates/core/src/gateway/servers.rs
@@ -8,7 +8,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::config::{Accelerator, EngineSpec};
+use super::{
+    config::{Accelerator, EngineSpec},
+    notices::{Incarnation, Notice, Notices},
+};
 use crate::{
     ids::{FailureDomain, LayerRange, ServiceId, VmId},
     time::Timestamp,
@@ -100,6 +103,10 @@
     pub busy_since: Timestamp,
     /// Moving average of a plain server's latency, in milliseconds.
     pub latency_ms: f64,
+    /// What the server has stated in its responses to this node.
+    pub notice: Notice,
+    /// Whether the server has stated to a peer that it is leaving.
+    pub leaving_at_peer: bool,
 }
 
 impl ServerRow {
@@ -122,6 +129,8 @@
             last_local_progress: now,
             busy_since: now,
             latency_ms: 0.0,
+            notice: Notice::default(),
+            leaving_at_peer: false,
         }
     }
 
@@ -180,9 +189,29 @@
         now.since(self.last_progress.max(self.busy_since))
     }
 
-    /// Returns whether new requests may be sent to the server.
+    /// Returns whether the server is shutting down, according to the registry or
+    /// to one of its responses.
+    pub fn is_leaving(&self) -> bool {
+        self.entry.state == ServerState::Draining
+            || self.notice.leaving_since.is_some()
+            || self.leaving_at_peer
+    }
+
+    /// Returns whether the server may take part in new requests, apart from
+    /// backoffs.
+    pub fn is_open(&self, now: Timestamp) -> bool {
+        !self.is_leaving() && now >= self.notice.paused_until
+    }
+
+    /// Returns whether this node may send requests to the server, apart from
+    /// backoffs.
+    pub fn is_entry_open(&self, now: Timestamp) -> bool {
+        self.is_open(now) && now >= self.notice.entry_paused_until
+    }
+
+    /// Returns whether the server may take part in new requests.
     pub fn is_available(&self, now: Timestamp) -> bool {
-        self.entry.state == ServerState::Ready && now >= self.backoff_until
+        self.is_open(now) && now >= self.backoff_until
     }
 }
 
@@ -205,8 +234,14 @@
     rows: BTreeMap<VmId, ServerRow>,
     /// Servers whose entries changed since the last `take_changed` call.
     changed: BTreeSet<VmId>,
+    notices: Notices,
+    /// The last incarnation of each server that was removed.
+    removed: BTreeMap<VmId, Incarnation>,
 }
 
+/// Maximum number of removed servers that are remembered.
+const MAX_REMOVED: usize = 4_096;
+
 impl Servers {
     /// Applies a registry entry of one server; `None` removes the server.
     pub fn apply(&mut self, now: Timestamp, id: &VmId, entry: Option<Server>) -> ServerChange {
@@ -218,23 +253,33 @@
     }
 
     fn update(&mut self, now: Timestamp, id: &VmId, entry: Option<Server>) -> ServerChange {
-        let Some(entry) = entry else {
+        let Some(mut entry) = entry else {
             return match self.rows.remove(id) {
-                Some(_) => ServerChange::Removed,
+                Some(row) => {
+                    self.remember_removed(id, &row.entry);
+                    ServerChange::Removed
+                }
                 None => ServerChange::None,
             };
         };
+        self.removed.remove(id);
+        let notice = self.notices.get(id, &entry);
         let Some(row) = self.rows.get_mut(id) else {
-            self.rows.insert(id.clone(), ServerRow::new(now, entry));
+            let row = ServerRow::new(now, entry);
+            self.rows.insert(id.clone(), ServerRow { notice, ..row });
             return ServerChange::Added;
         };
+        let restarted = Incarnation::from(&row.entry) != Incarnation::from(&entry);
+        if !restarted && row.entry.state == ServerState::Draining {
+            // A server that leaves does not return. The entry is older.
+            entry.state = ServerState::Draining;
+        }
         if row.entry == entry {
             return ServerChange::None;
         }
-        let restarted =
-            row.entry.started_ms != entry.started_ms || row.entry.address != entry.address;
         if restarted {
-            *row = ServerRow::new(now, entry);
+            let new_row = ServerRow::new(now, entry);
+            *row = ServerRow { notice, ..new_row };
             return ServerChange::Added;
         }
         row.entry = entry;
@@ -251,17 +296,49 @@
             .cloned()
             .collect();
         for id in &removed {
-            self.rows.remove(id);
+            if let Some(row) = self.rows.remove(id) {
+                self.remember_removed(id, &row.entry);
+            }
             self.changed.insert(id.clone());
         }
         removed
     }
 
+    fn remember_removed(&mut self, id: &VmId, entry: &Server) {
+        if self.removed.len() >= MAX_REMOVED {
+            self.removed.pop_first();
+        }
+        self.removed.insert(id.clone(), entry.into());
+    }
+
+    /// Returns whether this incarnation of a server was removed and has not
+    /// registered again since.
+    pub fn was_removed(&self, id: &VmId, entry: &Server) -> bool {
+        self.removed.get(id) == Some(&entry.into())
+    }
+
     /// Returns the servers whose entries changed since the last call.
     pub(super) fn take_changed(&mut self) -> BTreeSet<VmId> {
         std::mem::take(&mut self.changed)
     }
 
+    /// Changes the notice of a server that is in the registry.
+    pub(super) fn update_notice(
+        &mut self,
+        now: Timestamp,
+        id: &VmId,
+        change: impl FnOnce(&mut Notice),
+    ) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.notice = self.notices.update(now, id, &row.entry, change);
+        }
+    }
+
+    /// Returns the notices of all servers.
+    pub(super) fn notices(&self) -> &Notices {
+        &self.notices
+    }
+
     /// Returns a server by id.
     pub fn get(&self, id: &VmId) -> Option<&ServerRow> {
         self.rows.get(id)
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -9,7 +9,7 @@
     admission::{self, WaitKey, WaitQueue},
     budget::{BudgetConfig, NodeCount, RetryBudget},
     config::Configuration,
-    freshness::Freshness,
+    freshness::{ConfigurationRead, Freshness},
     paths::{self, TokenEstimate},
     peers::Peer,
     plain,
@@ -90,6 +90,8 @@
     configuration: Option<Arc<Configuration>>,
     routes: RouteTable,
     freshness: Freshness,
+    /// The highest version of the configuration that a peer has reported.
+    newest_known_version: u64,
     pub(super) servers: Servers,
     budgets: BTreeMap<ServiceId, RetryBudget>,
     queue: WaitQueue,
@@ -108,6 +110,7 @@
             configuration: None,
             routes: RouteTable::default(),
             freshness: Freshness::default(),
+            newest_known_version: 0,
             servers: Servers::default(),
             budgets: BTreeMap::new(),
             queue: WaitQueue::default(),
@@ -133,7 +136,36 @@
     /// Records that the active configuration was the newest one at `sent` or
     /// later.
     pub fn confirm_configuration(&mut self, sent: Timestamp) {
-        self.freshness.confirm(sent);
+        if self.has_newest_known_configuration() {
+            self.freshness.confirm(sent);
+        }
+    }
+
+    /// Records a read that returned no configuration newer than the active one.
+    /// It confirms the active configuration unless the store may have lost a
+    /// newer one.
+    pub fn record_configuration_read(&mut self, now: Timestamp, read: ConfigurationRead) {
+        if self.has_newest_known_configuration() {
+            self.freshness.record_read(now, read);
+        }
+    }
+
+    /// Returns whether the configuration was not confirmed yet since the store
+    /// has returned from an older copy.
+    pub fn awaits_rewrite(&self) -> bool {
+        self.freshness.awaits_rewrite()
+    }
+
+    /// Records that a peer has the configuration `version`.
+    pub(super) fn record_configuration_version(&mut self, version: u64) {
+        self.newest_known_version = self.newest_known_version.max(version);
+    }
+
+    /// Returns whether no peer has a newer configuration. The store may return
+    /// from a copy that lacks it.
+    fn has_newest_known_configuration(&self) -> bool {
+        let active = self.configuration.as_ref().map_or(0, |c| c.version);
+        active >= self.newest_known_version
     }
 
     /// Returns the active configuration.
@@ -220,6 +252,9 @@
         if let Some(ticket) = self.try_start(now, service, estimate, &[]) {
             return Admission::Start(ticket);
         }
+        if self.pause_left(now, service).is_some() {
+            return Admission::Refuse(self.retry_after_refusal(now, service));
+        }
         let draw = self.rng.random_range(0.0..1.0);
         let estimate = estimate.unwrap_or(TokenEstimate {
             prompt: 0,
@@ -259,6 +294,13 @@
         admission::retry_after(self.rng.random_range(0.0..1.0))
     }
 
+    /// Returns the delay after which a caller whose request a service did not
+    /// take should retry. It is longer than the pause that all servers of the
+    /// service asked for.
+    pub fn retry_after_refusal(&mut self, now: Timestamp, service: &ServiceId) -> Duration {
+        self.pause_left(now, service).unwrap_or_default() + self.retry_after()
+    }
+
     fn try_start(
         &mut self,
         now: Timestamp,
--- /dev/null
+++ b/crates/core/tests/gateway_eras.rs
@@ -0,0 +1,204 @@
+//! The store returns from an older copy: what was read in an earlier era
+//! confirms nothing and is never mixed with what is read in a later one.
+
+mod gateway_fakes;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bolero_generator::TypeGenerator;
+use gateway_fakes::{
+    HOST, KEY, PLAIN, configuration, empty_engines, gateway, id, ms, name, server,
+};
+use radishhaven_cases::{INVARIANT_CASES, check};
+use radishhaven_core::{
+    gateway::{
+        Gateway, StoreEra, StorePosition,
+        freshness::ConfigurationRead,
+        peers::{ReportRecipient, Source},
+    },
+    time::Timestamp,
+};
+
+fn position(era: u64, offset: u64) -> StorePosition {
+    let era = StoreEra(era);
+    StorePosition { era, offset }
+}
+
+fn read(era: u64, sent: Timestamp, written: bool) -> ConfigurationRead {
+    let era = StoreEra(era);
+    ConfigurationRead { era, sent, written }
+}
+
+/// A gateway whose configuration was confirmed in era 1 at 1,000 ms.
+fn confirmed() -> Gateway {
+    let mut gateway = gateway(ms(0), BTreeMap::new());
+    gateway.record_configuration_read(ms(1_000), read(1, ms(1_000), false));
+    gateway
+}
+
+fn age_at(gateway: &Gateway, now: u64) -> u128 {
+    let age = gateway.confirmation_age(ms(now));
+    age.expect("a confirmation").as_millis()
+}
+
+/// The copy may lack a configuration that takes a key away.
+#[test]
+fn copy_confirms_nothing_until_the_configuration_can_be_written_again() {
+    let mut gateway = confirmed();
+    gateway.record_configuration_read(ms(2_000), read(2, ms(1_990), false));
+    assert_eq!(age_at(&gateway, 2_000), 1_000);
+    gateway.record_configuration_read(ms(4_200), read(2, ms(4_190), false));
+    assert_eq!(age_at(&gateway, 4_200), 3_200);
+    gateway.record_configuration_read(ms(4_400), read(2, ms(4_390), false));
+    assert_eq!(age_at(&gateway, 4_400), 10);
+}
+
+#[test]
+fn configuration_written_in_the_new_era_confirms_at_once() {
+    let mut gateway = confirmed();
+    gateway.record_configuration_read(ms(2_000), read(2, ms(1_990), false));
+    gateway.record_configuration_read(ms(2_300), read(2, ms(2_100), true));
+    assert_eq!(age_at(&gateway, 2_300), 200);
+}
+
+#[test]
+fn late_answer_of_an_earlier_era_confirms_nothing() {
+    let mut gateway = confirmed();
+    gateway.record_configuration_read(ms(2_000), read(2, ms(1_990), false));
+    gateway.record_configuration_read(ms(2_100), read(1, ms(2_050), true));
+    assert_eq!(age_at(&gateway, 2_100), 1_100);
+}
+
+/// Guards against keys that a lost configuration had revoked: a node that never
+/// read that configuration hears from its peers that there is one.
+#[test]
+fn older_configuration_than_that_of_a_peer_is_not_confirmed() {
+    let mut ahead = gateway(ms(0), BTreeMap::new());
+    ahead.set_configuration(configuration(9));
+    let report = ahead.report(ms(900), true, ReportRecipient::Hub);
+    let mut behind = confirmed();
+    behind.apply_report(ms(1_100), id("ahead"), Source::Hub, report);
+    behind.record_configuration_read(ms(2_000), read(1, ms(1_990), true));
+    behind.confirm_configuration(ms(2_000));
+    assert_eq!(age_at(&behind, 2_000), 1_000);
+    assert!(behind.route(ms(6_000), HOST, "/log/1", Some(KEY)).is_err());
+    behind.set_configuration(configuration(9));
+    behind.record_configuration_read(ms(6_000), read(1, ms(5_990), true));
+    assert!(behind.route(ms(6_000), HOST, "/log/1", Some(KEY)).is_ok());
+}
+
+fn node(at: StorePosition) -> Gateway {
+    let mut node = gateway(ms(0), empty_engines());
+    node.record_registry_read(ms(0), at);
+    node
+}
+
+/// Offsets are given out again in a new era, so equal offsets mean nothing.
+#[test]
+fn views_of_two_eras_are_not_mixed() {
+    let mut hub = node(position(1, 10));
+    let mut leaf = node(position(1, 10));
+    hub.record_registry_read(ms(100), position(2, 5));
+    hub.set_server(ms(150), &name(3), None);
+    hub.record_registry_read(ms(200), position(2, 10));
+    assert_eq!(
+        hub.store_view(ms(300), Some(position(1, 10))).registry,
+        None
+    );
+    let view = hub.store_view(ms(300), Some(position(2, 5)));
+    assert!(view.registry.is_some());
+    let effects = leaf.apply_store_view(ms(310), ms(290), view);
+    assert_eq!(effects.changes, [], "the leaf is in an earlier era");
+    assert_eq!(leaf.registry_end(), Some(position(1, 10)));
+}
+
+#[test]
+fn leaf_in_a_later_era_ignores_its_hub() {
+    let mut hub = node(position(1, 10));
+    hub.set_server(ms(100), &name(3), None);
+    hub.record_registry_read(ms(100), position(1, 14));
+    let view = hub.store_view(ms(150), Some(position(1, 10)));
+    let mut leaf = node(position(2, 3));
+    let effects = leaf.apply_store_view(ms(160), ms(140), view);
+    assert_eq!(effects.changes, []);
+    assert_eq!(leaf.registry_end(), Some(position(2, 3)));
+}
+
+#[test]
+fn removed_server_is_remembered_until_it_registers_again() {
+    let entry = server(1, PLAIN, "centro");
+    let mut gateway = gateway(ms(0), BTreeMap::from([(name(1), entry.clone())]));
+    assert!(!gateway.servers().was_removed(&name(1), &entry));
+    gateway.set_servers(ms(10), BTreeMap::new());
+    assert!(gateway.servers().was_removed(&name(1), &entry));
+    let mut restarted = entry.clone();
+    restarted.started_ms = Some(2);
+    assert!(!gateway.servers().was_removed(&name(1), &restarted));
+    gateway.set_server(ms(20), &name(1), Some(entry.clone()));
+    assert!(!gateway.servers().was_removed(&name(1), &entry));
+}
+
+#[derive(Debug, Clone, TypeGenerator)]
+enum Step {
+    Restore,
+    Read { delay: u8, from_start: bool },
+    Write,
+    Wait { ms: u16 },
+}
+
+/// For any history of restores, writes and late answers, the confirmation is
+/// never younger than the newest configuration that the store holds or has
+/// lost.
+#[test]
+fn no_history_confirms_a_configuration_that_was_replaced() {
+    check(0x5eed, INVARIANT_CASES, |steps: Vec<Step>| {
+        let mut gateway = confirmed();
+        let (mut now, mut era) = (ms(1_000), 1);
+        // Versions in the store, and the latest one that was acknowledged.
+        let (mut stored, mut acknowledged) = (1, 1);
+        // When the lost versions are written again, and the reads before that.
+        let mut rewrite_at: Option<Timestamp> = None;
+        let mut has_read_era = true;
+        let mut replaced_at: Option<Timestamp> = None;
+        for step in steps {
+            match step {
+                Step::Wait { ms } => now = now + Duration::from_millis(u64::from(ms) % 2_000),
+                Step::Restore => {
+                    (era, has_read_era) = (era + 1, false);
+                    stored = 1;
+                    // Operators write again within two seconds.
+                    rewrite_at = (acknowledged > 1).then(|| now + Duration::from_millis(2_000));
+                }
+                Step::Write => {
+                    acknowledged += 1;
+                    stored = acknowledged;
+                    rewrite_at = None;
+                    replaced_at.get_or_insert(now);
+                }
+                Step::Read { delay, from_start } => {
+                    if rewrite_at.is_some_and(|at| now >= at) {
+                        (stored, rewrite_at) = (acknowledged, None);
+                    }
+                    let sent = now;
+                    now = now + Duration::from_millis(delay.into());
+                    if gateway.set_configuration(configuration(stored)) {
+                        replaced_at = (stored < acknowledged).then_some(sent);
+                    }
+                    let written = has_read_era && !from_start && stored == acknowledged;
+                    gateway.record_configuration_read(now, read(era, sent, written));
+                    has_read_era = true;
+                    if stored == acknowledged {
+                        replaced_at = None;
+                    }
+                }
+            }
+            if let Some(replaced_at) = replaced_at {
+                let confirmed_at = now - gateway.confirmation_age(now).expect("a confirmation");
+                assert!(
+                    confirmed_at <= replaced_at + Duration::from_millis(1),
+                    "confirmed at {confirmed_at:?}, replaced at {replaced_at:?}"
+                );
+            }
+        }
+    });
+}
--- a/crates/core/tests/gateway_requests.rs
+++ b/crates/core/tests/gateway_requests.rs
@@ -427,7 +427,9 @@
     });
     let report = NodeReport {
         accepts_callers: true,
+        configuration_version: None,
         stopped: Vec::new(),
+        leaving: BTreeMap::new(),
         load: load.collect(),
     };
     gateway.apply_report(now, id("front-2"), Source::Hub, report);
--- a/crates/daemon/src/gateway/directory.rs
+++ b/crates/daemon/src/gateway/directory.rs
@@ -5,10 +5,9 @@
 
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
-use radishhaven_core::rendezvous;
+use radishhaven_core::{gateway::members::Member, rendezvous};
 use radishhaven_platform::{
     caller::DirectoryResponse,
-    members::Member,
     names::{READINESS_PATH, RESOLVE_PATH},
 };
 
@@ -29,7 +28,7 @@
         return text_response(StatusCode::NOT_FOUND, "no such path");
     }
     let own = host.settings.node.callers;
-    let mut members = lock(&host.peers).members.clone();
+    let mut members = lock(&host.peers).members.members().to_vec();
     // If there are more nodes than a response lists, each node lists a
     // different selection.
     let own_vm = host.settings.node.vm.as_str();
--- a/crates/daemon/src/gateway/dump.rs
+++ b/crates/daemon/src/gateway/dump.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use http::{HeaderValue, Response, StatusCode, header};
+use radishhaven_platform::members::encode_name;
 use serde_json::json;
 
 use super::{
@@ -18,8 +19,8 @@
     let now = host.now();
     let (members, token) = {
         let peers = lock(&host.peers);
-        let members: Vec<String> = peers.members.iter().map(|m| m.name()).collect();
-        (members, peers.order_lease.map(|(token, _)| token))
+        let members: Vec<String> = peers.members.members().iter().map(encode_name).collect();
+        (members, peers.order_lease.map(|lease| lease.token))
     };
     let state = host.with_gateway(|g| {
         let servers: BTreeMap<_, _> = g.servers().iter().collect();
@@ -33,6 +34,7 @@
             "open_requests": host.open_requests(),
             "members": members,
             "order_token": token,
+            "store_era": host.store.era(),
             "servers": servers,
         })
     });
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -9,7 +9,7 @@
 use radishhaven_client::{Connection, ConnectionError, ConnectionTimeouts, Driver};
 use radishhaven_core::{gateway::Target, ids::OrganisationId};
 use radishhaven_platform::{
-    backend_response::{self, ResponseHead},
+    backend_response::{self, ResponseHead, ServerNotices},
     caller::{self, ForwardContext},
 };
 
@@ -55,7 +55,7 @@
     Responded(Box<BackendResponse>),
     /// A server reported that the request was not run. The address is that of
     /// the server, if it was named.
-    NotRun(Option<std::net::SocketAddr>),
+    NotRun(Option<std::net::SocketAddr>, ServerNotices),
     /// The request reached a server other than the intended one and was not
     /// run. The address is that of the server, if it was named.
     Misdirected(Option<std::net::SocketAddr>),
@@ -108,7 +108,9 @@
             body,
             driver: connection.into_driver(),
         })),
-        ResponseHead::NotRun { engine } => SendOutcome::NotRun(engine),
+        ResponseHead::NotRun { engine } => {
+            SendOutcome::NotRun(engine, backend_response::decode_notices(&head))
+        }
         ResponseHead::Misdirected { engine } => SendOutcome::Misdirected(engine),
         ResponseHead::Untrusted => {
             SendOutcome::Unknown(format!("an unsigned answer with status {}", head.status))
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -18,8 +18,9 @@
     relay,
 };
 
-/// Largest response of a plain service that is buffered, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+/// Largest response that is buffered, in bytes. A server that sends more fails,
+/// and its connection is closed, so that endless bytes don't fill the memory.
+const MAX_RESPONSE_BYTES: usize = 2 * 1024 * 1024;
 
 /// Forwards a request and returns the response for the caller.
 pub(super) async fn forward(mut job: Job) -> Response<Body> {
@@ -59,7 +60,10 @@
     if job.runs > 0 {
         return own_response(&job, StatusCode::BAD_GATEWAY, "no answer to rely on");
     }
-    let retry_after = job.host.with_gateway(|g| g.retry_after());
+    let now = job.host.now();
+    let retry_after = job
+        .host
+        .with_gateway(|g| g.retry_after_refusal(now, &job.service));
     refuse(&job, retry_after, "no server took it")
 }
 
@@ -93,7 +97,9 @@
             return None;
         }
         Err(_) => {
-            guard.settle(TicketOutcome::Abandoned);
+            let sent_at = guard.ticket().acquired_at;
+            job.log_failed_send(&guard, "unfinished", sent_at, "");
+            guard.settle(TicketOutcome::Failed);
             return Some(own_response(job, StatusCode::GATEWAY_TIMEOUT, "time up"));
         }
     };
--- a/crates/daemon/src/gateway/host.rs
+++ b/crates/daemon/src/gateway/host.rs
@@ -12,13 +12,15 @@
 
 use radishhaven_core::{
     gateway::{
-        Gateway, RouteKind, Target, Ticket, TicketOutcome, admission::WaitKey, drain,
-        hubs::HubRole, paths::TokenEstimate, routes::RouteMatch, state::Admission,
+        Gateway, RouteKind, StoreEra, Target, Ticket, TicketOutcome, admission::WaitKey, drain,
+        hubs::HubRole, members::MemberTable, paths::TokenEstimate, routes::RouteMatch,
+        state::Admission,
     },
     ids::{FencingToken, ServiceId, VmId},
     time::Timestamp,
 };
-use radishhaven_platform::{members::Member, store::StoreClient};
+use radishhaven_platform::store::StoreClient;
+use spdlog::prelude::*;
 use tokio::sync::{Notify, oneshot};
 
 use super::{GatewaySettings, metrics::GatewayMetrics};
@@ -44,12 +46,24 @@
 #[derive(Debug, Default)]
 pub struct PeerState {
     /// The nodes that serve callers.
-    pub members: Vec<Member>,
+    pub members: MemberTable,
     /// Whether this node is a hub or a leaf.
     pub role: HubRole,
-    /// The fencing token for orders to engines and when its lease expires, if
-    /// this node holds the lease.
-    pub order_lease: Option<(FencingToken, Timestamp)>,
+    /// When a hub last responded to this node.
+    pub last_hub_contact: Option<Timestamp>,
+    /// The lease for orders to engines, if this node holds it.
+    pub order_lease: Option<OrderLease>,
+}
+
+/// The right to send orders to engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OrderLease {
+    /// The fencing token of the orders.
+    pub token: FencingToken,
+    /// When the lease expires.
+    pub until: Timestamp,
+    /// The era of the store that granted the lease.
+    pub era: StoreEra,
 }
 
 /// One gateway: its decision state and what its listeners and tasks share.
@@ -199,6 +213,14 @@
         !self.is_draining() && self.with_gateway(|g| g.is_ready())
     }
 
+    /// Returns the lease for orders if it is valid: it ends with its time, and
+    /// when the store returns from a copy that may lack it.
+    pub(super) fn order_lease(&self) -> Option<OrderLease> {
+        let (now, era) = (self.now(), self.store.era());
+        let lease = lock(&self.peers).order_lease;
+        lease.filter(|lease| now < lease.until && lease.era == era)
+    }
+
     /// Returns whether this node is a leaf: a hub reads the store for it.
     pub(super) fn is_leaf(&self) -> bool {
         matches!(lock(&self.peers).role, HubRole::Leaf { .. })
@@ -279,7 +301,7 @@
             _ => match rx.try_recv() {
                 Ok(guard) => AdmissionOutcome::Admitted(guard),
                 Err(_) => AdmissionOutcome::Refused {
-                    retry_after: self.with_gateway(|g| g.retry_after()),
+                    retry_after: self.with_gateway(|g| g.retry_after_refusal(self.now(), service)),
                     waited: true,
                 },
             },
@@ -301,6 +323,14 @@
         Some(TicketGuard::new(self, ticket))
     }
 
+    /// Records that a server stated in a response that it is leaving.
+    pub(super) fn record_leaving(&self, server: &VmId) {
+        let now = self.now();
+        if self.with_gateway(|g| g.record_leaving(now, server)) {
+            info!("a server stated that it is leaving", kv: { server = server.as_str() });
+        }
+    }
+
     /// Starts queued requests for which there is capacity now.
     pub(super) fn start_waiting_requests(self: &Arc<Self>) {
         if self.with_gateway(|g| g.queued()) == 0 {
--- a/crates/daemon/src/gateway/job.rs
+++ b/crates/daemon/src/gateway/job.rs
@@ -11,6 +11,7 @@
     ids::{ServiceId, VmId},
     time::Timestamp,
 };
+use radishhaven_platform::backend_response::{self, ServerNotices};
 use spdlog::prelude::*;
 
 use super::{
@@ -125,10 +126,15 @@
             }
         };
         match outcome {
-            SendOutcome::Responded(response) => return Attempt::Responded(response, guard),
-            SendOutcome::NotRun(by) => {
+            SendOutcome::Responded(response) => {
+                let notices = backend_response::decode_notices(&response.head);
+                self.record_notices(&guard, None, notices);
+                return Attempt::Responded(response, guard);
+            }
+            SendOutcome::NotRun(by, notices) => {
                 self.not_run += 1;
                 self.exclude_server(&guard, by);
+                self.record_notices(&guard, by, notices);
                 self.log_failed_send(&guard, "not run", sent_at, &address_text(by));
                 guard.settle(TicketOutcome::Full { by });
             }
@@ -162,6 +168,33 @@
         self.excluded.extend(reporter.or_else(first));
     }
 
+    /// Records what the first server of the target stated about itself.
+    /// `at_fault` is the engine that caused a refusal, if it was named.
+    fn record_notices(
+        &self,
+        guard: &TicketGuard,
+        at_fault: Option<std::net::SocketAddr>,
+        notices: ServerNotices,
+    ) {
+        let Some((id, _)) = guard.target().first() else {
+            return;
+        };
+        let now = self.host.now();
+        if let Some(pause) = notices.pause {
+            self.host
+                .with_gateway(|g| g.record_pause(now, id, at_fault, pause));
+            info!("a server asked for a pause", kv: {
+                request = self.outgoing.attempt_id.as_str(),
+                server = id.as_str(),
+                at_fault = address_text(at_fault),
+                pause_ms = pause.as_millis() as u64,
+            });
+        }
+        if notices.leaving {
+            self.host.record_leaving(id);
+        }
+    }
+
     /// Records failures of unresponsive servers and excludes them from further
     /// sends.
     pub(super) fn record_failures(&mut self, suspects: &[VmId]) {
--- a/crates/daemon/src/gateway/members.rs
+++ b/crates/daemon/src/gateway/members.rs
@@ -2,20 +2,29 @@
 
 use std::{sync::Arc, time::Duration};
 
-use radishhaven_core::gateway::hubs::{self, HubRole};
-use radishhaven_platform::members::{self, Member, Membership};
+use radishhaven_core::gateway::{
+    StoreEra,
+    hubs::{self, HubRole},
+    members::{GroupGeneration, Member, MemberList, MemberPage},
+};
+use radishhaven_core::time::Timestamp;
+use radishhaven_platform::members::{self, Membership};
 use spdlog::prelude::*;
 
 use super::{
-    host::{GatewayHost, lock},
+    host::{GatewayHost, OrderLease, lock},
     store_sync::Dependency,
 };
 
-/// Interval at which the membership is renewed. Three renewals can fail before
-/// it expires.
-const JOIN_INTERVAL: Duration = Duration::from_millis(600);
-/// TTL of a membership. If the store's minimum is longer, that is used.
-const TTL: Duration = Duration::from_millis(2_000);
+/// TTL of a membership as a fraction of the time after which a node must follow
+/// all changes. If the store's minimum is longer, that is used.
+const TTL_FRACTION: f64 = 0.66;
+/// Interval at which the membership is renewed, as a fraction of the TTL. Three
+/// renewals can fail before it expires.
+const JOIN_FRACTION: f64 = 0.3;
+/// Time without a response of any hub after which a leaf lists the members
+/// itself.
+const HUB_LIST_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Timeout of a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Interval at which the members are listed while the group doesn't change.
@@ -40,15 +49,20 @@
         failure_domain: node.failure_domain.clone(),
         caller_address: node.callers,
         peer_address: node.peers,
+        processor: node.processor,
     }
 }
 
 /// Renews the membership until the shutdown, then leaves the group.
 pub(super) async fn run(host: Arc<GatewayHost>) {
-    let name = own_member(&host).name();
-    let ttl = TTL.max(host.settings.store.min_ttl);
+    let name = members::encode_name(&own_member(&host));
+    let store = &host.settings.store;
+    let topics = members::topics(store.partitions, store.writes_per_s);
+    let stability_time = host.settings.bounds.stability_time;
+    let ttl = stability_time.mul_f64(TTL_FRACTION).max(store.min_ttl);
     let mut dependency = Dependency::new("members");
     let mut generation = 0;
+    let mut era = StoreEra::default();
     let mut next_list = host.now();
     while !host.is_draining() {
         if !host.is_ready() {
@@ -56,19 +70,20 @@
             continue;
         }
         let sent = host.now();
-        match members::join(&host.store, &name, generation, ttl, CALL_TIMEOUT).await {
+        if host.store.era() != era {
+            generation = 0;
+        }
+        match members::join(&host.store, &name, &topics, generation, ttl, CALL_TIMEOUT).await {
             Ok(joined) => {
                 dependency.record_success(host.now());
                 update_lease(&host, &joined, sent + ttl.mul_f64(LEASE_FRACTION));
                 let now = host.now();
-                let changed = joined.generation != generation;
-                generation = joined.generation;
-                // A leaf lists the members only after the change has settled:
-                // there are many leaves, and until then hubs report the nodes
-                // that stop.
-                if changed && host.is_leaf() {
-                    next_list = next_list.min(now + REBALANCE_TIME);
+                let changed = (joined.era, joined.generation) != (era, generation);
+                (era, generation) = (joined.era, joined.generation);
+                if is_listed_by_hub(&host, now) {
+                    next_list = now + LIST_INTERVAL;
                 } else if changed || now >= next_list {
+                    let generation = GroupGeneration { era, generation };
                     list_members(&host, generation, &mut dependency).await;
                     next_list = now
                         + if changed {
@@ -80,7 +95,7 @@
             }
             Err(error) => dependency.record_failure(&host, &error),
         }
-        tokio::time::sleep(JOIN_INTERVAL).await;
+        tokio::time::sleep(ttl.mul_f64(JOIN_FRACTION)).await;
     }
     lock(&host.peers).order_lease = None;
     if let Err(error) = members::leave(&host.store, &name, CALL_TIMEOUT).await {
@@ -88,10 +103,13 @@
     }
 }
 
-fn update_lease(host: &GatewayHost, joined: &Membership, until: radishhaven_core::time::Timestamp) {
+fn update_lease(host: &GatewayHost, joined: &Membership, until: Timestamp) {
     let mut peers = lock(&host.peers);
-    let previous = peers.order_lease.map(|(token, _)| token);
-    peers.order_lease = joined.order_token.map(|token| (token, until));
+    let previous = peers.order_lease.map(|lease| lease.token);
+    let era = joined.era;
+    peers.order_lease = joined
+        .order_token
+        .map(|token| OrderLease { token, until, era });
     drop(peers);
     if previous != joined.order_token {
         info!("the lease for orders changed", kv: {
@@ -102,26 +120,60 @@
     }
 }
 
-async fn list_members(host: &GatewayHost, generation: u64, dependency: &mut Dependency) {
+/// Returns whether a hub sends the lists of members to this node.
+fn is_listed_by_hub(host: &GatewayHost, now: Timestamp) -> bool {
+    let contact = lock(&host.peers).last_hub_contact;
+    host.is_leaf() && contact.is_some_and(|at| now.since(at) < HUB_LIST_TIMEOUT)
+}
+
+async fn list_members(
+    host: &GatewayHost,
+    generation: GroupGeneration,
+    dependency: &mut Dependency,
+) {
     match members::list(&host.store, CALL_TIMEOUT).await {
-        Ok(members) => {
-            let nodes = u32::try_from(members.len()).unwrap_or(u32::MAX);
-            let now = host.now();
-            host.with_gateway(|g| g.record_node_count(now, nodes.saturating_add(STARTING_NODES)));
-            info!("the members were listed", kv: { nodes, generation });
-            let role = hubs::hub_role(members.iter().map(|m| &m.vm), &host.settings.node.vm);
-            let mut peers = lock(&host.peers);
-            let changed = peers.role != role;
-            (peers.members, peers.role) = (members, role.clone());
-            drop(peers);
-            if changed {
-                log_role(&role);
-            }
+        // A list of another era belongs to another generation.
+        Ok((listed, era)) if era == generation.era => {
+            let list = MemberList::new(generation, listed);
+            lock(&host.peers).members.set(list);
+            apply_members(host, "store");
         }
+        Ok(_) => {}
         Err(error) => dependency.record_failure(host, &error),
     }
 }
 
+/// Records the response of a hub, and applies its page of the list of members.
+pub(super) fn apply_hub_page(host: &GatewayHost, now: Timestamp, page: Option<MemberPage>) {
+    let is_complete = {
+        let mut peers = lock(&host.peers);
+        peers.last_hub_contact = Some(now);
+        page.is_some_and(|page| peers.members.apply_page(page))
+    };
+    if is_complete {
+        apply_members(host, "hub");
+    }
+}
+
+/// Applies a new list of members; `source` is where it comes from.
+fn apply_members(host: &GatewayHost, source: &str) {
+    let now = host.now();
+    let (nodes, role, changed) = {
+        let mut peers = lock(&host.peers);
+        let members = peers.members.members();
+        let nodes = u32::try_from(members.len()).unwrap_or(u32::MAX);
+        let role = hubs::hub_role(members, &host.settings.node.vm);
+        let changed = peers.role != role;
+        peers.role = role.clone();
+        (nodes, role, changed)
+    };
+    host.with_gateway(|g| g.record_node_count(now, nodes.saturating_add(STARTING_NODES)));
+    info!("the members were listed", kv: { nodes, source });
+    if changed {
+        log_role(&role);
+    }
+}
+
 fn log_role(role: &HubRole) {
     let (part, hubs) = match role {
         HubRole::Hub { others, .. } => ("hub", others),
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -188,7 +188,11 @@
         host.open_requests() as i64,
     );
     let peers = lock(&host.peers);
-    gauge("members", "Nodes known", peers.members.len() as i64);
+    gauge(
+        "members",
+        "Nodes known",
+        peers.members.members().len() as i64,
+    );
     gauge(
         "leads",
         "Whether this node gives orders",
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -8,7 +8,9 @@
 
 use radishhaven_core::{
     gateway::{
+        StorePosition,
         hubs::HubRole,
+        members::{ListPosition, MemberPage},
         peers::{NodeReport, ReportRecipient, Source},
         store_view::StoreView,
     },
@@ -22,7 +24,7 @@
 use super::{
     GatewayStartError,
     host::{GatewayHost, lock},
-    store_sync,
+    members, store_sync,
 };
 
 /// Interval of the messages of a node; a request runs for one second or more.
@@ -48,8 +50,10 @@
         /// When the leaf sent the query, on its own clock; the response repeats
         /// it.
         sent: Timestamp,
-        /// The offset up to which the leaf has applied the registry.
-        registry: Option<u64>,
+        /// The position up to which the leaf has applied the registry.
+        registry: Option<StorePosition>,
+        /// The lists of members that the leaf has.
+        members: ListPosition,
     },
     /// A hub sends a leaf the load of all other nodes and a view of the store.
     #[serde(rename = "Answer")]
@@ -58,6 +62,8 @@
         node: NodeReport,
         sent: Timestamp,
         view: StoreView,
+        /// Members that the leaf does not have.
+        members: Option<MemberPage>,
     },
 }
 
@@ -106,7 +112,7 @@
 async fn send_report(host: &Arc<GatewayHost>, socket: &UdpSocket, current_hub: &mut CurrentHub) {
     let (role, addresses) = {
         let peers = lock(&host.peers);
-        let members = peers.members.iter();
+        let members = peers.members.members().iter();
         let addresses: Vec<(VmId, SocketAddr)> =
             members.map(|m| (m.vm.clone(), m.peer_address)).collect();
         (peers.role.clone(), addresses)
@@ -137,6 +143,7 @@
                 node,
                 sent: now,
                 registry: host.with_gateway(|g| g.registry_end()),
+                members: lock(&host.peers).members.position(),
             };
             if let (Some(bytes), Some(address)) = (encode(&query), address(hub)) {
                 send(socket, &bytes, address).await;
@@ -191,8 +198,10 @@
             node,
             sent,
             registry,
+            members,
         } => {
-            let response = respond_to_leaf(host, now, from, node, (sent, registry));
+            let page = lock(&host.peers).members.page_for(&members);
+            let response = respond_to_leaf(host, now, from, node, (sent, registry), page);
             if let Some(bytes) = encode(&response) {
                 send(socket, &bytes, address).await;
             }
@@ -202,6 +211,7 @@
             node,
             sent,
             view,
+            members,
         } => {
             if sent > now || now.since(sent) >= MAX_RESPONSE_AGE {
                 return;
@@ -209,19 +219,21 @@
             current_hub.last_contact = now;
             host.with_gateway(|g| g.apply_report(now, from, Source::Hub, node));
             store_sync::apply_hub_view(host, sent, view);
+            members::apply_hub_page(host, now, members);
         }
     }
 }
 
 /// Applies a leaf's load report and returns the response. The last argument is
-/// the query's send time and the offset up to which the leaf has applied the
+/// the query's send time and the position up to which the leaf has applied the
 /// registry.
 fn respond_to_leaf(
     host: &GatewayHost,
     now: Timestamp,
     leaf: VmId,
     node: NodeReport,
-    (sent, registry): (Timestamp, Option<u64>),
+    (sent, registry): (Timestamp, Option<StorePosition>),
+    members: Option<MemberPage>,
 ) -> Message {
     let serves = host.is_ready();
     host.with_gateway(|g| {
@@ -231,6 +243,7 @@
             node: g.report(now, serves, ReportRecipient::Leaf(&leaf)),
             sent,
             view: g.store_view(now, registry),
+            members,
         }
     })
 }
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -12,7 +12,7 @@
 use radishhaven_platform::engine::{self, OrderReply};
 use spdlog::prelude::*;
 
-use super::host::{GatewayHost, lock};
+use super::host::{GatewayHost, OrderLease, lock};
 
 /// Interval at which the layers that engines hold are checked.
 const PLACEMENT_INTERVAL: Duration = Duration::from_millis(300);
@@ -25,8 +25,7 @@
     loop {
         interval.tick().await;
         let now = host.now();
-        let order_lease = lock(&host.peers).order_lease;
-        let Some((token, _)) = order_lease.filter(|(_, until)| now < *until) else {
+        let Some(OrderLease { token, .. }) = host.order_lease() else {
             ordered.clear();
             continue;
         };
@@ -65,16 +64,20 @@
     let now = host.now();
     ordered.insert(assignment.server.clone(), (assignment.layers, now));
     let result = engine::order_layers(address, &assignment, token).await;
-    let outcome = match &result {
-        Ok(OrderReply::Started) => "begun",
-        Ok(OrderReply::AlreadyHeld) => "holds already",
-        Ok(OrderReply::Conflict) => "conflict",
-        Ok(OrderReply::StaleToken) => "stale token",
-        Ok(OrderReply::Misdirected) => "misdirected",
-        Ok(OrderReply::Other(_)) => "refused",
-        Err(_) => "no answer",
+    let reply = result.as_ref().ok().map(|response| response.reply);
+    let outcome = match reply {
+        Some(OrderReply::Started) => "begun",
+        Some(OrderReply::AlreadyHeld) => "holds already",
+        Some(OrderReply::Conflict) => "conflict",
+        Some(OrderReply::StaleToken) => "stale token",
+        Some(OrderReply::Misdirected) => "misdirected",
+        Some(OrderReply::Other(_)) => "refused",
+        None => "no answer",
     };
-    if matches!(result, Ok(OrderReply::StaleToken)) {
+    if result.as_ref().is_ok_and(|response| response.leaving) {
+        host.record_leaving(&assignment.server);
+    }
+    if reply == Some(OrderReply::StaleToken) {
         // Another node holds the lease; the next join returns the current
         // holder.
         lock(&host.peers).order_lease = None;
--- a/crates/daemon/src/gateway/settings.rs
+++ b/crates/daemon/src/gateway/settings.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, path::Path, time::Duration};
 
 use radishhaven_core::{
-    gateway::{budget::BudgetConfig, state::GatewayConfig},
+    gateway::{budget::BudgetConfig, members::Millicores, state::GatewayConfig},
     ids::{FailureDomain, VmId},
 };
 
@@ -17,6 +17,9 @@
 /// its send.
 const CONFIRMATION_FRACTION: f64 = 0.9;
 
+/// Maximum number of cores of a VM.
+const MAX_CORES: f64 = 1_024.0;
+
 /// All settings of a gateway.
 #[derive(Debug, Clone)]
 pub struct GatewaySettings {
@@ -47,6 +50,8 @@
     pub peers: SocketAddr,
     /// Address for metrics.
     pub metrics: SocketAddr,
+    /// Processor share of the VM.
+    pub processor: Millicores,
 }
 
 /// `[store]`: the platform's store.
@@ -58,6 +63,10 @@
     pub heartbeat_interval: Duration,
     /// Shortest TTL of a membership that the store accepts.
     pub min_ttl: Duration,
+    /// Partitions of each topic.
+    pub partitions: u32,
+    /// Writing calls a second that the store accepts from all nodes together.
+    pub writes_per_s: u32,
 }
 
 /// `[bounds]`: bounds that the operators guarantee to their users.
@@ -65,6 +74,10 @@
 pub struct Bounds {
     /// Time within which a revoked key must be refused everywhere.
     pub revocation_time: Duration,
+    /// Time within which a new configuration must be in force everywhere.
+    pub configuration_time: Duration,
+    /// Time after which a node that is connected again must follow all changes.
+    pub stability_time: Duration,
     /// Time within which a draining server must stop getting new requests.
     pub drain_time: Duration,
     /// Time from SIGTERM until the process is killed.
@@ -82,6 +95,12 @@
     })
 }
 
+fn count(section: &mut Section<'_>, key: &'static str) -> Option<u32> {
+    section.require(key, "a whole number from 1", |v| {
+        v.parse().ok().filter(|n| *n > 0)
+    })
+}
+
 fn seconds(section: &mut Section<'_>, key: &'static str) -> Option<Duration> {
     decimal(section, key, 86_400.0).map(Duration::from_secs_f64)
 }
@@ -98,6 +117,7 @@
         let (callers, readiness) = (section.address("callers"), section.address("readiness"));
         let (directory, peers) = (section.address("directory"), section.address("peers"));
         let metrics = section.address("metrics");
+        let cores = decimal(section, "cores", MAX_CORES);
         Some(Self {
             vm: vm?,
             failure_domain: failure_domain?,
@@ -106,6 +126,7 @@
             directory: directory?,
             peers: peers?,
             metrics: metrics?,
+            processor: Millicores((cores? * 1e3) as u32),
         })
     }
 }
@@ -115,10 +136,14 @@
         let address = section.address("address");
         let heartbeat_interval = millis(section, "heartbeat_ms");
         let min_ttl = millis(section, "least_ttl_ms");
+        let partitions = count(section, "partitions");
+        let writes_per_s = count(section, "writes_per_s");
         Some(Self {
             address: address?,
             heartbeat_interval: heartbeat_interval?,
             min_ttl: min_ttl?,
+            partitions: partitions?,
+            writes_per_s: writes_per_s?,
         })
     }
 }
@@ -127,6 +152,10 @@
     fn read(section: &mut Section<'_>) -> Option<Self> {
         let (revocation_time, drain_time) =
             (millis(section, "revoke_ms"), millis(section, "drain_ms"));
+        let (configuration_time, stability_time) = (
+            millis(section, "config_ms"),
+            millis(section, "stability_ms"),
+        );
         let (grace_period, max_directory_ttl) =
             (seconds(section, "grace_s"), seconds(section, "keep_s"));
         let ratio = decimal(section, "retry_ratio", 10.0);
@@ -135,6 +164,8 @@
         Some(Self {
             revocation_time: revocation_time?,
             drain_time: drain_time?,
+            configuration_time: configuration_time?,
+            stability_time: stability_time?,
             grace_period: grace_period?,
             max_directory_ttl: max_directory_ttl?,
             budget: BudgetConfig {
--- a/crates/daemon/src/gateway/store_sync/configuration.rs
+++ b/crates/daemon/src/gateway/store_sync/configuration.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use radishhaven_core::gateway::{StorePosition, freshness::ConfigurationRead};
 use radishhaven_platform::{
     configuration,
     names::{CONFIGURATION_KEY, OPERATOR_TOPIC},
@@ -15,15 +16,20 @@
 /// How long one read waits for a new configuration. Each completed read
 /// confirms again that the active configuration is the newest one.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_500);
-/// How long one read waits while leaves rely on this hub. A freshness
-/// confirmation is as old as the duration of the read that gave it, and twice
-/// as old before the next read is answered.
-const CONFIGURATION_WAIT_FOR_LEAVES: Duration = Duration::from_millis(450);
+/// How long one read waits while leaves rely on this hub, as a fraction of the
+/// time within which a configuration must be in force. A freshness confirmation
+/// is as old as the duration of the read that gave it, and twice as old before
+/// the next read is answered.
+const WAIT_FRACTION_FOR_LEAVES: f64 = 0.225;
+
+/// How long one read waits while the store may lack the newest configuration. A
+/// read confirms only what it finds after that time, and must be sent after it.
+const CONFIGURATION_WAIT_FOR_REWRITE: Duration = Duration::from_millis(200);
 
 /// Reads the configuration until the process ends.
 pub(in crate::gateway) async fn run(host: Arc<GatewayHost>) {
     let mut dependency = Dependency::new("configuration");
-    let mut next = None;
+    let mut next: Option<StorePosition> = None;
     loop {
         while is_fresh_from_hub(&host, |g, now| g.confirmation_age(now)) {
             tokio::select! {
@@ -34,9 +40,14 @@
         let sent = host.now();
         // After a failure, a quick confirmation matters more than waiting for a
         // new configuration.
+        let awaits_rewrite = host.with_gateway(|g| g.awaits_rewrite());
         let wait = match dependency.is_lost() || host.is_leaf() {
             true => Duration::ZERO,
-            false if host.has_leaves() => CONFIGURATION_WAIT_FOR_LEAVES,
+            false if awaits_rewrite => CONFIGURATION_WAIT_FOR_REWRITE,
+            false if host.has_leaves() => {
+                let configuration_time = host.settings.bounds.configuration_time;
+                configuration_time.mul_f64(WAIT_FRACTION_FOR_LEAVES)
+            }
             false => CONFIGURATION_WAIT,
         };
         let result = read_topic(
@@ -48,13 +59,25 @@
         );
         match result.await {
             Ok(records) => {
-                dependency.record_success(host.now());
+                let now = host.now();
+                dependency.record_success(now);
+                let is_configuration = |r: &KeyedRecord| r.key == CONFIGURATION_KEY.as_bytes();
+                let read = ConfigurationRead {
+                    era: records.next.era,
+                    sent,
+                    // The newest records may come from an older copy.
+                    written: next.is_some() && records.records.iter().any(is_configuration),
+                };
                 next = Some(records.next);
                 if records.records.iter().all(|r| apply_record(&host, r)) {
-                    host.with_gateway(|g| g.confirm_configuration(sent));
+                    host.with_gateway(|g| g.record_configuration_read(now, read));
                 }
             }
             Err(StoreError::Expired) => next = None,
+            Err(error @ StoreError::EraChanged { .. }) => {
+                warn!("the configuration is read anew", kv: { error = error.to_string() });
+                next = None;
+            }
             Err(error) => {
                 dependency.record_failure(&host, &error);
                 tokio::time::sleep(retry_delay(&host)).await;
--- a/crates/daemon/src/gateway/store_sync/mod.rs
+++ b/crates/daemon/src/gateway/store_sync/mod.rs
@@ -7,7 +7,7 @@
 use std::{sync::Arc, time::Duration};
 
 use radishhaven_core::{
-    gateway::{Gateway, store_view::StoreView},
+    gateway::{Gateway, StorePosition, store_view::StoreView},
     time::Timestamp,
 };
 use radishhaven_platform::store::{ConnectionPurpose, Records, StoreError};
@@ -17,10 +17,10 @@
 
 /// Time after the end of its wait within which a read must be answered.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
-/// Age of the data from a hub at which a leaf reads the store itself. A hub
-/// that can read the store is never that late, and a new configuration must be
-/// active within two seconds.
-const MAX_HUB_VIEW_AGE: Duration = Duration::from_millis(1_300);
+/// Age of the data from a hub at which a leaf reads the store itself, as a
+/// fraction of the time within which a configuration must be in force. A hub
+/// that can read the store is never that late.
+const MAX_HUB_VIEW_FRACTION: f64 = 0.65;
 /// Interval at which a leaf checks the age of the data from its hub.
 const HUB_VIEW_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Delay after a failed call to the store.
@@ -78,7 +78,7 @@
     host: &GatewayHost,
     purpose: ConnectionPurpose,
     topic: &str,
-    next: Option<u64>,
+    next: Option<StorePosition>,
     wait: Duration,
 ) -> Result<Records, StoreError> {
     match next {
@@ -99,10 +99,15 @@
     age: impl Fn(&Gateway, Timestamp) -> Option<Duration>,
 ) -> bool {
     let now = host.now();
+    let max_age = host
+        .settings
+        .bounds
+        .configuration_time
+        .mul_f64(MAX_HUB_VIEW_FRACTION);
     host.is_leaf()
         && host
             .with_gateway(|g| age(g, now))
-            .is_some_and(|age| age < MAX_HUB_VIEW_AGE)
+            .is_some_and(|age| age < max_age)
 }
 
 fn retry_delay(host: &GatewayHost) -> Duration {
--- a/crates/daemon/src/gateway/store_sync/registry.rs
+++ b/crates/daemon/src/gateway/store_sync/registry.rs
@@ -22,9 +22,10 @@
 /// Number of reads of the registry within the time in which a draining server
 /// must stop getting new requests.
 const READS_PER_DRAIN: u32 = 2;
-/// Longest time between two reads of the registry while leaves rely on this
-/// hub.
-const REGISTRY_INTERVAL_FOR_LEAVES: Duration = Duration::from_millis(500);
+/// Longest time between two reads of the registry while leaves rely on this hub,
+/// as a fraction of the time within which a draining server must stop getting
+/// new requests.
+const DRAIN_FRACTION_FOR_LEAVES: f64 = 0.25;
 /// Time after the store is reachable again within which servers register again
 /// if their entries expired during the outage. No server is removed until then.
 const RE_REGISTRATION_TIME: Duration = Duration::from_millis(2_300);
@@ -66,8 +67,10 @@
     let mut reader = RegistryReader::default();
     let mut full = true;
     loop {
+        full |= reader.is_removal_due(host.now());
         while !full && is_fresh_from_hub(&host, |g, now| g.registry_age(now)) {
             tokio::time::sleep(HUB_VIEW_POLL_INTERVAL).await;
+            full = reader.is_removal_due(host.now());
         }
         let sent = host.now();
         let next = host.with_gateway(|g| g.registry_end()).filter(|_| !full);
@@ -89,15 +92,22 @@
                 }
                 reader.apply_records(&host, now, &records.records, next.is_none());
                 host.with_gateway(|g| g.record_registry_read(sent, records.next));
-                full = reader.no_removal_before.is_some_and(|until| now >= until);
-                if full {
+                full = false;
+                if next.is_none() && reader.is_removal_due(now) {
                     reader.no_removal_before = None;
+                }
+                if reader.is_removal_due(now) {
                     continue;
                 }
                 host.start_waiting_requests();
                 tokio::time::sleep(registry_interval(&host)).await;
             }
             Err(StoreError::Expired) => full = true,
+            Err(error @ StoreError::EraChanged { .. }) => {
+                warn!("the registry is read anew", kv: { error = error.to_string() });
+                reader.no_removal_before = Some(now + RE_REGISTRATION_TIME);
+                full = true;
+            }
             Err(error) => {
                 dependency.record_failure(&host, &error);
                 tokio::time::sleep(retry_delay(&host)).await;
@@ -108,13 +118,23 @@
 
 fn registry_interval(host: &GatewayHost) -> Duration {
     let interval = match host.has_leaves() {
-        true => REGISTRY_INTERVAL_FOR_LEAVES,
+        true => host
+            .settings
+            .bounds
+            .drain_time
+            .mul_f64(DRAIN_FRACTION_FOR_LEAVES),
         false => REGISTRY_INTERVAL,
     };
     interval.min(host.settings.bounds.drain_time / READS_PER_DRAIN)
 }
 
 impl RegistryReader {
+    /// Returns whether the servers that have not registered again are removed by
+    /// the next full read.
+    fn is_removal_due(&self, now: Timestamp) -> bool {
+        self.no_removal_before.is_some_and(|until| now >= until)
+    }
+
     /// Applies records; `full` is true if they are the complete registry.
     fn apply_records(
         &mut self,
@@ -130,9 +150,12 @@
                 continue;
             };
             match entry {
-                Some(entry) if !self.is_newest(host, now, &id, &entry) => {
-                    // This is a late entry of an earlier incarnation; the
-                    // current entry is kept.
+                // The store has returned from a copy in which the server had not
+                // left yet. A server that is alive writes its entry again.
+                Some(entry) if full && was_removed(host, &id, &entry) => {}
+                Some(entry) if !self.is_newest(host, now, &id, &entry, full) => {
+                    // This is a late entry of an earlier incarnation, or one of
+                    // an older copy; the current entry is kept.
                     let current =
                         host.with_gateway(|g| g.servers().get(&id).map(|r| r.entry.clone()));
                     listed.extend(current.filter(|_| full).map(|current| (id, current)));
@@ -209,13 +232,21 @@
 
     /// Returns whether an entry is at least as new as the newest one applied. A
     /// server's incarnation is identified by its start time, and counts its own
-    /// heartbeats.
-    fn is_newest(&mut self, host: &GatewayHost, now: Timestamp, id: &VmId, entry: &Entry) -> bool {
+    /// heartbeats. In a full read, older entries are never accepted after a
+    /// silence of the newest one: the store may have returned from a copy.
+    fn is_newest(
+        &mut self,
+        host: &GatewayHost,
+        now: Timestamp,
+        id: &VmId,
+        entry: &Entry,
+        full: bool,
+    ) -> bool {
         let version = (entry.server.started_ms, entry.heartbeat);
         let max_silence = host.settings.store.heartbeat_interval * MISSED_HEARTBEATS;
         let newest = self.heartbeats.get(id);
         if newest.is_some_and(|newest| {
-            newest.version > version && now.since(newest.received_at) < max_silence
+            newest.version > version && (full || now.since(newest.received_at) < max_silence)
         }) {
             return false;
         }
@@ -228,6 +259,10 @@
     }
 }
 
+fn was_removed(host: &GatewayHost, id: &VmId, entry: &Entry) -> bool {
+    host.with_gateway(|g| g.servers().was_removed(id, &entry.server))
+}
+
 fn apply_entry(host: &GatewayHost, now: Timestamp, id: &VmId, server: Option<Server>) {
     let change = host.with_gateway(|g| g.set_server(now, id, server));
     log_change(host, id, change, "store");
