feat(gateway): draw copies at random when views are stale

Ruled out: capacity (76 of 190 engines were in use in the first second). Also: fewer lists and faster renewals while nodes start, growing pauses between calls to a store that is down.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -91,6 +91,11 @@
         self.lists.push_back((now, nodes));
     }
 
+    /// Returns the node count of the latest member list.
+    pub fn current(&self) -> Option<u32> {
+        self.lists.back().map(|(_, nodes)| *nodes)
+    }
+
     /// Returns the largest node count that was current at any time within the
     /// window, or `None` before the first member list.
     pub fn max_in_window(&mut self, now: Timestamp, window: Duration) -> Option<u32> {
--- a/crates/core/src/gateway/paths.rs
+++ b/crates/core/src/gateway/paths.rs
@@ -6,12 +6,14 @@
 //! their end. An engine can thus replace any other one that holds the same next
 //! layer, and no engine occurs twice.
 
+mod copies;
+
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use serde::Serialize;
 
 use super::{
-    config::EngineSpec,
+    config::{Accelerator, EngineSpec},
     servers::{ServerRow, Servers},
 };
 use crate::{
@@ -83,6 +85,7 @@
 struct Candidate<'a> {
     id: &'a VmId,
     row: &'a ServerRow,
+    kind: &'a Accelerator,
     layers: LayerRange,
     domain: usize,
     capacity: f64,
@@ -91,6 +94,15 @@
     jitter: f64,
 }
 
+/// A stage of a path that is being built.
+#[derive(Debug, Clone, Copy)]
+struct StageStart {
+    /// Index of the engine.
+    candidate: usize,
+    /// The first layer that it runs; it runs to its last one.
+    start: u16,
+}
+
 #[derive(Clone, Copy)]
 struct Best {
     cost: f64,
@@ -104,6 +116,25 @@
 /// Engines in `avoid` are excluded. `draw` returns random numbers in
 /// `0.0..1.0`.
 pub fn choose(
+    spec: &EngineSpec,
+    servers: &Servers,
+    service: &ServiceId,
+    now: Timestamp,
+    estimate: TokenEstimate,
+    avoid: &[VmId],
+    draw: impl FnMut() -> f64,
+) -> Option<Path> {
+    let (candidates, inbound) = candidates(spec, servers, service, now, avoid, draw);
+    let best = search(spec, &candidates, &inbound, estimate);
+    trace_back(spec, &candidates, &best, estimate)
+}
+
+/// Selects a path at random among the copies of the model that have capacity, or
+/// the path with the lowest cost if there is no such copy. Many nodes with
+/// similar views then don't all select the same path.
+///
+/// The parameters are those of [`choose`].
+pub fn spread(
     spec: &EngineSpec,
     servers: &Servers,
     service: &ServiceId,
@@ -112,6 +143,24 @@
     avoid: &[VmId],
     mut draw: impl FnMut() -> f64,
 ) -> Option<Path> {
+    let (candidates, inbound) = candidates(spec, servers, service, now, avoid, &mut draw);
+    let path = copies::draw_path(spec, &candidates, estimate, &mut draw);
+    path.or_else(|| {
+        let best = search(spec, &candidates, &inbound, estimate);
+        trace_back(spec, &candidates, &best, estimate)
+    })
+}
+
+/// Returns the engines that may take part in a request, and for each failure
+/// domain the number of tokens whose activations are in transfer to it.
+fn candidates<'a>(
+    spec: &'a EngineSpec,
+    servers: &'a Servers,
+    service: &'a ServiceId,
+    now: Timestamp,
+    avoid: &[VmId],
+    mut draw: impl FnMut() -> f64,
+) -> (Vec<Candidate<'a>>, Vec<u64>) {
     let mut domains: Vec<(&FailureDomain, u64)> = Vec::new();
     let mut candidates = Vec::new();
     for (id, row) in servers.of_service(service) {
@@ -121,8 +170,10 @@
         if !row.is_available(now) || avoid.contains(id) || held.end() > spec.layers {
             continue;
         }
-        let kind = row.accelerator(spec);
-        let Some(capacity) = kind.and_then(|kind| spec.kv_tokens(kind, held.count())) else {
+        let Some(kind) = row.accelerator(spec) else {
+            continue;
+        };
+        let Some(capacity) = spec.kv_tokens(kind, held.count()) else {
             continue;
         };
         let domain = domains.iter().position(|(d, _)| **d == row.entry.domain);
@@ -134,6 +185,7 @@
         candidates.push(Candidate {
             id,
             row,
+            kind,
             layers: held,
             domain,
             capacity: f64::from(capacity),
@@ -141,9 +193,8 @@
             jitter: 1.0 + JITTER * draw(),
         });
     }
-    let inbound: Vec<u64> = domains.into_iter().map(|(_, tokens)| tokens).collect();
-    let best = search(spec, &candidates, &inbound, estimate);
-    trace_back(spec, &candidates, &best, estimate)
+    let inbound = domains.into_iter().map(|(_, tokens)| tokens).collect();
+    (candidates, inbound)
 }
 
 type Table = BTreeMap<u16, Vec<Best>>;
@@ -229,21 +280,27 @@
     estimate: TokenEstimate,
 ) -> Option<f64> {
     let row = candidate.row;
-    let kind = row.accelerator(spec)?;
     let run = f64::from(candidate.layers.end() - start);
-    let share = run / f64::from(spec.layers);
     let tokens = row.total_tokens() as f64 + kv_tokens_held(estimate, run, candidate.layers);
     let fill = tokens / candidate.capacity.max(1.0);
     if fill > MAX_KV_FILL || (start == 0 && !candidate.may_be_first) {
         return None;
     }
+    let write = f64::from(estimate.output) * step_ms(spec, candidate, start);
+    let read = prefill_ms(spec, candidate, start, estimate);
+    Some((write + FIRST_EVENT_WEIGHT * read) * (1.0 + KV_FILL_WEIGHT * fill * fill))
+}
+
+/// Returns the time in milliseconds that the engine takes for one token, from
+/// the layer `start` to its last one.
+fn step_ms(spec: &EngineSpec, candidate: &Candidate<'_>, start: u16) -> f64 {
+    let row = candidate.row;
+    let share = f64::from(candidate.layers.end() - start) / f64::from(spec.layers);
     let running = f64::from(row.total_requests() + 1);
     let step = spec.step_ms
         + spec.per_request_ms * running
         + spec.per_context_k_ms * row.total_tokens() as f64 / 1e3;
-    let write = f64::from(estimate.output) * step * kind.step_factor * share;
-    let read = prefill_ms(spec, candidate, start, estimate)?;
-    Some((write + FIRST_EVENT_WEIGHT * read) * (1.0 + KV_FILL_WEIGHT * fill * fill))
+    step * candidate.kind.step_factor * share
 }
 
 /// Returns the time in milliseconds until the engine has processed the prompt
@@ -254,11 +311,10 @@
     candidate: &Candidate<'_>,
     start: u16,
     estimate: TokenEstimate,
-) -> Option<f64> {
-    let kind = candidate.row.accelerator(spec)?;
+) -> f64 {
     let share = f64::from(candidate.layers.end() - start) / f64::from(spec.layers);
     let unread = f64::from(estimate.prompt) + candidate.row.total_unread_tokens() as f64;
-    Some(unread * 1e3 / spec.prefill_tokens_per_s * kind.read_factor * share)
+    unread * 1e3 / spec.prefill_tokens_per_s * candidate.kind.read_factor * share
 }
 
 /// Returns the KV cache that a request occupies on an engine that runs `run` of
@@ -280,26 +336,44 @@
         .min_by(|(_, a), (_, b)| a.cost.total_cmp(&b.cost))?;
     let cost_ms = last.cost;
     let mut stages = Vec::new();
-    let mut first_ms = 0.0;
     let mut position = spec.layers;
     while position > 0 {
-        let (index, start, from) = best.get(&position)?[domain].previous?;
-        let candidate = &candidates[index];
-        first_ms += prefill_ms(spec, candidate, start, estimate)?;
-        let run = f64::from(position - start);
-        stages.push(Stage {
+        let (candidate, start, from) = best.get(&position)?[domain].previous?;
+        stages.push(StageStart { candidate, start });
+        (position, domain) = (start, from);
+    }
+    stages.reverse();
+    let path = build_path(spec, candidates, &stages, estimate)?;
+    Some(Path { cost_ms, ..path })
+}
+
+/// Returns the path of these stages, which cover all layers in order.
+fn build_path(
+    spec: &EngineSpec,
+    candidates: &[Candidate<'_>],
+    stages: &[StageStart],
+    estimate: TokenEstimate,
+) -> Option<Path> {
+    let mut path = Path {
+        stages: Vec::with_capacity(stages.len()),
+        cost_ms: 0.0,
+        first_ms: 0.0,
+    };
+    let mut previous_domain = None;
+    for StageStart { candidate, start } in stages.iter().copied() {
+        let candidate = &candidates[candidate];
+        let end = candidate.layers.end();
+        let run = f64::from(end - start);
+        path.first_ms += prefill_ms(spec, candidate, start, estimate);
+        path.cost_ms += stage_cost(spec, candidate, start, estimate)?;
+        path.stages.push(Stage {
             server: candidate.id.clone(),
             address: candidate.row.entry.address,
-            layers: LayerRange::new(start, position).ok()?,
+            layers: LayerRange::new(start, end).ok()?,
             tokens: kv_tokens_held(estimate, run, candidate.layers) as u64,
-            crosses: start > 0 && from != domain,
+            crosses: previous_domain.is_some_and(|domain| domain != candidate.domain),
         });
-        (position, domain) = (start, from);
+        previous_domain = Some(candidate.domain);
     }
-    stages.reverse();
-    Some(Path {
-        stages,
-        cost_ms,
-        first_ms,
-    })
+    Some(path)
 }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -10,6 +10,7 @@
     budget::{BudgetConfig, NodeCount, RetryBudget},
     config::Configuration,
     freshness::{ConfigurationRead, Freshness},
+    hubs,
     paths::{self, TokenEstimate},
     peers::Peer,
     plain,
@@ -310,13 +311,17 @@
     ) -> Option<Ticket> {
         let configuration = self.configuration.clone()?;
         let spec = configuration.services.get(service)?;
+        let has_stale_view = self.nodes.current() > Some(hubs::MAX_MESH_NODES as u32);
         let rng = &mut self.rng;
         let draw = || rng.random_range(0.0..1.0);
         let target = match (&spec.engine, estimate) {
             (Some(engine), Some(estimate)) => {
                 let servers = &self.servers;
-                let path = paths::choose(engine, servers, service, now, estimate, avoid, draw)?;
-                Target::Engines(path)
+                let path = match has_stale_view {
+                    true => paths::spread(engine, servers, service, now, estimate, avoid, draw),
+                    false => paths::choose(engine, servers, service, now, estimate, avoid, draw),
+                };
+                Target::Engines(path?)
             }
             _ => {
                 let chosen = plain::choose(&self.servers, service, now, avoid, draw)?;
--- a/crates/core/tests/gateway_fakes/mod.rs
+++ b/crates/core/tests/gateway_fakes/mod.rs
@@ -233,8 +233,12 @@
 
 /// The engines of the deployment with the layers that the planner assigns.
 pub fn placed_engines() -> BTreeMap<VmId, Server> {
+    place(empty_engines())
+}
+
+/// Returns the engines with the layers that the planner assigns.
+pub fn place(mut engines: BTreeMap<VmId, Server>) -> BTreeMap<VmId, Server> {
     use radishhaven_core::gateway::placement::plan;
-    let mut engines = empty_engines();
     for assignment in plan(&spec(), &table(&engines), &id(ENGINES), &BTreeMap::new()) {
         let engine = engines
             .get_mut(&assignment.server)
--- a/crates/core/tests/gateway_paths.rs
+++ b/crates/core/tests/gateway_paths.rs
@@ -10,7 +10,7 @@
 use radishhaven_core::{
     gateway::{
         Path, ServerState, Servers,
-        paths::{TokenEstimate, choose},
+        paths::{TokenEstimate, choose, spread},
     },
     ids::VmId,
 };
@@ -99,20 +99,30 @@
             prompt: u32::from(case.prompt % 4_000),
             output: u32::from(case.output),
         };
-        let Some(path) = path(&servers, estimate, &[]) else {
-            return;
-        };
-        found.set(found.get() + 1);
-        let mut next = 0;
-        let mut seen = BTreeSet::new();
-        for stage in &path.stages {
-            let held = engines[&stage.server].0.layers.expect("engine has layers");
-            assert_eq!(stage.layers.start(), next, "a gap or an overlap");
-            assert!(held.start() <= stage.layers.start() && stage.layers.end() <= held.end());
-            assert!(seen.insert(&stage.server), "an engine occurs twice");
-            next = stage.layers.end();
+        let spread = spread(
+            &spec(),
+            &servers,
+            &id(ENGINES),
+            ms(0),
+            estimate,
+            &[],
+            || 0.5,
+        );
+        let cheapest = path(&servers, estimate, &[]);
+        assert_eq!(spread.is_some(), cheapest.is_some());
+        for path in cheapest.iter().chain(&spread) {
+            found.set(found.get() + 1);
+            let mut next = 0;
+            let mut seen = BTreeSet::new();
+            for stage in &path.stages {
+                let held = engines[&stage.server].0.layers.expect("engine has layers");
+                assert_eq!(stage.layers.start(), next, "a gap or an overlap");
+                assert!(held.start() <= stage.layers.start() && stage.layers.end() <= held.end());
+                assert!(seen.insert(&stage.server), "an engine occurs twice");
+                next = stage.layers.end();
+            }
+            assert_eq!(next, 80, "the path ends early");
         }
-        assert_eq!(next, 80, "the path ends early");
     });
     assert!(found.get() > 500, "only {} cases had a path", found.get());
 }
--- a/crates/daemon/src/gateway/members.rs
+++ b/crates/daemon/src/gateway/members.rs
@@ -22,6 +22,12 @@
 /// Interval at which the membership is renewed, as a fraction of the TTL. Three
 /// renewals can fail before it expires.
 const JOIN_FRACTION: f64 = 0.3;
+/// Interval at which the membership is renewed while the group changes, unless a
+/// hub sends the lists. A node owns a partition, and is listed, only after the
+/// members before it have renewed theirs twice.
+const CHANGE_JOIN_INTERVAL: Duration = Duration::from_millis(300);
+/// Shortest time between two lists.
+const MIN_LIST_INTERVAL: Duration = Duration::from_millis(600);
 /// Time without a response of any hub after which a leaf lists the members
 /// itself.
 const HUB_LIST_TIMEOUT: Duration = Duration::from_millis(3_000);
@@ -29,9 +35,10 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Interval at which the members are listed while the group doesn't change.
 const LIST_INTERVAL: Duration = Duration::from_millis(20_000);
-/// Time after a change of the group within which partitions have moved: members
-/// release them with their next join, and only then a new member is listed.
-const REBALANCE_TIME: Duration = Duration::from_millis(1_300);
+/// Number of join intervals after a change of the group within which partitions
+/// have moved: members release them with their next join but one, and only then
+/// a new member is listed.
+const REBALANCE_JOINS: f64 = 2.2;
 /// Fraction of the TTL for which a holder relies on the lease for orders,
 /// counted from when the join was sent.
 const LEASE_FRACTION: f64 = 0.9;
@@ -53,6 +60,57 @@
     }
 }
 
+/// Decides when a node lists the members.
+#[derive(Debug)]
+struct ListSchedule {
+    /// Time after a change of the group within which partitions move.
+    rebalance_time: Duration,
+    /// When the node last listed the members, or first joined.
+    last: Option<Timestamp>,
+    next: Timestamp,
+    /// When the partitions will have moved after the latest change.
+    settled_at: Timestamp,
+}
+
+impl ListSchedule {
+    fn new(rebalance_time: Duration) -> Self {
+        Self {
+            rebalance_time,
+            last: None,
+            next: Timestamp::default(),
+            settled_at: Timestamp::default(),
+        }
+    }
+
+    /// Returns whether the members are listed after a join at `now`. `changed` is
+    /// whether the group changed since the previous join.
+    fn is_due(&mut self, now: Timestamp, changed: bool) -> bool {
+        if changed {
+            self.settled_at = now + self.rebalance_time;
+        }
+        let Some(last) = self.last else {
+            // The node owns no partition yet.
+            self.last = Some(now);
+            self.next = now + CHANGE_JOIN_INTERVAL;
+            return false;
+        };
+        if changed {
+            self.next = self.next.min(last + MIN_LIST_INTERVAL);
+        }
+        now >= self.next
+    }
+
+    /// Schedules the next list. `is_listed` is whether the node found itself.
+    fn record_list(&mut self, now: Timestamp, is_listed: bool) {
+        self.last = Some(now);
+        self.next = match is_listed {
+            false => now + MIN_LIST_INTERVAL,
+            true if now < self.settled_at => self.settled_at.max(now + MIN_LIST_INTERVAL),
+            true => now + LIST_INTERVAL,
+        };
+    }
+}
+
 /// Renews the membership until the shutdown, then leaves the group.
 pub(super) async fn run(host: Arc<GatewayHost>) {
     let name = members::encode_name(&own_member(&host));
@@ -63,13 +121,15 @@
     let mut dependency = Dependency::new("members");
     let mut generation = 0;
     let mut era = StoreEra::default();
-    let mut next_list = host.now();
+    let join_interval = ttl.mul_f64(JOIN_FRACTION);
+    let mut schedule = ListSchedule::new(join_interval.mul_f64(REBALANCE_JOINS));
     while !host.is_draining() {
         if !host.is_ready() {
             tokio::time::sleep(NOT_READY_DELAY).await;
             continue;
         }
         let sent = host.now();
+        let mut interval = join_interval;
         if host.store.era() != era {
             generation = 0;
         }
@@ -80,22 +140,21 @@
                 let now = host.now();
                 let changed = (joined.era, joined.generation) != (era, generation);
                 (era, generation) = (joined.era, joined.generation);
-                if is_listed_by_hub(&host, now) {
-                    next_list = now + LIST_INTERVAL;
-                } else if changed || now >= next_list {
-                    let generation = GroupGeneration { era, generation };
-                    list_members(&host, generation, &mut dependency).await;
-                    next_list = now
-                        + if changed {
-                            REBALANCE_TIME
-                        } else {
-                            LIST_INTERVAL
-                        };
+                let due = schedule.is_due(now, changed);
+                if !is_listed_by_hub(&host, now) {
+                    if changed || due {
+                        interval = interval.min(CHANGE_JOIN_INTERVAL);
+                    }
+                    if due {
+                        let generation = GroupGeneration { era, generation };
+                        list_members(&host, generation, &mut dependency).await;
+                        schedule.record_list(now, is_listed(&host));
+                    }
                 }
             }
             Err(error) => dependency.record_failure(&host, &error),
         }
-        tokio::time::sleep(ttl.mul_f64(JOIN_FRACTION)).await;
+        tokio::time::sleep(interval).await;
     }
     lock(&host.peers).order_lease = None;
     if let Err(error) = members::leave(&host.store, &name, CALL_TIMEOUT).await {
@@ -121,11 +180,18 @@
 }
 
 /// Returns whether a hub sends the lists of members to this node.
-fn is_listed_by_hub(host: &GatewayHost, now: Timestamp) -> bool {
+pub(super) fn is_listed_by_hub(host: &GatewayHost, now: Timestamp) -> bool {
     let contact = lock(&host.peers).last_hub_contact;
     host.is_leaf() && contact.is_some_and(|at| now.since(at) < HUB_LIST_TIMEOUT)
 }
 
+/// Returns whether this node is in its list of members.
+fn is_listed(host: &GatewayHost) -> bool {
+    let own = &host.settings.node.vm;
+    let peers = lock(&host.peers);
+    peers.members.members().iter().any(|m| m.vm == *own)
+}
+
 async fn list_members(
     host: &GatewayHost,
     generation: GroupGeneration,
--- a/crates/daemon/src/gateway/store_sync/configuration.rs
+++ b/crates/daemon/src/gateway/store_sync/configuration.rs
@@ -10,7 +10,7 @@
 };
 use spdlog::prelude::*;
 
-use super::{Dependency, HUB_VIEW_POLL_INTERVAL, is_fresh_from_hub, read_topic, retry_delay};
+use super::{Dependency, HUB_VIEW_POLL_INTERVAL, is_fresh_from_hub, read_topic};
 use crate::gateway::host::GatewayHost;
 
 /// How long one read waits for a new configuration. Each completed read
@@ -80,7 +80,10 @@
             }
             Err(error) => {
                 dependency.record_failure(&host, &error);
-                tokio::time::sleep(retry_delay(&host)).await;
+                tokio::select! {
+                    () = host.newer_configuration.notified() => {}
+                    () = tokio::time::sleep(dependency.retry_delay(&host)) => {}
+                }
             }
         }
     }
--- a/crates/daemon/src/gateway/store_sync/mod.rs
+++ b/crates/daemon/src/gateway/store_sync/mod.rs
@@ -13,7 +13,7 @@
 use radishhaven_platform::store::{ConnectionPurpose, Records, StoreError};
 use spdlog::prelude::*;
 
-use super::host::GatewayHost;
+use super::{host::GatewayHost, members};
 
 /// Time after the end of its wait within which a read must be answered.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
@@ -23,11 +23,17 @@
 const MAX_HUB_VIEW_FRACTION: f64 = 0.65;
 /// Interval at which a leaf checks the age of the data from its hub.
 const HUB_VIEW_POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Delay after a failed call to the store.
+/// Delay after the first failed call to the store. It doubles with each further
+/// failure.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
-/// Delay after a failed call at a leaf; its hub finds out first that the store
-/// is reachable again.
+/// Maximum delay after a failed call.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Delay after the first failed call at a leaf; its hub finds out first that the
+/// store is reachable again.
 const LEAF_RETRY_DELAY: Duration = Duration::from_millis(600);
+/// Maximum delay after a failed call at a leaf whose hub responds. The hub then
+/// reports the return of the store.
+const MAX_LEAF_RETRY_DELAY: Duration = Duration::from_millis(2_400);
 
 /// Tracks whether the store answers one kind of call, and logs each change
 /// once.
@@ -35,6 +41,8 @@
 pub(super) struct Dependency {
     name: &'static str,
     lost_since: Option<Timestamp>,
+    /// Consecutive failed calls.
+    failures: u32,
 }
 
 impl Dependency {
@@ -43,6 +51,7 @@
         Self {
             name,
             lost_since: None,
+            failures: 0,
         }
     }
 
@@ -51,8 +60,20 @@
         self.lost_since.is_some()
     }
 
+    /// Returns the delay before a failed call is repeated.
+    fn retry_delay(&self, host: &GatewayHost) -> Duration {
+        let (first, max) = match members::is_listed_by_hub(host, host.now()) {
+            true => (LEAF_RETRY_DELAY, MAX_LEAF_RETRY_DELAY),
+            false if host.is_leaf() => (LEAF_RETRY_DELAY, LEAF_RETRY_DELAY),
+            false => (RETRY_DELAY, MAX_RETRY_DELAY),
+        };
+        let factor = 2_u32.saturating_pow(self.failures.saturating_sub(1));
+        first.saturating_mul(factor).min(max)
+    }
+
     /// Records a successful call.
     pub(super) fn record_success(&mut self, now: Timestamp) {
+        self.failures = 0;
         if let Some(since) = self.lost_since.take() {
             info!("a dependency is back", kv: {
                 dependency = self.name,
@@ -64,6 +85,7 @@
     /// Records a failed call.
     pub(super) fn record_failure(&mut self, host: &GatewayHost, error: &StoreError) {
         host.metrics.record_store_failure(self.name);
+        self.failures = self.failures.saturating_add(1);
         if self.lost_since.is_none() {
             self.lost_since = Some(host.now());
             warn!("a dependency is lost", kv: {
@@ -110,13 +132,6 @@
             .is_some_and(|age| age < max_age)
 }
 
-fn retry_delay(host: &GatewayHost) -> Duration {
-    match host.is_leaf() {
-        true => LEAF_RETRY_DELAY,
-        false => RETRY_DELAY,
-    }
-}
-
 /// Applies the store view from a hub's response to the query that was sent at
 /// `sent_at`.
 pub(super) fn apply_hub_view(host: &Arc<GatewayHost>, sent_at: Timestamp, view: StoreView) {
--- a/crates/daemon/src/gateway/store_sync/registry.rs
+++ b/crates/daemon/src/gateway/store_sync/registry.rs
@@ -14,7 +14,7 @@
 };
 use spdlog::prelude::*;
 
-use super::{Dependency, HUB_VIEW_POLL_INTERVAL, is_fresh_from_hub, read_topic, retry_delay};
+use super::{Dependency, HUB_VIEW_POLL_INTERVAL, is_fresh_from_hub, read_topic};
 use crate::gateway::host::GatewayHost;
 
 /// Longest time between two reads of the registry.
@@ -110,7 +110,7 @@
             }
             Err(error) => {
                 dependency.record_failure(&host, &error);
-                tokio::time::sleep(retry_delay(&host)).await;
+                tokio::time::sleep(dependency.retry_delay(&host)).await;
             }
         }
     }
