feat(gateway): make unlisted nodes leaves, leave silent engines out

Unlisted nodes. Cause: the store assigns 20 topics of a group at most, 480 partitions here, and not evenly: 280 of 295 nodes owned one, the node that joined first kept 20. The other 15 listed the members each second and read the store themselves. Change: such a node is a leaf; its hub makes it known to all, for directories and retry budgets; starting nodes wait for a configuration before they read the registry, and list the members once.

Silent engines. Cause: after a loss each node had to lose requests of its own on an engine before it avoided it, and a node has two or three requests at a time. Change: an engine on which the requests of no node make progress for 1.2 s is left out of the copies, for 4 s after the last request there.

--- a/crates/core/src/gateway/hubs.rs
+++ b/crates/core/src/gateway/hubs.rs
@@ -48,26 +48,26 @@
     }
 }
 
-/// Returns the role of the node `own` among all members. A node that has no
-/// member list, or is not in it yet, reads the store itself.
+/// Returns the role of the node `own` among all members.
 ///
 /// Hubs are the nodes with the largest processor shares, since a hub works for
-/// many leaves. A leaf prefers the hubs of its own failure domain.
-pub fn hub_role(members: &[Member], own: &VmId) -> HubRole {
-    let own_member = members.iter().find(|member| member.vm == *own);
-    let hubs = elect_hubs(members);
-    let is_hub = hubs.iter().any(|hub| hub.vm == *own);
-    let Some(own_member) = own_member.filter(|_| !is_hub) else {
-        let others = hubs.into_iter().map(|hub| &hub.vm).filter(|vm| *vm != own);
+/// many leaves. A leaf prefers the hubs of its own failure domain. A node that is
+/// not in the list reads the store itself if the list is short, and is a leaf
+/// otherwise: the store lists only nodes that own a partition.
+pub fn hub_role(members: &[Member], own: &Member) -> HubRole {
+    let mut hubs = elect_hubs(members);
+    let is_hub = hubs.iter().any(|hub| hub.vm == own.vm);
+    if is_hub || members.len() <= MAX_MESH_NODES {
+        let others = hubs.into_iter().map(|hub| &hub.vm);
         return HubRole::Hub {
-            others: others.cloned().collect(),
-            has_leaves: is_hub && members.len() > MAX_MESH_NODES,
+            others: others.filter(|vm| **vm != own.vm).cloned().collect(),
+            has_leaves: members.len() > MAX_MESH_NODES,
         };
-    };
-    let mut hubs = hubs;
+    }
     hubs.sort_by_key(|hub| {
-        let is_remote = hub.failure_domain != own_member.failure_domain;
-        (is_remote, rendezvous::score(own.as_str(), hub.vm.as_str()))
+        let is_remote = hub.failure_domain != own.failure_domain;
+        let score = rendezvous::score(own.vm.as_str(), hub.vm.as_str());
+        (is_remote, score)
     });
     HubRole::Leaf {
         hubs: hubs.into_iter().map(|hub| hub.vm.clone()).collect(),
--- a/crates/core/src/gateway/paths.rs
+++ b/crates/core/src/gateway/paths.rs
@@ -91,6 +91,8 @@
     capacity: f64,
     /// Whether the request may be sent to this engine, as the first of a path.
     may_be_first: bool,
+    /// Whether requests of other nodes make no progress on the engine.
+    is_suspect: bool,
     jitter: f64,
 }
 
@@ -190,6 +192,7 @@
             domain,
             capacity: f64::from(capacity),
             may_be_first: row.is_entry_open(now) && row.total_requests() < spec.slots,
+            is_suspect: row.is_suspect(now),
             jitter: 1.0 + JITTER * draw(),
         });
     }
--- a/crates/core/src/gateway/paths/copies.rs
+++ b/crates/core/src/gateway/paths/copies.rs
@@ -6,6 +6,10 @@
 //! its memory is full, and then the next one. Each node therefore draws a copy
 //! at random, with a probability that falls with its load and its time per
 //! token. A stale view then changes the shares only slightly.
+//!
+//! Load pattern: engines fall silent. Each node has few requests, so it would
+//! have to lose several of them before it knew. Copies with an engine on which no
+//! node's requests make progress are therefore left out.
 
 use super::{Candidate, MAX_KV_FILL, Path, StageStart, build_path, prefill_ms, step_ms};
 use crate::gateway::{config::EngineSpec, paths::TokenEstimate};
@@ -48,7 +52,8 @@
 /// Divides the engines of each failure domain into copies. Engines that remain
 /// are in no copy.
 fn find_copies(spec: &EngineSpec, candidates: &[Candidate<'_>]) -> Vec<Copy> {
-    let mut free: Vec<usize> = (0..candidates.len()).collect();
+    let is_suspect = |index: &usize| candidates[*index].is_suspect;
+    let mut free: Vec<usize> = (0..candidates.len()).filter(|i| !is_suspect(i)).collect();
     // A copy uses engines of the same kind where it can, so that a slow engine
     // does not slow down a fast copy.
     free.sort_by(|a, b| {
--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -9,9 +9,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{notices::Incarnation, state::Gateway};
+use super::{members::Member, notices::Incarnation, state::Gateway};
 use crate::{ids::VmId, time::Timestamp};
 
+/// Maximum number of unlisted nodes that a report names. Callers get no more
+/// addresses from a directory.
+pub const MAX_UNLISTED_MEMBERS: usize = 64;
+
 /// Age after which a peer's report is ignored.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
 
@@ -35,6 +39,35 @@
     pub progress_age_ms: u64,
 }
 
+/// Nodes that serve callers but own no partition of the group, so that the store
+/// does not list them. Their hubs make them known.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnlistedNodes {
+    /// Number of the nodes.
+    pub count: u32,
+    /// Some of the nodes, at most [`MAX_UNLISTED_MEMBERS`].
+    pub members: Vec<Member>,
+}
+
+impl UnlistedNodes {
+    /// Adds the nodes of another report.
+    fn add(&mut self, other: &Self) {
+        self.count += other.count;
+        let room = MAX_UNLISTED_MEMBERS.saturating_sub(self.members.len());
+        let members = other.members.iter().take(room);
+        self.members.extend(members.cloned());
+    }
+}
+
+impl From<Member> for UnlistedNodes {
+    fn from(member: Member) -> Self {
+        Self {
+            count: 1,
+            members: vec![member],
+        }
+    }
+}
+
 /// A node's report to a peer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeReport {
@@ -45,6 +78,8 @@
     pub configuration_version: Option<u64>,
     /// Nodes covered by this report that accept no new callers.
     pub stopped: Vec<VmId>,
+    /// Nodes covered by this report that the store does not list.
+    pub unlisted: UnlistedNodes,
     /// Servers that stated recently to the covered nodes that they are leaving.
     pub leaving: BTreeMap<VmId, Incarnation>,
     /// The load of the node and of the nodes that it reports for.
@@ -95,15 +130,17 @@
 
 impl Gateway {
     /// Returns this node's report to a peer. `accepts_callers` is whether this
-    /// node accepts new callers.
+    /// node accepts new callers, and `own` is the node if the store does not list
+    /// it.
     pub fn report(
         &self,
         now: Timestamp,
         accepts_callers: bool,
+        own: Option<Member>,
         recipient: ReportRecipient<'_>,
     ) -> NodeReport {
         let rows = self.servers.iter().filter(|(_, row)| row.requests > 0);
-        let own = rows.map(|(id, row)| ServerLoad {
+        let own_load = rows.map(|(id, row)| ServerLoad {
             server: id.clone(),
             requests: row.requests,
             tokens: row.tokens,
@@ -112,13 +149,15 @@
             progress_age_ms: now.since(row.last_local_progress).as_millis() as u64,
         });
         let mut load: BTreeMap<VmId, ServerLoad> =
-            own.map(|load| (load.server.clone(), load)).collect();
+            own_load.map(|load| (load.server.clone(), load)).collect();
         let mut stopped = Vec::new();
         let mut leaving = self.own_leaving(now);
+        let mut unlisted = own.map(UnlistedNodes::from).unwrap_or_default();
         for (id, peer) in self.aggregated_peers(now, recipient) {
             stopped.extend((!peer.report.accepts_callers).then(|| id.clone()));
             stopped.extend(peer.report.stopped.iter().cloned());
             leaving.extend(peer.report.leaving.clone());
+            unlisted.add(&peer.report.unlisted);
             let age_ms = now.since(peer.received_at).as_millis() as u64;
             for other in &peer.report.load {
                 let mut other = other.clone();
@@ -133,6 +172,7 @@
             accepts_callers,
             configuration_version: self.configuration().map(|c| c.version),
             stopped,
+            unlisted,
             leaving,
             load: load.into_values().collect(),
         }
@@ -176,15 +216,18 @@
             },
         );
         self.peers.retain(|_, peer| peer.is_fresh(now));
-        self.servers.clear_peer_load();
-        for load in self.peers.values().flat_map(|peer| &peer.report.load) {
-            if let Some(row) = self.servers.get_mut(&load.server) {
-                row.peer_requests += load.requests;
-                row.peer_tokens += load.tokens;
-                row.peer_unread_tokens += load.unread_tokens;
-                row.peer_inbound_tokens += load.inbound_tokens;
-            }
+        let loads = self.peers.values().flat_map(|peer| &peer.report.load);
+        self.servers.set_peer_load(now, loads);
+    }
+
+    /// Returns the other nodes that the store does not list, according to recent
+    /// reports.
+    pub fn unlisted_nodes(&self, now: Timestamp) -> UnlistedNodes {
+        let mut unlisted = UnlistedNodes::default();
+        for peer in self.peers.values().filter(|peer| peer.is_fresh(now)) {
+            unlisted.add(&peer.report.unlisted);
         }
+        unlisted
     }
 
     /// Returns whether `node` accepts no new callers according to a recent report.
--- a/crates/core/src/gateway/servers.rs
+++ b/crates/core/src/gateway/servers.rs
@@ -11,6 +11,8 @@
 use super::{
     config::{Accelerator, EngineSpec},
     notices::{Incarnation, Notice, Notices},
+    peers::ServerLoad,
+    stall,
 };
 use crate::{
     ids::{FailureDomain, LayerRange, ServiceId, VmId},
@@ -101,6 +103,11 @@
     pub last_local_progress: Timestamp,
     /// Time at which this node's requests on the server last rose above zero.
     pub busy_since: Timestamp,
+    /// Time at which the requests of other nodes last rose above zero.
+    pub peer_busy_since: Timestamp,
+    /// Time at which requests of any node were last found to make no progress on
+    /// the server, or `None` if there was progress since.
+    pub stalled_at: Option<Timestamp>,
     /// Moving average of a plain server's latency, in milliseconds.
     pub latency_ms: f64,
     /// What the server has stated in its responses to this node.
@@ -128,6 +135,8 @@
             last_progress: now,
             last_local_progress: now,
             busy_since: now,
+            peer_busy_since: now,
+            stalled_at: None,
             latency_ms: 0.0,
             notice: Notice::default(),
             leaving_at_peer: false,
@@ -189,6 +198,29 @@
         now.since(self.last_progress.max(self.busy_since))
     }
 
+    /// Returns whether requests of any node were recently found to make no
+    /// progress on the server.
+    pub fn is_suspect(&self, now: Timestamp) -> bool {
+        self.stalled_at
+            .is_some_and(|at| now.since(at) < stall::SUSPECT_TIME)
+    }
+
+    /// Updates [`Self::stalled_at`] from the latest reports of the peers.
+    /// `had_peer_requests` is whether there were requests of other nodes before.
+    fn check_progress(&mut self, now: Timestamp, had_peer_requests: bool) {
+        if self.peer_requests > 0 && !had_peer_requests {
+            self.peer_busy_since = now;
+        }
+        let busy_since = match (self.requests > 0, self.peer_requests > 0) {
+            (true, true) => self.busy_since.min(self.peer_busy_since),
+            (true, false) => self.busy_since,
+            (false, true) => self.peer_busy_since,
+            (false, false) => return,
+        };
+        let is_stalled = now.since(self.last_progress.max(busy_since)) >= stall::FLEET_STALL;
+        self.stalled_at = is_stalled.then_some(now);
+    }
+
     /// Returns whether the server is shutting down, according to the registry or
     /// to one of its responses.
     pub fn is_leaving(&self) -> bool {
@@ -370,6 +402,29 @@
         self.rows.iter()
     }
 
+    /// Replaces the load of other nodes by the sum of these loads, and checks
+    /// which servers make progress.
+    pub(super) fn set_peer_load<'a>(
+        &mut self,
+        now: Timestamp,
+        loads: impl Iterator<Item = &'a ServerLoad>,
+    ) {
+        let busy = self.rows.values().map(|row| row.peer_requests > 0);
+        let busy: Vec<bool> = busy.collect();
+        self.clear_peer_load();
+        for load in loads {
+            if let Some(row) = self.rows.get_mut(&load.server) {
+                row.peer_requests += load.requests;
+                row.peer_tokens += load.tokens;
+                row.peer_unread_tokens += load.unread_tokens;
+                row.peer_inbound_tokens += load.inbound_tokens;
+            }
+        }
+        for (row, was_busy) in self.rows.values_mut().zip(busy) {
+            row.check_progress(now, was_busy);
+        }
+    }
+
     /// Resets the load of other nodes to zero.
     pub fn clear_peer_load(&mut self) {
         for row in self.rows.values_mut() {
--- a/crates/core/src/gateway/stall.rs
+++ b/crates/core/src/gateway/stall.rs
@@ -18,6 +18,13 @@
 /// suspect. Callers give up after two seconds.
 const MAX_STALL: Duration = Duration::from_millis(1_000);
 
+/// Time without progress on the requests of any node after which a server is
+/// suspect. It exceeds the age of reports that pass through two hubs.
+pub const FLEET_STALL: Duration = Duration::from_millis(1_200);
+/// Time for which a server stays suspect when its requests have ended. The
+/// registry shows by then whether it is gone.
+pub const SUSPECT_TIME: Duration = Duration::from_millis(4_000);
+
 /// Time between two checks of a stalled stream.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Fraction of its target latency after which an unanswered request fails over
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -281,7 +281,9 @@
         avoid: &[VmId],
     ) -> Option<Ticket> {
         let ticket = self.try_start(now, service, estimate, avoid)?;
-        let nodes = self.nodes.max_in_window(now, self.cfg.budget.window);
+        let listed = self.nodes.max_in_window(now, self.cfg.budget.window);
+        let unlisted = self.unlisted_nodes(now).count;
+        let nodes = listed.map(|listed| listed.saturating_add(unlisted));
         let budget = self.budgets.entry(service.clone()).or_default();
         if budget.try_acquire(now, &self.cfg.budget, nodes.unwrap_or(DEFAULT_NODE_COUNT)) {
             return Some(ticket);
--- a/crates/daemon/src/gateway/directory.rs
+++ b/crates/daemon/src/gateway/directory.rs
@@ -29,6 +29,9 @@
     }
     let own = host.settings.node.callers;
     let mut members = lock(&host.peers).members.members().to_vec();
+    members.extend(host.with_gateway(|g| g.unlisted_nodes(host.now())).members);
+    members.sort();
+    members.dedup();
     // If there are more nodes than a response lists, each node lists a
     // different selection.
     let own_vm = host.settings.node.vm.as_str();
--- a/crates/daemon/src/gateway/members.rs
+++ b/crates/daemon/src/gateway/members.rs
@@ -26,8 +26,10 @@
 /// hub sends the lists. A node owns a partition, and is listed, only after the
 /// members before it have renewed theirs twice.
 const CHANGE_JOIN_INTERVAL: Duration = Duration::from_millis(300);
-/// Shortest time between two lists.
+/// Shortest time from the first join, or from a list, to the next list.
 const MIN_LIST_INTERVAL: Duration = Duration::from_millis(600);
+/// Shortest time between two lists while the node is not listed itself.
+const UNLISTED_INTERVAL: Duration = Duration::from_millis(1_300);
 /// Time without a response of any hub after which a leaf lists the members
 /// itself.
 const HUB_LIST_TIMEOUT: Duration = Duration::from_millis(3_000);
@@ -49,7 +51,7 @@
 const STARTING_NODES: u32 = 1;
 
 /// Returns the member entry of this node.
-fn own_member(host: &GatewayHost) -> Member {
+pub(super) fn own_member(host: &GatewayHost) -> Member {
     let node = &host.settings.node;
     Member {
         vm: node.vm.clone(),
@@ -91,7 +93,7 @@
         let Some(last) = self.last else {
             // The node owns no partition yet.
             self.last = Some(now);
-            self.next = now + CHANGE_JOIN_INTERVAL;
+            self.next = now + MIN_LIST_INTERVAL;
             return false;
         };
         if changed {
@@ -104,7 +106,7 @@
     fn record_list(&mut self, now: Timestamp, is_listed: bool) {
         self.last = Some(now);
         self.next = match is_listed {
-            false => now + MIN_LIST_INTERVAL,
+            false => now + UNLISTED_INTERVAL,
             true if now < self.settled_at => self.settled_at.max(now + MIN_LIST_INTERVAL),
             true => now + LIST_INTERVAL,
         };
@@ -186,7 +188,7 @@
 }
 
 /// Returns whether this node is in its list of members.
-fn is_listed(host: &GatewayHost) -> bool {
+pub(super) fn is_listed(host: &GatewayHost) -> bool {
     let own = &host.settings.node.vm;
     let peers = lock(&host.peers);
     peers.members.members().iter().any(|m| m.vm == *own)
@@ -228,7 +230,7 @@
         let mut peers = lock(&host.peers);
         let members = peers.members.members();
         let nodes = u32::try_from(members.len()).unwrap_or(u32::MAX);
-        let role = hubs::hub_role(members, &host.settings.node.vm);
+        let role = hubs::hub_role(members, &own_member(host));
         let changed = peers.role != role;
         peers.role = role.clone();
         (nodes, role, changed)
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -10,7 +10,7 @@
     gateway::{
         StorePosition,
         hubs::HubRole,
-        members::{ListPosition, MemberPage},
+        members::{ListPosition, Member, MemberPage},
         peers::{NodeReport, ReportRecipient, Source},
         store_view::StoreView,
     },
@@ -120,7 +120,8 @@
     let address = |vm: &VmId| addresses.iter().find(|(id, _)| id == vm).map(|(_, at)| *at);
     let now = host.now();
     let (from, serves) = (host.settings.node.vm.clone(), host.is_ready());
-    let node = host.with_gateway(|g| g.report(now, serves, ReportRecipient::Hub));
+    let own = unlisted_member(host);
+    let node = host.with_gateway(|g| g.report(now, serves, own, ReportRecipient::Hub));
     match role {
         HubRole::Hub { others, .. } => {
             let Some(bytes) = encode(&Message::Report { from, node }) else {
@@ -152,6 +153,12 @@
     }
 }
 
+/// Returns this node's entry if it serves callers and the store does not list it.
+fn unlisted_member(host: &GatewayHost) -> Option<Member> {
+    let is_unlisted = host.is_ready() && !members::is_listed(host);
+    is_unlisted.then(|| members::own_member(host))
+}
+
 fn encode(message: &Message) -> Option<Vec<u8>> {
     match bincode::serde::encode_to_vec(message, bincode::config::standard()) {
         Ok(bytes) if bytes.len() <= MAX_MESSAGE_BYTES => Some(bytes),
@@ -236,11 +243,12 @@
     members: Option<MemberPage>,
 ) -> Message {
     let serves = host.is_ready();
+    let own = unlisted_member(host);
     host.with_gateway(|g| {
         g.apply_report(now, leaf.clone(), Source::Leaf, node);
         Message::Response {
             from: host.settings.node.vm.clone(),
-            node: g.report(now, serves, ReportRecipient::Leaf(&leaf)),
+            node: g.report(now, serves, own, ReportRecipient::Leaf(&leaf)),
             sent,
             view: g.store_view(now, registry),
             members,
--- a/crates/daemon/src/gateway/store_sync/registry.rs
+++ b/crates/daemon/src/gateway/store_sync/registry.rs
@@ -61,11 +61,18 @@
 /// Largest number of invalid entries that are remembered.
 const MAX_INVALID_ENTRIES: usize = 256;
 
+/// Interval at which a starting node checks whether it has a configuration.
+/// Without one it can't use any server.
+const CONFIGURATION_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Reads the registry until the process ends.
 pub(in crate::gateway) async fn run(host: Arc<GatewayHost>) {
     let mut dependency = Dependency::new("registry");
     let mut reader = RegistryReader::default();
     let mut full = true;
+    while host.with_gateway(|g| g.configuration().is_none()) {
+        tokio::time::sleep(CONFIGURATION_POLL_INTERVAL).await;
+    }
     loop {
         full |= reader.is_removal_due(host.now());
         while !full && is_fresh_from_hub(&host, |g, now| g.registry_age(now)) {
@@ -74,12 +81,17 @@
         }
         let sent = host.now();
         let next = host.with_gateway(|g| g.registry_end()).filter(|_| !full);
+        // Once servers are known, each heartbeat would end a wait.
+        let wait = match host.with_gateway(|g| g.servers().is_empty()) {
+            true => REGISTRY_INTERVAL,
+            false => Duration::ZERO,
+        };
         let result = read_topic(
             &host,
             ConnectionPurpose::Registry,
             REGISTRY_TOPIC,
             next,
-            Duration::ZERO,
+            wait,
         )
         .await;
         let now = host.now();
@@ -100,7 +112,9 @@
                     continue;
                 }
                 host.start_waiting_requests();
-                tokio::time::sleep(registry_interval(&host)).await;
+                if wait.is_zero() || !records.records.is_empty() {
+                    tokio::time::sleep(registry_interval(&host)).await;
+                }
             }
             Err(StoreError::Expired) => full = true,
             Err(error @ StoreError::EraChanged { .. }) => {
