feat(gateway): complete broken copies with the engines of others

Each lost engine breaks a copy; the planner weighed coverage by layer and moved one engine at a time, or none. Change: engines without layers, and engines of broken copies, fill the gaps of the broken copy that lacks the fewest layers; engines of whole copies stay. Placement and path choice share the division into copies; copies of one kind come first. A test with one engine lost in each of three copies: 0 or 1 copies before, 2 after at most 12 orders.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod admission;
 pub mod budget;
+mod chains;
 pub mod config;
 pub mod drain;
 pub mod freshness;
--- a/crates/core/src/gateway/paths.rs
+++ b/crates/core/src/gateway/paths.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 
 use super::{
+    chains::StageStart,
     config::{Accelerator, EngineSpec},
     servers::{ServerRow, Servers},
 };
@@ -96,15 +97,6 @@
     jitter: f64,
 }
 
-/// A stage of a path that is being built.
-#[derive(Debug, Clone, Copy)]
-struct StageStart {
-    /// Index of the engine.
-    candidate: usize,
-    /// The first layer that it runs; it runs to its last one.
-    start: u16,
-}
-
 #[derive(Clone, Copy)]
 struct Best {
     cost: f64,
@@ -342,7 +334,10 @@
     let mut position = spec.layers;
     while position > 0 {
         let (candidate, start, from) = best.get(&position)?[domain].previous?;
-        stages.push(StageStart { candidate, start });
+        stages.push(StageStart {
+            index: candidate,
+            start,
+        });
         (position, domain) = (start, from);
     }
     stages.reverse();
@@ -363,8 +358,8 @@
         first_ms: 0.0,
     };
     let mut previous_domain = None;
-    for StageStart { candidate, start } in stages.iter().copied() {
-        let candidate = &candidates[candidate];
+    for StageStart { index, start } in stages.iter().copied() {
+        let candidate = &candidates[index];
         let end = candidate.layers.end();
         let run = f64::from(end - start);
         path.first_ms += prefill_ms(spec, candidate, start, estimate);
--- a/crates/core/src/gateway/paths/copies.rs
+++ b/crates/core/src/gateway/paths/copies.rs
@@ -11,8 +11,12 @@
 //! have to lose several of them before it knew. Copies with an engine on which no
 //! node's requests make progress are therefore left out.
 
-use super::{Candidate, MAX_KV_FILL, Path, StageStart, build_path, prefill_ms, step_ms};
-use crate::gateway::{config::EngineSpec, paths::TokenEstimate};
+use super::{Candidate, MAX_KV_FILL, Path, build_path, prefill_ms, step_ms};
+use crate::gateway::{
+    chains::{self, Link, StageStart},
+    config::EngineSpec,
+    paths::TokenEstimate,
+};
 
 /// Exponent of the time per request in the share of a copy. With 1, the shares
 /// are those of the throughputs; a larger one prefers fast copies, on which a
@@ -49,77 +53,20 @@
     build_path(spec, candidates, copy, estimate)
 }
 
-/// Divides the engines of each failure domain into copies. Engines that remain
-/// are in no copy.
+/// Divides the engines into copies, apart from those that are suspect.
 fn find_copies(spec: &EngineSpec, candidates: &[Candidate<'_>]) -> Vec<Copy> {
-    let is_suspect = |index: &usize| candidates[*index].is_suspect;
-    let mut free: Vec<usize> = (0..candidates.len()).filter(|i| !is_suspect(i)).collect();
-    // A copy uses engines of the same kind where it can, so that a slow engine
-    // does not slow down a fast copy.
-    free.sort_by(|a, b| {
-        let (a, b) = (&candidates[*a], &candidates[*b]);
-        let by_kind = a.kind.step_factor.total_cmp(&b.kind.step_factor);
-        a.domain
-            .cmp(&b.domain)
-            .then(by_kind)
-            .then(a.layers.start().cmp(&b.layers.start()))
-            .then(a.id.cmp(b.id))
-    });
-    let mut copies = Vec::new();
-    let heads: Vec<usize> = free
+    let links: Vec<Link> = candidates
         .iter()
-        .copied()
-        .filter(|index| candidates[*index].may_be_first && candidates[*index].layers.start() == 0)
+        .map(|candidate| Link {
+            domain: candidate.domain,
+            step_factor: candidate.kind.step_factor,
+            layers: candidate.layers,
+            may_be_first: candidate.may_be_first,
+        })
         .collect();
-    for head in heads {
-        if let Some(copy) = extend_copy(spec, candidates, &free, head) {
-            free.retain(|index| copy.iter().all(|stage| stage.candidate != *index));
-            copies.push(copy);
-        }
-    }
-    copies
-}
-
-/// Returns a copy that starts with the engine `head` and consists of engines in
-/// `free`.
-fn extend_copy(
-    spec: &EngineSpec,
-    candidates: &[Candidate<'_>],
-    free: &[usize],
-    head: usize,
-) -> Option<Copy> {
-    if !free.contains(&head) {
-        return None;
-    }
-    let domain = candidates[head].domain;
-    let kind_of = |index: usize| candidates[index].kind.step_factor;
-    let mut copy = vec![StageStart {
-        candidate: head,
-        start: 0,
-    }];
-    let mut position = candidates[head].layers.end();
-    while position < spec.layers {
-        let holds_next = |index: &usize| {
-            let candidate = &candidates[*index];
-            candidate.domain == domain
-                && candidate.layers.start() <= position
-                && position < candidate.layers.end()
-        };
-        // An engine that starts earlier runs only a part of what it holds.
-        let next = free.iter().copied().filter(holds_next).min_by(|a, b| {
-            let unused = |index: usize| position - candidates[index].layers.start();
-            let differs = |index: usize| kind_of(index) != kind_of(head);
-            differs(*a)
-                .cmp(&differs(*b))
-                .then(unused(*a).cmp(&unused(*b)))
-        })?;
-        copy.push(StageStart {
-            candidate: next,
-            start: position,
-        });
-        position = candidates[next].layers.end();
-    }
-    Some(copy)
+    let indices = 0..candidates.len();
+    let free = indices.filter(|index| !candidates[*index].is_suspect);
+    chains::find_copies(spec.layers, &links, free.collect())
 }
 
 /// Returns the relative share of requests that a copy gets, or `None` if it
@@ -134,7 +81,7 @@
     let mut free_tokens = f64::INFINITY;
     let (mut first_ms, mut token_ms) = (0.0, 0.0);
     for stage in copy {
-        let candidate = &candidates[stage.candidate];
+        let candidate = &candidates[stage.index];
         let held = f64::from(candidate.layers.count());
         let run = f64::from(candidate.layers.end() - stage.start);
         let free = MAX_KV_FILL * candidate.capacity - candidate.row.total_tokens() as f64;
@@ -142,7 +89,7 @@
         first_ms += prefill_ms(spec, candidate, stage.start, estimate);
         token_ms += step_ms(spec, candidate, stage.start);
     }
-    let head = &candidates[copy.first()?.candidate];
+    let head = &candidates[copy.first()?.index];
     let free_slots = f64::from(spec.slots.saturating_sub(head.row.total_requests()));
     let tokens = estimate.tokens() as f64;
     free_tokens = free_tokens.min(free_slots * tokens);
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -7,8 +7,11 @@
 //! memory for requests, but slower engines make each request take longer. The
 //! remaining engines form copies across domains.
 //!
-//! Later, an engine that restarts without layers gets the range with the lowest
-//! coverage.
+//! Later, engines without layers and engines of broken copies complete other
+//! broken copies. An engine without layers that completes none gets the range
+//! with the lowest coverage.
+
+mod completion;
 
 use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
@@ -169,7 +172,13 @@
     if all_empty && !registered {
         return Vec::new();
     }
-    let mut next = plan(spec, servers, service, pending);
+    let mut next = Vec::new();
+    if !all_empty {
+        next = completion::complete_copies(spec, servers, service, pending, registered);
+    }
+    let mut planned = pending.clone();
+    planned.extend(next.iter().map(|a| (a.server.clone(), (a.layers, now))));
+    next.extend(plan(spec, servers, service, &planned));
     if next.is_empty() && pending.is_empty() {
         next.extend(rebalance(spec, servers, service, pending));
     } else if !all_empty {
--- a/crates/core/tests/gateway_placement.rs
+++ b/crates/core/tests/gateway_placement.rs
@@ -2,16 +2,18 @@
 
 mod gateway_fakes;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bolero_generator::TypeGenerator;
 use gateway_fakes::{
-    ENGINE_KINDS, ENGINES, empty_engines, engine, id, ms, name, placed_engines, spec, table,
+    ENGINE_KINDS, ENGINES, TYPICAL, empty_engines, engine, id, ms, name, place, placed_engines,
+    spec, table,
 };
 use radishhaven_cases::{INVARIANT_CASES, check};
 use radishhaven_core::{
     gateway::{
         Server,
+        paths::spread,
         placement::{PendingOrders, next_orders, plan, rebalance},
     },
     ids::VmId,
@@ -189,3 +191,105 @@
     assert_eq!(at(ms(2_300)), 0);
     assert_eq!(at(ms(60_000)), 5);
 }
+
+/// Applies orders until there are none, and returns their number.
+fn settle(engines: &mut BTreeMap<VmId, Server>) -> usize {
+    let mut orders = 0;
+    for round in 1.. {
+        let now = ms(round * 60_000);
+        let mut pending = PendingOrders::new();
+        let next = next_orders(&spec(), &table(engines), &id(ENGINES), &mut pending, now);
+        if next.is_empty() {
+            break;
+        }
+        for assignment in next {
+            orders += 1;
+            let engine = engines.get_mut(&assignment.server);
+            engine.expect("the entry exists").layers = Some(assignment.layers);
+        }
+        assert!(orders < 60, "orders do not end");
+    }
+    orders
+}
+
+/// Returns the number of copies among which requests are spread.
+fn copy_count(engines: &BTreeMap<VmId, Server>) -> usize {
+    let view = table(engines);
+    let heads: BTreeSet<VmId> = (0..400)
+        .filter_map(|number| {
+            let draw = || f64::from(number) / 400.0;
+            let path = spread(&spec(), &view, &id(ENGINES), ms(0), TYPICAL, &[], draw)?;
+            Some(path.stages[0].server.clone())
+        })
+        .collect();
+    heads.len()
+}
+
+/// Engines of one failure domain that form three copies of their own kinds.
+fn three_copies() -> BTreeMap<VmId, Server> {
+    let kinds = [("a100", 4), ("l40s", 10), ("l4", 20)];
+    let all = kinds
+        .iter()
+        .flat_map(|(kind, count)| std::iter::repeat_n(*kind, *count));
+    let engines = all
+        .enumerate()
+        .map(|(n, kind)| (name(n), engine(n, "centro", kind, None)));
+    place(engines.collect())
+}
+
+/// Load pattern: one engine of each copy is lost. Each loss breaks a copy, and
+/// the engines of one of them complete the others.
+#[test]
+fn engines_of_a_broken_copy_complete_the_others() {
+    let mut engines = three_copies();
+    assert_eq!(copy_count(&engines), 3);
+    for lost in [1, 6, 20] {
+        engines.remove(&name(lost));
+    }
+    assert!(copy_count(&engines) <= 1);
+    let orders = settle(&mut engines);
+    assert!(copy_count(&engines) >= 2, "{} copies", copy_count(&engines));
+    assert!(orders <= 12, "{orders} orders for three gaps");
+}
+
+/// A single loss moves an engine only if that completes a copy, and an engine
+/// that starts without layers takes the place of the lost one.
+#[test]
+fn empty_engine_takes_the_place_of_a_lost_one() {
+    let mut engines = three_copies();
+    let lost = engines.remove(&name(2)).expect("the entry exists");
+    engines.insert(name(40), engine(40, "centro", "a100", None));
+    settle(&mut engines);
+    assert_eq!(engines[&name(40)].layers, lost.layers);
+    assert_eq!(copy_count(&engines), 3);
+}
+
+#[test]
+fn complete_copies_are_left_alone() {
+    let mut engines = three_copies();
+    let before = engines.clone();
+    assert_eq!(settle(&mut engines), 0);
+    assert_eq!(engines, before);
+}
+
+/// Whatever engines are lost, orders end, fit into memory, and leave no fewer
+/// copies.
+#[test]
+fn no_loss_leaves_fewer_copies_after_the_orders() {
+    check(3, 100, |lost: u64| {
+        let mut engines = three_copies();
+        for number in 0..34 {
+            if lost >> number & 3 == 3 {
+                engines.remove(&name(number));
+            }
+        }
+        let before = copy_count(&engines);
+        settle(&mut engines);
+        assert!(copy_count(&engines) >= before);
+        for server in engines.values() {
+            let kind = &spec().accelerators[server.accelerator.as_ref().expect("an engine")];
+            let held = server.layers.map_or(0, |layers| layers.count());
+            assert!(f64::from(held) * spec().layer_mb <= kind.memory_mb);
+        }
+    });
+}
