feat(gateway): send callers of nodes left behind to other nodes

Change: nodes report how recently they confirmed the configuration. One that cannot check keys while others can asks its callers to return within 100 ms, and leaves the directories; the same while it shuts down. If no node can, the delay stays spread over 0.7 to 4 s.

--- a/crates/core/src/gateway/admission.rs
+++ b/crates/core/src/gateway/admission.rs
@@ -32,6 +32,8 @@
 const MIN_QUEUE_DEPTH: usize = 2;
 /// Minimum delay after which a refused caller is asked to retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(700);
+/// Maximum delay after which a caller is asked to retry at another node.
+const MAX_RETRY_ELSEWHERE: Duration = Duration::from_millis(100);
 /// Maximum delay after which a refused caller is asked to retry.
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(4_000);
 
@@ -148,6 +150,12 @@
     }
 }
 
+/// Returns the delay after which a caller should send a request to another node
+/// that can serve it. The random number `draw` in `0.0..1.0` spreads the retries.
+pub fn retry_elsewhere_after(draw: f64) -> Duration {
+    MAX_RETRY_ELSEWHERE.mul_f64(draw)
+}
+
 /// Returns the delay after which a refused caller should retry. The random
 /// number `draw` in `0.0..1.0` spreads the retries over time.
 pub fn retry_after(draw: f64) -> Duration {
--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -76,6 +76,9 @@
     pub accepts_callers: bool,
     /// The version of the node's configuration.
     pub configuration_version: Option<u64>,
+    /// Milliseconds since any of the covered nodes last confirmed that its
+    /// configuration is the newest.
+    pub confirmation_age_ms: Option<u64>,
     /// Nodes covered by this report that accept no new callers.
     pub stopped: Vec<VmId>,
     /// Nodes covered by this report that the store does not list.
@@ -150,6 +153,7 @@
         });
         let mut load: BTreeMap<VmId, ServerLoad> =
             own_load.map(|load| (load.server.clone(), load)).collect();
+        let mut confirmation_age = self.confirmation_age(now);
         let mut stopped = Vec::new();
         let mut leaving = self.own_leaving(now);
         let mut unlisted = own.map(UnlistedNodes::from).unwrap_or_default();
@@ -159,6 +163,12 @@
             leaving.extend(peer.report.leaving.clone());
             unlisted.add(&peer.report.unlisted);
             let age_ms = now.since(peer.received_at).as_millis() as u64;
+            let peer_age = peer.report.confirmation_age_ms;
+            let peer_age = peer_age.map(|age| Duration::from_millis(age + age_ms));
+            confirmation_age = match (confirmation_age, peer_age) {
+                (Some(own), Some(peer)) => Some(own.min(peer)),
+                (own, peer) => own.or(peer),
+            };
             for other in &peer.report.load {
                 let mut other = other.clone();
                 other.progress_age_ms += age_ms;
@@ -171,6 +181,7 @@
         NodeReport {
             accepts_callers,
             configuration_version: self.configuration().map(|c| c.version),
+            confirmation_age_ms: confirmation_age.map(|age| age.as_millis() as u64),
             stopped,
             unlisted,
             leaving,
@@ -203,6 +214,9 @@
             }
         }
         self.apply_leaving(&report.leaving);
+        if let Some(age) = report.confirmation_age_ms {
+            self.record_peer_confirmation(now - Duration::from_millis(age));
+        }
         if let Some(version) = report.configuration_version {
             self.record_configuration_version(version);
         }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -93,6 +93,8 @@
     freshness: Freshness,
     /// The highest version of the configuration that a peer has reported.
     newest_known_version: u64,
+    /// When a peer last had the newest configuration.
+    peers_confirmed_at: Option<Timestamp>,
     pub(super) servers: Servers,
     budgets: BTreeMap<ServiceId, RetryBudget>,
     queue: WaitQueue,
@@ -112,6 +114,7 @@
             routes: RouteTable::default(),
             freshness: Freshness::default(),
             newest_known_version: 0,
+            peers_confirmed_at: None,
             servers: Servers::default(),
             budgets: BTreeMap::new(),
             queue: WaitQueue::default(),
@@ -162,6 +165,22 @@
         self.newest_known_version = self.newest_known_version.max(version);
     }
 
+    /// Records that a peer had the newest configuration at `at`.
+    pub(super) fn record_peer_confirmation(&mut self, at: Timestamp) {
+        self.peers_confirmed_at = self.peers_confirmed_at.max(Some(at));
+    }
+
+    /// Returns whether this node cannot accept keys while other nodes can. Callers
+    /// should then use those.
+    ///
+    /// Load pattern: the store refuses some nodes and serves the others.
+    pub fn is_left_behind(&self, now: Timestamp) -> bool {
+        let bound = self.cfg.max_confirmation_age;
+        let peers_confirmed = self.peers_confirmed_at;
+        !self.freshness.is_fresh(now, bound)
+            && peers_confirmed.is_some_and(|at| now.since(at) < bound)
+    }
+
     /// Returns whether no peer has a newer configuration. The store may return
     /// from a copy that lacks it.
     fn has_newest_known_configuration(&self) -> bool {
@@ -297,6 +316,22 @@
         admission::retry_after(self.rng.random_range(0.0..1.0))
     }
 
+    /// Returns the delay after which a caller should retry whose request this node
+    /// could not check. If other nodes can, the caller should use one of them soon.
+    pub fn retry_after_unconfirmed(&mut self, now: Timestamp) -> Duration {
+        let draw = self.rng.random_range(0.0..1.0);
+        match self.is_left_behind(now) {
+            true => admission::retry_elsewhere_after(draw),
+            false => admission::retry_after(draw),
+        }
+    }
+
+    /// Returns the delay after which a caller should use another node, because
+    /// this one is shutting down.
+    pub fn retry_elsewhere_after(&mut self) -> Duration {
+        admission::retry_elsewhere_after(self.rng.random_range(0.0..1.0))
+    }
+
     /// Returns the delay after which a caller whose request a service did not
     /// take should retry. It is longer than the pause that all servers of the
     /// service asked for.
--- a/crates/core/tests/gateway_eras.rs
+++ b/crates/core/tests/gateway_eras.rs
@@ -87,6 +87,25 @@
     assert!(behind.route(ms(6_000), HOST, "/log/1", Some(KEY)).is_ok());
 }
 
+/// Load pattern: the store refuses a part of the nodes. Their callers are sent to
+/// the others at once; if no node can check keys, they return spread over time.
+#[test]
+fn caller_uses_another_node_only_if_that_one_can_check_keys() {
+    let mut node = confirmed();
+    let mut peer = confirmed();
+    let now = ms(7_000);
+    assert!(!node.is_left_behind(now), "no node is known to be better");
+    assert!(node.retry_after_unconfirmed(now) >= Duration::from_millis(700));
+    peer.record_configuration_read(ms(6_900), read(1, ms(6_890), false));
+    let report = peer.report(ms(6_950), true, None, ReportRecipient::Hub);
+    node.apply_report(ms(7_000), id("peer"), Source::Hub, report);
+    assert!(node.is_left_behind(now));
+    assert!(node.retry_after_unconfirmed(now) <= Duration::from_millis(100));
+    assert!(!node.is_left_behind(ms(12_000)), "the report is too old");
+    node.record_configuration_read(ms(7_010), read(1, ms(7_000), false));
+    assert!(!node.is_left_behind(ms(7_010)));
+}
+
 fn node(at: StorePosition) -> Gateway {
     let mut node = gateway(ms(0), empty_engines());
     node.record_registry_read(ms(0), at);
--- a/crates/core/tests/gateway_requests.rs
+++ b/crates/core/tests/gateway_requests.rs
@@ -428,6 +428,7 @@
     let report = NodeReport {
         accepts_callers: true,
         configuration_version: None,
+        confirmation_age_ms: None,
         stopped: Vec::new(),
         unlisted: UnlistedNodes::default(),
         leaving: BTreeMap::new(),
--- a/crates/daemon/src/gateway/directory.rs
+++ b/crates/daemon/src/gateway/directory.rs
@@ -38,7 +38,7 @@
     members.sort_by_cached_key(|member| rendezvous::score(own_vm, member.vm.as_str()));
     let mut addresses = serving_addresses(host, &members);
     addresses.retain(|&address| address != own);
-    if host.is_ready() {
+    if host.accepts_callers() {
         addresses.insert(0, own);
     }
     addresses.truncate(MAX_NODES);
--- a/crates/daemon/src/gateway/host.rs
+++ b/crates/daemon/src/gateway/host.rs
@@ -213,6 +213,13 @@
         !self.is_draining() && self.with_gateway(|g| g.is_ready())
     }
 
+    /// Returns whether callers should use this node: it is ready, and accepts
+    /// keys unless no node does.
+    pub(super) fn accepts_callers(&self) -> bool {
+        let now = self.now();
+        self.is_ready() && !self.with_gateway(|g| g.is_left_behind(now))
+    }
+
     /// Returns the lease for orders if it is valid: it ends with its time, and
     /// when the store returns from a copy that may lack it.
     pub(super) fn order_lease(&self) -> Option<OrderLease> {
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -70,7 +70,7 @@
     }
     if !host.accepts(routed.route.kind) {
         let mut resp = refuse(StatusCode::SERVICE_UNAVAILABLE, "shutting down");
-        set_retry_after(&mut resp, host.with_gateway(|g| g.retry_after()));
+        set_retry_after(&mut resp, host.with_gateway(|g| g.retry_elsewhere_after()));
         return resp;
     }
     let arrived = host.now();
@@ -173,7 +173,7 @@
     };
     let mut resp = reject(host, "", attempt_id, status, &rejected.to_string());
     if status == StatusCode::SERVICE_UNAVAILABLE {
-        let after = host.with_gateway(|g| g.retry_after());
+        let after = host.with_gateway(|g| g.retry_after_unconfirmed(host.now()));
         set_retry_after(&mut resp, after);
     }
     resp
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -119,7 +119,7 @@
     };
     let address = |vm: &VmId| addresses.iter().find(|(id, _)| id == vm).map(|(_, at)| *at);
     let now = host.now();
-    let (from, serves) = (host.settings.node.vm.clone(), host.is_ready());
+    let (from, serves) = (host.settings.node.vm.clone(), host.accepts_callers());
     let own = unlisted_member(host);
     let node = host.with_gateway(|g| g.report(now, serves, own, ReportRecipient::Hub));
     match role {
@@ -242,7 +242,7 @@
     (sent, registry): (Timestamp, Option<StorePosition>),
     members: Option<MemberPage>,
 ) -> Message {
-    let serves = host.is_ready();
+    let serves = host.accepts_callers();
     let own = unlisted_member(host);
     host.with_gateway(|g| {
         g.apply_report(now, leaf.clone(), Source::Leaf, node);
