fix(core): keep room for four requests under a congested limit

On a busy VM every step seems to wait at its engine, the limit of the version falls to one, and with four callers the queue of two overflows. Nothing ran, so the drain interrupted nothing, but callers were refused for a wait that their load did not cause. Ruled out: the drain itself, deadlines. Change: congestion lowers a limit to four at the least.

--- a/crates/core/src/systems/limits.rs
+++ b/crates/core/src/systems/limits.rs
@@ -8,6 +8,9 @@
 //! the queue is too long, so is the last request in that order. The design is
 //! described in `docs/design/admission.md`.
 
+#[cfg(test)]
+mod tests;
+
 use std::{cmp::Reverse, time::Duration};
 
 use super::{Context, Timer, answer, completion, routing, watch};
@@ -27,6 +30,10 @@
 const MAX_FALL: f64 = 0.05;
 /// Fraction of the running requests below which the limit doesn't fall.
 const RUNNING_FLOOR: f64 = 0.9;
+/// Minimum limit of a version, in requests. Engines process so few requests in
+/// one batch. Waits that are long at a lower limit are not caused by it, but for
+/// example by a busy VM of the node, and would only refuse callers.
+const MIN_LIMIT: f64 = 4.0;
 /// Minimum queue length of a version, in requests.
 const MIN_QUEUE_LEN: f64 = 2.0;
 
@@ -51,7 +58,7 @@
     if excess > 0.0 {
         // Running requests end later, so the limit falls only slightly below
         // their number.
-        let floor = (f64::from(limit.running) * RUNNING_FLOOR).max(1.0);
+        let floor = (f64::from(limit.running) * RUNNING_FLOOR).max(MIN_LIMIT);
         let lowered = limit.limit * (1.0 - MAX_FALL * excess.min(1.0));
         limit.limit = lowered.max(floor.min(limit.limit));
     } else if f64::from(limit.running) >= MIN_USE * limit.limit {
