fix(gateway): fewer store calls of nodes that the store refuses

Change: a failed read is repeated only after its delay; a hub that cannot confirm the configuration while other nodes can counts as not responding.

--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -223,7 +223,9 @@
             if sent > now || now.since(sent) >= MAX_RESPONSE_AGE {
                 return;
             }
-            current_hub.last_contact = now;
+            if !is_left_behind(host, &node, &view) {
+                current_hub.last_contact = now;
+            }
             host.with_gateway(|g| g.apply_report(now, from, Source::Hub, node));
             store_sync::apply_hub_view(host, sent, view);
             members::apply_hub_page(host, now, members);
@@ -231,6 +233,15 @@
     }
 }
 
+/// Returns whether a hub can't read the store while other nodes can. Its leaves
+/// then switch to another hub, as if it did not respond.
+fn is_left_behind(host: &GatewayHost, node: &NodeReport, view: &StoreView) -> bool {
+    let max_age = store_sync::max_hub_view_age(host);
+    let hub_age = view.configuration.map(|(_, age)| age);
+    let best_age = node.confirmation_age_ms.map(Duration::from_millis);
+    hub_age.is_none_or(|age| age >= max_age) && best_age.is_some_and(|age| age < max_age)
+}
+
 /// Applies a leaf's load report and returns the response. The last argument is
 /// the query's send time and the position up to which the leaf has applied the
 /// registry.
--- a/crates/daemon/src/gateway/store_sync/configuration.rs
+++ b/crates/daemon/src/gateway/store_sync/configuration.rs
@@ -80,10 +80,7 @@
             }
             Err(error) => {
                 dependency.record_failure(&host, &error);
-                tokio::select! {
-                    () = host.newer_configuration.notified() => {}
-                    () = tokio::time::sleep(dependency.retry_delay(&host)) => {}
-                }
+                tokio::time::sleep(dependency.retry_delay(&host)).await;
             }
         }
     }
--- a/crates/daemon/src/gateway/store_sync/mod.rs
+++ b/crates/daemon/src/gateway/store_sync/mod.rs
@@ -114,6 +114,12 @@
     }
 }
 
+/// Returns the age at which the data of a hub is too old to be used.
+pub(super) fn max_hub_view_age(host: &GatewayHost) -> Duration {
+    let configuration_time = host.settings.bounds.configuration_time;
+    configuration_time.mul_f64(MAX_HUB_VIEW_FRACTION)
+}
+
 /// Returns whether data from a hub is recent enough; `age` returns how old that
 /// data is.
 fn is_fresh_from_hub(
@@ -121,11 +127,7 @@
     age: impl Fn(&Gateway, Timestamp) -> Option<Duration>,
 ) -> bool {
     let now = host.now();
-    let max_age = host
-        .settings
-        .bounds
-        .configuration_time
-        .mul_f64(MAX_HUB_VIEW_FRACTION);
+    let max_age = max_hub_view_age(host);
     host.is_leaf()
         && host
             .with_gateway(|g| age(g, now))
