--- a/crates/core/src/gateway/paths/copies.rs
+++ b/crates/core/src/gateway/paths/copies.rs
@@ -28,7 +28,7 @@
 
 /// Engines of one failure domain that hold every layer once, with the layer at
 /// which each one starts.
-type Copy = Vec<StageStart>;
+type ModelCopy = Vec<StageStart>;
 
 /// Draws a copy that has capacity, and returns its path. `draw` returns random
 /// numbers in `0.0..1.0`.
@@ -54,7 +54,7 @@
 }
 
 /// Divides the engines into copies, apart from those that are suspect.
-fn find_copies(spec: &EngineSpec, candidates: &[Candidate<'_>]) -> Vec<Copy> {
+fn find_copies(spec: &EngineSpec, candidates: &[Candidate<'_>]) -> Vec<ModelCopy> {
     let links: Vec<Link> = candidates
         .iter()
         .map(|candidate| Link {
@@ -75,7 +75,7 @@
 fn weight(
     spec: &EngineSpec,
     candidates: &[Candidate<'_>],
-    copy: &Copy,
+    copy: &ModelCopy,
     estimate: TokenEstimate,
 ) -> Option<f64> {
     let mut free_tokens = f64::INFINITY;
--- a/crates/core/src/gateway/placement/completion.rs
+++ b/crates/core/src/gateway/placement/completion.rs
@@ -25,6 +25,22 @@
     empty: Vec<Engine<'a>>,
 }
 
+/// A copy that lacks some layers.
+#[derive(Debug)]
+struct BrokenCopy {
+    /// Indices of its engines.
+    chain: Vec<usize>,
+    /// The ranges of layers that it lacks: the first layer, and the one after the
+    /// last.
+    gaps: Vec<(u16, u16)>,
+}
+
+impl BrokenCopy {
+    fn missing_layers(&self) -> u16 {
+        self.gaps.iter().map(|(from, to)| to - from).sum()
+    }
+}
+
 /// Returns the orders that complete broken copies. Engines of complete copies
 /// are left alone. `may_move` is whether engines that hold layers may get others.
 pub(super) fn complete_copies(
@@ -98,7 +114,7 @@
     spare
         .holding
         .sort_by(|(a, x), (b, y)| by_speed(a, b).then(x.layers.start().cmp(&y.layers.start())));
-    while let Some((chain, gaps)) = broken_copy(spec, &spare.holding) {
+    while let Some(BrokenCopy { chain, gaps }) = broken_copy(spec, &spare.holding) {
         let mut donors: Vec<Engine<'_>> = spare.empty.clone();
         if may_move {
             let unchained = (0..spare.holding.len()).filter(|index| !chain.contains(index));
@@ -119,12 +135,8 @@
     assignments
 }
 
-/// Returns the engines of the broken copy with the fewest missing layers, and the
-/// ranges that it lacks.
-fn broken_copy(
-    spec: &EngineSpec,
-    holding: &[(Engine<'_>, Link)],
-) -> Option<(Vec<usize>, Vec<(u16, u16)>)> {
+/// Returns the broken copy that lacks the fewest layers.
+fn broken_copy(spec: &EngineSpec, holding: &[(Engine<'_>, Link)]) -> Option<BrokenCopy> {
     let links: Vec<Link> = holding.iter().map(|(_, link)| *link).collect();
     let all: Vec<usize> = (0..links.len()).collect();
     let mut kinds: Vec<usize> = all.clone();
@@ -146,11 +158,10 @@
             gaps.push((position, end));
             position = end;
         }
-        (chain, gaps)
+        BrokenCopy { chain, gaps }
     });
-    let missing = |gaps: &[(u16, u16)]| gaps.iter().map(|(from, to)| to - from).sum::<u16>();
-    let usable = chains.filter(|(chain, gaps)| !chain.is_empty() && !gaps.is_empty());
-    usable.min_by_key(|(_, gaps)| missing(gaps))
+    let usable = chains.filter(|copy| !copy.chain.is_empty() && !copy.gaps.is_empty());
+    usable.min_by_key(BrokenCopy::missing_layers)
 }
 
 /// Assigns the gaps to engines, or returns `None` if there are too few. Engines of
