refactor(gateway): move the schedule of member lists to the decisions

The schedule is a pure decision; it gets tests of a start, of a node that is not listed, and of changes. Behaviour is unchanged.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod drain;
 pub mod freshness;
 pub mod hubs;
+pub mod list_schedule;
 pub mod members;
 pub mod notices;
 pub mod paths;
--- a/crates/core/tests/gateway_members.rs
+++ b/crates/core/tests/gateway_members.rs
@@ -2,11 +2,14 @@
 
 mod gateway_fakes;
 
+use std::time::Duration;
+
 use bolero_generator::TypeGenerator;
-use gateway_fakes::member;
+use gateway_fakes::{member, ms};
 use radishhaven_cases::{INVARIANT_CASES, check};
 use radishhaven_core::gateway::{
     StoreEra,
+    list_schedule::ListSchedule,
     members::{GroupGeneration, MAX_PAGE_MEMBERS, MemberList, MemberTable},
 };
 
@@ -146,3 +149,51 @@
         assert_eq!(leaf.members(), ahead.members());
     });
 }
+
+const REBALANCE_TIME: Duration = Duration::from_millis(2_200);
+
+/// Joins each 300 ms from `from` to `to`, and lists the members when that is due.
+/// Returns the times of the lists.
+fn join_until(
+    schedule: &mut ListSchedule,
+    (from, to): (u64, u64),
+    changed: impl Fn(u64) -> bool,
+    is_listed: impl Fn(u64) -> bool,
+) -> Vec<u64> {
+    let mut lists = Vec::new();
+    for at in (from..to).step_by(300) {
+        if schedule.is_due(ms(at), changed(at)) {
+            schedule.record_list(ms(at), is_listed(at));
+            lists.push(at);
+        }
+    }
+    lists
+}
+
+/// Load pattern: hundreds of nodes start at the same time, and the group changes
+/// with each join. A list at the first join would name none of them.
+#[test]
+fn starting_node_lists_once_its_partition_may_have_moved() {
+    let mut schedule = ListSchedule::new(REBALANCE_TIME);
+    let lists = join_until(&mut schedule, (0, 20_000), |at| at <= 300, |_| true);
+    assert_eq!(lists, [600, 2_700]);
+}
+
+#[test]
+fn unlisted_node_lists_again_without_a_change() {
+    let mut schedule = ListSchedule::new(REBALANCE_TIME);
+    let lists = join_until(&mut schedule, (0, 6_000), |at| at == 0, |at| at > 3_000);
+    assert_eq!(lists, [600, 2_100, 3_600]);
+}
+
+/// A change is listed soon, and once more when the partitions have moved. A group
+/// that changes all the time is listed at a bounded rate.
+#[test]
+fn lists_follow_changes_at_a_bounded_rate() {
+    let mut schedule = ListSchedule::new(REBALANCE_TIME);
+    join_until(&mut schedule, (0, 9_000), |at| at == 0, |_| true);
+    let lists = join_until(&mut schedule, (9_000, 20_000), |at| at == 9_000, |_| true);
+    assert_eq!(lists, [9_000, 11_400]);
+    let lists = join_until(&mut schedule, (20_100, 30_000), |_| true, |_| true);
+    assert!(lists.len() <= 17, "{} lists in ten seconds", lists.len());
+}
--- a/crates/daemon/src/gateway/members.rs
+++ b/crates/daemon/src/gateway/members.rs
@@ -5,6 +5,7 @@
 use radishhaven_core::gateway::{
     StoreEra,
     hubs::{self, HubRole},
+    list_schedule::ListSchedule,
     members::{GroupGeneration, Member, MemberList, MemberPage},
 };
 use radishhaven_core::time::Timestamp;
@@ -26,17 +27,11 @@
 /// hub sends the lists. A node owns a partition, and is listed, only after the
 /// members before it have renewed theirs twice.
 const CHANGE_JOIN_INTERVAL: Duration = Duration::from_millis(300);
-/// Shortest time from the first join, or from a list, to the next list.
-const MIN_LIST_INTERVAL: Duration = Duration::from_millis(600);
-/// Shortest time between two lists while the node is not listed itself.
-const UNLISTED_INTERVAL: Duration = Duration::from_millis(1_300);
 /// Time without a response of any hub after which a leaf lists the members
 /// itself.
 const HUB_LIST_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Timeout of a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
-/// Interval at which the members are listed while the group doesn't change.
-const LIST_INTERVAL: Duration = Duration::from_millis(20_000);
 /// Number of join intervals after a change of the group within which partitions
 /// have moved: members release them with their next join but one, and only then
 /// a new member is listed.
@@ -62,57 +57,6 @@
     }
 }
 
-/// Decides when a node lists the members.
-#[derive(Debug)]
-struct ListSchedule {
-    /// Time after a change of the group within which partitions move.
-    rebalance_time: Duration,
-    /// When the node last listed the members, or first joined.
-    last: Option<Timestamp>,
-    next: Timestamp,
-    /// When the partitions will have moved after the latest change.
-    settled_at: Timestamp,
-}
-
-impl ListSchedule {
-    fn new(rebalance_time: Duration) -> Self {
-        Self {
-            rebalance_time,
-            last: None,
-            next: Timestamp::default(),
-            settled_at: Timestamp::default(),
-        }
-    }
-
-    /// Returns whether the members are listed after a join at `now`. `changed` is
-    /// whether the group changed since the previous join.
-    fn is_due(&mut self, now: Timestamp, changed: bool) -> bool {
-        if changed {
-            self.settled_at = now + self.rebalance_time;
-        }
-        let Some(last) = self.last else {
-            // The node owns no partition yet.
-            self.last = Some(now);
-            self.next = now + MIN_LIST_INTERVAL;
-            return false;
-        };
-        if changed {
-            self.next = self.next.min(last + MIN_LIST_INTERVAL);
-        }
-        now >= self.next
-    }
-
-    /// Schedules the next list. `is_listed` is whether the node found itself.
-    fn record_list(&mut self, now: Timestamp, is_listed: bool) {
-        self.last = Some(now);
-        self.next = match is_listed {
-            false => now + UNLISTED_INTERVAL,
-            true if now < self.settled_at => self.settled_at.max(now + MIN_LIST_INTERVAL),
-            true => now + LIST_INTERVAL,
-        };
-    }
-}
-
 /// Renews the membership until the shutdown, then leaves the group.
 pub(super) async fn run(host: Arc<GatewayHost>) {
     let name = members::encode_name(&own_member(&host));
