fix(gateway): count a failed resumption as an attempt

Change: any response to a resumption counts as a run. Test: failed_resumption_counts_as_an_attempt, passes; it was not run on the code before the change.

--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -433,8 +433,11 @@
             after_event = self.job.last_event.as_deref().unwrap_or_default(),
             resumed,
         });
-        if let (Attempt::Responded(response, guard), true) = (outcome, resumed) {
+        // A response that can't continue the stream counts as a run too.
+        if matches!(outcome, Attempt::Responded(..)) {
             self.job.runs += 1;
+        }
+        if let (Attempt::Responded(response, guard), true) = (outcome, resumed) {
             self.resume_count += 1;
             self.splitter.clear();
             self.body = response.body;
