perf(gateway): scan the bytes of a stream once

Change: the search goes on where the last one ended. Measured: endless_bytes (12) and streams (7) pass as before; the saving itself was not measured.

--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -42,6 +42,9 @@
 /// that bytes without any event don't fill the memory.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// Length of the longest blank line that ends an event, in bytes.
+const MAX_TERMINATOR_BYTES: usize = 4;
+
 /// Why received bytes are not a stream of events.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub(super) enum InvalidStream {
@@ -60,6 +63,8 @@
 #[derive(Debug, Default)]
 pub(super) struct EventSplitter {
     buf: BytesMut,
+    /// Number of bytes at the start of `buf` in which no event ends.
+    scanned: usize,
 }
 
 impl EventSplitter {
@@ -75,6 +80,7 @@
     /// Returns an error if the bytes are not an event.
     pub(super) fn next_event(&mut self) -> Result<Option<Bytes>, InvalidStream> {
         let Some(end) = self.event_end() else {
+            self.scanned = self.buf.len().saturating_sub(MAX_TERMINATOR_BYTES - 1);
             return match self.buf.len() > MAX_EVENT_BYTES {
                 true => Err(InvalidStream::TooLong),
                 false => Ok(None),
@@ -83,27 +89,34 @@
         // Invalid bytes stay in the buffer, so that no later event is taken for
         // the next one.
         match is_event(&self.buf[..end]) {
-            true => Ok(Some(self.buf.split_to(end).freeze())),
+            true => {
+                self.scanned = 0;
+                Ok(Some(self.buf.split_to(end).freeze()))
+            }
             false => Err(InvalidStream::NoEvent),
         }
     }
 
     fn event_end(&self) -> Option<usize> {
-        let lf_end = find(&self.buf, b"\n\n").map(|at| at + 2);
-        let crlf_end = find(&self.buf, b"\r\n\r\n").map(|at| at + 4);
-        match (lf_end, crlf_end) {
+        let rest = &self.buf[self.scanned..];
+        let lf_end = find(rest, b"\n\n").map(|at| at + 2);
+        let crlf_end = find(rest, b"\r\n\r\n").map(|at| at + 4);
+        let end = match (lf_end, crlf_end) {
             (Some(a), Some(b)) => Some(a.min(b)),
             (a, b) => a.or(b),
-        }
+        };
+        end.map(|end| self.scanned + end)
     }
 
     /// Returns the bytes left at the end of the stream.
     pub(super) fn take_rest(&mut self) -> Bytes {
+        self.scanned = 0;
         self.buf.split().freeze()
     }
 
     /// Discards the bytes of an incomplete event.
     pub(super) fn clear(&mut self) {
+        self.scanned = 0;
         self.buf.clear();
     }
 }
