perf(core): divide engines into copies once for each registry change

Cause: every request divided all engines into copies, in time that grew with the square of their number: 95 us at 190 engines, 25 ms at 3,040, 361 ms at 11,970. A node of 0.12 cores with 33 requests a second could not do that; the fault came with. Ruled out: choosing the cheapest path (1.8 ms at 3,040 before). Change: a table of copies, divided anew when an entry of the registry changes; a request is drawn among 32 copies at most; the division looks up engines by their first layer. The first plan tries no copy of more engines than layers. Behaviour differs in one point: a copy with an engine that backs off is left out as a whole instead of being mended with others for that time; the cheapest path remains.

--- a/crates/core/src/gateway/paths.rs
+++ b/crates/core/src/gateway/paths.rs
@@ -6,7 +6,7 @@
 //! their end. An engine can thus replace any other one that holds the same next
 //! layer, and no engine occurs twice.
 
-mod copies;
+pub mod copies;
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
@@ -83,20 +83,46 @@
     pub first_ms: f64,
 }
 
+/// An engine that may take part in a request.
 struct Candidate<'a> {
     id: &'a VmId,
     row: &'a ServerRow,
     kind: &'a Accelerator,
     layers: LayerRange,
+    /// Number of its failure domain among those of the request's candidates.
     domain: usize,
     capacity: f64,
     /// Whether the request may be sent to this engine, as the first of a path.
     may_be_first: bool,
-    /// Whether requests of other nodes make no progress on the engine.
-    is_suspect: bool,
     jitter: f64,
 }
 
+/// Returns an engine as a candidate, or `None` if it takes no requests. The number
+/// of its failure domain is zero, and its cost has no jitter.
+fn candidate<'a>(
+    spec: &'a EngineSpec,
+    id: &'a VmId,
+    row: &'a ServerRow,
+    now: Timestamp,
+) -> Option<Candidate<'a>> {
+    let layers = row.entry.layers?;
+    if !row.is_available(now) || layers.end() > spec.layers {
+        return None;
+    }
+    let kind = row.accelerator(spec)?;
+    let capacity = spec.kv_tokens(kind, layers.count())?;
+    Some(Candidate {
+        id,
+        row,
+        kind,
+        layers,
+        domain: 0,
+        capacity: f64::from(capacity),
+        may_be_first: row.is_entry_open(now) && row.total_requests() < spec.slots,
+        jitter: 1.0,
+    })
+}
+
 #[derive(Clone, Copy)]
 struct Best {
     cost: f64,
@@ -123,28 +149,6 @@
     trace_back(spec, &candidates, &best, estimate)
 }
 
-/// Selects a path at random among the copies of the model that have capacity, or
-/// the path with the lowest cost if there is no such copy. Many nodes with
-/// similar views then don't all select the same path.
-///
-/// The parameters are those of [`choose`].
-pub fn spread(
-    spec: &EngineSpec,
-    servers: &Servers,
-    service: &ServiceId,
-    now: Timestamp,
-    estimate: TokenEstimate,
-    avoid: &[VmId],
-    mut draw: impl FnMut() -> f64,
-) -> Option<Path> {
-    let (candidates, inbound) = candidates(spec, servers, service, now, avoid, &mut draw);
-    let path = copies::draw_path(spec, &candidates, estimate, &mut draw);
-    path.or_else(|| {
-        let best = search(spec, &candidates, &inbound, estimate);
-        trace_back(spec, &candidates, &best, estimate)
-    })
-}
-
 /// Returns the engines that may take part in a request, and for each failure
 /// domain the number of tokens whose activations are in transfer to it.
 fn candidates<'a>(
@@ -158,16 +162,10 @@
     let mut domains: Vec<(&FailureDomain, u64)> = Vec::new();
     let mut candidates = Vec::new();
     for (id, row) in servers.of_service(service) {
-        let Some(held) = row.entry.layers else {
-            continue;
-        };
-        if !row.is_available(now) || avoid.contains(id) || held.end() > spec.layers {
+        if avoid.contains(id) {
             continue;
         }
-        let Some(kind) = row.accelerator(spec) else {
-            continue;
-        };
-        let Some(capacity) = spec.kv_tokens(kind, held.count()) else {
+        let Some(candidate) = candidate(spec, id, row, now) else {
             continue;
         };
         let domain = domains.iter().position(|(d, _)| **d == row.entry.domain);
@@ -176,16 +174,11 @@
             domains.len() - 1
         });
         domains[domain].1 += row.inbound_tokens + row.peer_inbound_tokens;
+        let jitter = 1.0 + JITTER * draw();
         candidates.push(Candidate {
-            id,
-            row,
-            kind,
-            layers: held,
             domain,
-            capacity: f64::from(capacity),
-            may_be_first: row.is_entry_open(now) && row.total_requests() < spec.slots,
-            is_suspect: row.is_suspect(now),
-            jitter: 1.0 + JITTER * draw(),
+            jitter,
+            ..candidate
         });
     }
     let inbound = domains.into_iter().map(|(_, tokens)| tokens).collect();
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -293,7 +293,8 @@
 /// in tokens that each of them keeps free.
 fn best_copy(spec: &EngineSpec, engines: &[Engine<'_>]) -> Option<(usize, u32)> {
     let mut best: Option<(f64, usize, u32)> = None;
-    for count in 1..=engines.len() {
+    // Each engine of a copy holds a layer at least.
+    for count in 1..=engines.len().min(usize::from(spec.layers)) {
         let engines = &engines[..count];
         let fits = |tokens: &u32| {
             let layers = engines.iter().map(|e| max_layers(spec, e.kind, *tokens));
--- a/crates/core/src/gateway/placement/completion.rs
+++ b/crates/core/src/gateway/placement/completion.rs
@@ -9,7 +9,7 @@
 use super::{Assignment, Engine, MIN_COPY_TOKENS, PendingOrders, assigned_layers, max_layers};
 use crate::{
     gateway::{
-        chains::{self, Link},
+        chains::{self, BrokenCopy, Link},
         config::EngineSpec,
         servers::Servers,
     },
@@ -25,22 +25,6 @@
     empty: Vec<Engine<'a>>,
 }
 
-/// A copy that lacks some layers.
-#[derive(Debug)]
-struct BrokenCopy {
-    /// Indices of its engines.
-    chain: Vec<usize>,
-    /// The ranges of layers that it lacks: the first layer, and the one after the
-    /// last.
-    gaps: Vec<(u16, u16)>,
-}
-
-impl BrokenCopy {
-    fn missing_layers(&self) -> u16 {
-        self.gaps.iter().map(|(from, to)| to - from).sum()
-    }
-}
-
 /// Returns the orders that complete broken copies. Engines of complete copies
 /// are left alone. `may_move` is whether engines that hold layers may get others.
 pub(super) fn complete_copies(
@@ -81,11 +65,10 @@
             domain: *domains.entry(domain).or_insert(count),
             step_factor: kind.step_factor,
             layers,
-            may_be_first: true,
         });
         engines.push(engine);
     }
-    let copies = chains::find_copies(spec.layers, &links, (0..links.len()).collect());
+    let copies = chains::find_copies(spec.layers, &links);
     let mut in_copy = vec![false; links.len()];
     for stage in copies.iter().flatten() {
         in_copy[stage.index] = true;
@@ -111,10 +94,13 @@
     let by_speed =
         |a: &Engine<'_>, b: &Engine<'_>| a.kind.step_factor.total_cmp(&b.kind.step_factor);
     spare.empty.sort_by(by_speed);
-    spare
-        .holding
-        .sort_by(|(a, x), (b, y)| by_speed(a, b).then(x.layers.start().cmp(&y.layers.start())));
-    while let Some(BrokenCopy { chain, gaps }) = broken_copy(spec, &spare.holding) {
+    spare.holding.sort_by(|(a, _), (b, _)| by_speed(a, b));
+    loop {
+        let links: Vec<Link> = spare.holding.iter().map(|(_, link)| *link).collect();
+        let broken = chains::find_broken_copy(spec.layers, &links);
+        let Some(BrokenCopy { chain, gaps }) = broken else {
+            return assignments;
+        };
         let mut donors: Vec<Engine<'_>> = spare.empty.clone();
         if may_move {
             let unchained = (0..spare.holding.len()).filter(|index| !chain.contains(index));
@@ -132,36 +118,6 @@
         spare.holding = left.map(|(_, entry)| entry).collect();
         assignments.extend(fills);
     }
-    assignments
-}
-
-/// Returns the broken copy that lacks the fewest layers.
-fn broken_copy(spec: &EngineSpec, holding: &[(Engine<'_>, Link)]) -> Option<BrokenCopy> {
-    let links: Vec<Link> = holding.iter().map(|(_, link)| *link).collect();
-    let all: Vec<usize> = (0..links.len()).collect();
-    let mut kinds: Vec<usize> = all.clone();
-    kinds.dedup_by_key(|index| links[*index].step_factor.to_bits());
-    let chains = kinds.into_iter().map(|like| {
-        let mut free = all.clone();
-        let (mut chain, mut gaps) = (Vec::new(), Vec::new());
-        let mut position = 0;
-        while position < spec.layers {
-            if let Some(index) = chains::next_link(&links, &free, &links[like], position) {
-                free.retain(|other| *other != index);
-                chain.push(index);
-                position = links[index].layers.end();
-                continue;
-            }
-            let starts = free.iter().map(|index| links[*index].layers.start());
-            let end = starts.filter(|start| *start > position).min();
-            let end = end.unwrap_or(spec.layers);
-            gaps.push((position, end));
-            position = end;
-        }
-        BrokenCopy { chain, gaps }
-    });
-    let usable = chains.filter(|copy| !copy.chain.is_empty() && !copy.gaps.is_empty());
-    usable.min_by_key(BrokenCopy::missing_layers)
 }
 
 /// Assigns the gaps to engines, or returns `None` if there are too few. Engines of
--- a/crates/core/src/gateway/servers.rs
+++ b/crates/core/src/gateway/servers.rs
@@ -266,6 +266,8 @@
     rows: BTreeMap<VmId, ServerRow>,
     /// Servers whose entries changed since the last `take_changed` call.
     changed: BTreeSet<VmId>,
+    /// Grows with each change of an entry.
+    layout_version: u64,
     notices: Notices,
     /// The last incarnation of each server that was removed.
     removed: BTreeMap<VmId, Incarnation>,
@@ -279,7 +281,7 @@
     pub fn apply(&mut self, now: Timestamp, id: &VmId, entry: Option<Server>) -> ServerChange {
         let change = self.update(now, id, entry);
         if change != ServerChange::None {
-            self.changed.insert(id.clone());
+            self.record_change(id);
         }
         change
     }
@@ -331,11 +333,21 @@
             if let Some(row) = self.rows.remove(id) {
                 self.remember_removed(id, &row.entry);
             }
-            self.changed.insert(id.clone());
+            self.record_change(id);
         }
         removed
     }
 
+    fn record_change(&mut self, id: &VmId) {
+        self.changed.insert(id.clone());
+        self.layout_version += 1;
+    }
+
+    /// Returns a number that grows with each change of an entry.
+    pub fn layout_version(&self) -> u64 {
+        self.layout_version
+    }
+
     fn remember_removed(&mut self, id: &VmId, entry: &Server) {
         if self.removed.len() >= MAX_REMOVED {
             self.removed.pop_first();
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -11,7 +11,7 @@
     config::Configuration,
     freshness::{ConfigurationRead, Freshness},
     hubs,
-    paths::{self, TokenEstimate},
+    paths::{self, TokenEstimate, copies::CopyTable},
     peers::Peer,
     plain,
     routes::{RouteError, RouteMatch, RouteTable},
@@ -96,6 +96,7 @@
     /// When a peer last had the newest configuration.
     peers_confirmed_at: Option<Timestamp>,
     pub(super) servers: Servers,
+    copies: CopyTable,
     budgets: BTreeMap<ServiceId, RetryBudget>,
     queue: WaitQueue,
     pub(super) registry: RegistryHistory,
@@ -116,6 +117,7 @@
             newest_known_version: 0,
             peers_confirmed_at: None,
             servers: Servers::default(),
+            copies: CopyTable::default(),
             budgets: BTreeMap::new(),
             queue: WaitQueue::default(),
             registry: RegistryHistory::default(),
@@ -350,14 +352,17 @@
         let spec = configuration.services.get(service)?;
         let has_stale_view = self.nodes.current() > Some(hubs::MAX_MESH_NODES as u32);
         let rng = &mut self.rng;
-        let draw = || rng.random_range(0.0..1.0);
+        let mut draw = || rng.random_range(0.0..1.0);
         let target = match (&spec.engine, estimate) {
             (Some(engine), Some(estimate)) => {
                 let servers = &self.servers;
-                let path = match has_stale_view {
-                    true => paths::spread(engine, servers, service, now, estimate, avoid, draw),
-                    false => paths::choose(engine, servers, service, now, estimate, avoid, draw),
-                };
+                let drawn = has_stale_view.then(|| {
+                    let copies = self.copies.get(engine, servers, service);
+                    copies.draw_path(engine, servers, now, estimate, avoid, &mut draw)
+                });
+                let path = drawn.flatten().or_else(|| {
+                    paths::choose(engine, servers, service, now, estimate, avoid, &mut draw)
+                });
                 Target::Engines(path?)
             }
             _ => {
--- a/crates/core/tests/gateway_fakes/mod.rs
+++ b/crates/core/tests/gateway_fakes/mod.rs
@@ -10,12 +10,12 @@
 
 use radishhaven_core::{
     gateway::{
-        Configuration, EngineSpec, Gateway, Organisation, Route, RouteKind, Server, ServerState,
-        Service, StoreEra, StorePosition,
+        Configuration, EngineSpec, Gateway, Organisation, Path, Route, RouteKind, Server,
+        ServerState, Servers, Service, StoreEra, StorePosition,
         budget::BudgetConfig,
         config::{Accelerator, CallerLimits},
         members::{Member, Millicores},
-        paths::TokenEstimate,
+        paths::{TokenEstimate, choose, copies::Copies},
         state::GatewayConfig,
     },
     ids::{LayerRange, Priority, VmId},
@@ -64,6 +64,19 @@
     }
 }
 
+/// Draws a path among the copies, as a gateway with many peers does.
+pub fn spread(
+    servers: &Servers,
+    now: Timestamp,
+    estimate: TokenEstimate,
+    mut draw: impl FnMut() -> f64,
+) -> Option<Path> {
+    let service = id(ENGINES);
+    let copies = Copies::new(&spec(), servers, &service);
+    let path = copies.draw_path(&spec(), servers, now, estimate, &[], &mut draw);
+    path.or_else(|| choose(&spec(), servers, &service, now, estimate, &[], draw))
+}
+
 /// A position in the first era of the store.
 pub fn position(offset: u64) -> StorePosition {
     let era = StoreEra(0);
--- a/crates/core/tests/gateway_paths.rs
+++ b/crates/core/tests/gateway_paths.rs
@@ -5,12 +5,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use bolero_generator::TypeGenerator;
-use gateway_fakes::{ENGINES, TYPICAL, engine, id, ms, name, placed_engines, spec, table};
+use gateway_fakes::{ENGINES, TYPICAL, engine, id, ms, name, placed_engines, spec, spread, table};
 use radishhaven_cases::{INVARIANT_CASES, check};
 use radishhaven_core::{
     gateway::{
         Path, ServerState, Servers,
-        paths::{TokenEstimate, choose, spread},
+        paths::{TokenEstimate, choose},
     },
     ids::VmId,
 };
@@ -99,15 +99,7 @@
             prompt: u32::from(case.prompt % 4_000),
             output: u32::from(case.output),
         };
-        let spread = spread(
-            &spec(),
-            &servers,
-            &id(ENGINES),
-            ms(0),
-            estimate,
-            &[],
-            || 0.5,
-        );
+        let spread = spread(&servers, ms(0), estimate, || 0.5);
         let cheapest = path(&servers, estimate, &[]);
         assert_eq!(spread.is_some(), cheapest.is_some());
         for path in cheapest.iter().chain(&spread) {
--- a/crates/core/tests/gateway_placement.rs
+++ b/crates/core/tests/gateway_placement.rs
@@ -7,13 +7,12 @@
 use bolero_generator::TypeGenerator;
 use gateway_fakes::{
     ENGINE_KINDS, ENGINES, TYPICAL, empty_engines, engine, id, ms, name, place, placed_engines,
-    spec, table,
+    spec, spread, table,
 };
 use radishhaven_cases::{INVARIANT_CASES, check};
 use radishhaven_core::{
     gateway::{
         Server,
-        paths::spread,
         placement::{PendingOrders, next_orders, plan, rebalance},
     },
     ids::VmId,
@@ -218,7 +217,7 @@
     let heads: BTreeSet<VmId> = (0..400)
         .filter_map(|number| {
             let draw = || f64::from(number) / 400.0;
-            let path = spread(&spec(), &view, &id(ENGINES), ms(0), TYPICAL, &[], draw)?;
+            let path = spread(&view, ms(0), TYPICAL, draw)?;
             Some(path.stages[0].server.clone())
         })
         .collect();
--- a/crates/core/tests/gateway_spread.rs
+++ b/crates/core/tests/gateway_spread.rs
@@ -8,10 +8,11 @@
     time::Duration,
 };
 
-use gateway_fakes::{ENGINES, TYPICAL, engine, gateway, id, ms, name, place, spec, table};
+use gateway_fakes::{ENGINES, TYPICAL, engine, gateway, id, ms, name, place, spec, spread, table};
 use radishhaven_core::{
     gateway::{
-        EngineSpec, Gateway, Path, Server, Servers, paths,
+        Gateway, Path, Server, Servers,
+        paths::{self, copies::CopyTable},
         peers::{ReportRecipient, ServerLoad, Source},
     },
     ids::VmId,
@@ -42,15 +43,8 @@
 /// Age of a view when the next one replaces it.
 const VIEW_AGE: Duration = Duration::from_millis(600);
 
-type Choice = fn(
-    &EngineSpec,
-    &Servers,
-    &radishhaven_core::ids::ServiceId,
-    Timestamp,
-    paths::TokenEstimate,
-    &[VmId],
-    &mut dyn FnMut() -> f64,
-) -> Option<Path>;
+/// Chooses a path with a view and random numbers.
+type Choice = fn(&Servers, Timestamp, &mut dyn FnMut() -> f64) -> Option<Path>;
 
 fn engines() -> BTreeMap<VmId, Server> {
     let all = KINDS
@@ -115,7 +109,7 @@
             }
         }
         let mut draw = || rng.random_range(0.0..1.0);
-        let path = choose(&spec, &view, &id(ENGINES), now, TYPICAL, &[], &mut draw);
+        let path = choose(&view, now, &mut draw);
         let Some(path) = path else {
             out.refused += 1;
             continue;
@@ -138,12 +132,9 @@
 /// while others are free.
 #[test]
 fn stale_views_fill_no_engine() {
-    let out = play(
-        &engines(),
-        |spec, view, service, now, estimate, avoid, draw| {
-            paths::spread(spec, view, service, now, estimate, avoid, draw)
-        },
-    );
+    let out = play(&engines(), |view, now, draw| {
+        spread(view, now, TYPICAL, draw)
+    });
     assert_eq!(out.refused, 0);
     assert!(
         out.max_fill < 1.0,
@@ -164,12 +155,7 @@
         .map(|(id, _)| id.clone())
         .collect();
     engines.retain(|id, _| !lost.contains(id));
-    let out = play(
-        &engines,
-        |spec, view, service, now, estimate, avoid, draw| {
-            paths::spread(spec, view, service, now, estimate, avoid, draw)
-        },
-    );
+    let out = play(&engines, |view, now, draw| spread(view, now, TYPICAL, draw));
     assert_eq!(out.refused, 0);
     assert!(
         out.max_fill < 1.0,
@@ -182,12 +168,9 @@
 /// tests above show what the random choice is for.
 #[test]
 fn cheapest_path_fills_engines_under_the_same_load() {
-    let out = play(
-        &engines(),
-        |spec, view, service, now, estimate, avoid, draw| {
-            paths::choose(spec, view, service, now, estimate, avoid, draw)
-        },
-    );
+    let out = play(&engines(), |view, now, draw| {
+        paths::choose(&spec(), view, &id(ENGINES), now, TYPICAL, &[], draw)
+    });
     assert!(out.max_fill > 1.0, "{:.2}", out.max_fill);
 }
 
@@ -245,15 +228,7 @@
     for _ in 0..300 {
         let mut draw = || rng.random_range(0.0..1.0);
         let view = gateway.servers();
-        let path = paths::spread(
-            &spec(),
-            view,
-            &id(ENGINES),
-            ms(2_600),
-            TYPICAL,
-            &[],
-            &mut draw,
-        );
+        let path = spread(view, ms(2_600), TYPICAL, &mut draw);
         let path = path.expect("there is capacity");
         assert!(path.stages.iter().all(|stage| stage.server != silent));
     }
@@ -284,7 +259,7 @@
     let mut by_kind: BTreeMap<String, u32> = BTreeMap::new();
     for _ in 0..400 {
         let mut draw = || rng.random_range(0.0..1.0);
-        let path = paths::spread(&spec(), &view, &id(ENGINES), ms(0), TYPICAL, &[], &mut draw);
+        let path = spread(&view, ms(0), TYPICAL, &mut draw);
         let path = path.expect("there is capacity");
         let kind = engines[&path.stages[0].server].accelerator.clone();
         *by_kind.entry(kind.expect("an engine")).or_default() += 1;
@@ -293,3 +268,31 @@
     assert!(count("a100") > count("l40s"), "{by_kind:?}");
     assert!(count("l40s") > count("l4"), "{by_kind:?}");
 }
+
+/// The engines are divided into copies again when the registry changes, and only
+/// then.
+#[test]
+fn copies_follow_the_registry() {
+    let engines = engines();
+    let mut view = table(&engines);
+    let mut copies = CopyTable::default();
+    let mut draws_on = |view: &Servers, server: &VmId| {
+        let mut rng = StdRng::seed_from_u64(9);
+        let copies = copies.get(&spec(), view, &id(ENGINES));
+        (0..300).any(|_| {
+            let draw = || rng.random_range(0.0..1.0);
+            let path = copies.draw_path(&spec(), view, ms(0), TYPICAL, &[], draw);
+            let stages = path.expect("there is capacity").stages;
+            stages.iter().any(|stage| stage.server == *server)
+        })
+    };
+    let fast = |(_, server): &(&VmId, &Server)| server.accelerator.as_deref() == Some("a100");
+    let (lost, entry) = engines.iter().find(fast).expect("an engine");
+    assert!(draws_on(&view, lost));
+    view.apply(ms(1), lost, None);
+    assert!(!draws_on(&view, lost));
+    // A replacement under another id holds the same layers.
+    let replacement = name(900);
+    view.apply(ms(2), &replacement, Some(entry.clone()));
+    assert!(draws_on(&view, &replacement));
+}
