feat(gateway): log how responses are framed and what is left at a stream's end

The log had the same lines for a stream that its engine completed and for one that it broke off without a reset.

--- a/crates/client/src/http1.rs
+++ b/crates/client/src/http1.rs
@@ -6,10 +6,10 @@
 //! request. The user of a [`Connection`] therefore decides both; see
 //! `docs/design/platform.md`.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{fmt, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response, header};
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1::SendRequest};
 use hyper_util::rt::TokioIo;
@@ -33,6 +33,45 @@
     Broken(#[from] hyper::Error),
 }
 
+/// How a response shows where its body ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// By a length in its head.
+    Length,
+    /// By a last chunk.
+    Chunked,
+    /// By the end of the connection. A body that the server broke off looks like
+    /// a complete one, unless the connection was reset.
+    UntilClose,
+}
+
+impl BodyFraming {
+    /// Returns the framing of a response with these headers.
+    pub fn of(headers: &HeaderMap) -> Self {
+        let encoding = headers
+            .get_all(header::TRANSFER_ENCODING)
+            .iter()
+            .next_back();
+        let codings = encoding.map(|value| value.to_str().unwrap_or_default());
+        let last = codings.map(|codings| codings.rsplit(',').next().unwrap_or_default());
+        match last {
+            Some(last) if last.trim().eq_ignore_ascii_case("chunked") => Self::Chunked,
+            None if headers.contains_key(header::CONTENT_LENGTH) => Self::Length,
+            _ => Self::UntilClose,
+        }
+    }
+}
+
+impl fmt::Display for BodyFraming {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "until close",
+        })
+    }
+}
+
 /// Timeouts of a connection.
 #[derive(Debug, Clone, Copy)]
 pub struct ConnectionTimeouts {
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -11,6 +11,6 @@
 mod sse;
 
 pub use caller::{Answer, Caller, CallerError, RequestOptions};
-pub use http1::{Connection, ConnectionError, ConnectionTimeouts, Driver};
+pub use http1::{BodyFraming, Connection, ConnectionError, ConnectionTimeouts, Driver};
 pub use json::{HttpError, JsonClient, MAX_BODY_BYTES};
 pub use sse::{Event, EventReader};
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header, response};
 use http_body_util::{BodyExt, Limited};
+use radishhaven_client::BodyFraming;
 use radishhaven_core::gateway::{RouteKind, TicketOutcome};
 use radishhaven_platform::backend_response;
 use spdlog::prelude::*;
@@ -118,7 +119,7 @@
     } else {
         guard.settle(TicketOutcome::Answered { took });
     }
-    log_answered(job, head.status, "whole");
+    log_answered(job, head.status, "whole", BodyFraming::of(&head.headers));
     Some(caller_response(&head, body))
 }
 
@@ -138,13 +139,14 @@
 }
 
 /// Logs and counts a request that a backend server answered.
-pub(super) fn log_answered(job: &Job, status: StatusCode, how: &str) {
+pub(super) fn log_answered(job: &Job, status: StatusCode, how: &str, framing: BodyFraming) {
     let took = record_end(job, status);
     info!("a request was answered", kv: {
         request = job.outgoing.attempt_id.as_str(),
         route = job.routed.name.as_str(),
         status = status.as_u16(),
         how,
+        framing = framing.to_string().as_str(),
         waited_ms = job.waited.as_millis() as u64,
         took_ms = took.as_millis() as u64,
         runs = job.runs,
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -11,7 +11,7 @@
 use http::Response;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use radishhaven_client::Driver;
+use radishhaven_client::{BodyFraming, Driver};
 use radishhaven_core::{
     gateway::{RouteKind, TicketOutcome, stall::StallAction},
     ids::VmId,
@@ -172,6 +172,8 @@
     body: Incoming,
     driver: Option<Driver>,
     status: http::StatusCode,
+    /// How the current engine shows the end of the stream.
+    framing: BodyFraming,
     splitter: EventSplitter,
     /// When an event was last received. Other bytes are no progress.
     last_received: Timestamp,
@@ -201,6 +203,7 @@
         body: response.body,
         driver: Some(response.driver),
         status,
+        framing: BodyFraming::of(&response.head.headers),
         splitter: EventSplitter::default(),
         last_received: now,
         last_recorded: now,
@@ -353,17 +356,18 @@
             let took = now.since(guard.ticket().acquired_at);
             guard.settle(TicketOutcome::Answered { took });
         }
-        log_answered(&self.job, self.status, "stream");
+        log_answered(&self.job, self.status, "stream", self.framing);
+        let rest = self.splitter.take_rest();
         info!("a stream ended", kv: {
             request = self.job.outgoing.attempt_id.as_str(),
             events = self.event_count,
             resumes = self.resume_count,
+            rest_bytes = rest.len(),
             waited_ms = self.job.waited.as_millis() as u64,
             first_ms = self.first_event_after.as_millis() as u64,
             longest_gap_ms = self.longest_gap.as_millis() as u64,
             path = path.as_str(),
         });
-        let rest = self.splitter.take_rest();
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
@@ -379,6 +383,7 @@
             reason,
             events = self.event_count,
             resumes = self.resume_count,
+            framing = self.framing.to_string().as_str(),
             silent_ms = now.since(self.last_received).as_millis() as u64,
             took_ms = now.since(self.job.arrived).as_millis() as u64,
         });
@@ -435,6 +440,7 @@
         // The old connection is closed first, to free its engines.
         (self.guard, self.driver) = (None, None);
         let silent = self.job.host.now().since(self.last_received);
+        let framing = self.framing.to_string();
         let suspects: Vec<&str> = suspects.iter().map(VmId::as_str).collect();
         let outcome = self.job.send_once(guard).await;
         let resumed = matches!(&outcome, Attempt::Responded(response, _) if response.head.status == self.status);
@@ -442,6 +448,7 @@
             request = self.job.outgoing.attempt_id.as_str(),
             why,
             suspects = suspects.join(",").as_str(),
+            framing = framing.as_str(),
             silent_ms = silent.as_millis() as u64,
             after_event = self.job.last_event.as_deref().unwrap_or_default(),
             resumed,
@@ -453,6 +460,7 @@
         if let (Attempt::Responded(response, guard), true) = (outcome, resumed) {
             self.resume_count += 1;
             self.splitter.clear();
+            self.framing = BodyFraming::of(&response.head.headers);
             self.body = response.body;
             self.driver = Some(response.driver);
             let now = self.job.host.now();
