fix(gateway): resume or cut streams whose body ends inside an event

Cause: the relay took the end of the body for the end of the stream and forwarded what was left of an event. A body without a length and chunks ends with its connection, so it also ends when the engine fails and closes the connection. The parser knew that it was inside an event; nobody asked.

Change: at the end of a body the relay checks that no event has begun, and, where only the connection ends the body, that there was an event at all. If not, the stream is handled like a broken connection: resumed after its last event or cut. This holds for each framing.

--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -2,7 +2,9 @@
 //! another path when it breaks.
 //!
 //! Only complete events are forwarded. A stream that another engine resumes
-//! therefore has no duplicate and no truncated event.
+//! therefore has no duplicate and no truncated event. The end of the body alone
+//! doesn't show that the stream is complete: a connection that ends a body without
+//! a length also ends when its engine fails.
 
 use std::{io::ErrorKind, sync::atomic::Ordering, time::Duration};
 
@@ -108,6 +110,17 @@
         end.map(|end| self.scanned + end)
     }
 
+    /// Returns whether the bytes that are left are the beginning of an event.
+    /// Blank lines and comments belong to none.
+    pub(super) fn is_inside_event(&self) -> bool {
+        let mut lines = self.buf.split_inclusive(|b| *b == b'\n');
+        lines.any(|line| {
+            let is_blank = matches!(line, b"\n" | b"\r\n");
+            let is_comment = line.starts_with(b":") && line.ends_with(b"\n");
+            !is_blank && !is_comment
+        })
+    }
+
     /// Returns the bytes left at the end of the stream.
     pub(super) fn take_rest(&mut self) -> Bytes {
         self.scanned = 0;
@@ -180,6 +193,8 @@
     /// When progress was last recorded.
     last_recorded: Timestamp,
     has_events: bool,
+    /// Whether the current engine has sent an event.
+    has_events_of_run: bool,
     /// Time from the request's arrival to its first event.
     first_event_after: Duration,
     /// Longest time between two events.
@@ -208,6 +223,7 @@
         last_received: now,
         last_recorded: now,
         has_events: false,
+        has_events_of_run: false,
         first_event_after: Duration::ZERO,
         longest_gap: Duration::ZERO,
         resumable,
@@ -262,7 +278,14 @@
                         self.splitter.push(&data);
                     }
                 }
-                Ok(None) => return self.finish(),
+                Ok(None) => match self.premature_end() {
+                    Some(reason) => {
+                        if let Some(error) = self.handle_disconnect(reason).await {
+                            return Some(Err(error));
+                        }
+                    }
+                    None => return self.finish(),
+                },
                 Ok(Some(Err(error))) if is_malformed(&error) => {
                     if let Some(error) = self.handle_invalid(InvalidStream::Encoding).await {
                         return Some(Err(error));
@@ -342,11 +365,22 @@
             events.extend_from_slice(&event);
         }
         if received > 0 {
+            self.has_events_of_run = true;
             self.record_events(now);
         }
         Ok((!events.is_empty()).then(|| events.freeze()))
     }
 
+    /// Returns why a body that ended is not a complete stream, or `None` if it
+    /// may be one.
+    fn premature_end(&self) -> Option<&'static str> {
+        if self.splitter.is_inside_event() {
+            return Some("the body ended inside an event");
+        }
+        let is_empty = self.framing == BodyFraming::UntilClose && !self.has_events_of_run;
+        is_empty.then_some("the connection ended before the first event")
+    }
+
     fn finish(&mut self) -> Option<Result<Bytes, BodyError>> {
         self.ended = true;
         let now = self.job.host.now();
@@ -460,6 +494,7 @@
         if let (Attempt::Responded(response, guard), true) = (outcome, resumed) {
             self.resume_count += 1;
             self.splitter.clear();
+            self.has_events_of_run = false;
             self.framing = BodyFraming::of(&response.head.headers);
             self.body = response.body;
             self.driver = Some(response.driver);
