fix(gateway): confirm a configuration only by reads that reach the topic's end

What callers could see: a key that was taken away goes on being accepted.

A response to a read that is broken off before or between records decodes, and the configuration counted as confirmed to be the newest, while the response's own first field said that there are further records.

Change: the end of the topic is decoded.

--- a/crates/daemon/src/gateway/store_sync/configuration.rs
+++ b/crates/daemon/src/gateway/store_sync/configuration.rs
@@ -69,7 +69,8 @@
                     written: next.is_some() && records.records.iter().any(is_configuration),
                 };
                 next = Some(records.next);
-                if records.records.iter().all(|r| apply_record(&host, r)) {
+                let all_applied = records.records.iter().all(|r| apply_record(&host, r));
+                if all_applied && records.reached_end {
                     host.with_gateway(|g| g.record_configuration_read(now, read));
                 }
             }
--- a/crates/daemon/src/gateway/store_sync/registry.rs
+++ b/crates/daemon/src/gateway/store_sync/registry.rs
@@ -112,7 +112,7 @@
                     continue;
                 }
                 host.start_waiting_requests();
-                if wait.is_zero() || !records.records.is_empty() {
+                if records.reached_end && (wait.is_zero() || !records.records.is_empty()) {
                     tokio::time::sleep(registry_interval(&host)).await;
                 }
             }
