fix(gateway): reset connections of HTTP/1.0 callers whose response was cut

Callers of HTTP/1.0 saw: a stream that the gateway had cut ends like a complete one, since only the end of the connection completes it.

Change: the stream of a connection resets it when it is dropped inside such a response, also when the process stops. Complete responses and all responses of HTTP/1.1 end as before. A process that is killed can't do so.

--- a/crates/daemon/src/gateway/connections.rs
+++ b/crates/daemon/src/gateway/connections.rs
@@ -8,7 +8,11 @@
 use spdlog::prelude::*;
 use tokio::net::{TcpListener, TcpSocket};
 
-use super::{GatewayStartError, body::Body};
+use super::{
+    GatewayStartError,
+    body::Body,
+    caller_stream::{CallerStream, EndOfResponse},
+};
 
 /// Largest number of connections that wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1024;
@@ -60,19 +64,25 @@
             continue;
         }
         let handler = handler.clone();
-        let service = service_fn(move |req| {
+        let end = EndOfResponse::default();
+        let end_of_request = end.clone();
+        let service = service_fn(move |req: Request<Incoming>| {
+            end_of_request.record_request(req.version());
             let response = handler(req);
             async move { Ok::<_, Infallible>(response.await) }
         });
-        let connection = http1::Builder::new()
+        let stream = CallerStream::new(stream, end.clone());
+        let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(IDLE_TIMEOUT)
             .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(TokioIo::new(stream), service);
-        // An error only means that the caller disconnected. The end of each
-        // request is logged by its job.
+        // An error means that the caller disconnected or that a response was cut.
+        // The end of each request is logged by its job.
         tokio::spawn(async move {
-            let _ = connection.await;
+            if (&mut connection).await.is_ok() {
+                end.record_complete();
+            }
         });
     }
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! See `docs/design/platform.md`.
 
 mod body;
+mod caller_stream;
 mod connections;
 mod directory;
 mod dump;
