fix(client): report a body that ends inside an event

Users of the reader saw: a broken stream ends like a complete one.

Caller::complete was not affected, as it compares the digest of the last event.

--- a/crates/client/src/sse.rs
+++ b/crates/client/src/sse.rs
@@ -38,8 +38,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the connection breaks, or if an event is too long or
-    /// isn't UTF-8 text.
+    /// Returns an error if the connection breaks, if the body ends inside an
+    /// event, or if an event is too long or isn't UTF-8 text.
     pub async fn next(&mut self) -> Result<Option<Event>, HttpError> {
         loop {
             if let Some(end) = find_event_end(&self.buf) {
@@ -52,7 +52,12 @@
                 ));
             }
             match self.body.frame().await {
-                None => return Ok(None),
+                None if self.buf.is_empty() => return Ok(None),
+                None => {
+                    return Err(HttpError::NoResponse(
+                        "the body ended inside an event".to_owned(),
+                    ));
+                }
                 Some(Err(e)) => return Err(HttpError::NoResponse(e.to_string())),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
