feat(gateway): log the parts of a prompt that requests share

Change: parts of a prompt are decoded and logged with each send, and a broken stream with its number of events. No decision changes.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 pub mod peers;
 pub mod placement;
 pub mod plain;
+pub mod prompt;
 pub mod routes;
 pub mod servers;
 pub mod stall;
@@ -31,6 +32,7 @@
 
 pub use config::{Configuration, EngineSpec, Organisation, Route, RouteKind, Service};
 pub use paths::{Path, Stage};
+pub use prompt::PromptPart;
 pub use servers::{Server, ServerState, Servers};
 pub use state::Gateway;
 pub use store_view::{StoreEra, StorePosition};
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -98,6 +98,7 @@
         routed,
         service,
         demand: caller_request.token_estimate,
+        shared_parts: caller_request.shared_parts,
         arrived,
         deadline: arrived + time_limit,
         last_event: caller_request.last_event,
--- a/crates/daemon/src/gateway/job.rs
+++ b/crates/daemon/src/gateway/job.rs
@@ -7,7 +7,9 @@
 };
 
 use radishhaven_core::{
-    gateway::{TicketOutcome, paths::TokenEstimate, routes::RouteMatch, stall::StallAction},
+    gateway::{
+        PromptPart, TicketOutcome, paths::TokenEstimate, routes::RouteMatch, stall::StallAction,
+    },
     ids::{ServiceId, VmId},
     time::Timestamp,
 };
@@ -40,6 +42,8 @@
     pub(super) service: ServiceId,
     /// The token estimate of a generation.
     pub(super) demand: Option<TokenEstimate>,
+    /// The parts of the prompt that other requests may share.
+    pub(super) shared_parts: Vec<PromptPart>,
     /// When the request arrived.
     pub(super) arrived: Timestamp,
     /// When the time limit of the caller or of the route is reached.
@@ -217,6 +221,7 @@
             request = self.outgoing.attempt_id.as_str(),
             route = self.routed.name.as_str(),
             path = guard.target().to_string().as_str(),
+            parts = join_parts(&self.shared_parts).as_str(),
             waited_ms = self.waited.as_millis() as u64,
             left_ms = self.remaining().as_millis() as u64,
             version,
@@ -316,6 +321,11 @@
     TimedOut,
 }
 
+fn join_parts(parts: &[PromptPart]) -> String {
+    let parts: Vec<String> = parts.iter().map(PromptPart::to_string).collect();
+    parts.join(",")
+}
+
 fn join_ids(ids: &[VmId]) -> String {
     let ids: Vec<&str> = ids.iter().map(VmId::as_str).collect();
     ids.join(",")
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -483,6 +483,7 @@
             why,
             suspects = suspects.join(",").as_str(),
             framing = framing.as_str(),
+            events = self.event_count,
             silent_ms = silent.as_millis() as u64,
             after_event = self.job.last_event.as_deref().unwrap_or_default(),
             resumed,
