fix(gateway): quarantine parts of prompts that crash engines

Cause: a request whose engine crashed was sent to the next engine, with no regard to what it holds, and no node told the others. The class of fault: a retry that carries its own cause of failure, unbounded over requests.

Evidence: each of 14 crashed engines was the first one on the path of a request with the part; none of 39 sends with it had an event.

Change: core::gateway::quarantine. Requests without an event at an engine that crashed are suspect; nodes exchange suspects and answers. A part that two engines crashed on and that nobody answered is quarantined: requests with it are refused at once, and those under way end.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 pub mod placement;
 pub mod plain;
 pub mod prompt;
+pub mod quarantine;
 pub mod routes;
 pub mod servers;
 pub mod stall;
--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{members::Member, notices::Incarnation, state::Gateway};
+use super::{members::Member, notices::Incarnation, quarantine::PromptReport, state::Gateway};
 use crate::{ids::VmId, time::Timestamp};
 
 /// Maximum number of unlisted nodes that a report names. Callers get no more
@@ -85,6 +85,8 @@
     pub unlisted: UnlistedNodes,
     /// Servers that stated recently to the covered nodes that they are leaving.
     pub leaving: BTreeMap<VmId, Incarnation>,
+    /// Parts of prompts that may crash engines.
+    pub prompts: PromptReport,
     /// The load of the node and of the nodes that it reports for.
     pub load: Vec<ServerLoad>,
 }
@@ -116,6 +118,11 @@
 }
 
 impl Peer {
+    /// Returns the report.
+    pub(super) fn report(&self) -> &NodeReport {
+        &self.report
+    }
+
     fn is_fresh(&self, now: Timestamp) -> bool {
         now.since(self.received_at) < MAX_REPORT_AGE
     }
@@ -157,7 +164,9 @@
         let mut stopped = Vec::new();
         let mut leaving = self.own_leaving(now);
         let mut unlisted = own.map(UnlistedNodes::from).unwrap_or_default();
+        let mut prompts = Vec::new();
         for (id, peer) in self.aggregated_peers(now, recipient) {
+            prompts.push((peer.received_at, &peer.report.prompts));
             stopped.extend((!peer.report.accepts_callers).then(|| id.clone()));
             stopped.extend(peer.report.stopped.iter().cloned());
             leaving.extend(peer.report.leaving.clone());
@@ -185,6 +194,7 @@
             stopped,
             unlisted,
             leaving,
+            prompts: self.prompt_report(now, &prompts),
             load: load.into_values().collect(),
         }
     }
@@ -205,6 +215,15 @@
         })
     }
 
+    /// Returns the recent reports with the time at which each was received.
+    pub(super) fn fresh_reports(
+        &self,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (Timestamp, &NodeReport)> {
+        let fresh = self.peers.values().filter(move |peer| peer.is_fresh(now));
+        fresh.map(|peer| (peer.received_at, &peer.report))
+    }
+
     /// Stores a peer's report and recomputes the load of all peers.
     pub fn apply_report(&mut self, now: Timestamp, peer: VmId, source: Source, report: NodeReport) {
         for load in &report.load {
@@ -232,6 +251,7 @@
         self.peers.retain(|_, peer| peer.is_fresh(now));
         let loads = self.peers.values().flat_map(|peer| &peer.report.load);
         self.servers.set_peer_load(now, loads);
+        self.review_quarantine(now);
     }
 
     /// Returns the other nodes that the store does not list, according to recent
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -14,6 +14,7 @@
     paths::{self, TokenEstimate, copies::CopyTable},
     peers::Peer,
     plain,
+    quarantine::Quarantine,
     routes::{RouteError, RouteMatch, RouteTable},
     servers::{Server, ServerChange, ServerRow, Servers},
     stall::{self, StallAction},
@@ -101,6 +102,7 @@
     queue: WaitQueue,
     pub(super) registry: RegistryHistory,
     pub(super) peers: BTreeMap<VmId, Peer>,
+    pub(super) quarantine: Quarantine,
     nodes: NodeCount,
     rng: StdRng,
 }
@@ -122,6 +124,7 @@
             queue: WaitQueue::default(),
             registry: RegistryHistory::default(),
             peers: BTreeMap::new(),
+            quarantine: Quarantine::default(),
             nodes: NodeCount::default(),
             rng: StdRng::seed_from_u64(seed),
         }
--- a/crates/core/tests/gateway_requests.rs
+++ b/crates/core/tests/gateway_requests.rs
@@ -17,6 +17,7 @@
         budget::{BudgetConfig, NodeCount, RetryBudget},
         drain,
         peers::{NodeReport, ServerLoad, Source, UnlistedNodes},
+        quarantine::PromptReport,
         routes::RouteError,
         stall::{MIN_STALL, StallAction},
         state::{Admission, Rejection},
@@ -426,6 +427,7 @@
         progress_age_ms: 100,
     });
     let report = NodeReport {
+        prompts: PromptReport::default(),
         accepts_callers: true,
         configuration_version: None,
         confirmation_age_ms: None,
--- a/crates/daemon/src/gateway/dump.rs
+++ b/crates/daemon/src/gateway/dump.rs
@@ -35,6 +35,9 @@
             "members": members,
             "order_token": token,
             "store_era": host.store.era(),
+            "quarantined_parts": g.quarantined_parts().iter().map(|(part, quarantined)| {
+                (part.to_string(), quarantined)
+            }).collect::<BTreeMap<_, _>>(),
             "servers": servers,
         })
     });
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -23,8 +23,16 @@
 /// and its connection is closed, so that endless bytes don't fill the memory.
 const MAX_RESPONSE_BYTES: usize = 2 * 1024 * 1024;
 
+/// Reason of a response to a request that may have run without a result.
+const NO_ANSWER: &str = "no answer to rely on";
+/// Reason of a refusal because of a part of the prompt.
+const QUARANTINED: &str = "a part of the prompt is quarantined";
+
 /// Forwards a request and returns the response for the caller.
 pub(super) async fn forward(mut job: Job) -> Response<Body> {
+    if let Some(left) = job.quarantine_left() {
+        return refuse(&job, left, QUARANTINED);
+    }
     let admission = job.host.admit(&job.routed, &job.service, job.demand).await;
     job.waited = job.host.now().since(job.arrived);
     let mut guard = match admission {
@@ -38,6 +46,9 @@
         }
     };
     loop {
+        if let Some(left) = job.quarantine_left() {
+            return end_quarantined(&job, left);
+        }
         match job.send_once(guard).await {
             Attempt::Responded(response, guard) if is_stream(&job, &response) => {
                 return relay::start(job, *response, guard);
@@ -48,6 +59,9 @@
                 }
             }
             Attempt::Retry => {}
+            Attempt::Quarantined => {
+                return end_quarantined(&job, job.quarantine_left().unwrap_or_default());
+            }
             Attempt::TimedOut => return own_response(&job, StatusCode::GATEWAY_TIMEOUT, "time up"),
         }
         if !job.may_retry() {
@@ -59,7 +73,7 @@
         }
     }
     if job.runs > 0 {
-        return own_response(&job, StatusCode::BAD_GATEWAY, "no answer to rely on");
+        return own_response(&job, StatusCode::BAD_GATEWAY, NO_ANSWER);
     }
     let now = job.host.now();
     let retry_after = job
@@ -68,6 +82,15 @@
     refuse(&job, retry_after, "no server took it")
 }
 
+/// Ends a request of which a part is quarantined, for the time `left`. If it was
+/// sent before, it may have run.
+fn end_quarantined(job: &Job, left: Duration) -> Response<Body> {
+    match job.runs {
+        0 => refuse(job, left, QUARANTINED),
+        _ => own_response(job, StatusCode::BAD_GATEWAY, QUARANTINED),
+    }
+}
+
 fn is_stream(job: &Job, response: &BackendResponse) -> bool {
     let streaming = matches!(job.routed.route.kind, RouteKind::Streaming { .. });
     streaming && response.head.status.is_success()
@@ -118,6 +141,7 @@
         }
     } else {
         guard.settle(TicketOutcome::Answered { took });
+        job.record_prompt_answered(job.host.now());
     }
     log_answered(job, head.status, "whole", BodyFraming::of(&head.headers));
     Some(caller_response(&head, body))
--- a/crates/daemon/src/gateway/host.rs
+++ b/crates/daemon/src/gateway/host.rs
@@ -75,6 +75,10 @@
     pub(super) peers: Mutex<PeerState>,
     /// Wakes the reader of the configuration when a hub has a newer version.
     pub(super) newer_configuration: Notify,
+    /// Wakes requests when parts of prompts are quarantined.
+    pub(super) quarantine_changed: Notify,
+    /// Wakes the sender of reports when peers should learn something at once.
+    pub(super) report_soon: Notify,
     clock: Clock,
     /// The settings.
     pub(super) settings: GatewaySettings,
@@ -183,6 +187,8 @@
             waiters: Mutex::default(),
             peers: Mutex::default(),
             newer_configuration: Notify::new(),
+            quarantine_changed: Notify::new(),
+            report_soon: Notify::new(),
             clock: Clock::start(),
             store: StoreClient::new(settings.store.address),
             settings,
@@ -338,6 +344,30 @@
         }
     }
 
+    /// Logs the latest changes of the quarantine and wakes the requests that they
+    /// may concern.
+    pub(super) fn publish_quarantine(&self) {
+        let changes = self.with_gateway(Gateway::take_quarantine_changes);
+        for change in &changes {
+            match change.quarantined {
+                Some(quarantined) => {
+                    self.metrics.quarantined.inc();
+                    warn!("a part of prompts is quarantined", kv: {
+                        part = change.part.to_string(),
+                        crashes = quarantined.crashes,
+                        for_ms = quarantined.until.since(self.now()).as_millis() as u64,
+                    });
+                }
+                None => info!("a part of prompts is released", kv: {
+                    part = change.part.to_string(),
+                }),
+            }
+        }
+        if !changes.is_empty() {
+            self.quarantine_changed.notify_waiters();
+        }
+    }
+
     /// Starts queued requests for which there is capacity now.
     pub(super) fn start_waiting_requests(self: &Arc<Self>) {
         if self.with_gateway(|g| g.queued()) == 0 {
--- a/crates/daemon/src/gateway/job.rs
+++ b/crates/daemon/src/gateway/job.rs
@@ -17,6 +17,7 @@
 use spdlog::prelude::*;
 
 use super::{
+    crash,
     exchange::{BackendResponse, OutgoingRequest, SendOutcome, send},
     host::{GatewayHost, OpenRequestGuard, TicketGuard},
 };
@@ -94,6 +95,8 @@
     Retry,
     /// The deadline of the request has passed.
     TimedOut,
+    /// A part of the prompt was quarantined before the response began.
+    Quarantined,
 }
 
 impl Job {
@@ -109,6 +112,25 @@
         self.not_run < MAX_NOT_RUN_SENDS && (self.runs == 0 || (is_repeatable && runs_left))
     }
 
+    /// Returns the time until the request may reach engines, if a part of its
+    /// prompt is quarantined.
+    pub(super) fn quarantine_left(&self) -> Option<Duration> {
+        let now = self.host.now();
+        self.host
+            .with_gateway(|g| g.quarantine_left(now, &self.shared_parts))
+    }
+
+    /// Records that the prompt can be answered, and releases its parts from a
+    /// quarantine for which another part accounts.
+    pub(super) fn record_prompt_answered(&self, now: Timestamp) {
+        if self.shared_parts.is_empty() {
+            return;
+        }
+        self.host
+            .with_gateway(|g| g.record_prompt_answered(now, &self.shared_parts));
+        self.host.publish_quarantine();
+    }
+
     /// Sends the request once, and settles the ticket unless a server responds.
     pub(super) async fn send_once(&mut self, guard: TicketGuard) -> Attempt {
         let sent_at = self.host.now();
@@ -128,6 +150,12 @@
                 guard.settle(TicketOutcome::Abandoned);
                 return Attempt::TimedOut;
             }
+            WatchedSend::Quarantined => {
+                self.log_failed_send(&guard, "quarantined", sent_at, "");
+                self.runs += 1;
+                guard.settle(TicketOutcome::Abandoned);
+                return Attempt::Quarantined;
+            }
         };
         match outcome {
             SendOutcome::Responded(response) => {
@@ -156,6 +184,7 @@
             SendOutcome::Unknown(reason) => {
                 self.runs += 1;
                 self.log_failed_send(&guard, "lost", sent_at, &reason);
+                crash::check(self, &guard).await;
                 guard.settle(TicketOutcome::Failed);
             }
         }
@@ -258,10 +287,14 @@
         let sending = send(&self.outgoing, guard.target(), self.remaining(), last_event);
         tokio::pin!(sending);
         loop {
+            let quarantine_changed = self.host.quarantine_changed.notified();
             let now = self.host.now();
             if now >= self.deadline {
                 return WatchedSend::TimedOut;
             }
+            if self.quarantine_left().is_some() {
+                return WatchedSend::Quarantined;
+            }
             let silence = now.since(started);
             let wait = match self.check_silence(guard, silence, false) {
                 StallAction::Failover(suspects)
@@ -275,6 +308,7 @@
             tokio::select! {
                 outcome = &mut sending => return WatchedSend::Completed(outcome),
                 () = tokio::time::sleep(wait) => {}
+                () = quarantine_changed => {}
             }
         }
     }
@@ -319,9 +353,10 @@
     Completed(SendOutcome),
     Unresponsive(Vec<VmId>),
     TimedOut,
+    Quarantined,
 }
 
-fn join_parts(parts: &[PromptPart]) -> String {
+pub(super) fn join_parts(parts: &[PromptPart]) -> String {
     let parts: Vec<String> = parts.iter().map(PromptPart::to_string).collect();
     parts.join(",")
 }
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -53,6 +53,8 @@
     pub(super) resumed: Counter,
     /// Streams that ended before their last event.
     pub(super) streams_cut: Counter,
+    /// Quarantines of parts of prompts, with each extension.
+    pub(super) quarantined: Counter,
     /// Messages and entries that could not be decoded.
     pub(super) malformed: Counter,
 }
@@ -78,6 +80,7 @@
             repeats: Counter::default(),
             resumed: Counter::default(),
             streams_cut: Counter::default(),
+            quarantined: Counter::default(),
             malformed: Counter::default(),
         }
     }
@@ -150,6 +153,11 @@
         registry.register("repeats", "Sends beyond the first", self.repeats.clone());
         registry.register("resumed_streams", "Streams resumed", self.resumed.clone());
         registry.register("cut_streams", "Streams cut", self.streams_cut.clone());
+        registry.register(
+            "quarantines",
+            "Quarantines of parts of prompts",
+            self.quarantined.clone(),
+        );
         registry.register("malformed", "Input not decoded", self.malformed.clone());
     }
 }
@@ -182,6 +190,12 @@
     );
     gauge("servers", "Backend servers known", servers as i64);
     gauge("waiting", "Requests that wait for room", waiting as i64);
+    let quarantined = host.with_gateway(|g| g.quarantined_parts().len());
+    gauge(
+        "quarantined_parts",
+        "Parts of prompts in quarantine",
+        quarantined as i64,
+    );
     gauge(
         "open_requests",
         "Requests not answered",
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod body;
 mod caller_stream;
 mod connections;
+mod crash;
 mod directory;
 mod dump;
 mod exchange;
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -98,6 +98,7 @@
     loop {
         tokio::select! {
             _ = interval.tick() => send_report(&host, &socket, &mut current_hub).await,
+            () = host.report_soon.notified() => send_report(&host, &socket, &mut current_hub).await,
             received = socket.recv_from(&mut buf) => match received {
                 Ok((length, from)) => handle_message(&host, &socket, &buf[..length], from, &mut current_hub).await,
                 Err(error) => {
@@ -198,7 +199,7 @@
     let now = host.now();
     match message {
         Message::Report { from, node } => {
-            host.with_gateway(|g| g.apply_report(now, from, Source::Hub, node))
+            host.with_gateway(|g| g.apply_report(now, from, Source::Hub, node));
         }
         Message::Query {
             from,
@@ -231,6 +232,7 @@
             members::apply_hub_page(host, now, members);
         }
     }
+    host.publish_quarantine();
 }
 
 /// Returns whether a hub can't read the store while other nodes can. Its leaves
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -24,6 +24,7 @@
 
 use super::{
     body::{Body, BodyError},
+    crash,
     exchange::BackendResponse,
     forward::log_answered,
     host::TicketGuard,
@@ -195,6 +196,8 @@
     has_events: bool,
     /// Whether the current engine has sent an event.
     has_events_of_run: bool,
+    /// Whether it was recorded that the prompt can be answered.
+    is_answered: bool,
     /// Time from the request's arrival to its first event.
     first_event_after: Duration,
     /// Longest time between two events.
@@ -224,6 +227,7 @@
         last_recorded: now,
         has_events: false,
         has_events_of_run: false,
+        is_answered: false,
         first_event_after: Duration::ZERO,
         longest_gap: Duration::ZERO,
         resumable,
@@ -247,7 +251,9 @@
             if self.ended {
                 return None;
             }
-            let now = self.job.host.now();
+            let host = self.job.host.clone();
+            let quarantine_changed = host.quarantine_changed.notified();
+            let now = host.now();
             match self.complete_events(now) {
                 Ok(Some(events)) => return Some(Ok(events)),
                 Ok(None) => {}
@@ -261,6 +267,9 @@
             if now >= self.job.deadline {
                 return Some(Err(self.fail("time up", BodyError::DeadlineExceeded)));
             }
+            if !self.has_events_of_run && self.job.quarantine_left().is_some() {
+                return Some(Err(self.fail("quarantined", BodyError::Quarantined)));
+            }
             let wait = match self.check_silence(now) {
                 StallAction::Wait(wait) => wait,
                 StallAction::Failover(suspects) => {
@@ -271,7 +280,11 @@
                 }
             };
             let wait = wait.min(self.job.remaining());
-            match tokio::time::timeout(wait, self.body.frame()).await {
+            let received = tokio::select! {
+                received = tokio::time::timeout(wait, self.body.frame()) => received,
+                () = quarantine_changed, if !self.has_events_of_run => continue,
+            };
+            match received {
                 Err(_) => {}
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
@@ -310,6 +323,13 @@
         }
     }
 
+    /// Records once that the prompt can be answered.
+    fn record_answered(&mut self, now: Timestamp) {
+        if !std::mem::replace(&mut self.is_answered, true) {
+            self.job.record_prompt_answered(now);
+        }
+    }
+
     fn record_events(&mut self, now: Timestamp) {
         if self.has_events {
             self.longest_gap = self.longest_gap.max(now.since(self.last_received));
@@ -365,6 +385,10 @@
             events.extend_from_slice(&event);
         }
         if received > 0 {
+            // The first events may precede a crash.
+            if self.has_events_of_run {
+                self.record_answered(now);
+            }
             self.has_events_of_run = true;
             self.record_events(now);
         }
@@ -384,6 +408,7 @@
     fn finish(&mut self) -> Option<Result<Bytes, BodyError>> {
         self.ended = true;
         let now = self.job.host.now();
+        self.record_answered(now);
         let mut path = String::new();
         if let Some(guard) = self.guard.take() {
             path = guard.target().to_string();
@@ -445,6 +470,9 @@
     /// Handles an interrupted connection. Returns an error if the stream can't
     /// be resumed.
     async fn handle_disconnect(&mut self, reason: &str) -> Option<BodyError> {
+        if let (false, Some(guard)) = (self.has_events_of_run, &self.guard) {
+            crash::check(&self.job, guard).await;
+        }
         while self.resumable {
             let now = self.job.host.now();
             if now.since(self.last_received) >= MAX_SILENCE || now >= self.job.deadline {
@@ -453,7 +481,7 @@
             if self.resume("broken", Vec::new()).await {
                 return None;
             }
-            if !self.job.may_retry() {
+            if !self.job.may_retry() || self.job.quarantine_left().is_some() {
                 break;
             }
         }
@@ -465,7 +493,7 @@
     /// succeeded.
     async fn resume(&mut self, why: &str, suspects: Vec<VmId>) -> bool {
         self.job.record_failures(&suspects);
-        if !self.job.may_retry() {
+        if !self.job.may_retry() || self.job.quarantine_left().is_some() {
             return false;
         }
         let Some(guard) = self.job.acquire_retry().await else {
