fix(gateway): quarantine the later of two parts of a prompt first

Cause: both parts are in all the same crashes, and nothing spoke for either.

Change: of parts that are accused together, the later one in the prompt is quarantined, which accounts for the other.

--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -117,6 +117,8 @@
     crashes: BTreeMap<(VmId, Incarnation), Crash>,
     /// When each part was last answered.
     answered: BTreeMap<PromptPart, Timestamp>,
+    /// Parts of the same prompt, the earlier one first.
+    successors: BTreeSet<(PromptPart, PromptPart)>,
 }
 
 impl Evidence {
@@ -128,6 +130,16 @@
         });
         crash.at = crash.at.min(at);
         crash.parts.extend(&suspect.parts);
+        for (index, part) in suspect.parts.iter().enumerate() {
+            let later = suspect.parts[index + 1..].iter();
+            self.successors.extend(later.map(|later| (*part, *later)));
+        }
+    }
+
+    /// Returns whether one of `others` comes after a part in the same prompt.
+    fn precedes_any(&self, part: PromptPart, others: &BTreeSet<PromptPart>) -> bool {
+        let mut others = others.iter();
+        others.any(|other| self.successors.contains(&(part, *other)))
     }
 
     fn parts(&self) -> BTreeSet<PromptPart> {
@@ -144,13 +156,20 @@
     }
 
     /// Returns the number of engines that crashed on requests with a part since it
-    /// was last answered, unless another part `accounts` for the crash.
-    fn unexplained(&self, part: PromptPart, accounts: impl Fn(&PromptPart) -> bool) -> u32 {
+    /// was last answered, without those for which the one of `others` accounts that
+    /// accounts for most.
+    fn unexplained<'a>(
+        &self,
+        part: PromptPart,
+        others: impl Iterator<Item = &'a PromptPart>,
+    ) -> u32 {
         let answered = self.answered.get(&part);
-        self.crashes_on(part, |crash| {
-            let mut others = crash.parts.iter().filter(|other| **other != part);
-            answered.is_none_or(|answered| *answered < crash.at) && !others.any(&accounts)
-        })
+        let counts = |crash: &Crash| answered.is_none_or(|answered| *answered < crash.at);
+        let others = others.filter(|other| **other != part);
+        let explained = others.map(|other| {
+            self.crashes_on(part, |crash| counts(crash) && crash.parts.contains(other))
+        });
+        self.crashes_on(part, counts) - explained.max().unwrap_or(0)
     }
 }
 
@@ -219,11 +238,6 @@
             });
         }
     }
-
-    fn is_active(&self, now: Timestamp, part: &PromptPart) -> bool {
-        let quarantined = self.quarantined.get(part);
-        quarantined.is_some_and(|quarantined| now < quarantined.until)
-    }
 }
 
 impl Gateway {
@@ -404,12 +418,16 @@
             .into_iter()
             .partition(|part| evidence.answered.contains_key(part));
         for parts in [unanswered, answered] {
-            let accused: Vec<_> = parts
+            let accused: BTreeMap<PromptPart, Quarantined> = parts
                 .into_iter()
                 .filter_map(|part| Some((part, self.accuse(now, &evidence, part)?)))
                 .collect();
+            let accused_parts: BTreeSet<PromptPart> = accused.keys().copied().collect();
             for (part, quarantined) in accused {
-                self.quarantine.insert(part, quarantined);
+                // Of two parts of a prompt, fewer sound ones share the later.
+                if !evidence.precedes_any(part, &accused_parts) {
+                    self.quarantine.insert(part, quarantined);
+                }
             }
         }
     }
@@ -418,8 +436,9 @@
     /// was last answered, without those for which another quarantined part
     /// accounts.
     fn unexplained_crashes(&self, now: Timestamp, evidence: &Evidence, part: PromptPart) -> u32 {
-        let quarantine = &self.quarantine;
-        evidence.unexplained(part, |other| quarantine.is_active(now, other))
+        let quarantined = self.quarantine.quarantined.iter();
+        let active = quarantined.filter(|(_, quarantined)| now < quarantined.until);
+        evidence.unexplained(part, active.map(|(part, _)| part))
     }
 
     /// Returns the quarantine that the evidence demands for a part, if it is not in
