test(core): quarantines reach nodes that start after the crashes

A node that starts later has neither suspects nor answers; it adopts what its peers report, for the time that is left.

--- a/crates/core/tests/gateway_quarantine.rs
+++ b/crates/core/tests/gateway_quarantine.rs
@@ -181,6 +181,20 @@
     assert!(is_quarantined(&leaf_b, ms(180), DEADLY));
 }
 
+/// A node that starts later has not seen the crashes.
+#[test]
+fn quarantine_outlives_the_nodes_that_saw_the_crashes() {
+    let (mut first, mut second, mut third) = (node(), node(), node());
+    for number in 0..2 {
+        first.record_prompt_crash(ms(100), &name(number), &[DEADLY]);
+    }
+    exchange(ms(200), ("first", &first), &mut second);
+    exchange(ms(20_000), ("second", &second), &mut third);
+    assert!(is_quarantined(&third, ms(20_000), DEADLY));
+    let left = third.quarantine_left(ms(20_000), &[DEADLY]);
+    assert!(left <= Some(Duration::from_millis(40_200)), "{left:?}");
+}
+
 /// Guards against refusing sound prompts because one node has not seen an answer
 /// on a part that they share with the deadly ones.
 #[test]
