--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -233,6 +233,7 @@
             }
         }
         self.apply_leaving(&report.leaving);
+        self.apply_prompt_report(now, &report.prompts);
         if let Some(age) = report.confirmation_age_ms {
             self.record_peer_confirmation(now - Duration::from_millis(age));
         }
--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -95,7 +95,8 @@
 /// The parts of prompts that crash engines, and the evidence for and against.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    /// When a request with the part was last answered at this node.
+    /// When a request with the part was last answered, at this node or at a peer
+    /// that reported it.
     answered: BTreeMap<PromptPart, Timestamp>,
     /// Suspect requests of this node, with the time of the crash.
     suspects: VecDeque<(Timestamp, Suspect)>,
@@ -178,6 +179,10 @@
         for part in parts {
             self.answered.insert(*part, now);
         }
+        self.limit_answered(now);
+    }
+
+    fn limit_answered(&mut self, now: Timestamp) {
         if self.answered.len() > MAX_ANSWERED_PARTS {
             self.answered
                 .retain(|_, at| now.since(*at) < ANSWERED_TIME / 2);
@@ -202,10 +207,25 @@
     }
 
     fn is_cleared(&self, now: Timestamp, suspect: &Suspect) -> bool {
-        suspect.parts.iter().all(|part| {
-            let answered = self.answered.get(part);
-            answered.is_some_and(|at| now.since(*at) < ANSWERED_TIME)
-        })
+        let mut parts = suspect.parts.iter();
+        parts.all(|part| self.last_answered(now, *part).is_some())
+    }
+
+    /// Returns when a part was last answered, if that still speaks for it.
+    fn last_answered(&self, now: Timestamp, part: PromptPart) -> Option<Timestamp> {
+        let answered = self.answered.get(&part).copied();
+        answered.filter(|at| now.since(*at) < ANSWERED_TIME)
+    }
+
+    /// Records what a peer has reported about answers. They are kept, because the
+    /// peer reports them only while the part is under suspicion.
+    fn record_peer_answers(&mut self, now: Timestamp, answered: &BTreeMap<PromptPart, u64>) {
+        for (part, age_ms) in answered {
+            let at = now - Duration::from_millis(*age_ms);
+            let known = self.answered.entry(*part).or_insert(at);
+            *known = at.max(*known);
+        }
+        self.limit_answered(now);
     }
 
     fn expire(&mut self, now: Timestamp) {
@@ -314,7 +334,7 @@
         });
         PromptReport {
             suspects: self.reported_suspects(now, covered),
-            answered: self.reported_answers(now, covered),
+            answered: self.reported_answers(now),
             quarantined: quarantined.collect(),
         }
     }
@@ -343,26 +363,13 @@
         suspects
     }
 
-    fn reported_answers(
-        &self,
-        now: Timestamp,
-        covered: &[(Timestamp, &PromptReport)],
-    ) -> BTreeMap<PromptPart, u64> {
-        let mut answered = BTreeMap::new();
-        for part in self.suspect_parts() {
-            let own = self.quarantine.answered.get(&part);
-            let own = own.map(|at| now.since(*at).as_millis() as u64);
-            let of_peers = covered.iter().filter_map(|(received_at, report)| {
-                let transit_ms = now.since(*received_at).as_millis() as u64;
-                Some(report.answered.get(&part)? + transit_ms)
-            });
-            let latest = own.into_iter().chain(of_peers).min();
-            let max_age_ms = ANSWERED_TIME.as_millis() as u64;
-            if let Some(age_ms) = latest.filter(|age_ms| *age_ms < max_age_ms) {
-                answered.insert(part, age_ms);
-            }
-        }
-        answered
+    fn reported_answers(&self, now: Timestamp) -> BTreeMap<PromptPart, u64> {
+        let parts = self.suspect_parts().into_iter();
+        let answered = parts.filter_map(|part| {
+            let age = now.since(self.quarantine.last_answered(now, part)?);
+            Some((part, age.as_millis() as u64))
+        });
+        answered.collect()
     }
 
     /// Returns the parts for which it matters whether they were answered.
@@ -391,20 +398,19 @@
         for (at, suspect) in own.chain(of_peers) {
             evidence.record_crash(at, suspect);
         }
-        for part in self.suspect_parts() {
-            let own = self.quarantine.answered.get(&part).copied();
-            let of_peers = self.fresh_reports(now).filter_map(|(received_at, report)| {
-                let age_ms = report.prompts.answered.get(&part)?;
-                Some(received_at - Duration::from_millis(*age_ms))
-            });
-            let latest = own.into_iter().chain(of_peers).max();
-            if let Some(at) = latest.filter(|at| now.since(*at) < ANSWERED_TIME) {
+        for part in evidence.parts() {
+            if let Some(at) = self.quarantine.last_answered(now, part) {
                 evidence.answered.insert(part, at);
             }
         }
         evidence
     }
 
+    /// Applies what a peer has reported about parts of prompts.
+    pub(super) fn apply_prompt_report(&mut self, now: Timestamp, report: &PromptReport) {
+        self.quarantine.record_peer_answers(now, &report.answered);
+    }
+
     /// Quarantines parts and releases them, as the evidence of all nodes demands.
     pub(super) fn review_quarantine(&mut self, now: Timestamp) {
         self.quarantine.expire(now);
@@ -491,6 +497,7 @@
 
     fn is_bystander(&self, now: Timestamp, evidence: &Evidence, part: PromptPart) -> bool {
         let crashes = self.unexplained_crashes(now, evidence, part);
-        evidence.answered.contains_key(&part) && crashes < MIN_CRASHES_IF_ANSWERED
+        let is_answered = self.quarantine.last_answered(now, part).is_some();
+        is_answered && crashes < MIN_CRASHES_IF_ANSWERED
     }
 }
--- a/crates/core/tests/gateway_quarantine.rs
+++ b/crates/core/tests/gateway_quarantine.rs
@@ -216,6 +216,22 @@
     }
 }
 
+/// Guards against accusing and releasing a part by turns: a peer reports its
+/// answers only while the part is under suspicion.
+#[test]
+fn released_part_is_not_accused_again_by_the_same_crashes() {
+    let (mut first, mut second) = (node(), node());
+    second.record_prompt_answered(ms(50), &[SHARED]);
+    for number in 0..2 {
+        first.record_prompt_crash(ms(100), &name(number), &[SHARED]);
+    }
+    exchange(ms(110), ("first", &first), &mut second);
+    exchange(ms(120), ("second", &second), &mut first);
+    assert!(!is_quarantined(&first, ms(120), SHARED));
+    exchange(ms(5_000), ("third", &node()), &mut first);
+    assert!(!is_quarantined(&first, ms(5_000), SHARED));
+}
+
 #[test]
 fn changes_are_returned_once() {
     let mut gateway = node();
