refactor(gateway): split events from the relay, evidence from the quarantine

The splitter of events and the evidence of crashes are modules of their own, and a reported quarantine is a struct instead of a pair.

--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -7,6 +7,8 @@
 //! have seen, since requests with the part come to all of them. See
 //! `docs/design/quarantine.md`.
 
+mod evidence;
+
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
@@ -14,6 +16,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use self::evidence::Evidence;
 use super::{notices::Incarnation, prompt::PromptPart, state::Gateway};
 use crate::{ids::VmId, time::Timestamp};
 
@@ -60,9 +63,17 @@
     /// Milliseconds since a request with the part was answered, for each part
     /// that is under suspicion.
     pub answered: BTreeMap<PromptPart, u64>,
-    /// The quarantined parts, with the time left in milliseconds and the number of
-    /// crashes.
-    pub quarantined: BTreeMap<PromptPart, (u64, u32)>,
+    /// The quarantined parts.
+    pub quarantined: BTreeMap<PromptPart, ReportedQuarantine>,
+}
+
+/// A quarantine in a report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportedQuarantine {
+    /// Milliseconds until it ends.
+    pub left_ms: u64,
+    /// Number of engines that crashed on requests with the part.
+    pub crashes: u32,
 }
 
 /// The quarantine of a part.
@@ -104,76 +115,6 @@
     changes: Vec<QuarantineChange>,
 }
 
-/// The crash of one run of an engine.
-#[derive(Debug)]
-struct Crash {
-    at: Timestamp,
-    /// The parts of all requests that had no event.
-    parts: BTreeSet<PromptPart>,
-}
-
-/// The evidence of all nodes about the suspect parts.
-#[derive(Debug, Default)]
-struct Evidence {
-    crashes: BTreeMap<(VmId, Incarnation), Crash>,
-    /// When each part was last answered.
-    answered: BTreeMap<PromptPart, Timestamp>,
-    /// Parts of the same prompt, the earlier one first.
-    successors: BTreeSet<(PromptPart, PromptPart)>,
-}
-
-impl Evidence {
-    fn record_crash(&mut self, at: Timestamp, suspect: &Suspect) {
-        let engine = (suspect.engine.clone(), suspect.incarnation.clone());
-        let crash = self.crashes.entry(engine).or_insert_with(|| Crash {
-            at,
-            parts: BTreeSet::new(),
-        });
-        crash.at = crash.at.min(at);
-        crash.parts.extend(&suspect.parts);
-        for (index, part) in suspect.parts.iter().enumerate() {
-            let later = suspect.parts[index + 1..].iter();
-            self.successors.extend(later.map(|later| (*part, *later)));
-        }
-    }
-
-    /// Returns whether one of `others` comes after a part in the same prompt.
-    fn precedes_any(&self, part: PromptPart, others: &BTreeSet<PromptPart>) -> bool {
-        let mut others = others.iter();
-        others.any(|other| self.successors.contains(&(part, *other)))
-    }
-
-    fn parts(&self) -> BTreeSet<PromptPart> {
-        let parts = self.crashes.values().flat_map(|crash| &crash.parts);
-        parts.copied().collect()
-    }
-
-    /// Returns the number of engines that crashed on requests with a part, as far
-    /// as `counts` returns `true` for the crash.
-    fn crashes_on(&self, part: PromptPart, counts: impl Fn(&Crash) -> bool) -> u32 {
-        let crashes = self.crashes.values();
-        let crashes = crashes.filter(|crash| crash.parts.contains(&part) && counts(crash));
-        crashes.count() as u32
-    }
-
-    /// Returns the number of engines that crashed on requests with a part since it
-    /// was last answered, without those for which the one of `others` accounts that
-    /// accounts for most.
-    fn unexplained<'a>(
-        &self,
-        part: PromptPart,
-        others: impl Iterator<Item = &'a PromptPart>,
-    ) -> u32 {
-        let answered = self.answered.get(&part);
-        let counts = |crash: &Crash| answered.is_none_or(|answered| *answered < crash.at);
-        let others = others.filter(|other| **other != part);
-        let explained = others.map(|other| {
-            self.crashes_on(part, |crash| counts(crash) && crash.parts.contains(other))
-        });
-        self.crashes_on(part, counts) - explained.max().unwrap_or(0)
-    }
-}
-
 impl Quarantine {
     fn record_answered(&mut self, now: Timestamp, parts: &[PromptPart]) {
         for part in parts {
@@ -329,8 +270,11 @@
         let quarantined = self.quarantine.quarantined.iter();
         let quarantined = quarantined.filter(|(_, quarantined)| now < quarantined.until);
         let quarantined = quarantined.map(|(part, quarantined)| {
-            let left_ms = quarantined.until.since(now).as_millis() as u64;
-            (*part, (left_ms, quarantined.crashes))
+            let reported = ReportedQuarantine {
+                left_ms: quarantined.until.since(now).as_millis() as u64,
+                crashes: quarantined.crashes,
+            };
+            (*part, reported)
         });
         PromptReport {
             suspects: self.reported_suspects(now, covered),
@@ -468,9 +412,9 @@
     fn adopt_quarantines(&mut self, now: Timestamp, evidence: &Evidence) {
         let of_peers = self.fresh_reports(now).flat_map(|(received_at, report)| {
             let quarantined = report.prompts.quarantined.iter();
-            quarantined.map(move |(part, (left_ms, crashes))| {
-                let until = received_at + Duration::from_millis(*left_ms);
-                let crashes = *crashes;
+            quarantined.map(move |(part, reported)| {
+                let until = received_at + Duration::from_millis(reported.left_ms);
+                let crashes = reported.crashes;
                 (*part, Quarantined { until, crashes })
             })
         });
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod crash;
 mod directory;
 mod dump;
+mod events;
 mod exchange;
 mod forward;
 mod host;
