fix(gateway): count crashes of engines further on a path

Callers would see: if the engine that begins to write is not the first one of the path, its crash only stalls the path, nothing is found and one engine after the other crashes.

Cause: the evidence was the connection, which only the first engine has.

Change: when a path stalls before the first event, the engines without progress are checked for refusing connections.

--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -42,7 +42,7 @@
 /// Maximum number of quarantined parts.
 const MAX_QUARANTINED: usize = 64;
 
-/// A request that had no event when the first engine of its path crashed.
+/// A request that had no event when an engine of its path crashed.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Suspect {
     /// The engine.
@@ -214,8 +214,8 @@
         }
     }
 
-    /// Records that an engine crashed before the first event of a request whose
-    /// path begins at it.
+    /// Records that an engine crashed before the first event of a request on whose
+    /// path it was.
     pub fn record_prompt_crash(&mut self, now: Timestamp, engine: &VmId, parts: &[PromptPart]) {
         let Some(row) = self.servers.get(engine) else {
             return;
--- a/crates/daemon/src/gateway/job.rs
+++ b/crates/daemon/src/gateway/job.rs
@@ -140,6 +140,7 @@
             WatchedSend::Unresponsive(suspects) => {
                 self.log_failed_send(&guard, "silent", sent_at, &join_ids(&suspects));
                 self.runs += 1;
+                crash::check_stalled(self, &guard, &suspects).await;
                 self.record_failures(&suspects);
                 guard.settle(TicketOutcome::Abandoned);
                 return Attempt::Retry;
@@ -184,7 +185,7 @@
             SendOutcome::Unknown(reason) => {
                 self.runs += 1;
                 self.log_failed_send(&guard, "lost", sent_at, &reason);
-                crash::check(self, &guard).await;
+                crash::check_first(self, &guard).await;
                 guard.settle(TicketOutcome::Failed);
             }
         }
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -148,6 +148,9 @@
             let wait = match self.check_silence(now) {
                 StallAction::Wait(wait) => wait,
                 StallAction::Failover(suspects) => {
+                    if let (false, Some(guard)) = (self.has_events_of_run, &self.guard) {
+                        crash::check_stalled(&self.job, guard, &suspects).await;
+                    }
                     if self.resume("silent", suspects).await {
                         continue;
                     }
@@ -346,7 +349,7 @@
     /// be resumed.
     async fn handle_disconnect(&mut self, reason: &str) -> Option<BodyError> {
         if let (false, Some(guard)) = (self.has_events_of_run, &self.guard) {
-            crash::check(&self.job, guard).await;
+            crash::check_first(&self.job, guard).await;
         }
         while self.resumable {
             let now = self.job.host.now();
