--- a/crates/core/src/gateway/prompt.rs
+++ b/crates/core/src/gateway/prompt.rs
@@ -4,8 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Identifies a part of a prompt. Prompts with the same part begin with the same
-/// parts before it.
+/// Identifies a part of a prompt, which other prompts may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct PromptPart(pub u64);
--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -177,6 +177,8 @@
         });
     }
 
+    /// Puts a part under quarantine, or extends its quarantine. If there are too
+    /// many already, it is left out.
     fn insert(&mut self, part: PromptPart, quarantined: Quarantined) {
         let is_full = self.quarantined.len() >= MAX_QUARANTINED;
         if is_full && !self.quarantined.contains_key(&part) {
@@ -439,6 +441,8 @@
         }
     }
 
+    /// Returns whether the crashes on a part are likely those of other parts: it
+    /// was answered lately, and few crashes followed.
     fn is_bystander(&self, now: Timestamp, evidence: &Evidence, part: PromptPart) -> bool {
         let crashes = self.unexplained_crashes(now, evidence, part);
         let is_answered = self.quarantine.last_answered(now, part).is_some();
--- a/crates/core/src/gateway/quarantine/evidence.rs
+++ b/crates/core/src/gateway/quarantine/evidence.rs
@@ -25,6 +25,7 @@
 }
 
 impl Evidence {
+    /// Adds a request that an engine's crash left without an event.
     pub(super) fn record_crash(&mut self, at: Timestamp, suspect: &Suspect) {
         let engine = (suspect.engine.clone(), suspect.incarnation.clone());
         let crash = self.crashes.entry(engine).or_insert_with(|| Crash {
@@ -45,6 +46,7 @@
         others.any(|other| self.successors.contains(&(part, *other)))
     }
 
+    /// Returns all parts of the requests.
     pub(super) fn parts(&self) -> BTreeSet<PromptPart> {
         let parts = self.crashes.values().flat_map(|crash| &crash.parts);
         parts.copied().collect()
