feat(gateway): log the limits that servers name

Change: the header Server-Limit is decoded into a rate and logged with the request and the server. No decision changes.

--- a/crates/daemon/src/gateway/job.rs
+++ b/crates/daemon/src/gateway/job.rs
@@ -224,6 +224,19 @@
                 pause_ms = pause.as_millis() as u64,
             });
         }
+        match notices.limit {
+            Some(Ok(limit)) => info!("a server named a limit", kv: {
+                request = self.outgoing.attempt_id.as_str(),
+                server = id.as_str(),
+                limit = limit.to_string(),
+            }),
+            Some(Err(error)) => warn!("a server named an invalid limit", kv: {
+                request = self.outgoing.attempt_id.as_str(),
+                server = id.as_str(),
+                error = error.to_string(),
+            }),
+            None => {}
+        }
         if notices.leaving {
             self.host.record_leaving(id);
         }
