fix(gateway): keep the limits that servers name, over all nodes together

Callers would see a server in need fail under a load that it asked not to get.

Cause: the header Server-Limit was not read, so that nothing changed at a server that named a limit. Hypothesis 1; the class is a signal of a server that no decision uses. To read it in each node alone would have been hypothesis 2: seven nodes, seven times the limit.

Change: statements about limits have an incarnation, an age and an end, and travel in the reports between nodes with the requests sent to the server and the demand for its service. If all servers of a service are limited, requests that they don't take are refused at once.

--- a/crates/core/src/gateway/notices.rs
+++ b/crates/core/src/gateway/notices.rs
@@ -156,8 +156,7 @@
     pub fn pause_left(&self, now: Timestamp, service: &ServiceId) -> Option<Duration> {
         let mut earliest: Option<Timestamp> = None;
         for (_, row) in self.servers.of_service(service) {
-            let takes_entries = row.entry.layers.is_none_or(|layers| layers.start() == 0);
-            if row.is_leaving() || !takes_entries {
+            if row.is_leaving() || !row.takes_entries() {
                 continue;
             }
             let until = row.notice.paused_until.max(row.notice.entry_paused_until);
--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -9,8 +9,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{members::Member, notices::Incarnation, quarantine::PromptReport, state::Gateway};
-use crate::{ids::VmId, time::Timestamp};
+use super::{
+    members::Member, notices::Incarnation, quarantine::PromptReport, server_limits::LimitReport,
+    state::Gateway,
+};
+use crate::{
+    ids::{ServiceId, VmId},
+    time::Timestamp,
+};
 
 /// Maximum number of unlisted nodes that a report names. Callers get no more
 /// addresses from a directory.
@@ -79,6 +85,8 @@
     /// Milliseconds since any of the covered nodes last confirmed that its
     /// configuration is the newest.
     pub confirmation_age_ms: Option<u64>,
+    /// Number of the nodes that this report covers.
+    pub nodes: u32,
     /// Nodes covered by this report that accept no new callers.
     pub stopped: Vec<VmId>,
     /// Nodes covered by this report that the store does not list.
@@ -87,6 +95,10 @@
     pub leaving: BTreeMap<VmId, Incarnation>,
     /// Parts of prompts that may crash engines.
     pub prompts: PromptReport,
+    /// Servers that have named a limit.
+    pub limits: BTreeMap<VmId, LimitReport>,
+    /// Requests per second of the covered nodes for each service.
+    pub demand: BTreeMap<ServiceId, u32>,
     /// The load of the node and of the nodes that it reports for.
     pub load: Vec<ServerLoad>,
 }
@@ -164,9 +176,9 @@
         let mut stopped = Vec::new();
         let mut leaving = self.own_leaving(now);
         let mut unlisted = own.map(UnlistedNodes::from).unwrap_or_default();
-        let mut prompts = Vec::new();
+        let mut covered = Vec::new();
         for (id, peer) in self.aggregated_peers(now, recipient) {
-            prompts.push((peer.received_at, &peer.report.prompts));
+            covered.push((peer.received_at, &peer.report));
             stopped.extend((!peer.report.accepts_callers).then(|| id.clone()));
             stopped.extend(peer.report.stopped.iter().cloned());
             leaving.extend(peer.report.leaving.clone());
@@ -191,10 +203,13 @@
             accepts_callers,
             configuration_version: self.configuration().map(|c| c.version),
             confirmation_age_ms: confirmation_age.map(|age| age.as_millis() as u64),
+            nodes: 1 + covered.iter().map(|(_, report)| report.nodes).sum::<u32>(),
             stopped,
             unlisted,
             leaving,
-            prompts: self.prompt_report(now, &prompts),
+            prompts: self.prompt_report(now, &covered),
+            limits: self.limit_report(now, &covered),
+            demand: self.demand_report(now, &covered),
             load: load.into_values().collect(),
         }
     }
@@ -234,6 +249,7 @@
         }
         self.apply_leaving(&report.leaving);
         self.apply_prompt_report(now, &report.prompts);
+        self.apply_limits(now, &report.limits);
         if let Some(age) = report.confirmation_age_ms {
             self.record_peer_confirmation(now - Duration::from_millis(age));
         }
--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use self::evidence::Evidence;
-use super::{notices::Incarnation, prompt::PromptPart, state::Gateway};
+use super::{notices::Incarnation, peers::NodeReport, prompt::PromptPart, state::Gateway};
 use crate::{ids::VmId, time::Timestamp};
 
 /// Crashes on requests with a part after which it is quarantined.
@@ -267,7 +267,7 @@
     pub(super) fn prompt_report(
         &self,
         now: Timestamp,
-        covered: &[(Timestamp, &PromptReport)],
+        covered: &[(Timestamp, &NodeReport)],
     ) -> PromptReport {
         let quarantined = self.quarantine.quarantined.iter();
         let quarantined = quarantined.filter(|(_, quarantined)| now < quarantined.until);
@@ -288,13 +288,13 @@
     fn reported_suspects(
         &self,
         now: Timestamp,
-        covered: &[(Timestamp, &PromptReport)],
+        covered: &[(Timestamp, &NodeReport)],
     ) -> Vec<Suspect> {
         let own = self.quarantine.suspects.iter();
         let own = own.map(|(at, suspect)| (now.since(*at), suspect));
         let of_peers = covered.iter().flat_map(|(received_at, report)| {
             let transit = now.since(*received_at);
-            let suspects = report.suspects.iter();
+            let suspects = report.prompts.suspects.iter();
             suspects.map(move |suspect| (transit, suspect))
         });
         let mut suspects: Vec<Suspect> = own
--- /dev/null
+++ b/crates/core/src/gateway/server_limits.rs
@@ -0,0 +1,341 @@
+//! Keeps the limits of requests that backend servers name.
+//!
+//! A limit holds for all nodes together. Every node adds up what all nodes send,
+//! and lets each of its requests use the server with the same probability: the
+//! limit divided by the demand of all nodes. A node's share thus follows its
+//! demand, and is right also where it is far below one request. See
+//! `docs/design/server-limits.md`.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use super::{
+    notices::Incarnation, peers::NodeReport, recent_count::RecentCount, request_rate::RequestRate,
+    servers::ServerRow, state::Gateway,
+};
+use crate::{
+    ids::{ServiceId, VmId},
+    time::Timestamp,
+};
+
+/// Time over which the requests to a limited server are counted.
+const SENT_WINDOW: Duration = Duration::from_secs(4);
+/// Time over which the demand for a service is counted.
+const DEMAND_WINDOW: Duration = Duration::from_secs(1);
+/// Age of a statement at which it ends.
+const MAX_STATEMENT_AGE: Duration = Duration::from_secs(30);
+/// Age of a statement from which requests test whether it still holds. The limit
+/// may be so low that no other request is sent.
+const TRIAL_AGE: Duration = Duration::from_secs(2);
+/// Rate of the requests that test a limit.
+const TRIAL_RATE: RequestRate = RequestRate(500);
+/// Maximum number of servers whose statements are kept.
+const MAX_STATEMENTS: usize = 4_096;
+/// Maximum number of limits in a report, which keeps it below the size of a
+/// datagram.
+const MAX_REPORTED_LIMITS: usize = 128;
+
+/// What a server last stated about its limit.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct LimitStatement {
+    /// The run of the server that stated it.
+    pub incarnation: Incarnation,
+    /// The requests that it takes from all nodes together, or `None` if it takes
+    /// any number again.
+    pub limit: Option<RequestRate>,
+    /// When the response with the statement arrived.
+    pub at: Timestamp,
+}
+
+/// A [`LimitStatement`] in a report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportedStatement {
+    /// The limit, or `None` if there is none any more.
+    pub limit: Option<RequestRate>,
+    /// Milliseconds since the response with the statement arrived.
+    pub age_ms: u64,
+}
+
+/// What the nodes that a report covers know of a limited server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// The run of the server.
+    pub incarnation: Incarnation,
+    /// The newest statement that the server made to one of the nodes. Statements
+    /// that they know from other nodes are left out, since the time in transit
+    /// would make them appear newer.
+    pub statement: Option<ReportedStatement>,
+    /// Requests that the nodes sent to the server within the last 4 s.
+    pub sent: u32,
+}
+
+impl LimitReport {
+    /// Adds the report of another node, which is older by `transit`.
+    fn add(&mut self, other: &Self, transit: Duration) {
+        let transit_ms = transit.as_millis() as u64;
+        let statement = other.statement.map(|statement| ReportedStatement {
+            age_ms: statement.age_ms + transit_ms,
+            ..statement
+        });
+        let age = |statement: &ReportedStatement| statement.age_ms;
+        self.statement = self.statement.into_iter().chain(statement).min_by_key(age);
+        self.sent = self.sent.saturating_add(other.sent);
+    }
+}
+
+/// A change of the limit of a server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LimitChange {
+    /// The server.
+    pub server: VmId,
+    /// Its new limit.
+    pub limit: Option<RequestRate>,
+}
+
+/// The limits of all servers, and the demand of this node.
+#[derive(Debug, Default)]
+pub struct ServerLimits {
+    /// The newest statement of each server to this node.
+    own: BTreeMap<VmId, LimitStatement>,
+    /// The newest statement of each server to any node.
+    newest: BTreeMap<VmId, LimitStatement>,
+    /// Requests of this node that looked for a server of the service.
+    demand: BTreeMap<ServiceId, RecentCount>,
+    changes: Vec<LimitChange>,
+}
+
+fn keep(statements: &mut BTreeMap<VmId, LimitStatement>, id: &VmId, statement: LimitStatement) {
+    let is_ended = |other: &LimitStatement| statement.at.since(other.at) >= MAX_STATEMENT_AGE;
+    if statements.len() >= MAX_STATEMENTS {
+        statements.retain(|_, other| !is_ended(other));
+    }
+    if statements.len() < MAX_STATEMENTS || statements.contains_key(id) {
+        statements.insert(id.clone(), statement);
+    }
+}
+
+impl ServerLimits {
+    /// Applies a statement unless a newer one is known.
+    fn apply(&mut self, id: &VmId, statement: LimitStatement) {
+        let known = self.newest.get(id);
+        if known.is_some_and(|known| known.at >= statement.at) {
+            return;
+        }
+        let is_same_run = |known: &&LimitStatement| known.incarnation == statement.incarnation;
+        let previous = known.filter(is_same_run).and_then(|known| known.limit);
+        if previous != statement.limit {
+            self.changes.push(LimitChange {
+                server: id.clone(),
+                limit: statement.limit,
+            });
+        }
+        keep(&mut self.newest, id, statement);
+    }
+
+    /// Returns the current statement of a run of a server.
+    fn current(&self, now: Timestamp, id: &VmId, row: &ServerRow) -> Option<&LimitStatement> {
+        let statement = self.newest.get(id)?;
+        let is_current = statement.incarnation == Incarnation::from(&row.entry)
+            && now.since(statement.at) < MAX_STATEMENT_AGE;
+        is_current.then_some(statement)
+    }
+
+    /// Returns the rate to which all nodes together keep at a server.
+    fn rate(&self, now: Timestamp, id: &VmId, row: &ServerRow) -> Option<RequestRate> {
+        let statement = self.current(now, id, row)?;
+        let limit = statement.limit?;
+        let is_tested = now.since(statement.at) >= TRIAL_AGE;
+        Some(if is_tested {
+            limit.max(TRIAL_RATE)
+        } else {
+            limit
+        })
+    }
+}
+
+/// What this node knows of the demand of all nodes.
+struct Fleet<'a> {
+    /// Recent reports of the peers, with the time at which each was received.
+    reports: Vec<&'a NodeReport>,
+    /// Number of all nodes per node whose figures are known. Nodes that are not
+    /// heard count like the others.
+    scale: f64,
+}
+
+impl Fleet<'_> {
+    /// Returns the demand for a service, in requests per second.
+    fn demand(&self, service: &ServiceId, own: u32) -> f64 {
+        let of_peers = self.reports.iter();
+        let of_peers = of_peers.filter_map(|report| report.demand.get(service));
+        f64::from(own + of_peers.sum::<u32>()) * self.scale
+    }
+
+    /// Returns the requests sent to a run of a server within [`SENT_WINDOW`].
+    fn sent(&self, id: &VmId, incarnation: &Incarnation, own: u32) -> f64 {
+        let of_peers = self.reports.iter();
+        let of_peers = of_peers.filter_map(|report| report.limits.get(id));
+        let of_run = of_peers.filter(|limit| limit.incarnation == *incarnation);
+        let sent: u32 = of_run.map(|limit| limit.sent).sum();
+        f64::from(own + sent) * self.scale
+    }
+}
+
+impl Gateway {
+    /// Records what a server stated about its limit in the response to a request
+    /// that was sent at `sent`. A response without a limit ends the limit only if
+    /// the request was sent after the limit was last named.
+    pub fn record_limit(
+        &mut self,
+        now: Timestamp,
+        id: &VmId,
+        sent: Timestamp,
+        limit: Option<RequestRate>,
+    ) {
+        let Some(row) = self.row_unless_restarted(id, sent) else {
+            return;
+        };
+        let incarnation = Incarnation::from(&row.entry);
+        if limit.is_none() {
+            let known = self.limits.newest.get(id);
+            let known = known.filter(|known| known.incarnation == incarnation);
+            let ends = known.is_some_and(|known| known.limit.is_some() && known.at < sent);
+            if !ends {
+                return;
+            }
+        }
+        let statement = LimitStatement {
+            incarnation,
+            limit,
+            at: now,
+        };
+        keep(&mut self.limits.own, id, statement.clone());
+        self.limits.apply(id, statement);
+    }
+
+    /// Applies what a peer has reported about limits.
+    pub(super) fn apply_limits(&mut self, now: Timestamp, limits: &BTreeMap<VmId, LimitReport>) {
+        for (id, report) in limits {
+            let Some(statement) = report.statement else {
+                continue;
+            };
+            let statement = LimitStatement {
+                incarnation: report.incarnation.clone(),
+                limit: statement.limit,
+                at: now - Duration::from_millis(statement.age_ms),
+            };
+            if now.since(statement.at) < MAX_STATEMENT_AGE {
+                self.limits.apply(id, statement);
+            }
+        }
+    }
+
+    /// Returns the limits that servers have named, as far as they are in force.
+    pub fn server_limits(&self, now: Timestamp) -> BTreeMap<VmId, RequestRate> {
+        let ids = self.limits.newest.keys();
+        let limits = ids.filter_map(|id| {
+            let row = self.servers.get(id)?;
+            Some((id.clone(), self.limits.rate(now, id, row)?))
+        });
+        limits.collect()
+    }
+
+    /// Returns whether all servers of a service that take requests of this node have
+    /// named a limit. A request that they don't take can't expect one that does.
+    pub(super) fn is_limited(&self, now: Timestamp, service: &ServiceId) -> bool {
+        let rows = self.servers.of_service(service);
+        let mut open = rows.filter(|(_, row)| row.takes_entries() && row.is_entry_open(now));
+        let mut is_limited = |(id, row)| self.limits.rate(now, id, row).is_some();
+        open.next().is_some_and(&mut is_limited) && open.all(is_limited)
+    }
+
+    /// Returns the changes of limits since the last call.
+    pub fn take_limit_changes(&mut self) -> Vec<LimitChange> {
+        std::mem::take(&mut self.limits.changes)
+    }
+
+    /// Returns this node's report about limited servers, with the reports that it
+    /// covers and the time at which each was received.
+    pub(super) fn limit_report(
+        &self,
+        now: Timestamp,
+        covered: &[(Timestamp, &NodeReport)],
+    ) -> BTreeMap<VmId, LimitReport> {
+        let current = self.limits.newest.iter().filter_map(|(id, newest)| {
+            let row = self.servers.get(id)?;
+            self.limits.current(now, id, row)?;
+            let own = self.limits.own.get(id);
+            let own = own.filter(|own| own.incarnation == newest.incarnation);
+            let statement = own.map(|own| ReportedStatement {
+                limit: own.limit,
+                age_ms: now.since(own.at).as_millis() as u64,
+            });
+            let mut report = LimitReport {
+                incarnation: newest.incarnation.clone(),
+                statement,
+                sent: row.sent.count(now, SENT_WINDOW),
+            };
+            for (received_at, other) in covered {
+                let of_run = other.limits.get(id);
+                if let Some(other) = of_run.filter(|o| o.incarnation == newest.incarnation) {
+                    report.add(other, now.since(*received_at));
+                }
+            }
+            Some((id.clone(), report))
+        });
+        current.take(MAX_REPORTED_LIMITS).collect()
+    }
+
+    /// Returns the demand of this node and of the nodes that its report covers, in
+    /// requests per second.
+    pub(super) fn demand_report(
+        &self,
+        now: Timestamp,
+        covered: &[(Timestamp, &NodeReport)],
+    ) -> BTreeMap<ServiceId, u32> {
+        let own = self.limits.demand.iter();
+        let own = own.map(|(service, count)| (service, count.count(now, DEMAND_WINDOW)));
+        let of_peers = covered.iter().flat_map(|(_, report)| &report.demand);
+        let mut demand = BTreeMap::new();
+        for (service, count) in own.chain(of_peers.map(|(service, count)| (service, *count))) {
+            *demand.entry(service.clone()).or_insert(0) += count;
+        }
+        demand
+    }
+
+    /// Counts a request that looks for a server of a service, and draws the limited
+    /// servers that it may not use.
+    pub(super) fn draw_limited(&mut self, now: Timestamp, service: &ServiceId) -> Vec<VmId> {
+        let demand = self.limits.demand.entry(service.clone()).or_default();
+        demand.record(now);
+        let own_demand = demand.count(now, DEMAND_WINDOW);
+        if self.limits.newest.is_empty() {
+            return Vec::new();
+        }
+        let nodes = self.node_count(now);
+        let reports: Vec<&NodeReport> = self.fresh_reports(now).map(|(_, report)| report).collect();
+        let heard: u32 = reports.iter().map(|report| report.nodes).sum();
+        let scale = (f64::from(nodes) / f64::from(heard + 1)).max(1.0);
+        let fleet = Fleet { reports, scale };
+        let demand = fleet.demand(service, own_demand);
+        let limited = self.limits.newest.iter().filter_map(|(id, statement)| {
+            let row = self.servers.get(id)?;
+            let rate = self.limits.rate(now, id, row)?.per_second();
+            let is_of_service = row.entry.service == *service;
+            let own = row.sent.count(now, SENT_WINDOW);
+            let sent = fleet.sent(id, &statement.incarnation, own);
+            let max_sent = (rate * SENT_WINDOW.as_secs_f64()).max(1.0);
+            let share = match sent + 1.0 <= max_sent {
+                true => rate / demand.max(1.0),
+                false => 0.0,
+            };
+            is_of_service.then(|| (id.clone(), share))
+        });
+        let limited: Vec<(VmId, f64)> = limited.collect();
+        let closed = limited
+            .into_iter()
+            .filter(|(_, share)| self.rng.random_range(0.0..1.0) >= *share);
+        closed.map(|(id, _)| id).collect()
+    }
+}
--- a/crates/core/src/gateway/servers.rs
+++ b/crates/core/src/gateway/servers.rs
@@ -12,6 +12,7 @@
     config::{Accelerator, EngineSpec},
     notices::{Incarnation, Notice, Notices},
     peers::ServerLoad,
+    recent_count::RecentCount,
     stall,
 };
 use crate::{
@@ -71,6 +72,8 @@
     /// failure domain.
     #[serde(rename = "inbound")]
     pub inbound_tokens: u64,
+    /// Requests that this node sent to the server, or on a path that contains it.
+    pub sent: RecentCount,
     /// Requests of other nodes on the server, from their latest reports.
     pub peer_requests: u32,
     /// Tokens of KV cache that requests of other nodes are expected to occupy,
@@ -125,6 +128,7 @@
             tokens: 0,
             unread_tokens: 0,
             inbound_tokens: 0,
+            sent: RecentCount::default(),
             peer_requests: 0,
             peer_tokens: 0,
             peer_unread_tokens: 0,
@@ -241,6 +245,12 @@
         self.is_open(now) && now >= self.notice.entry_paused_until
     }
 
+    /// Returns whether requests may be sent to the server directly. Engines that
+    /// hold later layers receive activations only.
+    pub fn takes_entries(&self) -> bool {
+        self.entry.layers.is_none_or(|layers| layers.start() == 0)
+    }
+
     /// Returns whether the server may take part in new requests.
     pub fn is_available(&self, now: Timestamp) -> bool {
         self.is_open(now) && now >= self.backoff_until
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -16,6 +16,7 @@
     plain,
     quarantine::Quarantine,
     routes::{RouteError, RouteMatch, RouteTable},
+    server_limits::ServerLimits,
     servers::{Server, ServerChange, ServerRow, Servers},
     stall::{self, StallAction},
     store_view::RegistryHistory,
@@ -103,8 +104,9 @@
     pub(super) registry: RegistryHistory,
     pub(super) peers: BTreeMap<VmId, Peer>,
     pub(super) quarantine: Quarantine,
+    pub(super) limits: ServerLimits,
     nodes: NodeCount,
-    rng: StdRng,
+    pub(super) rng: StdRng,
 }
 
 impl Gateway {
@@ -125,6 +127,7 @@
             registry: RegistryHistory::default(),
             peers: BTreeMap::new(),
             quarantine: Quarantine::default(),
+            limits: ServerLimits::default(),
             nodes: NodeCount::default(),
             rng: StdRng::seed_from_u64(seed),
         }
@@ -277,7 +280,7 @@
         if let Some(ticket) = self.try_start(now, service, estimate, &[]) {
             return Admission::Start(ticket);
         }
-        if self.pause_left(now, service).is_some() {
+        if self.pause_left(now, service).is_some() || self.is_limited(now, service) {
             return Admission::Refuse(self.retry_after_refusal(now, service));
         }
         let draw = self.rng.random_range(0.0..1.0);
@@ -305,17 +308,23 @@
         avoid: &[VmId],
     ) -> Option<Ticket> {
         let ticket = self.try_start(now, service, estimate, avoid)?;
-        let listed = self.nodes.max_in_window(now, self.cfg.budget.window);
-        let unlisted = self.unlisted_nodes(now).count;
-        let nodes = listed.map(|listed| listed.saturating_add(unlisted));
+        let nodes = self.node_count(now);
         let budget = self.budgets.entry(service.clone()).or_default();
-        if budget.try_acquire(now, &self.cfg.budget, nodes.unwrap_or(DEFAULT_NODE_COUNT)) {
+        if budget.try_acquire(now, &self.cfg.budget, nodes) {
             return Some(ticket);
         }
         self.release(&ticket);
         None
     }
 
+    /// Returns the number of nodes that share budgets and limits.
+    pub(super) fn node_count(&mut self, now: Timestamp) -> u32 {
+        let listed = self.nodes.max_in_window(now, self.cfg.budget.window);
+        let unlisted = self.unlisted_nodes(now).count;
+        let nodes = listed.map(|listed| listed.saturating_add(unlisted));
+        nodes.unwrap_or(DEFAULT_NODE_COUNT)
+    }
+
     /// Returns a random delay after which a refused caller should retry.
     pub fn retry_after(&mut self) -> Duration {
         admission::retry_after(self.rng.random_range(0.0..1.0))
@@ -353,6 +362,8 @@
     ) -> Option<Ticket> {
         let configuration = self.configuration.clone()?;
         let spec = configuration.services.get(service)?;
+        let limited = self.draw_limited(now, service);
+        let avoid = &[avoid, &limited].concat();
         let has_stale_view = self.nodes.current() > Some(hubs::MAX_MESH_NODES as u32);
         let rng = &mut self.rng;
         let mut draw = || rng.random_range(0.0..1.0);
@@ -383,6 +394,7 @@
                     row.busy_since = now;
                 }
                 row.requests += 1;
+                row.sent.record(now);
                 row.tokens += reservation.tokens;
                 if row.failures > 0 {
                     // One request tests the server. Others follow once it
@@ -413,7 +425,11 @@
     /// Returns a server unless it has restarted since `since`. A restarted
     /// server has new counters, from which earlier tickets must not be
     /// subtracted.
-    fn row_unless_restarted(&mut self, id: &VmId, since: Timestamp) -> Option<&mut ServerRow> {
+    pub(super) fn row_unless_restarted(
+        &mut self,
+        id: &VmId,
+        since: Timestamp,
+    ) -> Option<&mut ServerRow> {
         self.servers
             .get_mut(id)
             .filter(|row| row.first_seen <= since)
--- a/crates/core/tests/gateway_requests.rs
+++ b/crates/core/tests/gateway_requests.rs
@@ -427,6 +427,9 @@
         progress_age_ms: 100,
     });
     let report = NodeReport {
+        nodes: 1,
+        limits: BTreeMap::new(),
+        demand: BTreeMap::new(),
         prompts: PromptReport::default(),
         accepts_callers: true,
         configuration_version: None,
--- a/crates/daemon/src/gateway/host.rs
+++ b/crates/daemon/src/gateway/host.rs
@@ -12,8 +12,14 @@
 
 use radishhaven_core::{
     gateway::{
-        Gateway, RouteKind, StoreEra, Target, Ticket, TicketOutcome, admission::WaitKey, drain,
-        hubs::HubRole, members::MemberTable, paths::TokenEstimate, routes::RouteMatch,
+        Gateway, RouteKind, StoreEra, Target, Ticket, TicketOutcome,
+        admission::WaitKey,
+        drain,
+        hubs::HubRole,
+        members::MemberTable,
+        paths::TokenEstimate,
+        request_rate::{InvalidRate, RequestRate},
+        routes::RouteMatch,
         state::Admission,
     },
     ids::{FencingToken, ServiceId, VmId},
@@ -344,6 +350,39 @@
         }
     }
 
+    /// Records what a server stated about its limit in the response to a request
+    /// that was sent at `sent`.
+    pub(super) fn record_limit(
+        &self,
+        server: &VmId,
+        sent: Timestamp,
+        named: Option<Result<RequestRate, InvalidRate>>,
+    ) {
+        let now = self.now();
+        match named.transpose() {
+            Ok(limit) => self.with_gateway(|g| g.record_limit(now, server, sent, limit)),
+            Err(error) => warn!("a server named an invalid limit", kv: {
+                server = server.as_str(),
+                error = error.to_string(),
+            }),
+        }
+        self.log_limits();
+    }
+
+    /// Logs the latest changes of limits.
+    pub(super) fn log_limits(&self) {
+        for change in self.with_gateway(Gateway::take_limit_changes) {
+            let server = change.server.as_str();
+            match change.limit {
+                Some(limit) => info!("a server named a limit", kv: {
+                    server,
+                    limit = limit.to_string(),
+                }),
+                None => info!("a server has no limit any more", kv: { server }),
+            }
+        }
+    }
+
     /// Logs the latest changes of the quarantine and wakes the requests that they
     /// may concern.
     pub(super) fn publish_quarantine(&self) {
--- a/crates/daemon/src/gateway/job.rs
+++ b/crates/daemon/src/gateway/job.rs
@@ -161,13 +161,13 @@
         match outcome {
             SendOutcome::Responded(response) => {
                 let notices = backend_response::decode_notices(&response.head);
-                self.record_notices(&guard, None, notices);
+                self.record_notices(&guard, sent_at, None, notices);
                 return Attempt::Responded(response, guard);
             }
             SendOutcome::NotRun(by, notices) => {
                 self.not_run += 1;
                 self.exclude_server(&guard, by);
-                self.record_notices(&guard, by, notices);
+                self.record_notices(&guard, sent_at, by, notices);
                 self.log_failed_send(&guard, "not run", sent_at, &address_text(by));
                 guard.settle(TicketOutcome::Full { by });
             }
@@ -202,11 +202,12 @@
         self.excluded.extend(reporter.or_else(first));
     }
 
-    /// Records what the first server of the target stated about itself.
-    /// `at_fault` is the engine that caused a refusal, if it was named.
+    /// Records what the first server of the target stated about itself in the
+    /// response to a request that was sent at `sent_at`. `at_fault` is the engine that caused a refusal, if it was named.
     fn record_notices(
         &self,
         guard: &TicketGuard,
+        sent_at: Timestamp,
         at_fault: Option<std::net::SocketAddr>,
         notices: ServerNotices,
     ) {
@@ -224,19 +225,7 @@
                 pause_ms = pause.as_millis() as u64,
             });
         }
-        match notices.limit {
-            Some(Ok(limit)) => info!("a server named a limit", kv: {
-                request = self.outgoing.attempt_id.as_str(),
-                server = id.as_str(),
-                limit = limit.to_string(),
-            }),
-            Some(Err(error)) => warn!("a server named an invalid limit", kv: {
-                request = self.outgoing.attempt_id.as_str(),
-                server = id.as_str(),
-                error = error.to_string(),
-            }),
-            None => {}
-        }
+        self.host.record_limit(id, sent_at, notices.limit);
         if notices.leaving {
             self.host.record_leaving(id);
         }
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -196,6 +196,12 @@
         "Parts of prompts in quarantine",
         quarantined as i64,
     );
+    let limited = host.with_gateway(|g| g.server_limits(now).len());
+    gauge(
+        "limited_servers",
+        "Servers that have named a limit",
+        limited as i64,
+    );
     gauge(
         "open_requests",
         "Requests not answered",
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -233,6 +233,7 @@
         }
     }
     host.publish_quarantine();
+    host.log_limits();
 }
 
 /// Returns whether a hub can't read the store while other nodes can. Its leaves
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -74,9 +74,13 @@
         Some(OrderReply::Other(_)) => "refused",
         None => "no answer",
     };
-    if result.as_ref().is_ok_and(|response| response.leaving) {
+    let notices = result.as_ref().ok().map(|response| response.notices);
+    if notices.is_some_and(|notices| notices.leaving) {
         host.record_leaving(&assignment.server);
     }
+    if let Some(limit) = notices.and_then(|notices| notices.limit) {
+        host.record_limit(&assignment.server, now, Some(limit));
+    }
     if reply == Some(OrderReply::StaleToken) {
         // Another node holds the lease; the next join returns the current
         // holder.
