feat(gateway): log a digest of each request

The log did not say whether two requests that crashed servers were the same one. Change: a digest of method, host, path, organisation, prompt and body, logged with each send (digest). No decision changes.

--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use radishhaven_core::{
     gateway::{
+        RequestDigest,
         routes::{RouteError, RouteMatch},
         state::Rejection,
     },
@@ -84,6 +85,7 @@
         Ok(Err(ReadError::Broken)) => return refuse(StatusCode::BAD_REQUEST, "the body broke off"),
         Err(_) => return refuse(StatusCode::REQUEST_TIMEOUT, "the body came too slowly"),
     };
+    let digest = digest(&head, &body, &caller_request, &routed);
     let outgoing = OutgoingRequest {
         method: head.method,
         uri: origin_form(&head.uri),
@@ -98,6 +100,7 @@
         routed,
         service,
         demand: caller_request.token_estimate,
+        digest,
         shared_parts: caller_request.shared_parts,
         arrived,
         deadline: arrived + time_limit,
@@ -112,6 +115,27 @@
     forward(job).await
 }
 
+/// Returns the digest of a request, which a repetition by the same organisation
+/// shares, at whatever node.
+fn digest(
+    head: &request::Parts,
+    body: &Bytes,
+    caller_request: &CallerRequest,
+    routed: &RouteMatch,
+) -> RequestDigest {
+    let organisation = routed.organisation.as_ref().map(|id| id.as_str());
+    let uri = origin_form(&head.uri);
+    let target = uri.path_and_query().map(|target| target.as_str());
+    RequestDigest::of(&[
+        head.method.as_str().as_bytes(),
+        routed.route.host.as_bytes(),
+        target.unwrap_or_default().as_bytes(),
+        organisation.unwrap_or_default().as_bytes(),
+        caller_request.prompt.as_bytes(),
+        body,
+    ])
+}
+
 /// Why a body could not be read.
 enum ReadError {
     TooLarge,
--- a/crates/daemon/src/gateway/job.rs
+++ b/crates/daemon/src/gateway/job.rs
@@ -8,7 +8,8 @@
 
 use radishhaven_core::{
     gateway::{
-        PromptPart, TicketOutcome, paths::TokenEstimate, routes::RouteMatch, stall::StallAction,
+        PromptPart, RequestDigest, TicketOutcome, paths::TokenEstimate, routes::RouteMatch,
+        stall::StallAction,
     },
     ids::{ServiceId, VmId},
     time::Timestamp,
@@ -43,6 +44,8 @@
     pub(super) service: ServiceId,
     /// The token estimate of a generation.
     pub(super) demand: Option<TokenEstimate>,
+    /// What a repetition of the request shares with it.
+    pub(super) digest: RequestDigest,
     /// The parts of the prompt that other requests may share.
     pub(super) shared_parts: Vec<PromptPart>,
     /// When the request arrived.
@@ -253,6 +256,7 @@
             request = self.outgoing.attempt_id.as_str(),
             route = self.routed.name.as_str(),
             path = guard.target().to_string().as_str(),
+            digest = self.digest.to_string().as_str(),
             parts = join_parts(&self.shared_parts).as_str(),
             waited_ms = self.waited.as_millis() as u64,
             left_ms = self.remaining().as_millis() as u64,
