fix(gateway): quarantine requests that crash servers, at all nodes

Only parts of prompts were kept as causes of crashes, and a request to a plain server has none, so each of its crashes was forgotten. A generation that is deadly by itself has sound parts, of which the shared one was accused instead.

Change: a cause of crashes is a part of a prompt or the request, by its digest. Plain servers are checked for a crash like engines, also when a response breaks off. Crashes on a request count for ten minutes and its quarantine is remembered, as it may come rarely. Two requests at the same two crashes wait for a third crash, or for the answer to the bystander. Types are renamed to say so: CrashCause, CrashReport.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub mod budget;
 mod chains;
 pub mod config;
+pub mod crash_cause;
 pub mod drain;
 pub mod freshness;
 pub mod hubs;
@@ -36,6 +37,7 @@
 pub mod ticket;
 
 pub use config::{Configuration, EngineSpec, Organisation, Route, RouteKind, Service};
+pub use crash_cause::CrashCause;
 pub use paths::{Path, Stage};
 pub use prompt::PromptPart;
 pub use request_digest::RequestDigest;
--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    members::Member, notices::Incarnation, quarantine::PromptReport, server_limits::LimitReport,
+    members::Member, notices::Incarnation, quarantine::CrashReport, server_limits::LimitReport,
     state::Gateway,
 };
 use crate::{
@@ -93,8 +93,8 @@
     pub unlisted: UnlistedNodes,
     /// Servers that stated recently to the covered nodes that they are leaving.
     pub leaving: BTreeMap<VmId, Incarnation>,
-    /// Parts of prompts that may crash engines.
-    pub prompts: PromptReport,
+    /// Requests, and parts of prompts, that may crash servers.
+    pub crashes: CrashReport,
     /// Servers that have named a limit.
     pub limits: BTreeMap<VmId, LimitReport>,
     /// Requests per second of the covered nodes for each service.
@@ -207,7 +207,7 @@
             stopped,
             unlisted,
             leaving,
-            prompts: self.prompt_report(now, &covered),
+            crashes: self.crash_report(now, &covered),
             limits: self.limit_report(now, &covered),
             demand: self.demand_report(now, &covered),
             load: load.into_values().collect(),
@@ -248,7 +248,7 @@
             }
         }
         self.apply_leaving(&report.leaving);
-        self.apply_prompt_report(now, &report.prompts);
+        self.apply_crash_report(now, &report.crashes);
         self.apply_limits(now, &report.limits);
         if let Some(age) = report.confirmation_age_ms {
             self.record_peer_confirmation(now - Duration::from_millis(age));
--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -1,10 +1,11 @@
-//! Keeps prompts that crash engines away from them.
+//! Keeps requests that crash servers away from them.
 //!
-//! A part of a prompt may crash each engine that begins to answer it. A node sees
-//! that an engine crashed while a request had no event yet; the request may as well
-//! be a bystander. A part is quarantined when two engines crashed on requests with
-//! it and no request with it was answered meanwhile. The nodes exchange what they
-//! have seen, since requests with the part come to all of them. See
+//! A request may crash each server that begins to run it, and so may each prompt
+//! with a certain part. A node sees that a server crashed while a request had no
+//! answer yet; the request may as well be a bystander. What such requests have in
+//! common, a [`CrashCause`], is quarantined when two servers crashed on requests
+//! with it and no request with it was answered meanwhile. The nodes exchange what
+//! they have seen, since such requests come to all of them. See
 //! `docs/design/quarantine.md`.
 
 mod evidence;
@@ -17,54 +18,81 @@
 use serde::{Deserialize, Serialize};
 
 use self::evidence::Evidence;
-use super::{notices::Incarnation, peers::NodeReport, prompt::PromptPart, state::Gateway};
+use super::{crash_cause::CrashCause, notices::Incarnation, peers::NodeReport, state::Gateway};
 use crate::{ids::VmId, time::Timestamp};
 
-/// Crashes on requests with a part after which it is quarantined.
+/// Crashes on requests with a cause after which it is quarantined.
 const MIN_CRASHES: u32 = 2;
-/// The same for a part that was answered before. It is the likelier bystander of
-/// a part beside it.
+/// The same for a request if another one was at all the same crashes. One of them
+/// is a bystander, which is answered when it comes again.
+const MIN_CRASHES_IF_AMBIGUOUS: u32 = 3;
+/// The same for a cause that was answered before. It is the likelier bystander of
+/// one beside it.
 const MIN_CRASHES_IF_ANSWERED: u32 = 4;
-/// Time for which an answer speaks for the parts of its prompt.
-const ANSWERED_TIME: Duration = Duration::from_secs(60);
-/// Time for which a crash speaks against the parts of a prompt.
-const CRASH_TIME: Duration = Duration::from_secs(60);
+/// Time for which crashes speak against a part of a prompt, and answers for it.
+const PART_MEMORY: Duration = Duration::from_secs(60);
+/// The same for a request, which may come again rarely.
+const REQUEST_MEMORY: Duration = Duration::from_secs(600);
 /// Duration of a quarantine after [`MIN_CRASHES`]. It doubles with each further
 /// crash.
 const QUARANTINE_TIME: Duration = Duration::from_secs(60);
-/// Maximum duration of a quarantine.
-const MAX_QUARANTINE_TIME: Duration = Duration::from_secs(600);
-/// Maximum number of parts of which it is known when they were last answered.
-const MAX_ANSWERED_PARTS: usize = 8_192;
+/// Maximum number of these doublings.
+const MAX_DOUBLINGS: u32 = 8;
+/// Maximum duration of the quarantine of a part of prompts.
+const MAX_PART_QUARANTINE_TIME: Duration = Duration::from_secs(600);
+/// Maximum number of causes of which it is known when they were last answered.
+const MAX_ANSWERED: usize = 8_192;
 /// Maximum number of suspect requests that a node keeps, and that a report
 /// contains.
-const MAX_SUSPECTS: usize = 24;
-/// Maximum number of quarantined parts.
+const MAX_SUSPECTS: usize = 48;
+/// Maximum number of quarantined causes.
 const MAX_QUARANTINED: usize = 64;
 
-/// A request that had no event when an engine of its path crashed.
+impl CrashCause {
+    /// Returns the time for which crashes speak against the cause, and answers for
+    /// it.
+    fn memory(self) -> Duration {
+        match self {
+            Self::Part(_) => PART_MEMORY,
+            Self::Request(_) => REQUEST_MEMORY,
+        }
+    }
+
+    /// Returns the duration of the quarantine after this number of crashes.
+    fn quarantine_time(self, crashes: u32) -> Duration {
+        let doublings = crashes.saturating_sub(MIN_CRASHES).min(MAX_DOUBLINGS);
+        let time = QUARANTINE_TIME * 2_u32.pow(doublings);
+        match self {
+            Self::Part(_) => time.min(MAX_PART_QUARANTINE_TIME),
+            Self::Request(_) => time,
+        }
+    }
+}
+
+/// A request that had no answer when a server of its path crashed.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Suspect {
-    /// The engine.
-    pub engine: VmId,
-    /// The run of the engine that ended.
+    /// The server.
+    pub server: VmId,
+    /// The run of the server that ended.
     pub incarnation: Incarnation,
-    /// The parts of the prompt that other requests may share.
-    pub parts: Vec<PromptPart>,
+    /// What other requests may share with it: the parts of its prompt in order, and
+    /// last the request itself.
+    pub causes: Vec<CrashCause>,
     /// Milliseconds since the crash.
     pub age_ms: u64,
 }
 
-/// What a node reports to its peers about parts of prompts.
+/// What a node reports to its peers about crashes.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PromptReport {
-    /// Requests that may have crashed their engines.
+pub struct CrashReport {
+    /// Requests that may have crashed their servers.
     pub suspects: Vec<Suspect>,
-    /// Milliseconds since a request with the part was answered, for each part
+    /// Milliseconds since a request with the cause was answered, for each cause
     /// that is under suspicion.
-    pub answered: BTreeMap<PromptPart, u64>,
-    /// The quarantined parts.
-    pub quarantined: BTreeMap<PromptPart, ReportedQuarantine>,
+    pub answered: BTreeMap<CrashCause, u64>,
+    /// The quarantined causes.
+    pub quarantined: BTreeMap<CrashCause, ReportedQuarantine>,
 }
 
 /// A quarantine in a report.
@@ -72,69 +100,84 @@
 pub struct ReportedQuarantine {
     /// Milliseconds until it ends.
     pub left_ms: u64,
-    /// Number of engines that crashed on requests with the part.
+    /// Number of servers that crashed on requests with the cause.
     pub crashes: u32,
 }
 
-/// The quarantine of a part.
+/// The quarantine of a cause.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub struct Quarantined {
     /// When it ends.
     pub until: Timestamp,
-    /// Number of engines that crashed on requests with the part.
+    /// Number of servers that crashed on requests with the cause.
     pub crashes: u32,
 }
 
 impl Quarantined {
-    fn new(now: Timestamp, crashes: u32) -> Self {
-        let doublings = crashes.saturating_sub(MIN_CRASHES).min(8);
-        let time = QUARANTINE_TIME * 2_u32.pow(doublings);
-        let until = now + time.min(MAX_QUARANTINE_TIME);
+    fn new(now: Timestamp, cause: CrashCause, crashes: u32) -> Self {
+        let until = now + cause.quarantine_time(crashes);
         Self { until, crashes }
     }
+
+    /// Returns whether the next crash renews the quarantine at once.
+    fn is_remembered(&self, now: Timestamp, cause: CrashCause) -> bool {
+        let time = match cause {
+            CrashCause::Part(_) => PART_MEMORY,
+            CrashCause::Request(_) => REQUEST_MEMORY.max(cause.quarantine_time(self.crashes)),
+        };
+        now < self.until + time
+    }
 }
 
-/// A part of a prompt that has been put under quarantine or released from it.
+/// A cause that has been put under quarantine or released from it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QuarantineChange {
-    /// The part.
-    pub part: PromptPart,
+    /// The cause.
+    pub cause: CrashCause,
     /// Its quarantine, or `None` if it was released.
     pub quarantined: Option<Quarantined>,
 }
 
-/// The parts of prompts that crash engines, and the evidence for and against.
+/// The causes of crashes, and the evidence for and against them.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    /// When a request with the part was last answered, at this node or at a peer
+    /// When a request with the cause was last answered, at this node or at a peer
     /// that reported it.
-    answered: BTreeMap<PromptPart, Timestamp>,
+    answered: BTreeMap<CrashCause, Timestamp>,
     /// Suspect requests of this node, with the time of the crash.
     suspects: VecDeque<(Timestamp, Suspect)>,
-    quarantined: BTreeMap<PromptPart, Quarantined>,
+    quarantined: BTreeMap<CrashCause, Quarantined>,
+    /// The requests under suspicion at any node. Answers to others are not kept.
+    watched: BTreeSet<CrashCause>,
     changes: Vec<QuarantineChange>,
 }
 
 impl Quarantine {
-    fn record_answered(&mut self, now: Timestamp, parts: &[PromptPart]) {
-        for part in parts {
-            self.answered.insert(*part, now);
+    fn record_answered(&mut self, now: Timestamp, causes: &[CrashCause]) {
+        for cause in causes {
+            let is_kept = match cause {
+                CrashCause::Part(_) => true,
+                CrashCause::Request(_) => self.watched.contains(cause),
+            };
+            if is_kept {
+                self.answered.insert(*cause, now);
+            }
         }
         self.limit_answered(now);
     }
 
     fn limit_answered(&mut self, now: Timestamp) {
-        if self.answered.len() > MAX_ANSWERED_PARTS {
+        if self.answered.len() > MAX_ANSWERED {
             self.answered
-                .retain(|_, at| now.since(*at) < ANSWERED_TIME / 2);
+                .retain(|cause, at| now.since(*at) < cause.memory() / 2);
         }
-        while self.answered.len() > MAX_ANSWERED_PARTS {
+        while self.answered.len() > MAX_ANSWERED {
             self.answered.pop_first();
         }
     }
 
     /// Keeps a suspect request. If there are too many, those are dropped first whose
-    /// parts were all answered lately.
+    /// causes were all answered lately.
     fn record_suspect(&mut self, now: Timestamp, suspect: Suspect) {
         if self.suspects.iter().any(|(_, known)| *known == suspect) {
             return;
@@ -148,55 +191,54 @@
     }
 
     fn is_cleared(&self, now: Timestamp, suspect: &Suspect) -> bool {
-        let mut parts = suspect.parts.iter();
-        parts.all(|part| self.last_answered(now, *part).is_some())
+        let mut causes = suspect.causes.iter();
+        causes.all(|cause| self.last_answered(now, *cause).is_some())
     }
 
-    /// Returns when a part was last answered, if that still speaks for it.
-    fn last_answered(&self, now: Timestamp, part: PromptPart) -> Option<Timestamp> {
-        let answered = self.answered.get(&part).copied();
-        answered.filter(|at| now.since(*at) < ANSWERED_TIME)
+    /// Returns when a cause was last answered, if that still speaks for it.
+    fn last_answered(&self, now: Timestamp, cause: CrashCause) -> Option<Timestamp> {
+        let answered = self.answered.get(&cause).copied();
+        answered.filter(|at| now.since(*at) < cause.memory())
     }
 
     /// Records what a peer has reported about answers. They are kept, because the
-    /// peer reports them only while the part is under suspicion.
-    fn record_peer_answers(&mut self, now: Timestamp, answered: &BTreeMap<PromptPart, u64>) {
-        for (part, age_ms) in answered {
+    /// peer reports them only while the cause is under suspicion.
+    fn record_peer_answers(&mut self, now: Timestamp, answered: &BTreeMap<CrashCause, u64>) {
+        for (cause, age_ms) in answered {
             let at = now - Duration::from_millis(*age_ms);
-            let known = self.answered.entry(*part).or_insert(at);
+            let known = self.answered.entry(*cause).or_insert(at);
             *known = at.max(*known);
         }
         self.limit_answered(now);
     }
 
     fn expire(&mut self, now: Timestamp) {
-        self.suspects.retain(|(at, _)| now.since(*at) < CRASH_TIME);
-        self.quarantined.retain(|_, quarantined| {
-            // The next crash renews the quarantine at once.
-            now < quarantined.until + CRASH_TIME
-        });
+        self.suspects
+            .retain(|(at, _)| now.since(*at) < REQUEST_MEMORY);
+        self.quarantined
+            .retain(|cause, quarantined| quarantined.is_remembered(now, *cause));
     }
 
-    /// Puts a part under quarantine, or extends its quarantine. If there are too
+    /// Puts a cause under quarantine, or extends its quarantine. If there are too
     /// many already, it is left out.
-    fn insert(&mut self, part: PromptPart, quarantined: Quarantined) {
+    fn insert(&mut self, cause: CrashCause, quarantined: Quarantined) {
         let is_full = self.quarantined.len() >= MAX_QUARANTINED;
-        if is_full && !self.quarantined.contains_key(&part) {
+        if is_full && !self.quarantined.contains_key(&cause) {
             return;
         }
-        let previous = self.quarantined.insert(part, quarantined);
+        let previous = self.quarantined.insert(cause, quarantined);
         if previous.is_none_or(|previous| previous.crashes < quarantined.crashes) {
             self.changes.push(QuarantineChange {
-                part,
+                cause,
                 quarantined: Some(quarantined),
             });
         }
     }
 
-    fn release(&mut self, part: PromptPart) {
-        if self.quarantined.remove(&part).is_some() {
+    fn release(&mut self, cause: CrashCause) {
+        if self.quarantined.remove(&cause).is_some() {
             self.changes.push(QuarantineChange {
-                part,
+                cause,
                 quarantined: None,
             });
         }
@@ -204,56 +246,56 @@
 }
 
 impl Gateway {
-    /// Records that a request with these parts of a prompt was answered, or that its
-    /// answer is under way.
-    pub fn record_prompt_answered(&mut self, now: Timestamp, parts: &[PromptPart]) {
-        self.quarantine.record_answered(now, parts);
-        if parts
+    /// Records that a request with these causes was answered, or that its answer is
+    /// under way.
+    pub fn record_request_answered(&mut self, now: Timestamp, causes: &[CrashCause]) {
+        self.quarantine.record_answered(now, causes);
+        if causes
             .iter()
-            .any(|part| self.quarantine.quarantined.contains_key(part))
+            .any(|cause| self.quarantine.quarantined.contains_key(cause))
         {
             self.review_quarantine(now);
         }
     }
 
-    /// Records that an engine crashed before the first event of a request on whose
-    /// path it was.
-    pub fn record_prompt_crash(&mut self, now: Timestamp, engine: &VmId, parts: &[PromptPart]) {
-        let Some(row) = self.servers.get(engine) else {
+    /// Records that a server crashed before the answer to a request on whose path it
+    /// was.
+    pub fn record_crash(&mut self, now: Timestamp, server: &VmId, causes: &[CrashCause]) {
+        let Some(row) = self.servers.get(server) else {
             return;
         };
         let suspect = Suspect {
-            engine: engine.clone(),
+            server: server.clone(),
             incarnation: Incarnation::from(&row.entry),
-            parts: parts.to_vec(),
+            causes: causes.to_vec(),
             age_ms: 0,
         };
         self.quarantine.record_suspect(now, suspect);
         self.review_quarantine(now);
     }
 
-    /// Returns whether this node has recorded a crash of the engine's current run.
-    pub fn has_crashed(&self, engine: &VmId) -> bool {
-        let Some(row) = self.servers.get(engine) else {
+    /// Returns whether this node has recorded a crash of the server's current run.
+    pub fn has_crashed(&self, server: &VmId) -> bool {
+        let Some(row) = self.servers.get(server) else {
             return false;
         };
         let incarnation = Incarnation::from(&row.entry);
         let mut suspects = self.quarantine.suspects.iter();
-        suspects.any(|(_, s)| s.engine == *engine && s.incarnation == incarnation)
+        suspects.any(|(_, s)| s.server == *server && s.incarnation == incarnation)
     }
 
-    /// Returns the time until requests with these parts may reach engines again, or
+    /// Returns the time until requests with these causes may reach servers again, or
     /// `None` if they may now.
-    pub fn quarantine_left(&self, now: Timestamp, parts: &[PromptPart]) -> Option<Duration> {
-        let quarantined = parts
+    pub fn quarantine_left(&self, now: Timestamp, causes: &[CrashCause]) -> Option<Duration> {
+        let quarantined = causes
             .iter()
-            .filter_map(|part| self.quarantine.quarantined.get(part));
+            .filter_map(|cause| self.quarantine.quarantined.get(cause));
         let until = quarantined.map(|quarantined| quarantined.until).max()?;
         (now < until).then(|| until.since(now))
     }
 
-    /// Returns the quarantined parts.
-    pub fn quarantined_parts(&self) -> &BTreeMap<PromptPart, Quarantined> {
+    /// Returns the quarantined causes.
+    pub fn quarantined_causes(&self) -> &BTreeMap<CrashCause, Quarantined> {
         &self.quarantine.quarantined
     }
 
@@ -262,23 +304,23 @@
         std::mem::take(&mut self.quarantine.changes)
     }
 
-    /// Returns this node's report about parts of prompts, with the evidence of the
+    /// Returns this node's report about crashes, with the evidence of the
     /// reports that it covers and the time at which each was received.
-    pub(super) fn prompt_report(
+    pub(super) fn crash_report(
         &self,
         now: Timestamp,
         covered: &[(Timestamp, &NodeReport)],
-    ) -> PromptReport {
+    ) -> CrashReport {
         let quarantined = self.quarantine.quarantined.iter();
         let quarantined = quarantined.filter(|(_, quarantined)| now < quarantined.until);
-        let quarantined = quarantined.map(|(part, quarantined)| {
+        let quarantined = quarantined.map(|(cause, quarantined)| {
             let reported = ReportedQuarantine {
                 left_ms: quarantined.until.since(now).as_millis() as u64,
                 crashes: quarantined.crashes,
             };
-            (*part, reported)
+            (*cause, reported)
         });
-        PromptReport {
+        CrashReport {
             suspects: self.reported_suspects(now, covered),
             answered: self.reported_answers(now),
             quarantined: quarantined.collect(),
@@ -294,7 +336,7 @@
         let own = own.map(|(at, suspect)| (now.since(*at), suspect));
         let of_peers = covered.iter().flat_map(|(received_at, report)| {
             let transit = now.since(*received_at);
-            let suspects = report.prompts.suspects.iter();
+            let suspects = report.crashes.suspects.iter();
             suspects.map(move |suspect| (transit, suspect))
         });
         let mut suspects: Vec<Suspect> = own
@@ -309,24 +351,24 @@
         suspects
     }
 
-    fn reported_answers(&self, now: Timestamp) -> BTreeMap<PromptPart, u64> {
-        let parts = self.suspect_parts().into_iter();
-        let answered = parts.filter_map(|part| {
-            let age = now.since(self.quarantine.last_answered(now, part)?);
-            Some((part, age.as_millis() as u64))
+    fn reported_answers(&self, now: Timestamp) -> BTreeMap<CrashCause, u64> {
+        let causes = self.suspect_causes().into_iter();
+        let answered = causes.filter_map(|cause| {
+            let age = now.since(self.quarantine.last_answered(now, cause)?);
+            Some((cause, age.as_millis() as u64))
         });
         answered.collect()
     }
 
-    /// Returns the parts for which it matters whether they were answered.
-    fn suspect_parts(&self) -> BTreeSet<PromptPart> {
+    /// Returns the causes for which it matters whether they were answered.
+    fn suspect_causes(&self) -> BTreeSet<CrashCause> {
         let own = self.quarantine.suspects.iter();
-        let own = own.flat_map(|(_, suspect)| &suspect.parts);
+        let own = own.flat_map(|(_, suspect)| &suspect.causes);
         let of_peers = self.peers.values().flat_map(|peer| {
-            let prompts = &peer.report().prompts;
-            let suspects = prompts.suspects.iter();
-            let parts = suspects.flat_map(|suspect| &suspect.parts);
-            parts.chain(prompts.quarantined.keys())
+            let reported = &peer.report().crashes;
+            let suspects = reported.suspects.iter();
+            let causes = suspects.flat_map(|suspect| &suspect.causes);
+            causes.chain(reported.quarantined.keys())
         });
         let quarantined = self.quarantine.quarantined.keys();
         own.chain(of_peers).chain(quarantined).copied().collect()
@@ -338,114 +380,133 @@
         let own = self.quarantine.suspects.iter();
         let own = own.map(|(at, suspect)| (*at, suspect));
         let of_peers = self.fresh_reports(now).flat_map(|(received_at, report)| {
-            let suspects = report.prompts.suspects.iter();
+            let suspects = report.crashes.suspects.iter();
             suspects.map(move |s| (received_at - Duration::from_millis(s.age_ms), s))
         });
         for (at, suspect) in own.chain(of_peers) {
-            evidence.record_crash(at, suspect);
+            let is_recent = |cause: &&CrashCause| now.since(at) < cause.memory();
+            let causes = suspect.causes.iter().filter(is_recent);
+            evidence.record_crash(at, suspect, causes.copied().collect());
         }
-        for part in evidence.parts() {
-            if let Some(at) = self.quarantine.last_answered(now, part) {
-                evidence.answered.insert(part, at);
+        for cause in evidence.causes() {
+            if let Some(at) = self.quarantine.last_answered(now, cause) {
+                evidence.answered.insert(cause, at);
             }
         }
         evidence
     }
 
-    /// Applies what a peer has reported about parts of prompts.
-    pub(super) fn apply_prompt_report(&mut self, now: Timestamp, report: &PromptReport) {
+    /// Applies what a peer has reported about crashes.
+    pub(super) fn apply_crash_report(&mut self, now: Timestamp, report: &CrashReport) {
         self.quarantine.record_peer_answers(now, &report.answered);
     }
 
-    /// Quarantines parts and releases them, as the evidence of all nodes demands.
+    /// Quarantines causes and releases them, as the evidence of all nodes demands.
     pub(super) fn review_quarantine(&mut self, now: Timestamp) {
         self.quarantine.expire(now);
         let evidence = self.evidence(now);
+        self.quarantine.watched = self.quarantine.quarantined.keys().copied().collect();
+        self.quarantine.watched.extend(evidence.causes());
         self.adopt_quarantines(now, &evidence);
         self.release_answered(now, &evidence);
-        // Parts without an answer come first: they account for the crashes on the
-        // parts beside them.
-        let (answered, unanswered): (Vec<PromptPart>, Vec<PromptPart>) = evidence
-            .parts()
+        // Causes without an answer come first: they account for the crashes on the
+        // causes beside them.
+        let (answered, unanswered): (Vec<CrashCause>, Vec<CrashCause>) = evidence
+            .causes()
             .into_iter()
-            .partition(|part| evidence.answered.contains_key(part));
-        for parts in [unanswered, answered] {
-            let accused: BTreeMap<PromptPart, Quarantined> = parts
+            .partition(|cause| evidence.answered.contains_key(cause));
+        for causes in [unanswered, answered] {
+            let accused: BTreeMap<CrashCause, Quarantined> = causes
                 .into_iter()
-                .filter_map(|part| Some((part, self.accuse(now, &evidence, part)?)))
+                .filter_map(|cause| Some((cause, self.accuse(now, &evidence, cause)?)))
+                .collect();
+            // A request does not account for its parts unless they were answered:
+            // the next request with a deadly part is another one.
+            let accused_parts: BTreeSet<CrashCause> = accused
+                .keys()
+                .filter(|cause| matches!(cause, CrashCause::Part(_)))
+                .copied()
                 .collect();
-            let accused_parts: BTreeSet<PromptPart> = accused.keys().copied().collect();
-            for (part, quarantined) in accused {
+            for (cause, quarantined) in accused {
                 // Of two parts of a prompt, fewer sound ones share the later.
-                if !evidence.precedes_any(part, &accused_parts) {
-                    self.quarantine.insert(part, quarantined);
+                if !evidence.precedes_any(cause, &accused_parts) {
+                    self.quarantine.insert(cause, quarantined);
                 }
             }
         }
     }
 
-    /// Returns the number of engines that crashed on requests with a part since it
-    /// was last answered, without those for which another quarantined part
+    /// Returns the number of servers that crashed on requests with a cause since it
+    /// was last answered, without those for which another quarantined cause
     /// accounts.
-    fn unexplained_crashes(&self, now: Timestamp, evidence: &Evidence, part: PromptPart) -> u32 {
+    fn unexplained_crashes(&self, now: Timestamp, evidence: &Evidence, cause: CrashCause) -> u32 {
         let quarantined = self.quarantine.quarantined.iter();
         let active = quarantined.filter(|(_, quarantined)| now < quarantined.until);
-        evidence.unexplained(part, active.map(|(part, _)| part))
+        evidence.unexplained(cause, active.map(|(cause, _)| cause))
     }
 
-    /// Returns the quarantine that the evidence demands for a part, if it is not in
+    /// Returns the quarantine that the evidence demands for a cause, if it is not in
     /// force yet.
-    fn accuse(&self, now: Timestamp, evidence: &Evidence, part: PromptPart) -> Option<Quarantined> {
-        let mut crashes = self.unexplained_crashes(now, evidence, part);
-        let needed = match self.quarantine.quarantined.get(&part) {
+    fn accuse(
+        &self,
+        now: Timestamp,
+        evidence: &Evidence,
+        cause: CrashCause,
+    ) -> Option<Quarantined> {
+        let mut crashes = self.unexplained_crashes(now, evidence, cause);
+        let needed = match self.quarantine.quarantined.get(&cause) {
             Some(active) if now < active.until => active.crashes + 1,
             Some(ended) => {
-                let again = evidence.crashes_on(part, |crash| crash.at >= ended.until);
+                let again = evidence.crashes_on(cause, |crash| crash.at >= ended.until);
                 crashes = ended.crashes + again;
                 ended.crashes + 1
             }
-            None if evidence.answered.contains_key(&part) => MIN_CRASHES_IF_ANSWERED,
+            None if evidence.answered.contains_key(&cause) => MIN_CRASHES_IF_ANSWERED,
+            None if evidence.is_ambiguous(cause) => MIN_CRASHES_IF_AMBIGUOUS,
             None => MIN_CRASHES,
         };
-        (crashes >= needed).then(|| Quarantined::new(now, crashes))
+        (crashes >= needed).then(|| Quarantined::new(now, cause, crashes))
     }
 
     /// Adopts the quarantines of the peers.
     fn adopt_quarantines(&mut self, now: Timestamp, evidence: &Evidence) {
         let of_peers = self.fresh_reports(now).flat_map(|(received_at, report)| {
-            let quarantined = report.prompts.quarantined.iter();
-            quarantined.map(move |(part, reported)| {
+            let quarantined = report.crashes.quarantined.iter();
+            quarantined.map(move |(cause, reported)| {
                 let until = received_at + Duration::from_millis(reported.left_ms);
                 let crashes = reported.crashes;
-                (*part, Quarantined { until, crashes })
+                (*cause, Quarantined { until, crashes })
             })
         });
-        let of_peers: Vec<(PromptPart, Quarantined)> = of_peers.collect();
-        for (part, quarantined) in of_peers {
-            let own = self.quarantine.quarantined.get(&part);
+        let of_peers: Vec<(CrashCause, Quarantined)> = of_peers.collect();
+        for (cause, quarantined) in of_peers {
+            let own = self.quarantine.quarantined.get(&cause);
             let is_longer = own.is_none_or(|own| own.until < quarantined.until);
             let is_current = now < quarantined.until;
-            if is_longer && is_current && !self.is_bystander(now, evidence, part) {
-                self.quarantine.insert(part, quarantined);
+            if is_longer && is_current && !self.is_bystander(now, evidence, cause) {
+                self.quarantine.insert(cause, quarantined);
             }
         }
     }
 
-    /// Releases parts that were answered, unless engines crashed on them since.
+    /// Releases causes that were answered, unless servers crashed on them since.
     fn release_answered(&mut self, now: Timestamp, evidence: &Evidence) {
-        let quarantined: Vec<PromptPart> = self.quarantine.quarantined.keys().copied().collect();
-        for part in quarantined {
-            if self.is_bystander(now, evidence, part) {
-                self.quarantine.release(part);
+        let quarantined: Vec<CrashCause> = self.quarantine.quarantined.keys().copied().collect();
+        for cause in quarantined {
+            if self.is_bystander(now, evidence, cause) {
+                self.quarantine.release(cause);
             }
         }
     }
 
-    /// Returns whether the crashes on a part are likely those of other parts: it
-    /// was answered lately, and few crashes followed.
-    fn is_bystander(&self, now: Timestamp, evidence: &Evidence, part: PromptPart) -> bool {
-        let crashes = self.unexplained_crashes(now, evidence, part);
-        let is_answered = self.quarantine.last_answered(now, part).is_some();
-        is_answered && crashes < MIN_CRASHES_IF_ANSWERED
+    /// Returns whether the crashes on a cause are likely those of other causes: it
+    /// was answered lately, and few crashes followed; or another request was at all
+    /// of them, and there were too few to tell the two apart.
+    fn is_bystander(&self, now: Timestamp, evidence: &Evidence, cause: CrashCause) -> bool {
+        let crashes = self.unexplained_crashes(now, evidence, cause);
+        let is_answered = self.quarantine.last_answered(now, cause).is_some();
+        let is_ambiguous = evidence.is_ambiguous(cause)
+            && evidence.crashes_on(cause, |_| true) < MIN_CRASHES_IF_AMBIGUOUS;
+        is_ambiguous || (is_answered && crashes < MIN_CRASHES_IF_ANSWERED)
     }
 }
--- a/crates/daemon/src/gateway/body.rs
+++ b/crates/daemon/src/gateway/body.rs
@@ -13,7 +13,7 @@
     #[error("the backend server's response was interrupted: {0}")]
     Interrupted(String),
     /// A part of the prompt was quarantined before the first event.
-    #[error("a part of the prompt is quarantined")]
+    #[error("quarantined after crashes")]
     Quarantined,
     /// The deadline of the request has passed.
     #[error("the deadline of the request has passed")]
--- a/crates/daemon/src/gateway/dump.rs
+++ b/crates/daemon/src/gateway/dump.rs
@@ -35,8 +35,8 @@
             "members": members,
             "order_token": token,
             "store_era": host.store.era(),
-            "quarantined_parts": g.quarantined_parts().iter().map(|(part, quarantined)| {
-                (part.to_string(), quarantined)
+            "quarantined_parts": g.quarantined_causes().iter().map(|(cause, quarantined)| {
+                (cause.to_string(), quarantined)
             }).collect::<BTreeMap<_, _>>(),
             "servers": servers,
         })
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -13,6 +13,7 @@
 
 use super::{
     body::{Body, full, text_response},
+    crash,
     exchange::BackendResponse,
     host::{AdmissionOutcome, TicketGuard},
     job::{Attempt, Job},
@@ -25,8 +26,8 @@
 
 /// Reason of a response to a request that may have run without a result.
 const NO_ANSWER: &str = "no answer to rely on";
-/// Reason of a refusal because of a part of the prompt.
-const QUARANTINED: &str = "a part of the prompt is quarantined";
+/// Reason of a refusal because the request, or a part of its prompt, crashes servers.
+const QUARANTINED: &str = "quarantined after crashes";
 
 /// Forwards a request and returns the response for the caller.
 pub(super) async fn forward(mut job: Job) -> Response<Body> {
@@ -82,7 +83,7 @@
     refuse(&job, retry_after, "no server took it")
 }
 
-/// Ends a request of which a part is quarantined, for the time `left`. If it was
+/// Ends a request that is quarantined, for the time `left`. If it was
 /// sent before, it may have run.
 fn end_quarantined(job: &Job, left: Duration) -> Response<Body> {
     match job.runs {
@@ -117,6 +118,7 @@
                 guard.ticket().acquired_at,
                 &error.to_string(),
             );
+            crash::check_first(job, &guard).await;
             guard.settle(TicketOutcome::Failed);
             return None;
         }
@@ -141,7 +143,7 @@
         }
     } else {
         guard.settle(TicketOutcome::Answered { took });
-        job.record_prompt_answered(job.host.now());
+        job.record_answerable(job.host.now());
     }
     log_answered(job, head.status, "whole", BodyFraming::of(&head.headers));
     Some(caller_response(&head, body))
--- a/crates/daemon/src/gateway/host.rs
+++ b/crates/daemon/src/gateway/host.rs
@@ -81,7 +81,7 @@
     pub(super) peers: Mutex<PeerState>,
     /// Wakes the reader of the configuration when a hub has a newer version.
     pub(super) newer_configuration: Notify,
-    /// Wakes requests when parts of prompts are quarantined.
+    /// Wakes requests when some are quarantined.
     pub(super) quarantine_changed: Notify,
     /// Wakes the sender of reports when peers should learn something at once.
     pub(super) report_soon: Notify,
@@ -391,14 +391,14 @@
             match change.quarantined {
                 Some(quarantined) => {
                     self.metrics.quarantined.inc();
-                    warn!("a part of prompts is quarantined", kv: {
-                        part = change.part.to_string(),
+                    warn!("requests are quarantined", kv: {
+                        cause = change.cause.to_string(),
                         crashes = quarantined.crashes,
                         for_ms = quarantined.until.since(self.now()).as_millis() as u64,
                     });
                 }
-                None => info!("a part of prompts is released", kv: {
-                    part = change.part.to_string(),
+                None => info!("requests are released from quarantine", kv: {
+                    cause = change.cause.to_string(),
                 }),
             }
         }
--- a/crates/daemon/src/gateway/job.rs
+++ b/crates/daemon/src/gateway/job.rs
@@ -8,8 +8,8 @@
 
 use radishhaven_core::{
     gateway::{
-        PromptPart, RequestDigest, TicketOutcome, paths::TokenEstimate, routes::RouteMatch,
-        stall::StallAction,
+        CrashCause, PromptPart, RequestDigest, TicketOutcome, paths::TokenEstimate,
+        routes::RouteMatch, stall::StallAction,
     },
     ids::{ServiceId, VmId},
     time::Timestamp,
@@ -98,11 +98,21 @@
     Retry,
     /// The deadline of the request has passed.
     TimedOut,
-    /// A part of the prompt was quarantined before the response began.
+    /// The request was quarantined before the response began.
     Quarantined,
 }
 
 impl Job {
+    /// Returns the shared parts of the prompt for the log.
+    pub(super) fn parts_text(&self) -> String {
+        let parts: Vec<String> = self
+            .shared_parts
+            .iter()
+            .map(PromptPart::to_string)
+            .collect();
+        parts.join(",")
+    }
+
     /// Returns the time until the deadline.
     pub(super) fn remaining(&self) -> Duration {
         self.deadline.since(self.host.now())
@@ -115,22 +125,26 @@
         self.not_run < MAX_NOT_RUN_SENDS && (self.runs == 0 || (is_repeatable && runs_left))
     }
 
-    /// Returns the time until the request may reach engines, if a part of its
+    /// Returns what the request shares with others, the parts of its prompt first.
+    pub(super) fn causes(&self) -> Vec<CrashCause> {
+        let parts = self.shared_parts.iter();
+        let parts = parts.map(|part| CrashCause::Part(*part));
+        parts.chain([CrashCause::Request(self.digest)]).collect()
+    }
+
+    /// Returns the time until the request may reach servers, if it or a part of its
     /// prompt is quarantined.
     pub(super) fn quarantine_left(&self) -> Option<Duration> {
         let now = self.host.now();
         self.host
-            .with_gateway(|g| g.quarantine_left(now, &self.shared_parts))
+            .with_gateway(|g| g.quarantine_left(now, &self.causes()))
     }
 
-    /// Records that the prompt can be answered, and releases its parts from a
-    /// quarantine for which another part accounts.
-    pub(super) fn record_prompt_answered(&self, now: Timestamp) {
-        if self.shared_parts.is_empty() {
-            return;
-        }
+    /// Records that the request can be answered, and releases it and its parts from a
+    /// quarantine for which another one accounts.
+    pub(super) fn record_answerable(&self, now: Timestamp) {
         self.host
-            .with_gateway(|g| g.record_prompt_answered(now, &self.shared_parts));
+            .with_gateway(|g| g.record_request_answered(now, &self.causes()));
         self.host.publish_quarantine();
     }
 
@@ -257,7 +271,7 @@
             route = self.routed.name.as_str(),
             path = guard.target().to_string().as_str(),
             digest = self.digest.to_string().as_str(),
-            parts = join_parts(&self.shared_parts).as_str(),
+            parts = self.parts_text().as_str(),
             waited_ms = self.waited.as_millis() as u64,
             left_ms = self.remaining().as_millis() as u64,
             version,
@@ -363,11 +377,6 @@
     Quarantined,
 }
 
-pub(super) fn join_parts(parts: &[PromptPart]) -> String {
-    let parts: Vec<String> = parts.iter().map(PromptPart::to_string).collect();
-    parts.join(",")
-}
-
 fn join_ids(ids: &[VmId]) -> String {
     let ids: Vec<&str> = ids.iter().map(VmId::as_str).collect();
     ids.join(",")
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -53,7 +53,7 @@
     pub(super) resumed: Counter,
     /// Streams that ended before their last event.
     pub(super) streams_cut: Counter,
-    /// Quarantines of parts of prompts, with each extension.
+    /// Quarantines of requests and parts of prompts, with each extension.
     pub(super) quarantined: Counter,
     /// Messages and entries that could not be decoded.
     pub(super) malformed: Counter,
@@ -155,7 +155,7 @@
         registry.register("cut_streams", "Streams cut", self.streams_cut.clone());
         registry.register(
             "quarantines",
-            "Quarantines of parts of prompts",
+            "Quarantines of requests and parts of prompts",
             self.quarantined.clone(),
         );
         registry.register("malformed", "Input not decoded", self.malformed.clone());
@@ -190,10 +190,10 @@
     );
     gauge("servers", "Backend servers known", servers as i64);
     gauge("waiting", "Requests that wait for room", waiting as i64);
-    let quarantined = host.with_gateway(|g| g.quarantined_parts().len());
+    let quarantined = host.with_gateway(|g| g.quarantined_causes().len());
     gauge(
         "quarantined_parts",
-        "Parts of prompts in quarantine",
+        "Requests and parts of prompts in quarantine",
         quarantined as i64,
     );
     let limited = host.with_gateway(|g| g.server_limits(now).len());
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -71,7 +71,7 @@
     has_events: bool,
     /// Whether the current engine has sent an event.
     has_events_of_run: bool,
-    /// Whether it was recorded that the prompt can be answered.
+    /// Whether it was recorded that the request can be answered.
     is_answered: bool,
     /// Time from the request's arrival to its first event.
     first_event_after: Duration,
@@ -201,10 +201,10 @@
         }
     }
 
-    /// Records once that the prompt can be answered.
+    /// Records once that the request can be answered.
     fn record_answered(&mut self, now: Timestamp) {
         if !std::mem::replace(&mut self.is_answered, true) {
-            self.job.record_prompt_answered(now);
+            self.job.record_answerable(now);
         }
     }
 
