fix(gateway): tell a node that starts what its peers keep from servers

Callers saw: a node that starts lists its peers some hundred milliseconds before they list it, and until then gets no report.

Cause: hubs report to listed nodes only.

Change: a hub that gets a report of a node that it has not heard lately sends its own one back, and a node whose role changes reports at once. Both nodes then have a recent report of each other, so that no exchange goes on.

Also: the number of suspects and of limits in a report is bounded so that the largest report fits into a message beside a page of members (report_size).

--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -239,6 +239,11 @@
         fresh.map(|peer| (peer.received_at, &peer.report))
     }
 
+    /// Returns whether there is a recent report of a peer.
+    pub fn has_report_of(&self, now: Timestamp, peer: &VmId) -> bool {
+        self.peers.get(peer).is_some_and(|peer| peer.is_fresh(now))
+    }
+
     /// Stores a peer's report and recomputes the load of all peers.
     pub fn apply_report(&mut self, now: Timestamp, peer: VmId, source: Source, report: NodeReport) {
         for load in &report.load {
--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -44,9 +44,9 @@
 const MAX_ANSWERED: usize = 8_192;
 /// Maximum number of suspect requests that a node keeps, and that a report
 /// contains.
-const MAX_SUSPECTS: usize = 48;
+pub const MAX_SUSPECTS: usize = 32;
 /// Maximum number of quarantined causes.
-const MAX_QUARANTINED: usize = 64;
+pub const MAX_QUARANTINED: usize = 64;
 
 impl CrashCause {
     /// Returns the time for which crashes speak against the cause, and answers for
--- a/crates/core/src/gateway/server_limits.rs
+++ b/crates/core/src/gateway/server_limits.rs
@@ -35,7 +35,7 @@
 const MAX_STATEMENTS: usize = 4_096;
 /// Maximum number of limits in a report, which keeps it below the size of a
 /// datagram.
-const MAX_REPORTED_LIMITS: usize = 128;
+pub const MAX_REPORTED_LIMITS: usize = 64;
 
 /// What a server last stated about its limit.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
--- a/crates/daemon/src/gateway/members.rs
+++ b/crates/daemon/src/gateway/members.rs
@@ -183,6 +183,7 @@
     info!("the members were listed", kv: { nodes, source });
     if changed {
         log_role(&role);
+        host.report_soon.notify_one();
     }
 }
 
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -120,12 +120,9 @@
     };
     let address = |vm: &VmId| addresses.iter().find(|(id, _)| id == vm).map(|(_, at)| *at);
     let now = host.now();
-    let (from, serves) = (host.settings.node.vm.clone(), host.accepts_callers());
-    let own = unlisted_member(host);
-    let node = host.with_gateway(|g| g.report(now, serves, own, ReportRecipient::Hub));
     match role {
         HubRole::Hub { others, .. } => {
-            let Some(bytes) = encode(&Message::Report { from, node }) else {
+            let Some(bytes) = encode(&own_report(host, now)) else {
                 return;
             };
             for address in others.iter().filter_map(address) {
@@ -140,6 +137,7 @@
             let Some(hub) = hubs.get(current_hub.index % hubs.len().max(1)) else {
                 return;
             };
+            let (from, node) = report_to_hub(host, now);
             let query = Message::Query {
                 from,
                 node,
@@ -154,6 +152,20 @@
     }
 }
 
+/// Returns this node and its report to a hub.
+fn report_to_hub(host: &GatewayHost, now: Timestamp) -> (VmId, NodeReport) {
+    let serves = host.accepts_callers();
+    let own = unlisted_member(host);
+    let node = host.with_gateway(|g| g.report(now, serves, own, ReportRecipient::Hub));
+    (host.settings.node.vm.clone(), node)
+}
+
+/// Returns the message of a hub to another one.
+fn own_report(host: &GatewayHost, now: Timestamp) -> Message {
+    let (from, node) = report_to_hub(host, now);
+    Message::Report { from, node }
+}
+
 /// Returns this node's entry if it serves callers and the store does not list it.
 fn unlisted_member(host: &GatewayHost) -> Option<Member> {
     let is_unlisted = host.is_ready() && !members::is_listed(host);
@@ -199,7 +211,12 @@
     let now = host.now();
     match message {
         Message::Report { from, node } => {
+            let is_known = host.with_gateway(|g| g.has_report_of(now, &from));
             host.with_gateway(|g| g.apply_report(now, from, Source::Hub, node));
+            // A node that starts lists its peers before they list it.
+            if !is_known && let Some(bytes) = encode(&own_report(host, now)) {
+                send(socket, &bytes, address).await;
+            }
         }
         Message::Query {
             from,
