fix(gateway): suspect streams that crash an engine after their first events

Callers would see: a generation that crashes each engine after its first event is sent to one engine after the other, since only runs without an event were suspect. The first events did not count as an answer either, so that nothing ever spoke for or against it.

Change: a run is suspect until it has gone on after its first events, which is also when it speaks for its request.

--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -71,6 +71,8 @@
     has_events: bool,
     /// Whether the current engine has sent an event.
     has_events_of_run: bool,
+    /// Whether the current engine has sent more than its first events.
+    goes_on: bool,
     /// Whether it was recorded that the request can be answered.
     is_answered: bool,
     /// Time from the request's arrival to its first event.
@@ -102,6 +104,7 @@
         last_recorded: now,
         has_events: false,
         has_events_of_run: false,
+        goes_on: false,
         is_answered: false,
         first_event_after: Duration::ZERO,
         longest_gap: Duration::ZERO,
@@ -148,7 +151,7 @@
             let wait = match self.check_silence(now) {
                 StallAction::Wait(wait) => wait,
                 StallAction::Failover(suspects) => {
-                    if let (false, Some(guard)) = (self.has_events_of_run, &self.guard) {
+                    if let (false, Some(guard)) = (self.goes_on, &self.guard) {
                         crash::check_stalled(&self.job, guard, &suspects).await;
                     }
                     if self.resume("silent", suspects).await {
@@ -265,6 +268,7 @@
         if received > 0 {
             // The first events may precede a crash.
             if self.has_events_of_run {
+                self.goes_on = true;
                 self.record_answered(now);
             }
             self.has_events_of_run = true;
@@ -348,7 +352,7 @@
     /// Handles an interrupted connection. Returns an error if the stream can't
     /// be resumed.
     async fn handle_disconnect(&mut self, reason: &str) -> Option<BodyError> {
-        if let (false, Some(guard)) = (self.has_events_of_run, &self.guard) {
+        if let (false, Some(guard)) = (self.goes_on, &self.guard) {
             crash::check_first(&self.job, guard).await;
         }
         while self.resumable {
@@ -401,7 +405,7 @@
         if let (Attempt::Responded(response, guard), true) = (outcome, resumed) {
             self.resume_count += 1;
             self.splitter.clear();
-            self.has_events_of_run = false;
+            (self.has_events_of_run, self.goes_on) = (false, false);
             self.framing = BodyFraming::of(&response.head.headers);
             self.body = response.body;
             self.driver = Some(response.driver);
