--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -9,15 +9,17 @@
 //! `docs/design/quarantine.md`.
 
 mod evidence;
+mod report;
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
 use self::evidence::Evidence;
+pub use self::report::{CrashReport, ReportedQuarantine, Suspect};
 use super::{crash_cause::CrashCause, notices::Incarnation, peers::NodeReport, state::Gateway};
 use crate::{ids::VmId, time::Timestamp};
 
@@ -69,41 +71,6 @@
     }
 }
 
-/// A request that had no answer when a server of its path crashed.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Suspect {
-    /// The server.
-    pub server: VmId,
-    /// The run of the server that ended.
-    pub incarnation: Incarnation,
-    /// What other requests may share with it: the parts of its prompt in order, and
-    /// last the request itself.
-    pub causes: Vec<CrashCause>,
-    /// Milliseconds since the crash.
-    pub age_ms: u64,
-}
-
-/// What a node reports to its peers about crashes.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashReport {
-    /// Requests that may have crashed their servers.
-    pub suspects: Vec<Suspect>,
-    /// Milliseconds since a request with the cause was answered, for each cause
-    /// that is under suspicion.
-    pub answered: BTreeMap<CrashCause, u64>,
-    /// The quarantined causes.
-    pub quarantined: BTreeMap<CrashCause, ReportedQuarantine>,
-}
-
-/// A quarantine in a report.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ReportedQuarantine {
-    /// Milliseconds until it ends.
-    pub left_ms: u64,
-    /// Number of servers that crashed on requests with the cause.
-    pub crashes: u32,
-}
-
 /// The quarantine of a cause.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub struct Quarantined {
--- a/crates/core/src/gateway/server_limits.rs
+++ b/crates/core/src/gateway/server_limits.rs
@@ -6,11 +6,14 @@
 //! demand, and is right also where it is far below one request. See
 //! `docs/design/server-limits.md`.
 
+mod fleet;
+
 use std::{collections::BTreeMap, time::Duration};
 
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
+use self::fleet::Fleet;
 use super::{
     notices::Incarnation, peers::NodeReport, recent_count::RecentCount, request_rate::RequestRate,
     servers::ServerRow, state::Gateway,
@@ -106,17 +109,29 @@
     changes: Vec<LimitChange>,
 }
 
+/// Keeps a statement, unless there are too many of other servers.
 fn keep(statements: &mut BTreeMap<VmId, LimitStatement>, id: &VmId, statement: LimitStatement) {
-    let is_ended = |other: &LimitStatement| statement.at.since(other.at) >= MAX_STATEMENT_AGE;
-    if statements.len() >= MAX_STATEMENTS {
-        statements.retain(|_, other| !is_ended(other));
-    }
     if statements.len() < MAX_STATEMENTS || statements.contains_key(id) {
         statements.insert(id.clone(), statement);
     }
 }
 
 impl ServerLimits {
+    /// Counts a request that looks for a server of a service, and returns the number
+    /// of those in the last second.
+    fn record_demand(&mut self, now: Timestamp, service: &ServiceId) -> u32 {
+        let demand = self.demand.entry(service.clone()).or_default();
+        demand.record(now);
+        demand.count(now, DEMAND_WINDOW)
+    }
+
+    /// Drops the statements that have ended.
+    fn expire(&mut self, now: Timestamp) {
+        for statements in [&mut self.own, &mut self.newest] {
+            statements.retain(|_, statement| now.since(statement.at) < MAX_STATEMENT_AGE);
+        }
+    }
+
     /// Applies a statement unless a newer one is known.
     fn apply(&mut self, id: &VmId, statement: LimitStatement) {
         let known = self.newest.get(id);
@@ -155,33 +170,6 @@
     }
 }
 
-/// What this node knows of the demand of all nodes.
-struct Fleet<'a> {
-    /// Recent reports of the peers, with the time at which each was received.
-    reports: Vec<&'a NodeReport>,
-    /// Number of all nodes per node whose figures are known. Nodes that are not
-    /// heard count like the others.
-    scale: f64,
-}
-
-impl Fleet<'_> {
-    /// Returns the demand for a service, in requests per second.
-    fn demand(&self, service: &ServiceId, own: u32) -> f64 {
-        let of_peers = self.reports.iter();
-        let of_peers = of_peers.filter_map(|report| report.demand.get(service));
-        f64::from(own + of_peers.sum::<u32>()) * self.scale
-    }
-
-    /// Returns the requests sent to a run of a server within [`SENT_WINDOW`].
-    fn sent(&self, id: &VmId, incarnation: &Incarnation, own: u32) -> f64 {
-        let of_peers = self.reports.iter();
-        let of_peers = of_peers.filter_map(|report| report.limits.get(id));
-        let of_run = of_peers.filter(|limit| limit.incarnation == *incarnation);
-        let sent: u32 = of_run.map(|limit| limit.sent).sum();
-        f64::from(own + sent) * self.scale
-    }
-}
-
 impl Gateway {
     /// Records what a server stated about its limit in the response to a request
     /// that was sent at `sent`. A response without a limit ends the limit only if
@@ -307,35 +295,49 @@
     /// Counts a request that looks for a server of a service, and draws the limited
     /// servers that it may not use.
     pub(super) fn draw_limited(&mut self, now: Timestamp, service: &ServiceId) -> Vec<VmId> {
-        let demand = self.limits.demand.entry(service.clone()).or_default();
-        demand.record(now);
-        let own_demand = demand.count(now, DEMAND_WINDOW);
+        let own_demand = self.limits.record_demand(now, service);
+        self.limits.expire(now);
         if self.limits.newest.is_empty() {
             return Vec::new();
         }
         let nodes = self.node_count(now);
-        let reports: Vec<&NodeReport> = self.fresh_reports(now).map(|(_, report)| report).collect();
-        let heard: u32 = reports.iter().map(|report| report.nodes).sum();
-        let scale = (f64::from(nodes) / f64::from(heard + 1)).max(1.0);
-        let fleet = Fleet { reports, scale };
+        let shares = self
+            .limited_shares(now, service, nodes, own_demand)
+            .into_iter();
+        let closed = shares.filter(|(_, share)| self.rng.random_range(0.0..1.0) >= *share);
+        closed.map(|(id, _)| id).collect()
+    }
+
+    /// Returns the probability with which a request may use each limited server of a
+    /// service. `nodes` is the number of all nodes, and `own_demand` that of the
+    /// requests of this node per second.
+    fn limited_shares(
+        &self,
+        now: Timestamp,
+        service: &ServiceId,
+        nodes: u32,
+        own_demand: u32,
+    ) -> Vec<(VmId, f64)> {
+        let reports = self.fresh_reports(now).map(|(_, report)| report);
+        let fleet = Fleet::new(reports.collect(), nodes);
         let demand = fleet.demand(service, own_demand);
-        let limited = self.limits.newest.iter().filter_map(|(id, statement)| {
+        let shares = self.limits.newest.iter().filter_map(|(id, statement)| {
             let row = self.servers.get(id)?;
             let rate = self.limits.rate(now, id, row)?.per_second();
-            let is_of_service = row.entry.service == *service;
+            if row.entry.service != *service {
+                return None;
+            }
             let own = row.sent.count(now, SENT_WINDOW);
             let sent = fleet.sent(id, &statement.incarnation, own);
             let max_sent = (rate * SENT_WINDOW.as_secs_f64()).max(1.0);
-            let share = match sent + 1.0 <= max_sent {
-                true => rate / demand.max(1.0),
-                false => 0.0,
+            let is_used_up = sent + 1.0 > max_sent;
+            let share = if is_used_up {
+                0.0
+            } else {
+                rate / demand.max(1.0)
             };
-            is_of_service.then(|| (id.clone(), share))
+            Some((id.clone(), share))
         });
-        let limited: Vec<(VmId, f64)> = limited.collect();
-        let closed = limited
-            .into_iter()
-            .filter(|(_, share)| self.rng.random_range(0.0..1.0) >= *share);
-        closed.map(|(id, _)| id).collect()
+        shares.collect()
     }
 }
