--- a/crates/core/tests/gateway_fakes/mod.rs
+++ b/crates/core/tests/gateway_fakes/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod fleet;
+
 use std::{
     collections::BTreeMap,
     net::{Ipv4Addr, SocketAddr},
--- a/crates/core/tests/gateway_limits.rs
+++ b/crates/core/tests/gateway_limits.rs
@@ -6,7 +6,9 @@
 
 use bolero_generator::TypeGenerator;
 use gateway_fakes::{
-    HOST, PLAIN, gateway, gateway_config, id, ms, name, place, placed_engines, server,
+    HOST, PLAIN,
+    fleet::{Disturbance, Node, REPORT_STEPS, STABILITY_MS, STEP_MS, node_id, send_report},
+    gateway, id, ms, name, place, placed_engines, server,
 };
 use radishhaven_cases::check;
 use radishhaven_core::{
@@ -20,24 +22,16 @@
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-/// Duration of one step of a history.
-const STEP_MS: u64 = 10;
-/// Interval of the reports of a node.
-const REPORT_STEPS: u64 = 20;
 /// Time from a request to its response.
 const RESPONSE_MS: u64 = 60;
 /// When the server names its limit.
 const NAMED_AT_MS: u64 = 4_000;
 /// When a history ends.
 const END_MS: u64 = 20_000;
-/// Time after which the limit holds, and for which a disturbance excuses a node.
-const STABILITY_MS: u64 = 3_000;
 /// Time after which a node that was told counts.
 const TOLD_MS: u64 = 500;
 /// Time over which requests are counted.
 const WINDOW_MS: u64 = 4_000;
-/// Share of the reports that are lost.
-const REPORT_LOSS: f64 = 0.02;
 /// Number of histories.
 const HISTORIES: u32 = 60;
 
@@ -55,33 +49,19 @@
     servers.collect()
 }
 
-fn node_id(number: usize) -> VmId {
-    id(&format!("node-{number}"))
-}
-
-struct Node {
-    gateway: Gateway,
+/// The requests of callers at one node.
+struct Callers {
     /// Requests per second.
     demand: f64,
-    /// Until when it neither sends nor receives anything.
-    frozen_until: u64,
-    /// Until when it hears no peer and no peer hears it.
-    cut_until: u64,
-    /// End of the time for which it is excused.
-    excused_until: u64,
-    /// When a response first named the limit to it.
+    /// When a response first named the limit to the node.
     told_at: Option<u64>,
 }
 
-impl Node {
-    fn is_connected(&self, now: u64) -> bool {
-        now >= self.frozen_until && now >= self.cut_until
-    }
-}
-
 /// Nodes, one server that names a limit, and others that name none.
 struct World {
     nodes: Vec<Node>,
+    /// The callers of each node.
+    callers: Vec<Callers>,
     /// Number of hubs; the other nodes are leaves.
     hubs: usize,
     servers: BTreeMap<VmId, Server>,
@@ -99,21 +79,17 @@
 impl World {
     fn new(demands: &[f64], hubs: usize, limit: RequestRate, seed: u64) -> Self {
         let servers = plain_servers(3);
-        let count = demands.len() as u32;
-        let nodes = demands.iter().map(|demand| Node {
-            gateway: start_gateway(0, &servers, count, seed),
+        let start = |number| {
+            let count = demands.len();
+            Node::start(0, count, servers.clone(), seed + number as u64)
+        };
+        let callers = demands.iter().map(|demand| Callers {
             demand: *demand,
-            frozen_until: 0,
-            cut_until: 0,
-            excused_until: 0,
             told_at: None,
         });
-        let mut nodes: Vec<Node> = nodes.collect();
-        for (number, node) in nodes.iter_mut().enumerate() {
-            node.gateway = start_gateway(0, &servers, count, seed + number as u64);
-        }
         Self {
-            nodes,
+            nodes: (0..demands.len()).map(start).collect(),
+            callers: callers.collect(),
             hubs,
             servers,
             limit,
@@ -137,8 +113,7 @@
             }
             self.respond(now);
             for number in 0..self.nodes.len() {
-                let node = &self.nodes[number];
-                let share = node.demand * STEP_MS as f64 / 1e3;
+                let share = self.callers[number].demand * STEP_MS as f64 / 1e3;
                 let mut due = share.floor() as u32;
                 due += u32::from(self.rng.random_range(0.0..1.0) < share.fract());
                 if now >= self.nodes[number].frozen_until {
@@ -148,35 +123,19 @@
         }
     }
 
-    fn send_report(
-        &mut self,
-        now: u64,
-        from: usize,
-        to: usize,
-        recipient: ReportRecipient<'_>,
-        source: Source,
-    ) {
-        let connected = [from, to].map(|node| self.nodes[node].is_connected(now));
-        if connected != [true; 2] || self.rng.random_range(0.0..1.0) < REPORT_LOSS {
-            return;
-        }
-        let report = self.nodes[from]
-            .gateway
-            .report(ms(now), true, None, recipient);
-        let to = &mut self.nodes[to].gateway;
-        to.apply_report(ms(now), node_id(from), source, report);
-    }
-
     fn exchange(&mut self, now: u64, number: usize) {
+        let (nodes, rng) = (&mut self.nodes, &mut self.rng);
         if number >= self.hubs {
-            let hub = number % self.hubs;
-            self.send_report(now, number, hub, ReportRecipient::Hub, Source::Leaf);
-            let leaf = node_id(number);
-            self.send_report(now, hub, number, ReportRecipient::Leaf(&leaf), Source::Hub);
+            let (hub, leaf) = (number % self.hubs, node_id(number));
+            let query = ((number, Source::Leaf), (hub, ReportRecipient::Hub));
+            send_report(nodes, rng, now, query.0, query.1);
+            let response = ((hub, Source::Hub), (number, ReportRecipient::Leaf(&leaf)));
+            send_report(nodes, rng, now, response.0, response.1);
             return;
         }
         for hub in (0..self.hubs).filter(|hub| *hub != number) {
-            self.send_report(now, number, hub, ReportRecipient::Hub, Source::Hub);
+            let (from, to) = ((number, Source::Hub), (hub, ReportRecipient::Hub));
+            send_report(nodes, rng, now, from, to);
         }
     }
 
@@ -192,7 +151,8 @@
             Admission::Refuse(_) => return,
         };
         if ticket.target.first().is_some_and(|(id, _)| *id == name(0)) {
-            let is_told = node.told_at.is_some_and(|at| at + TOLD_MS <= now);
+            let told_at = self.callers[number].told_at;
+            let is_told = told_at.is_some_and(|at| at + TOLD_MS <= now);
             self.arrivals
                 .push((now, is_told && now >= node.excused_until));
         }
@@ -217,18 +177,19 @@
             let outcome = TicketOutcome::Answered { took };
             node.gateway.finish(ms(now), &ticket, outcome);
             if names {
-                node.told_at.get_or_insert(now);
+                self.callers[number].told_at.get_or_insert(now);
             }
         }
     }
 
-    fn restart(&mut self, now: u64, number: usize) {
-        self.responses.retain(|_, (node, _)| *node != number);
-        let count = self.nodes.len() as u32;
-        let node = &mut self.nodes[number];
-        node.gateway = start_gateway(now, &self.servers, count, now);
-        node.told_at = None;
-        node.excused_until = now + STABILITY_MS;
+    fn disturb(&mut self, now: u64, number: usize, disturbance: Disturbance) {
+        if disturbance == Disturbance::Restart {
+            self.responses.retain(|_, (node, _)| *node != number);
+            let count = self.nodes.len();
+            self.nodes[number].restart(now, count, self.servers.clone());
+            self.callers[number].told_at = None;
+        }
+        self.nodes[number].disturb(now, disturbance);
     }
 
     /// Returns the largest number of requests within a window that begins once the
@@ -253,15 +214,6 @@
     }
 }
 
-fn start_gateway(now: u64, servers: &BTreeMap<VmId, Server>, nodes: u32, seed: u64) -> Gateway {
-    let mut gateway = Gateway::new(gateway_config(), seed);
-    gateway.set_configuration(gateway_fakes::configuration(1));
-    gateway.confirm_configuration(ms(now));
-    gateway.set_servers(ms(now), servers.clone());
-    gateway.record_node_count(ms(now), nodes + 1);
-    gateway
-}
-
 /// Checks that the nodes keep a limit of 7 and use half of it at least.
 fn check_use(demands: &[f64], hubs: usize, seed: u64) {
     let mut world = World::new(demands, hubs, rate(7.0), seed);
@@ -290,7 +242,7 @@
     let mut world = World::new(&[4.0; 7], 7, rate(7.0), 3);
     world.run(|world, now| {
         if now == 9_000 {
-            world.nodes.iter_mut().for_each(|node| node.demand = 60.0);
+            world.callers.iter_mut().for_each(|c| c.demand = 60.0);
         }
     });
     let busiest = world.busiest_window();
@@ -324,12 +276,10 @@
     );
 }
 
-/// What disturbs a node during a history.
+/// What happens to a node during a history.
 #[derive(Debug, Clone, Copy, TypeGenerator)]
-enum Disturbance {
-    Restart,
-    Freeze,
-    Cut,
+enum Change {
+    Disturbed(Disturbance),
     Busier,
 }
 
@@ -339,7 +289,7 @@
     limit: u8,
     demand: u8,
     seed: u64,
-    disturbances: [(u8, u8, Disturbance); 4],
+    changes: [(u8, u8, Change); 4],
 }
 
 /// Nodes start, stop, freeze, are cut off or get more requests at any time.
@@ -351,22 +301,15 @@
         let demand = f64::from(history.demand % 64) / 2.0;
         let mut world = World::new(&vec![demand; nodes], nodes, limit, history.seed >> 8);
         world.run(|world, now| {
-            for (at, node, disturbance) in history.disturbances {
+            for (at, node, change) in history.changes {
                 let number = usize::from(node) % nodes;
                 if now != 2_000 + u64::from(at) * 60 / STEP_MS * STEP_MS {
                     continue;
                 }
-                let node = &mut world.nodes[number];
-                match disturbance {
-                    Disturbance::Restart => world.restart(now, number),
-                    Disturbance::Freeze => node.frozen_until = now + 2_500,
-                    Disturbance::Cut => node.cut_until = now + 5_000,
-                    Disturbance::Busier => node.demand = 2.0 * node.demand + 5.0,
-                }
-                let node = &mut world.nodes[number];
-                let end = node.frozen_until.max(node.cut_until).max(now);
-                if !matches!(disturbance, Disturbance::Busier) {
-                    node.excused_until = node.excused_until.max(end + STABILITY_MS);
+                let callers = &mut world.callers[number];
+                match change {
+                    Change::Disturbed(disturbance) => world.disturb(now, number, disturbance),
+                    Change::Busier => callers.demand = 2.0 * callers.demand + 5.0,
                 }
             }
         });
--- a/crates/core/tests/gateway_repeats.rs
+++ b/crates/core/tests/gateway_repeats.rs
@@ -5,11 +5,15 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use bolero_generator::TypeGenerator;
-use gateway_fakes::{HOST, PLAIN, configuration, gateway_config, id, ms, name, server};
+use gateway_fakes::{
+    HOST, PLAIN,
+    fleet::{Disturbance, Node, REPORT_STEPS, STABILITY_MS, STEP_MS, send_report},
+    id, ms, name, server,
+};
 use radishhaven_cases::check;
 use radishhaven_core::{
     gateway::{
-        CrashCause, Gateway, RequestDigest, Server, Ticket, TicketOutcome,
+        CrashCause, RequestDigest, Server, Ticket, TicketOutcome,
         peers::{ReportRecipient, Source},
         state::Admission,
     },
@@ -17,10 +21,6 @@
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-/// Duration of one step of a history.
-const STEP_MS: u64 = 10;
-/// Interval of the reports of a node, in steps.
-const REPORT_STEPS: u64 = 20;
 /// When a history ends.
 const END_MS: u64 = 40_000;
 /// Time from the start of the deadly request to the crash.
@@ -29,34 +29,17 @@
 const RUN_MS: u64 = 60;
 /// Time for which a crashed server is down.
 const DOWN_MS: u64 = 3_000;
-/// Time for which a disturbance excuses a node, and after the third crash all.
-const STABILITY_MS: u64 = 3_000;
 /// Sends of the deadly request that the users allow after that.
 const MAX_LATE_SENDS: usize = 3;
 /// Probability that the deadly request comes within a step.
 const DEADLY_PER_STEP: f64 = 0.03;
 /// Probability that a sound request comes within a step.
 const SOUND_PER_STEP: f64 = 0.1;
-/// Share of the reports that are lost.
-const REPORT_LOSS: f64 = 0.02;
 const SERVERS: usize = 3;
 const HISTORIES: u32 = 100;
 /// The deadly request. Sound ones have other digests.
 const DEADLY: u64 = u64::MAX;
 
-struct Node {
-    gateway: Gateway,
-    frozen_until: u64,
-    cut_until: u64,
-    excused_until: u64,
-}
-
-impl Node {
-    fn is_connected(&self, now: u64) -> bool {
-        now >= self.frozen_until && now >= self.cut_until
-    }
-}
-
 /// A request at a server.
 struct Run {
     node: usize,
@@ -78,10 +61,6 @@
     next: u64,
 }
 
-fn node_id(number: usize) -> VmId {
-    id(&format!("node-{number}"))
-}
-
 fn entry(number: usize, started_ms: u64) -> Server {
     Server {
         started_ms: Some(started_ms),
@@ -92,12 +71,7 @@
 impl World {
     fn new(nodes: usize, seed: u64) -> Self {
         let servers = [(1, 0); SERVERS];
-        let start = |number| Node {
-            gateway: start_gateway(0, nodes, &servers, seed + number as u64),
-            frozen_until: 0,
-            cut_until: 0,
-            excused_until: 0,
-        };
+        let start = |number| Node::start(0, nodes, entries(&servers), seed + number as u64);
         Self {
             nodes: (0..nodes).map(start).collect(),
             servers,
@@ -133,14 +107,8 @@
 
     fn report(&mut self, now: u64, from: usize) {
         for to in (0..self.nodes.len()).filter(|to| *to != from) {
-            let connected = [from, to].map(|node| self.nodes[node].is_connected(now));
-            if connected != [true; 2] || self.rng.random_range(0.0..1.0) < REPORT_LOSS {
-                continue;
-            }
-            let report = &self.nodes[from].gateway;
-            let report = report.report(ms(now), true, None, ReportRecipient::Hub);
-            let to = &mut self.nodes[to].gateway;
-            to.apply_report(ms(now), node_id(from), Source::Hub, report);
+            let (from, to) = ((from, Source::Hub), (to, ReportRecipient::Hub));
+            send_report(&mut self.nodes, &mut self.rng, now, from, to);
         }
     }
 
@@ -244,11 +212,14 @@
         }
     }
 
-    fn restart(&mut self, now: u64, number: usize) {
-        self.runs.retain(|run| run.node != number);
-        let count = self.nodes.len();
-        self.nodes[number].gateway = start_gateway(now, count, &self.servers, now);
-        self.exchange_first_reports(now, number);
+    fn disturb(&mut self, now: u64, number: usize, disturbance: Disturbance) {
+        if disturbance == Disturbance::Restart {
+            self.runs.retain(|run| run.node != number);
+            let count = self.nodes.len();
+            self.nodes[number].restart(now, count, entries(&self.servers));
+            self.exchange_first_reports(now, number);
+        }
+        self.nodes[number].disturb(now, disturbance);
     }
 
     /// A node that starts reports to its peers, which answer.
@@ -270,22 +241,11 @@
     number.expect("a known server")
 }
 
-fn start_gateway(now: u64, nodes: usize, servers: &[(u64, u64)], seed: u64) -> Gateway {
-    let mut gateway = Gateway::new(gateway_config(), seed);
-    gateway.set_configuration(configuration(1));
-    gateway.confirm_configuration(ms(now));
+/// Returns the registry entries of the servers.
+fn entries(servers: &[(u64, u64)]) -> BTreeMap<VmId, Server> {
     let entries = servers.iter().enumerate();
     let entries = entries.map(|(number, (started, _))| (name(number), entry(number, *started)));
-    gateway.set_servers(ms(now), entries.collect::<BTreeMap<_, _>>());
-    gateway.record_node_count(ms(now), nodes as u32 + 1);
-    gateway
-}
-
-#[derive(Debug, Clone, Copy, TypeGenerator)]
-enum Disturbance {
-    Restart,
-    Freeze,
-    Cut,
+    entries.collect()
 }
 
 #[derive(Debug, Clone, TypeGenerator)]
@@ -304,18 +264,9 @@
         let mut world = World::new(nodes, history.seed >> 8);
         world.run(|world, now| {
             for (at, number, disturbance) in history.disturbances {
-                let number = usize::from(number) % nodes;
-                if now != u64::from(at) * 140 / STEP_MS * STEP_MS {
-                    continue;
-                }
-                match disturbance {
-                    Disturbance::Restart => world.restart(now, number),
-                    Disturbance::Freeze => world.nodes[number].frozen_until = now + 2_500,
-                    Disturbance::Cut => world.nodes[number].cut_until = now + 4_000,
+                if now == u64::from(at) * 140 / STEP_MS * STEP_MS {
+                    world.disturb(now, usize::from(number) % nodes, disturbance);
                 }
-                let node = &mut world.nodes[number];
-                let end = node.frozen_until.max(node.cut_until).max(now);
-                node.excused_until = node.excused_until.max(end + STABILITY_MS);
             }
         });
         let third = world.crashes.get(2);
