--- a/crates/core/tests/gateway_limits.rs
+++ b/crates/core/tests/gateway_limits.rs
@@ -68,6 +68,8 @@
     limit: RequestRate,
     /// When the server stops to name its limit.
     unnamed_at: u64,
+    /// How often a request that finds no server looks again within a step.
+    looks: u32,
     /// Responses under way, by the time of their arrival and the node.
     responses: BTreeMap<(u64, u64), (usize, Ticket)>,
     /// Requests to the limited server, with the node and whether it counts.
@@ -94,6 +96,7 @@
             servers,
             limit,
             unnamed_at: u64::MAX,
+            looks: 1,
             responses: BTreeMap::new(),
             arrivals: Vec::new(),
             rng: StdRng::seed_from_u64(seed),
@@ -140,15 +143,13 @@
     }
 
     fn request(&mut self, now: u64, number: usize) {
+        let looks = 0..self.looks;
         let node = &mut self.nodes[number];
-        let gateway = &mut node.gateway;
-        let routed = gateway
-            .route(ms(now), HOST, "/open/1", None)
-            .expect("the route exists");
-        let ticket = match gateway.admit(ms(now), &routed, &id(PLAIN), None) {
-            Admission::Start(ticket) => ticket,
-            Admission::Wait(key, _) => return gateway.remove_queued(key),
-            Admission::Refuse(_) => return,
+        let Some(ticket) = looks
+            .into_iter()
+            .find_map(|_| start(&mut node.gateway, now))
+        else {
+            return;
         };
         if ticket.target.first().is_some_and(|(id, _)| *id == name(0)) {
             let told_at = self.callers[number].told_at;
@@ -214,6 +215,20 @@
     }
 }
 
+/// Starts a request, or returns `None` if no server takes it now.
+fn start(gateway: &mut Gateway, now: u64) -> Option<Ticket> {
+    let routed = gateway.route(ms(now), HOST, "/open/1", None);
+    let routed = routed.expect("the route exists");
+    match gateway.admit(ms(now), &routed, &id(PLAIN), None) {
+        Admission::Start(ticket) => Some(ticket),
+        Admission::Wait(key, _) => {
+            gateway.remove_queued(key);
+            None
+        }
+        Admission::Refuse(_) => None,
+    }
+}
+
 /// Checks that the nodes keep a limit of 7 and use half of it at least.
 fn check_use(demands: &[f64], hubs: usize, seed: u64) {
     let mut world = World::new(demands, hubs, rate(7.0), seed);
@@ -249,6 +264,35 @@
     assert!(busiest <= allowed(rate(7.0)), "{busiest}");
 }
 
+/// Load pattern: the other servers fail, and all requests look for a server again and
+/// again. The demand of the peers is known only with their next reports.
+#[test]
+fn limit_holds_when_requests_look_again_and_again() {
+    check_repeated_looks(&[30.0; 7], 7);
+}
+
+/// With hubs, the demand of most peers is known only after several reports.
+#[test]
+fn limit_holds_when_requests_of_hundreds_of_nodes_look_again_and_again() {
+    check_repeated_looks(&[2.0; 360], 15);
+}
+
+fn check_repeated_looks(demands: &[f64], hubs: usize) {
+    let mut world = World::new(demands, hubs, rate(7.0), 6);
+    world.run(|world, now| {
+        if now == 9_000 {
+            world.looks = 20;
+            for node in &mut world.nodes {
+                for number in 1..3 {
+                    node.gateway.set_server(ms(now), &name(number), None);
+                }
+            }
+        }
+    });
+    let busiest = world.busiest_window();
+    assert!(busiest <= allowed(rate(7.0)), "{busiest}");
+}
+
 #[test]
 fn server_without_a_limit_any_more_gets_requests_again() {
     let mut world = World::new(&[10.0; 7], 7, rate(2.0), 4);
