fix(gateway): bound what a surge of looks for a server sends to a limited one

Cause: the probability limit / demand used the demand of the last reports. When the other servers fail, requests look again and again; demand rises 20 times within a report interval, and with it what a limited server gets.

Change: a node's share of the limit accrues as credit over one second at most. Credit below one is staked: a request may be sent with that probability, else the credit is lost. The expected number no longer depends on the looks.

--- a/crates/core/src/gateway/server_limits.rs
+++ b/crates/core/src/gateway/server_limits.rs
@@ -1,11 +1,11 @@
 //! Keeps the limits of requests that backend servers name.
 //!
-//! A limit holds for all nodes together. Every node adds up what all nodes send,
-//! and lets each of its requests use the server with the same probability: the
-//! limit divided by the demand of all nodes. A node's share thus follows its
-//! demand, and is right also where it is far below one request. See
-//! `docs/design/server-limits.md`.
+//! A limit holds for all nodes together. Each node gets the share of it that its
+//! demand has of the demand of all nodes, as credit that grows with time. A request
+//! uses credit below one with that probability, so that shares are right also
+//! where they are far below one request. See `docs/design/server-limits.md`.
 
+mod credit;
 mod fleet;
 
 use std::{collections::BTreeMap, time::Duration};
@@ -13,10 +13,10 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
-use self::fleet::Fleet;
+use self::{credit::Credit, fleet::Fleet};
 use super::{
     notices::Incarnation, peers::NodeReport, recent_count::RecentCount, request_rate::RequestRate,
-    servers::ServerRow, state::Gateway,
+    servers::ServerRow, state::Gateway, ticket::Target,
 };
 use crate::{
     ids::{ServiceId, VmId},
@@ -104,11 +104,31 @@
     own: BTreeMap<VmId, LimitStatement>,
     /// The newest statement of each server to any node.
     newest: BTreeMap<VmId, LimitStatement>,
+    /// The requests that this node may still send to each limited server.
+    credits: BTreeMap<VmId, Credit>,
     /// Requests of this node that looked for a server of the service.
     demand: BTreeMap<ServiceId, RecentCount>,
     changes: Vec<LimitChange>,
 }
 
+/// The limited servers of a service, for one request that looks for a server.
+#[derive(Debug, Default)]
+pub(super) struct LimitDraw {
+    /// Those that the request may use.
+    open: Vec<VmId>,
+    /// Those that it may not use.
+    pub(super) closed: Vec<VmId>,
+}
+
+/// What one node may send to a limited server.
+struct LimitShare {
+    server: VmId,
+    /// Requests per second.
+    rate: f64,
+    /// Whether all nodes together have sent what the limit allows.
+    is_used_up: bool,
+}
+
 /// Keeps a statement, unless there are too many of other servers.
 fn keep(statements: &mut BTreeMap<VmId, LimitStatement>, id: &VmId, statement: LimitStatement) {
     if statements.len() < MAX_STATEMENTS || statements.contains_key(id) {
@@ -130,6 +150,8 @@
         for statements in [&mut self.own, &mut self.newest] {
             statements.retain(|_, statement| now.since(statement.at) < MAX_STATEMENT_AGE);
         }
+        let newest = &self.newest;
+        self.credits.retain(|id, _| newest.contains_key(id));
     }
 
     /// Applies a statement unless a newer one is known.
@@ -292,35 +314,55 @@
         demand
     }
 
-    /// Counts a request that looks for a server of a service, and draws the limited
-    /// servers that it may not use.
-    pub(super) fn draw_limited(&mut self, now: Timestamp, service: &ServiceId) -> Vec<VmId> {
+    /// Counts a request that looks for a server of a service, and decides which
+    /// limited servers it may use.
+    pub(super) fn draw_limited(&mut self, now: Timestamp, service: &ServiceId) -> LimitDraw {
         let own_demand = self.limits.record_demand(now, service);
         self.limits.expire(now);
+        let mut draw = LimitDraw::default();
         if self.limits.newest.is_empty() {
-            return Vec::new();
+            return draw;
         }
         let nodes = self.node_count(now);
-        let shares = self
-            .limited_shares(now, service, nodes, own_demand)
-            .into_iter();
-        let closed = shares.filter(|(_, share)| self.rng.random_range(0.0..1.0) >= *share);
-        closed.map(|(id, _)| id).collect()
+        for share in self.limited_shares(now, service, nodes, own_demand) {
+            let credit = self.limits.credits.entry(share.server.clone());
+            let credit = credit.or_insert_with(|| Credit::new(now));
+            credit.accrue(now, share.rate);
+            let may_use = !share.is_used_up && credit.draw(self.rng.random_range(0.0..1.0));
+            let servers = match may_use {
+                true => &mut draw.open,
+                false => &mut draw.closed,
+            };
+            servers.push(share.server);
+        }
+        draw
     }
 
-    /// Returns the probability with which a request may use each limited server of a
-    /// service. `nodes` is the number of all nodes, and `own_demand` that of the
-    /// requests of this node per second.
+    /// Takes the credit for the limited servers that a request uses.
+    pub(super) fn charge_limited(&mut self, draw: &LimitDraw, target: &Target) {
+        if draw.open.is_empty() {
+            return;
+        }
+        for reservation in target.reservations() {
+            if let Some(credit) = self.limits.credits.get_mut(reservation.server) {
+                credit.charge();
+            }
+        }
+    }
+
+    /// Returns this node's share of each limited server of a service. `nodes` is the
+    /// number of all nodes, and `own_demand` that of the requests of this node per
+    /// second.
     fn limited_shares(
         &self,
         now: Timestamp,
         service: &ServiceId,
         nodes: u32,
         own_demand: u32,
-    ) -> Vec<(VmId, f64)> {
+    ) -> Vec<LimitShare> {
         let reports = self.fresh_reports(now).map(|(_, report)| report);
         let fleet = Fleet::new(reports.collect(), nodes);
-        let demand = fleet.demand(service, own_demand);
+        let own_part = f64::from(own_demand) / fleet.demand(service, own_demand).max(1.0);
         let shares = self.limits.newest.iter().filter_map(|(id, statement)| {
             let row = self.servers.get(id)?;
             let rate = self.limits.rate(now, id, row)?.per_second();
@@ -330,13 +372,11 @@
             let own = row.sent.count(now, SENT_WINDOW);
             let sent = fleet.sent(id, &statement.incarnation, own);
             let max_sent = (rate * SENT_WINDOW.as_secs_f64()).max(1.0);
-            let is_used_up = sent + 1.0 > max_sent;
-            let share = if is_used_up {
-                0.0
-            } else {
-                rate / demand.max(1.0)
-            };
-            Some((id.clone(), share))
+            Some(LimitShare {
+                server: id.clone(),
+                rate: rate * own_part,
+                is_used_up: sent + 1.0 > max_sent,
+            })
         });
         shares.collect()
     }
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -362,8 +362,8 @@
     ) -> Option<Ticket> {
         let configuration = self.configuration.clone()?;
         let spec = configuration.services.get(service)?;
-        let limited = self.draw_limited(now, service);
-        let avoid = &[avoid, &limited].concat();
+        let limits = self.draw_limited(now, service);
+        let avoid = &[avoid, &limits.closed].concat();
         let has_stale_view = self.nodes.current() > Some(hubs::MAX_MESH_NODES as u32);
         let rng = &mut self.rng;
         let mut draw = || rng.random_range(0.0..1.0);
@@ -387,6 +387,7 @@
                 }
             }
         };
+        self.charge_limited(&limits, &target);
         let unread_tokens = estimate.map_or(0, |estimate| estimate.prompt);
         for reservation in target.reservations() {
             if let Some(row) = self.servers.get_mut(reservation.server) {
