test(core): as many disturbances in histories of limits as before

Cause: sharing the nodes of both histories made a busier node half of all changes instead of a quarter, so that restarts, freezes and cuts came two times in a history instead of three. Found when reading the change once more.

Change: six changes in a history instead of four.

--- a/crates/core/tests/gateway_limits.rs
+++ b/crates/core/tests/gateway_limits.rs
@@ -333,7 +333,7 @@
     limit: u8,
     demand: u8,
     seed: u64,
-    changes: [(u8, u8, Change); 4],
+    changes: [(u8, u8, Change); 6],
 }
 
 /// Nodes start, stop, freeze, are cut off or get more requests at any time.
