feat(gateway): log how long a failed server made no progress here and at peers

The logs of one node did not show whether a server that failed there answers the other nodes. own_progress_ms and peer_progress_ms tell a lost link from a lost server.

--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -249,7 +249,7 @@
         for load in &report.load {
             if let Some(row) = self.servers.get_mut(&load.server) {
                 let progress_at = now - Duration::from_millis(load.progress_age_ms);
-                row.last_progress = row.last_progress.max(progress_at);
+                row.record_peer_progress(progress_at);
             }
         }
         self.apply_leaving(&report.leaving);
--- a/crates/core/src/gateway/servers.rs
+++ b/crates/core/src/gateway/servers.rs
@@ -104,6 +104,9 @@
     /// more recent with every hop, because its time in transit is lost.
     #[serde(rename = "seen_here")]
     pub last_local_progress: Timestamp,
+    /// Time of the last progress on a request of another node, or `None` if no peer
+    /// has reported any.
+    pub last_peer_progress: Option<Timestamp>,
     /// Time at which this node's requests on the server last rose above zero.
     pub busy_since: Timestamp,
     /// Time at which the requests of other nodes last rose above zero.
@@ -138,6 +141,7 @@
             refused_at: None,
             last_progress: now,
             last_local_progress: now,
+            last_peer_progress: None,
             busy_since: now,
             peer_busy_since: now,
             stalled_at: None,
@@ -172,6 +176,12 @@
         }
     }
 
+    /// Records that a request of another node made progress at `at`.
+    pub(super) fn record_peer_progress(&mut self, at: Timestamp) {
+        self.last_progress = self.last_progress.max(at);
+        self.last_peer_progress = self.last_peer_progress.max(Some(at));
+    }
+
     /// Adds the prompt of a request that has no first event yet.
     pub(super) fn add_unread(&mut self, tokens: u32, crosses: bool) {
         self.unread_tokens += u64::from(tokens);
--- a/crates/daemon/src/gateway/job.rs
+++ b/crates/daemon/src/gateway/job.rs
@@ -289,6 +289,7 @@
         detail: &str,
     ) {
         let now = self.host.now();
+        let (own_progress_ms, peer_progress_ms) = self.progress_ages_ms(guard);
         info!("a send ended without an answer", kv: {
             request = self.outgoing.attempt_id.as_str(),
             route = self.routed.name.as_str(),
@@ -296,12 +297,31 @@
             outcome,
             detail,
             took_ms = now.since(sent_at).as_millis() as u64,
+            own_progress_ms,
+            peer_progress_ms,
             runs = self.runs,
             not_run = self.not_run,
         });
         self.host.metrics.record_failed_send(outcome);
     }
 
+    /// Returns the milliseconds since the target's first server made progress on a
+    /// request of this node, and on one of another node, or -1 if it never did.
+    fn progress_ages_ms(&self, guard: &TicketGuard) -> (i64, i64) {
+        let now = self.host.now();
+        let Some((first, _)) = guard.target().first() else {
+            return (-1, -1);
+        };
+        let age = |at| now.since(at).as_millis() as i64;
+        self.host.with_gateway(|g| match g.servers().get(first) {
+            Some(row) => (
+                age(row.last_local_progress),
+                row.last_peer_progress.map_or(-1, age),
+            ),
+            None => (-1, -1),
+        })
+    }
+
     async fn send_while_responsive(&self, guard: &TicketGuard) -> WatchedSend {
         let started = self.host.now();
         let last_event = self.last_event.as_deref();
