--- a/crates/client/src/http1.rs
+++ b/crates/client/src/http1.rs
@@ -40,6 +40,9 @@
     Length,
     /// By a last chunk.
     Chunked,
+    /// By a flag on the last frame of an HTTP/2 stream. A sender that fails resets
+    /// the stream.
+    EndStream,
     /// By the end of the connection. A body that the server broke off looks like
     /// a complete one, unless the connection was reset.
     UntilClose,
@@ -67,6 +70,7 @@
         f.write_str(match self {
             Self::Length => "length",
             Self::Chunked => "chunked",
+            Self::EndStream => "end of stream",
             Self::UntilClose => "until close",
         })
     }
--- a/crates/core/src/gateway/admission.rs
+++ b/crates/core/src/gateway/admission.rs
@@ -42,11 +42,23 @@
 #[serde(transparent)]
 pub struct WaitKey(pub u64);
 
+/// From where a request came to this node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub enum RequestSource {
+    /// A caller.
+    Caller,
+    /// A peer that does not reach the servers. The request is not sent to another
+    /// peer, and does not count as one of a caller again.
+    Peer,
+}
+
 /// A request that waits for capacity.
 #[derive(Debug, Clone, Serialize)]
 pub struct QueuedRequest {
     /// The service that it waits for.
     pub service: ServiceId,
+    /// From where it came.
+    pub source: RequestSource,
     /// Its token estimate.
     #[serde(rename = "need")]
     pub estimate: TokenEstimate,
@@ -105,7 +117,7 @@
         now: Timestamp,
         priority: Priority,
         service: &ServiceId,
-        estimate: TokenEstimate,
+        (source, estimate): (RequestSource, TokenEstimate),
         target: Duration,
         draw: f64,
     ) -> Result<(WaitKey, Timestamp), Duration> {
@@ -118,6 +130,7 @@
         let until = now + MAX_QUEUE_WAIT;
         let waiting = QueuedRequest {
             service: service.clone(),
+            source,
             estimate,
             start_by: now + target.saturating_sub(TYPICAL_FIRST_EVENT),
             deadline: until,
--- /dev/null
+++ b/crates/core/src/gateway/links.rs
@@ -0,0 +1,377 @@
+//! Watches the links between this node and the backend servers.
+//!
+//! A node may be partitioned from servers that other nodes reach. A request whose
+//! connection can't be opened shows that its link is lost, and probes of the
+//! service's other servers show at once whether theirs are lost too. Probes also
+//! show when a link is back, so that no caller's request is used to find out. See
+//! `docs/design/lost-links.md`.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use serde::Serialize;
+
+use super::{
+    servers::{ServerRow, Servers},
+    state::Gateway,
+    ticket::Ticket,
+};
+use crate::{
+    ids::{ServiceId, VmId},
+    time::Timestamp,
+};
+
+/// Interval at which a lost link is probed.
+pub const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// Time after which a probe that got no answer counts as failed.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Consecutive successful probes that end the loss of a link.
+const MIN_SUCCESSES: u32 = 2;
+/// Maximum number of doublings of [`MIN_SUCCESSES`] for a link that is lost again
+/// and again.
+const MAX_DOUBLINGS: u32 = 3;
+/// Time that a link must hold before its next loss counts as the first one.
+const FLAP_WINDOW: Duration = Duration::from_secs(10);
+/// Time without a sign of a request's first server after which its link is probed.
+pub const SILENT_LINK: Duration = Duration::from_millis(250);
+/// Minimum time between two probes of a link that is not lost.
+const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum number of a service's servers that are probed when one is unreachable.
+const MAX_CHECKED: usize = 16;
+/// Time by which a peer must have made progress after the loss of a link before it
+/// shows that the server is sound. Ages of reports are too low by their transit.
+const PEER_PROGRESS_MARGIN: Duration = Duration::from_millis(100);
+
+/// The link from this node to one server.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct Link {
+    /// When the link was lost, or `None` if it is not.
+    pub lost_at: Option<Timestamp>,
+    /// When the server last sent something on a request of this node that was sent
+    /// to it.
+    pub heard_at: Option<Timestamp>,
+    /// When the next probe is due.
+    probe_at: Option<Timestamp>,
+    /// When the last probe began.
+    probed_at: Option<Timestamp>,
+    /// Whether it is open if the link is lost, because the service lost another one.
+    is_unconfirmed: bool,
+    /// Consecutive successful probes since the loss.
+    successes: u32,
+    /// When the link last returned.
+    returned_at: Option<Timestamp>,
+    /// Losses in a row, each soon after the return from the one before.
+    flaps: u32,
+}
+
+impl Link {
+    /// Returns whether the link is lost.
+    pub fn is_lost(&self) -> bool {
+        self.lost_at.is_some()
+    }
+
+    /// Returns whether the node can expect to reach the server.
+    fn is_usable(&self) -> bool {
+        !self.is_lost() && !self.is_unconfirmed
+    }
+
+    fn record_loss(&mut self, now: Timestamp) {
+        (self.successes, self.is_unconfirmed) = (0, false);
+        if self.is_lost() {
+            return;
+        }
+        let is_flap = self
+            .returned_at
+            .is_some_and(|returned| now.since(returned) < FLAP_WINDOW);
+        self.flaps = if is_flap { self.flaps + 1 } else { 0 };
+        self.lost_at = Some(now);
+        self.probe_at = Some(now + PROBE_INTERVAL);
+    }
+
+    /// Records a successful probe, and returns whether it ended the loss.
+    fn record_reached(&mut self, now: Timestamp) -> bool {
+        self.is_unconfirmed = false;
+        if !self.is_lost() {
+            return false;
+        }
+        self.successes += 1;
+        if self.successes < MIN_SUCCESSES << self.flaps.min(MAX_DOUBLINGS) {
+            return false;
+        }
+        (self.lost_at, self.probe_at) = (None, None);
+        self.returned_at = Some(now);
+        true
+    }
+
+    /// Makes a probe due, unless one began a short time ago.
+    fn request_probe(&mut self, now: Timestamp) {
+        let is_recent = self
+            .probed_at
+            .is_some_and(|probed| now.since(probed) < RECHECK_INTERVAL);
+        if !self.is_lost() && !is_recent && self.probe_at.is_none() {
+            self.probe_at = Some(now);
+        }
+    }
+
+    /// Begins a probe if one is due. A lost link is probed again after an interval.
+    fn begin_probe(&mut self, now: Timestamp) -> bool {
+        if self.probe_at.is_none_or(|at| at > now) {
+            return false;
+        }
+        self.probed_at = Some(now);
+        self.probe_at = self.is_lost().then(|| now + PROBE_INTERVAL);
+        true
+    }
+}
+
+/// A link that was lost or has returned.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LinkChange {
+    /// The server.
+    pub server: VmId,
+    /// Whether the link was lost.
+    pub lost: bool,
+    /// Time since a request of another node made progress on the server.
+    pub peer_progress_age: Option<Duration>,
+}
+
+/// How many servers of a service take requests directly, and how many of them
+/// this node reaches.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Reach {
+    /// Servers that this node can expect to reach.
+    pub reachable: u32,
+    /// All of them.
+    pub total: u32,
+}
+
+impl Reach {
+    fn add(&mut self, row: &ServerRow) {
+        self.total += 1;
+        self.reachable += u32::from(row.link.is_usable());
+    }
+}
+
+/// The numbers of lost and of unconfirmed links, by service. Requests look here
+/// first, so that their cost does not grow with the servers as long as no link is
+/// lost.
+#[derive(Debug, Default)]
+pub(super) struct LinkTable {
+    /// Services with a link that is lost or not confirmed.
+    impaired: BTreeMap<ServiceId, u32>,
+    changes: Vec<LinkChange>,
+}
+
+/// Returns whether requests of this node may be sent to the server directly, but
+/// for its link.
+fn takes_requests(row: &ServerRow) -> bool {
+    let is_empty_engine = row.entry.accelerator.is_some() && row.entry.layers.is_none();
+    row.takes_entries() && !row.is_leaving() && !is_empty_engine
+}
+
+impl Servers {
+    /// Returns how many servers of a service this node reaches.
+    pub fn reach(&self, service: &ServiceId) -> Reach {
+        let mut reach = Reach::default();
+        for (_, row) in self.of_service(service).filter(|(_, r)| takes_requests(r)) {
+            reach.add(row);
+        }
+        reach
+    }
+}
+
+impl Gateway {
+    /// Records that no connection to a server could be opened. All other servers of
+    /// the service are probed.
+    pub fn record_unreachable(&mut self, now: Timestamp, id: &VmId) {
+        let Some(service) = self.lose_link(now, id) else {
+            return;
+        };
+        let ids: Vec<VmId> = self
+            .servers
+            .of_service(&service)
+            .filter(|(other, row)| *other != id && takes_requests(row) && !row.link.is_lost())
+            .map(|(other, _)| other.clone())
+            .collect();
+        // Servers that were not heard for the longest time are the most doubtful.
+        let mut ids: Vec<_> = ids
+            .into_iter()
+            .filter_map(|other| Some((self.servers.get(&other)?.link.heard_at, other)))
+            .collect();
+        ids.sort();
+        for (_, other) in ids.into_iter().take(MAX_CHECKED) {
+            if let Some(row) = self.servers.get_mut(&other) {
+                row.link.request_probe(now);
+                row.link.is_unconfirmed = row.link.probe_at.is_some();
+            }
+        }
+        self.count_impaired_links(&service);
+    }
+
+    /// Marks a link as lost and returns the service of the server.
+    fn lose_link(&mut self, now: Timestamp, id: &VmId) -> Option<ServiceId> {
+        let row = self.servers.get_mut(id)?;
+        let was_lost = row.link.is_lost();
+        row.link.record_loss(now);
+        let service = row.entry.service.clone();
+        if !was_lost {
+            self.links.changes.push(LinkChange {
+                server: id.clone(),
+                lost: true,
+                peer_progress_age: row.last_peer_progress.map(|at| now.since(at)),
+            });
+            self.count_impaired_links(&service);
+        }
+        Some(service)
+    }
+
+    /// Records the result of a probe of a server at an address.
+    pub fn record_probe(&mut self, now: Timestamp, id: &VmId, address: SocketAddr, reached: bool) {
+        let Some(row) = self.servers.get_mut(id) else {
+            return;
+        };
+        if row.entry.address != address {
+            return;
+        }
+        if !reached {
+            self.lose_link(now, id);
+            return;
+        }
+        let service = row.entry.service.clone();
+        if row.link.record_reached(now) {
+            self.links.changes.push(LinkChange {
+                server: id.clone(),
+                lost: false,
+                peer_progress_age: row.last_peer_progress.map(|at| now.since(at)),
+            });
+        }
+        self.count_impaired_links(&service);
+    }
+
+    fn count_impaired_links(&mut self, service: &ServiceId) {
+        let rows = self.servers.of_service(service);
+        let impaired = rows.filter(|(_, row)| !row.link.is_usable()).count();
+        match impaired as u32 {
+            0 => drop(self.links.impaired.remove(service)),
+            impaired => drop(self.links.impaired.insert(service.clone(), impaired)),
+        }
+    }
+
+    /// Counts the lost links of all services again, after servers were removed.
+    pub(super) fn recount_links(&mut self) {
+        if self.links.impaired.is_empty() {
+            return;
+        }
+        let services: Vec<ServiceId> = self.links.impaired.keys().cloned().collect();
+        for service in services {
+            self.count_impaired_links(&service);
+        }
+    }
+
+    /// Returns how many servers of a service this node reaches, if one of their links
+    /// is lost or not confirmed.
+    pub(super) fn impaired_reach(&self, service: &ServiceId) -> Option<Reach> {
+        self.links
+            .impaired
+            .contains_key(service)
+            .then(|| self.servers.reach(service))
+    }
+
+    /// Returns whether this node reaches no server of a service, because the links
+    /// are lost.
+    pub fn is_cut_off(&self, service: &ServiceId) -> bool {
+        let reach = self.impaired_reach(service);
+        reach.is_some_and(|reach| reach.total > 0 && reach.reachable == 0)
+    }
+
+    /// Returns the number of servers whose links are lost.
+    pub fn lost_links(&self) -> usize {
+        let impaired = !self.links.impaired.is_empty();
+        let rows = self.servers.iter().filter(|_| impaired);
+        rows.filter(|(_, row)| row.link.is_lost()).count()
+    }
+
+    /// Begins the probes that are due, and returns the servers to probe.
+    pub fn begin_probes(&mut self, now: Timestamp) -> Vec<(VmId, SocketAddr)> {
+        let rows = self.servers.iter_mut();
+        let due = rows.filter_map(|(id, row)| {
+            let due = row.link.begin_probe(now);
+            due.then(|| (id.clone(), row.entry.address))
+        });
+        due.collect()
+    }
+
+    /// Returns when the next probe is due.
+    pub fn next_probe(&self) -> Option<Timestamp> {
+        let rows = self.servers.iter();
+        rows.filter_map(|(_, row)| row.link.probe_at).min()
+    }
+
+    /// Returns the changes of links since the last call.
+    pub fn take_link_changes(&mut self) -> Vec<LinkChange> {
+        std::mem::take(&mut self.links.changes)
+    }
+
+    /// Records a sign of the server to which a request was sent.
+    pub(super) fn record_heard(&mut self, now: Timestamp, ticket: &Ticket) {
+        let first = ticket.target.first().map(|(id, _)| id);
+        if let Some(row) = first.and_then(|id| self.servers.get_mut(id)) {
+            row.link.heard_at = Some(now);
+        }
+    }
+
+    /// Checks the link of a request that has made no progress for `stalled_for`, and
+    /// returns whether it is lost. A link that was silent for some time is probed.
+    pub(super) fn is_link_lost(
+        &mut self,
+        now: Timestamp,
+        ticket: &Ticket,
+        stalled_for: Duration,
+    ) -> bool {
+        if stalled_for < SILENT_LINK {
+            return false;
+        }
+        let first = ticket.target.first().map(|(id, _)| id);
+        let Some(row) = first.and_then(|id| self.servers.get_mut(id)) else {
+            return false;
+        };
+        let silent_since = row.link.heard_at.max(Some(ticket.acquired_at));
+        if silent_since.is_some_and(|at| now.since(at) >= SILENT_LINK) {
+            row.link.request_probe(now);
+        }
+        row.link.is_lost()
+    }
+
+    /// Ends the backoff of a server that made progress for a peer after this node
+    /// had lost its link: engines on its paths still reach it.
+    pub(super) fn review_backoff(&mut self, now: Timestamp, id: &VmId) {
+        let Some(row) = self.servers.get_mut(id) else {
+            return;
+        };
+        let progress = row.last_peer_progress;
+        let is_sound = row
+            .link
+            .lost_at
+            .is_some_and(|lost| progress > Some(lost + PEER_PROGRESS_MARGIN));
+        if is_sound && row.failures > 0 && row.refused_at.is_none() {
+            row.failures = 0;
+            row.backoff_until = now;
+        }
+    }
+
+    /// Returns for each service how many of its servers this node reaches, and when
+    /// it last heard one of them.
+    pub(super) fn reach_by_service(&self) -> BTreeMap<ServiceId, (Reach, Option<Timestamp>)> {
+        let mut services: BTreeMap<ServiceId, (Reach, Option<Timestamp>)> = BTreeMap::new();
+        for (_, row) in self.servers.iter().filter(|(_, row)| takes_requests(row)) {
+            let service = &row.entry.service;
+            if !services.contains_key(service) {
+                services.insert(service.clone(), Default::default());
+            }
+            if let Some((reach, heard_at)) = services.get_mut(service) {
+                reach.add(row);
+                *heard_at = row.link.heard_at.max(*heard_at);
+            }
+        }
+        services
+    }
+}
--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -23,7 +23,7 @@
 pub const MAX_UNLISTED_MEMBERS: usize = 64;
 
 /// Age after which a peer's report is ignored.
-const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
+pub(super) const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
 
 /// Load on one backend server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -251,6 +251,7 @@
                 let progress_at = now - Duration::from_millis(load.progress_age_ms);
                 row.record_peer_progress(progress_at);
             }
+            self.review_backoff(now, &load.server);
         }
         self.apply_leaving(&report.leaving);
         self.apply_crash_report(now, &report.crashes);
--- a/crates/core/src/gateway/servers.rs
+++ b/crates/core/src/gateway/servers.rs
@@ -10,6 +10,7 @@
 
 use super::{
     config::{Accelerator, EngineSpec},
+    links::Link,
     notices::{Incarnation, Notice, Notices},
     peers::ServerLoad,
     recent_count::RecentCount,
@@ -114,6 +115,8 @@
     /// Time at which requests of any node were last found to make no progress on
     /// the server, or `None` if there was progress since.
     pub stalled_at: Option<Timestamp>,
+    /// The link from this node to the server.
+    pub link: Link,
     /// Moving average of a plain server's latency, in milliseconds.
     pub latency_ms: f64,
     /// What the server has stated in its responses to this node.
@@ -145,6 +148,7 @@
             busy_since: now,
             peer_busy_since: now,
             stalled_at: None,
+            link: Link::default(),
             latency_ms: 0.0,
             notice: Notice::default(),
             leaving_at_peer: false,
@@ -252,7 +256,7 @@
     /// Returns whether this node may send requests to the server, apart from
     /// backoffs.
     pub fn is_entry_open(&self, now: Timestamp) -> bool {
-        self.is_open(now) && now >= self.notice.entry_paused_until
+        self.is_open(now) && now >= self.notice.entry_paused_until && !self.link.is_lost()
     }
 
     /// Returns whether requests may be sent to the server directly. Engines that
@@ -429,6 +433,11 @@
         rows.filter(move |(_, row)| row.entry.service == *service)
     }
 
+    /// Returns all servers, to change them.
+    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = (&VmId, &mut ServerRow)> {
+        self.rows.iter_mut()
+    }
+
     /// Returns all servers.
     pub fn iter(&self) -> impl Iterator<Item = (&VmId, &ServerRow)> {
         self.rows.iter()
--- a/crates/core/src/gateway/stall.rs
+++ b/crates/core/src/gateway/stall.rs
@@ -25,6 +25,13 @@
 /// registry shows by then whether it is gone.
 pub const SUSPECT_TIME: Duration = Duration::from_millis(4_000);
 
+/// Time without a report of a peer after which it is taken for gone. Three reports
+/// have been lost by then.
+const MAX_PEER_SILENCE: Duration = Duration::from_millis(700);
+/// Time without events after which a stream leaves its peer. The peer itself fails it
+/// after [`MAX_STALL`].
+const MAX_PEER_STALL: Duration = Duration::from_millis(1_300);
+
 /// Time between two checks of a stalled stream.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Fraction of its target latency after which an unanswered request fails over
@@ -72,6 +79,25 @@
     StallAction::Wait(RECHECK_INTERVAL)
 }
 
+/// Decides whether a request at a peer fails over after `stalled_for`. The peer itself
+/// ends a request whose servers are silent, so only a silent peer matters here.
+/// `report_age` is the age of its latest report.
+pub fn check_peer(
+    peer: &VmId,
+    report_age: Option<Duration>,
+    stalled_for: Duration,
+    begun: bool,
+) -> StallAction {
+    if stalled_for < MIN_STALL {
+        return StallAction::Wait(MIN_STALL - stalled_for);
+    }
+    let is_gone = report_age.is_none_or(|age| age >= MAX_PEER_SILENCE);
+    if is_gone || (begun && stalled_for >= MAX_PEER_STALL) {
+        return StallAction::Failover(vec![peer.clone()]);
+    }
+    StallAction::Wait(RECHECK_INTERVAL)
+}
+
 /// Decides whether a repeatable request fails over after a plain server has not
 /// answered it for `stalled_for`. It fails over early enough for another server
 /// to answer within `target`.
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -6,12 +6,14 @@
 use serde::Serialize;
 
 use super::{
-    admission::{self, WaitKey, WaitQueue},
+    admission::{self, RequestSource, WaitKey, WaitQueue},
     budget::{BudgetConfig, NodeCount, RetryBudget},
     config::Configuration,
     freshness::{ConfigurationRead, Freshness},
     hubs,
+    links::{LinkTable, SILENT_LINK},
     paths::{self, TokenEstimate, copies::CopyTable},
+    peer_paths::PeerPaths,
     peers::Peer,
     plain,
     quarantine::Quarantine,
@@ -23,7 +25,7 @@
     ticket::{Target, Ticket, TicketOutcome},
 };
 use crate::{
-    ids::{ServiceId, VmId},
+    ids::{FailureDomain, ServiceId, VmId},
     time::Timestamp,
 };
 
@@ -105,6 +107,10 @@
     pub(super) peers: BTreeMap<VmId, Peer>,
     pub(super) quarantine: Quarantine,
     pub(super) limits: ServerLimits,
+    pub(super) links: LinkTable,
+    pub(super) peer_paths: PeerPaths,
+    /// The failure domain of this node, if it is known.
+    pub(super) failure_domain: Option<FailureDomain>,
     nodes: NodeCount,
     pub(super) rng: StdRng,
 }
@@ -128,11 +134,19 @@
             peers: BTreeMap::new(),
             quarantine: Quarantine::default(),
             limits: ServerLimits::default(),
+            links: LinkTable::default(),
+            peer_paths: PeerPaths::default(),
+            failure_domain: None,
             nodes: NodeCount::default(),
             rng: StdRng::seed_from_u64(seed),
         }
     }
 
+    /// Sets the failure domain of this node, whose peers are preferred.
+    pub fn set_failure_domain(&mut self, domain: FailureDomain) {
+        self.failure_domain = Some(domain);
+    }
+
     /// Activates a configuration and returns `true` if it is newer than the
     /// active one.
     pub fn set_configuration(&mut self, configuration: Configuration) -> bool {
@@ -225,7 +239,9 @@
 
     /// Applies a registry entry of one server; `None` removes the server.
     pub fn set_server(&mut self, now: Timestamp, id: &VmId, entry: Option<Server>) -> ServerChange {
-        self.servers.apply(now, id, entry)
+        let change = self.servers.apply(now, id, entry);
+        self.recount_links();
+        change
     }
 
     /// Replaces all servers with a full listing and returns the removed ones.
@@ -234,6 +250,7 @@
         for (id, entry) in listed {
             self.servers.apply(now, &id, Some(entry));
         }
+        self.recount_links();
         removed
     }
 
@@ -277,10 +294,36 @@
     ) -> Admission {
         let budget = self.budgets.entry(service.clone()).or_default();
         budget.record_request(now, &self.cfg.budget);
-        if let Some(ticket) = self.try_start(now, service, estimate, &[]) {
+        self.admit_from(now, route_match, service, estimate, RequestSource::Caller)
+    }
+
+    /// Decides whether a request that a peer forwards starts, is queued or is refused.
+    /// The peer has counted it for the retry budget.
+    pub fn admit_from_peer(
+        &mut self,
+        now: Timestamp,
+        route_match: &RouteMatch,
+        service: &ServiceId,
+        estimate: Option<TokenEstimate>,
+    ) -> Admission {
+        self.admit_from(now, route_match, service, estimate, RequestSource::Peer)
+    }
+
+    fn admit_from(
+        &mut self,
+        now: Timestamp,
+        route_match: &RouteMatch,
+        service: &ServiceId,
+        estimate: Option<TokenEstimate>,
+        source: RequestSource,
+    ) -> Admission {
+        if let Some(ticket) = self.start(now, service, estimate, &[], source) {
             return Admission::Start(ticket);
         }
-        if self.pause_left(now, service).is_some() || self.is_limited(now, service) {
+        if self.is_cut_off(service)
+            || self.pause_left(now, service).is_some()
+            || self.is_limited(now, service)
+        {
             return Admission::Refuse(self.retry_after_refusal(now, service));
         }
         let draw = self.rng.random_range(0.0..1.0);
@@ -289,10 +332,14 @@
             output: 0,
         });
         let target = route_match.route.target_latency;
-        match self
-            .queue
-            .push(now, route_match.priority, service, estimate, target, draw)
-        {
+        match self.queue.push(
+            now,
+            route_match.priority,
+            service,
+            (source, estimate),
+            target,
+            draw,
+        ) {
             Ok((key, until)) => Admission::Wait(key, until),
             Err(after) => Admission::Refuse(after),
         }
@@ -307,7 +354,7 @@
         estimate: Option<TokenEstimate>,
         avoid: &[VmId],
     ) -> Option<Ticket> {
-        let ticket = self.try_start(now, service, estimate, avoid)?;
+        let ticket = self.start(now, service, estimate, avoid, RequestSource::Caller)?;
         let nodes = self.node_count(now);
         let budget = self.budgets.entry(service.clone()).or_default();
         if budget.try_acquire(now, &self.cfg.budget, nodes) {
@@ -317,6 +364,17 @@
         None
     }
 
+    /// Selects a peer for a request that has reached no server yet. It draws on no
+    /// budget, because servers see it for the first time.
+    pub fn retry_at_peer(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceId,
+        avoid: &[VmId],
+    ) -> Option<Ticket> {
+        self.start_at_peer(now, service, avoid)
+    }
+
     /// Returns the number of nodes that share budgets and limits.
     pub(super) fn node_count(&mut self, now: Timestamp) -> u32 {
         let listed = self.nodes.max_in_window(now, self.cfg.budget.window);
@@ -353,6 +411,23 @@
         self.pause_left(now, service).unwrap_or_default() + self.retry_after()
     }
 
+    /// Reserves servers for a request, or selects a peer if this node has lost the
+    /// links to most of them.
+    fn start(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceId,
+        estimate: Option<TokenEstimate>,
+        avoid: &[VmId],
+        source: RequestSource,
+    ) -> Option<Ticket> {
+        let at_peer = match source {
+            RequestSource::Caller => self.start_at_peer(now, service, avoid),
+            RequestSource::Peer => None,
+        };
+        at_peer.or_else(|| self.try_start(now, service, estimate, avoid))
+    }
+
     fn try_start(
         &mut self,
         now: Timestamp,
@@ -456,8 +531,16 @@
             let named = by.and_then(|address| servers.by_address(address).cloned());
             named.or(first.clone())
         };
+        let has_failed = matches!(
+            outcome,
+            TicketOutcome::Unreachable | TicketOutcome::RefusedByPeer | TicketOutcome::Failed
+        );
+        if let (true, Some(peer)) = (has_failed, ticket.target.peer()) {
+            self.back_off_peer(now, &peer.vm);
+        }
         match outcome {
             TicketOutcome::Answered { took } => {
+                self.record_heard(now, ticket);
                 for reservation in ticket.target.reservations() {
                     self.record_server_success(now, reservation.server, ticket.acquired_at, took);
                 }
@@ -472,6 +555,13 @@
                     self.record_refusal(now, &id, MISDIRECTED_BACKOFF);
                 }
             }
+            TicketOutcome::Unreachable => {
+                if let Some(id) = server_at_fault(&self.servers, None) {
+                    self.record_server_failure(now, &id);
+                    self.record_unreachable(now, &id);
+                }
+            }
+            TicketOutcome::RefusedByPeer => {}
             TicketOutcome::Failed => {
                 if let Some(id) = server_at_fault(&self.servers, None) {
                     self.record_server_failure(now, &id);
@@ -523,6 +613,7 @@
     /// Records an event of a stream, which shows progress at every engine on
     /// its path.
     pub fn record_progress(&mut self, now: Timestamp, ticket: &Ticket) {
+        self.record_heard(now, ticket);
         for reservation in ticket.target.reservations() {
             if let Some(row) = self.servers.get_mut(reservation.server) {
                 row.record_success(now, ticket.acquired_at);
@@ -534,18 +625,29 @@
     /// over. `begun` is whether its first event has arrived, and `target` is
     /// the time within which it should be answered.
     pub fn check_stall(
-        &self,
+        &mut self,
         now: Timestamp,
         ticket: &Ticket,
         stalled_for: Duration,
         begun: bool,
         target: Duration,
     ) -> StallAction {
-        match &ticket.target {
+        if self.is_link_lost(now, ticket, stalled_for) {
+            return StallAction::Failover(Vec::new());
+        }
+        let action = match &ticket.target {
             Target::Engines(path) => {
                 stall::check_path(&self.servers, now, path, stalled_for, begun)
             }
             Target::Plain { server, .. } => stall::check_plain(server, stalled_for, target),
+            Target::Peer(peer) => {
+                let report_age = self.paths_age(now, &peer.vm);
+                stall::check_peer(&peer.vm, report_age, stalled_for, begun)
+            }
+        };
+        match action {
+            StallAction::Wait(wait) => StallAction::Wait(wait.min(SILENT_LINK)),
+            failover @ StallAction::Failover(_) => failover,
         }
     }
 
@@ -555,17 +657,17 @@
             .queue
             .in_order(now)
             .into_iter()
-            .map(|(key, w)| (key, w.service.clone(), w.estimate))
+            .map(|(key, w)| (key, w.service.clone(), w.source, w.estimate))
             .collect();
         let mut started = Vec::new();
-        for (key, service, estimate) in waiting {
+        for (key, service, source, estimate) in waiting {
             let is_engine = self
                 .configuration
                 .as_ref()
                 .and_then(|c| c.services.get(&service))
                 .is_some_and(|s| s.engine.is_some());
-            let Some(ticket) = self.try_start(now, &service, is_engine.then_some(estimate), &[])
-            else {
+            let estimate = is_engine.then_some(estimate);
+            let Some(ticket) = self.start(now, &service, estimate, &[], source) else {
                 // Later requests may belong to other services or need less
                 // capacity, so they are still tried.
                 continue;
--- a/crates/core/src/gateway/ticket.rs
+++ b/crates/core/src/gateway/ticket.rs
@@ -5,7 +5,7 @@
 
 use serde::Serialize;
 
-use super::paths::Path;
+use super::{paths::Path, peer_paths::PeerChoice};
 use crate::{
     ids::{ServiceId, VmId},
     time::Timestamp,
@@ -37,6 +37,8 @@
     },
     /// Engines that forward activations to each other along a path.
     Engines(Path),
+    /// A peer that forwards the request to servers.
+    Peer(PeerChoice),
 }
 
 /// Lists the servers in order. `>` marks an engine that receives activations
@@ -45,6 +47,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Plain { server, .. } => server.fmt(f),
+            Self::Peer(peer) => write!(f, "peer {}", peer.vm),
             Self::Engines(path) => {
                 write!(f, "{:.0}ms", path.cost_ms)?;
                 write!(f, " first {:.0}ms", path.first_ms)?;
@@ -66,11 +69,21 @@
 }
 
 impl Target {
-    /// Returns the server to which the request is sent.
+    /// Returns the server to which the request is sent, or `None` if it is a peer
+    /// that selects one.
     pub fn first(&self) -> Option<(&VmId, SocketAddr)> {
         match self {
             Self::Plain { server, address } => Some((server, *address)),
             Self::Engines(path) => path.stages.first().map(|s| (&s.server, s.address)),
+            Self::Peer(_) => None,
+        }
+    }
+
+    /// Returns the peer that forwards the request, if there is one.
+    pub fn peer(&self) -> Option<&PeerChoice> {
+        match self {
+            Self::Peer(peer) => Some(peer),
+            Self::Plain { .. } | Self::Engines(_) => None,
         }
     }
 
@@ -89,6 +102,8 @@
                 });
                 reservations.collect()
             }
+            // The peer reserves the capacity.
+            Self::Peer(_) => Vec::new(),
         }
     }
 }
@@ -113,7 +128,12 @@
         /// did not name one. It then counts against the first server.
         by: Option<SocketAddr>,
     },
-    /// The connection to the first server failed, or its response was invalid.
+    /// No connection could be opened; the request did not run.
+    Unreachable,
+    /// A peer refused to forward the request; it did not run.
+    RefusedByPeer,
+    /// The connection to the first server or the peer failed, or its response was
+    /// invalid.
     Failed,
     /// The caller disconnected or the request timed out, which is no
     /// evidence about the servers' health.
--- a/crates/core/tests/gateway_requests.rs
+++ b/crates/core/tests/gateway_requests.rs
@@ -42,6 +42,7 @@
     match &ticket.target {
         Target::Engines(path) => path.stages.iter().map(|s| s.server.clone()).collect(),
         Target::Plain { server, .. } => vec![server.clone()],
+        Target::Peer(peer) => panic!("sent to {}", peer.vm),
     }
 }
 
@@ -136,7 +137,7 @@
                 path.stages.remove(0);
                 Target::Engines(path)
             }
-            Target::Plain { .. } => panic!("the target is a path of engines"),
+            Target::Plain { .. } | Target::Peer(_) => panic!("the target is a path of engines"),
         },
         unread_tokens: 0,
         acquired_at: ms(0),
--- a/crates/daemon/src/gateway/crash.rs
+++ b/crates/daemon/src/gateway/crash.rs
@@ -33,6 +33,8 @@
             stages.map(|stage| (&stage.server, stage.address)).collect()
         }
         Target::Plain { server, address } => vec![(server, *address)],
+        // The peer checks its servers itself.
+        Target::Peer(_) => Vec::new(),
     }
 }
 
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, Method, Request, Uri, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use radishhaven_client::{Connection, ConnectionError, ConnectionTimeouts, Driver};
+use radishhaven_client::{BodyFraming, Connection, ConnectionError, ConnectionTimeouts, Driver};
 use radishhaven_core::{gateway::Target, ids::OrganisationId};
 use radishhaven_platform::{
     backend_response::{self, ResponseHead, ServerNotices},
@@ -44,8 +44,11 @@
     pub(super) head: response::Parts,
     /// The body.
     pub(super) body: Incoming,
-    /// Drives the connection, which closes when this is dropped.
-    pub(super) driver: Driver,
+    /// How the response shows the end of its body.
+    pub(super) framing: BodyFraming,
+    /// Drives the connection, which closes when this is dropped. Connections to
+    /// peers have none, because they carry several requests.
+    pub(super) driver: Option<Driver>,
 }
 
 /// Outcome of sending a request.
@@ -59,6 +62,15 @@
     /// The request reached a server other than the intended one and was not
     /// run. The address is that of the server, if it was named.
     Misdirected(Option<std::net::SocketAddr>),
+    /// A peer refused to forward the request; it did not run.
+    RefusedByPeer {
+        /// Whether servers have seen the request.
+        was_sent: bool,
+        /// Whether the peer lacks capacity. Otherwise it does not allow the request.
+        is_unavailable: bool,
+        /// Time after which the caller should retry.
+        retry_after: Option<Duration>,
+    },
     /// No connection could be opened, so the request was not run.
     Unreachable(String),
     /// The request may have run, but no valid response arrived.
@@ -104,9 +116,10 @@
     let (head, body) = resp.into_parts();
     match backend_response::decode(&head, &outgoing.attempt_id) {
         ResponseHead::Executed => SendOutcome::Responded(Box::new(BackendResponse {
+            framing: BodyFraming::of(&head.headers),
             head,
             body,
-            driver: connection.into_driver(),
+            driver: Some(connection.into_driver()),
         })),
         ResponseHead::NotRun { engine } => {
             SendOutcome::NotRun(engine, backend_response::decode_notices(&head))
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -34,7 +34,10 @@
     if let Some(left) = job.quarantine_left() {
         return refuse(&job, left, QUARANTINED);
     }
-    let admission = job.host.admit(&job.routed, &job.service, job.demand).await;
+    let admission = job
+        .host
+        .admit(&job.routed, &job.service, job.demand, job.source)
+        .await;
     job.waited = job.host.now().since(job.arrived);
     let mut guard = match admission {
         AdmissionOutcome::Admitted(guard) => guard,
@@ -80,6 +83,7 @@
     let retry_after = job
         .host
         .with_gateway(|g| g.retry_after_refusal(now, &job.service));
+    let retry_after = job.peer_retry_after.unwrap_or(retry_after);
     refuse(&job, retry_after, "no server took it")
 }
 
@@ -103,7 +107,12 @@
     response: BackendResponse,
     guard: TicketGuard,
 ) -> Option<Response<Body>> {
-    let BackendResponse { head, body, driver } = response;
+    let BackendResponse {
+        head,
+        body,
+        framing,
+        driver,
+    } = response;
     let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
     let body = tokio::time::timeout(job.remaining(), body).await;
     drop(driver);
@@ -145,7 +154,7 @@
         guard.settle(TicketOutcome::Answered { took });
         job.record_answerable(job.host.now());
     }
-    log_answered(job, head.status, "whole", BodyFraming::of(&head.headers));
+    log_answered(job, head.status, "whole", framing);
     Some(caller_response(&head, body))
 }
 
@@ -212,5 +221,6 @@
     });
     let mut resp = text_response(status, reason);
     backend_response::set_attempt_id(resp.headers_mut(), &job.outgoing.attempt_id);
+    resp.extensions_mut().insert(job.node_outcome());
     resp
 }
--- a/crates/daemon/src/gateway/host.rs
+++ b/crates/daemon/src/gateway/host.rs
@@ -13,7 +13,7 @@
 use radishhaven_core::{
     gateway::{
         Gateway, RouteKind, StoreEra, Target, Ticket, TicketOutcome,
-        admission::WaitKey,
+        admission::{RequestSource, WaitKey},
         drain,
         hubs::HubRole,
         members::MemberTable,
@@ -29,9 +29,12 @@
 use spdlog::prelude::*;
 use tokio::sync::{Notify, oneshot};
 
-use super::{GatewaySettings, metrics::GatewayMetrics};
+use super::{GatewaySettings, metrics::GatewayMetrics, peer_forwarding::PeerConnections};
 use crate::clock::Clock;
 
+/// Delay of a report from which the processor is too busy for requests of peers.
+const MAX_REPORT_DELAY: Duration = Duration::from_millis(100);
+
 /// Why a gateway could not be started.
 #[derive(Debug, thiserror::Error)]
 pub enum GatewayStartError {
@@ -85,6 +88,13 @@
     pub(super) quarantine_changed: Notify,
     /// Wakes the sender of reports when peers should learn something at once.
     pub(super) report_soon: Notify,
+    /// Wakes the task that probes links.
+    pub(super) probes_changed: Notify,
+    /// The connections to peers that forward requests of this node.
+    pub(super) peer_connections: PeerConnections,
+    /// How late the last report was sent, in milliseconds. It grows when the processor
+    /// is busy.
+    pub(super) report_delay_ms: AtomicU64,
     clock: Clock,
     /// The settings.
     pub(super) settings: GatewaySettings,
@@ -188,13 +198,18 @@
     /// Creates a host without any configuration or backend servers.
     pub fn new(settings: GatewaySettings) -> Self {
         let seed = crate::clock::incarnation().0;
+        let mut gateway = Gateway::new(settings.gateway_config(), seed);
+        gateway.set_failure_domain(settings.node.failure_domain.clone());
         Self {
-            gateway: Mutex::new(Gateway::new(settings.gateway_config(), seed)),
+            gateway: Mutex::new(gateway),
             waiters: Mutex::default(),
             peers: Mutex::default(),
             newer_configuration: Notify::new(),
             quarantine_changed: Notify::new(),
             report_soon: Notify::new(),
+            probes_changed: Notify::new(),
+            peer_connections: PeerConnections::default(),
+            report_delay_ms: AtomicU64::new(0),
             clock: Clock::start(),
             store: StoreClient::new(settings.store.address),
             settings,
@@ -297,9 +312,14 @@
         routed: &RouteMatch,
         service: &ServiceId,
         demand: Option<TokenEstimate>,
+        source: RequestSource,
     ) -> AdmissionOutcome {
         let now = self.now();
-        let (key, until) = match self.with_gateway(|g| g.admit(now, routed, service, demand)) {
+        let admission = self.with_gateway(|g| match source {
+            RequestSource::Caller => g.admit(now, routed, service, demand),
+            RequestSource::Peer => g.admit_from_peer(now, routed, service, demand),
+        });
+        let (key, until) = match admission {
             Admission::Start(ticket) => {
                 return AdmissionOutcome::Admitted(TicketGuard::new(self, ticket));
             }
@@ -342,6 +362,41 @@
         Some(TicketGuard::new(self, ticket))
     }
 
+    /// Selects a peer for a request that no server has seen yet.
+    pub(super) fn retry_at_peer(
+        self: &Arc<Self>,
+        service: &ServiceId,
+        excluded: &[VmId],
+    ) -> Option<TicketGuard> {
+        let now = self.now();
+        let ticket = self.with_gateway(|g| g.retry_at_peer(now, service, excluded))?;
+        Some(TicketGuard::new(self, ticket))
+    }
+
+    /// Returns the number of open requests that came from callers.
+    pub(super) fn own_requests(&self) -> u32 {
+        let taken = u64::from(self.with_gateway(|g| g.peer_requests()));
+        let own = self.open_requests().saturating_sub(taken);
+        u32::try_from(own).unwrap_or(u32::MAX)
+    }
+
+    /// Returns whether the node takes requests of peers: it serves, and its processor
+    /// is not so busy that they would delay those of its own callers.
+    pub(super) fn takes_peer_requests(&self) -> bool {
+        let delay = self.report_delay_ms.load(Ordering::Relaxed);
+        self.is_ready() && Duration::from_millis(delay) < MAX_REPORT_DELAY
+    }
+
+    /// Takes a request of a peer, unless there are too many of them.
+    pub(super) fn take_peer_request(self: &Arc<Self>) -> Option<PeerRequestGuard> {
+        let own = self.own_requests();
+        let has_room = self.takes_peer_requests() && self.with_gateway(|g| g.peer_room(own)) > 0;
+        has_room.then(|| {
+            self.with_gateway(|g| g.begin_peer_request());
+            PeerRequestGuard { host: self.clone() }
+        })
+    }
+
     /// Records that a server stated in a response that it is leaving.
     pub(super) fn record_leaving(&self, server: &VmId) {
         let now = self.now();
@@ -425,6 +480,18 @@
     }
 }
 
+/// Counts a request of a peer as running until it is dropped.
+#[derive(Debug)]
+pub(super) struct PeerRequestGuard {
+    host: Arc<GatewayHost>,
+}
+
+impl Drop for PeerRequestGuard {
+    fn drop(&mut self) {
+        self.host.with_gateway(|g| g.end_peer_request());
+    }
+}
+
 /// Counts one request as open until it is dropped.
 #[derive(Debug)]
 pub(super) struct OpenRequestGuard {
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -12,10 +12,11 @@
 use radishhaven_core::{
     gateway::{
         RequestDigest,
+        admission::RequestSource,
         routes::{RouteError, RouteMatch},
         state::Rejection,
     },
-    ids::ServiceId,
+    ids::{ServiceId, VmId},
 };
 use radishhaven_platform::{
     backend_response,
@@ -29,17 +30,21 @@
     forward::{forward, set_retry_after},
     host::{GatewayHost, OpenRequestGuard},
     job::Job,
+    peer_forwarding::NodeOutcome,
 };
 
-/// Handles one request and returns its response.
+/// What a node states about a request that it forwards for its caller.
+#[derive(Debug)]
+pub(super) struct Forwarded {
+    /// The node.
+    pub(super) from: Option<VmId>,
+    /// Whether it can still send the request elsewhere.
+    pub(super) may_fail_over: bool,
+}
+
+/// Handles one request of a caller and returns its response.
 pub(super) async fn handle(host: Arc<GatewayHost>, req: Request<Incoming>) -> Response<Body> {
-    let open = host.track_request();
-    let (head, body) = req.into_parts();
-    let caller_request = caller::decode(&head.headers);
-    let mut resp = match authorize(&host, &head, &caller_request) {
-        Ok(authorized) => accept(&host, head, body, caller_request, authorized, open).await,
-        Err(rejected) => reject_unauthorized(&host, &caller_request.attempt_id, rejected),
-    };
+    let mut resp = handle_request(&host, req, None).await;
     if host.is_draining() {
         let close = HeaderValue::from_static("close");
         resp.headers_mut().insert(header::CONNECTION, close);
@@ -47,15 +52,55 @@
     resp
 }
 
+/// Handles one request that a peer forwards and returns its response.
+pub(super) async fn handle_from_peer(
+    host: Arc<GatewayHost>,
+    req: Request<Incoming>,
+    forwarded: Forwarded,
+) -> Response<Body> {
+    let Some(taken) = host.take_peer_request() else {
+        let attempt_id = caller::decode(req.headers()).attempt_id;
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        let mut resp = reject(&host, "", &attempt_id, status, "no room for peers");
+        set_retry_after(&mut resp, host.with_gateway(|g| g.retry_after()));
+        return resp;
+    };
+    let resp = handle_request(&host, req, Some(forwarded)).await;
+    // The request runs until its body has ended.
+    resp.map(|body| {
+        let body = body.map_frame(move |frame| {
+            let _running = &taken;
+            frame
+        });
+        body.boxed_unsync()
+    })
+}
+
+async fn handle_request(
+    host: &Arc<GatewayHost>,
+    req: Request<Incoming>,
+    forwarded: Option<Forwarded>,
+) -> Response<Body> {
+    let open = host.track_request();
+    let (head, body) = req.into_parts();
+    let caller_request = caller::decode(&head.headers);
+    match authorize(host, &head, &caller_request) {
+        Ok(authorized) => {
+            let parts = (head, body, open);
+            accept(host, parts, caller_request, authorized, forwarded).await
+        }
+        Err(rejected) => reject_unauthorized(host, &caller_request.attempt_id, rejected),
+    }
+}
+
 /// Reads the body of a request that the configuration allows, and forwards the
 /// request.
 async fn accept(
     host: &Arc<GatewayHost>,
-    head: request::Parts,
-    body: Incoming,
+    (head, body, open): (request::Parts, Incoming, OpenRequestGuard),
     caller_request: CallerRequest,
     (routed, service): (RouteMatch, ServiceId),
-    open: OpenRequestGuard,
+    forwarded: Option<Forwarded>,
 ) -> Response<Body> {
     let refuse = |status, reason| {
         reject(
@@ -94,6 +139,14 @@
         attempt_id: caller_request.attempt_id,
         organisation: routed.organisation.clone(),
     };
+    if let Some(forwarded) = &forwarded {
+        host.metrics.taken_from_peers.inc();
+        log_forwarded(forwarded, &outgoing.attempt_id);
+    }
+    let source = match forwarded {
+        Some(_) => RequestSource::Peer,
+        None => RequestSource::Caller,
+    };
     let job = Job {
         host: host.clone(),
         outgoing,
@@ -108,6 +161,10 @@
         waited: Duration::ZERO,
         runs: 0,
         not_run: 0,
+        source,
+        sender_may_fail_over: forwarded.is_some_and(|forwarded| forwarded.may_fail_over),
+        has_arrived: false,
+        peer_retry_after: None,
         excluded: Vec::new(),
         end_logged: AtomicBool::new(false),
         _open: open,
@@ -115,6 +172,14 @@
     forward(job).await
 }
 
+fn log_forwarded(forwarded: &Forwarded, attempt_id: &str) {
+    info!("a request of a peer is taken", kv: {
+        request = attempt_id,
+        from = forwarded.from.as_ref().map_or("", |vm| vm.as_str()),
+        may_fail_over = forwarded.may_fail_over,
+    });
+}
+
 /// Returns the digest of a request, which a repetition by the same organisation
 /// shares, at whatever node.
 fn digest(
@@ -227,5 +292,6 @@
     });
     let mut resp = text_response(status, reason);
     backend_response::set_attempt_id(resp.headers_mut(), attempt_id);
+    resp.extensions_mut().insert(NodeOutcome::NotSent);
     resp
 }
--- a/crates/daemon/src/gateway/job.rs
+++ b/crates/daemon/src/gateway/job.rs
@@ -8,8 +8,9 @@
 
 use radishhaven_core::{
     gateway::{
-        CrashCause, PromptPart, RequestDigest, TicketOutcome, paths::TokenEstimate,
-        routes::RouteMatch, stall::StallAction,
+        CrashCause, PeerChoice, PromptPart, RequestDigest, Target, TicketOutcome,
+        admission::RequestSource, links::SILENT_LINK, paths::TokenEstimate, routes::RouteMatch,
+        stall::StallAction,
     },
     ids::{ServiceId, VmId},
     time::Timestamp,
@@ -21,6 +22,7 @@
     crash,
     exchange::{BackendResponse, OutgoingRequest, SendOutcome, send},
     host::{GatewayHost, OpenRequestGuard, TicketGuard},
+    peer_forwarding::{self, NodeOutcome, PeerContext},
 };
 
 /// Largest number of sends of one request that end without having run. Each
@@ -60,7 +62,15 @@
     pub(super) runs: u32,
     /// Number of sends that did not run.
     pub(super) not_run: u32,
-    /// Servers to which this request is not sent again.
+    /// From where the request came.
+    pub(super) source: RequestSource,
+    /// Whether the node that forwarded the request can send it elsewhere.
+    pub(super) sender_may_fail_over: bool,
+    /// Whether a server may have seen the request.
+    pub(super) has_arrived: bool,
+    /// The delay for the caller that the last peer named when it refused the request.
+    pub(super) peer_retry_after: Option<Duration>,
+    /// Servers and peers to which this request is not sent again.
     pub(super) excluded: Vec<VmId>,
     /// Whether the end of the request was logged.
     pub(super) end_logged: AtomicBool,
@@ -120,11 +130,32 @@
 
     /// Returns whether the route allows one more send that may run.
     pub(super) fn may_retry(&self) -> bool {
+        if self.source == RequestSource::Peer {
+            return false;
+        }
         let is_repeatable = self.routed.route.kind.repeatable();
         let runs_left = self.runs < self.routed.route.max_attempts;
         self.not_run < MAX_NOT_RUN_SENDS && (self.runs == 0 || (is_repeatable && runs_left))
     }
 
+    /// Returns whether the request may be sent elsewhere when a server is silent, by
+    /// this node or the one that forwarded it.
+    fn may_fail_over(&self) -> bool {
+        match self.source {
+            RequestSource::Caller => self.runs + 1 < self.routed.route.max_attempts,
+            RequestSource::Peer => self.sender_may_fail_over,
+        }
+    }
+
+    /// Returns what is certain about the request if this node answers it.
+    pub(super) fn node_outcome(&self) -> NodeOutcome {
+        match (self.runs, self.has_arrived) {
+            (0, false) => NodeOutcome::NotSent,
+            (0, true) => NodeOutcome::NotRun,
+            _ => NodeOutcome::Unknown,
+        }
+    }
+
     /// Returns what the request shares with others, the parts of its prompt first.
     pub(super) fn causes(&self) -> Vec<CrashCause> {
         let parts = self.shared_parts.iter();
@@ -152,7 +183,9 @@
     pub(super) async fn send_once(&mut self, guard: TicketGuard) -> Attempt {
         let sent_at = self.host.now();
         self.log_send(&guard);
-        let outcome = match self.send_while_responsive(&guard).await {
+        let outcome = self.send_while_responsive(&guard).await;
+        self.record_arrival(&outcome);
+        let outcome = match outcome {
             WatchedSend::Completed(outcome) => outcome,
             WatchedSend::Unresponsive(suspects) => {
                 self.log_failed_send(&guard, "silent", sent_at, &join_ids(&suspects));
@@ -196,11 +229,25 @@
             }
             SendOutcome::Unreachable(reason) => {
                 self.not_run += 1;
+                self.exclude_peer(&guard);
                 self.log_failed_send(&guard, "unreachable", sent_at, &reason);
-                guard.settle(TicketOutcome::Failed);
+                guard.settle(TicketOutcome::Unreachable);
+                self.host.publish_links();
+            }
+            SendOutcome::RefusedByPeer {
+                is_unavailable,
+                retry_after,
+                ..
+            } => {
+                self.not_run += 1;
+                self.exclude_peer(&guard);
+                self.peer_retry_after = retry_after.filter(|_| is_unavailable);
+                self.log_failed_send(&guard, "refused by peer", sent_at, "");
+                guard.settle(TicketOutcome::RefusedByPeer);
             }
             SendOutcome::Unknown(reason) => {
                 self.runs += 1;
+                self.exclude_peer(&guard);
                 self.log_failed_send(&guard, "lost", sent_at, &reason);
                 crash::check_first(self, &guard).await;
                 guard.settle(TicketOutcome::Failed);
@@ -209,6 +256,21 @@
         Attempt::Retry
     }
 
+    /// Records whether a server may have seen the request.
+    fn record_arrival(&mut self, outcome: &WatchedSend) {
+        self.has_arrived |= match outcome {
+            WatchedSend::Completed(SendOutcome::Unreachable(_)) => false,
+            WatchedSend::Completed(SendOutcome::RefusedByPeer { was_sent, .. }) => *was_sent,
+            _ => true,
+        };
+    }
+
+    /// Excludes the peer to which the request was sent from further sends.
+    fn exclude_peer(&mut self, guard: &TicketGuard) {
+        let peer = guard.target().peer();
+        self.excluded.extend(peer.map(|peer| peer.vm.clone()));
+    }
+
     /// Excludes the server that did not run the request from further sends.
     fn exclude_server(&mut self, guard: &TicketGuard, by: Option<std::net::SocketAddr>) {
         let reporter = by.and_then(|at| {
@@ -261,6 +323,9 @@
     /// Logs the target of a send, and how old the data is that the choice was
     /// based on.
     fn log_send(&self, guard: &TicketGuard) {
+        if let Some(peer) = guard.target().peer() {
+            self.log_forwarded(peer);
+        }
         let now = self.host.now();
         let (version, registry) = self.host.with_gateway(|g| {
             let version = g.configuration().map_or(0, |c| c.version);
@@ -281,6 +346,20 @@
         });
     }
 
+    /// Logs why a request is sent to a peer.
+    fn log_forwarded(&self, peer: &PeerChoice) {
+        self.host.metrics.forwarded_to_peers.inc();
+        info!("a request is forwarded by a peer", kv: {
+            request = self.outgoing.attempt_id.as_str(),
+            peer = peer.vm.as_str(),
+            service = self.service.as_str(),
+            reachable_here = peer.own.reachable,
+            reachable_there = peer.reachable,
+            servers = peer.own.total,
+            report_age_ms = peer.report_age.as_millis() as u64,
+        });
+    }
+
     pub(super) fn log_failed_send(
         &self,
         guard: &TicketGuard,
@@ -324,8 +403,7 @@
 
     async fn send_while_responsive(&self, guard: &TicketGuard) -> WatchedSend {
         let started = self.host.now();
-        let last_event = self.last_event.as_deref();
-        let sending = send(&self.outgoing, guard.target(), self.remaining(), last_event);
+        let sending = self.send_to(guard.target());
         tokio::pin!(sending);
         loop {
             let quarantine_changed = self.host.quarantine_changed.notified();
@@ -338,9 +416,7 @@
             }
             let silence = now.since(started);
             let wait = match self.check_silence(guard, silence, false) {
-                StallAction::Failover(suspects)
-                    if self.runs + 1 < self.routed.route.max_attempts =>
-                {
+                StallAction::Failover(suspects) if self.may_fail_over() => {
                     return WatchedSend::Unresponsive(suspects);
                 }
                 StallAction::Failover(_) => self.remaining(),
@@ -354,6 +430,20 @@
         }
     }
 
+    async fn send_to(&self, target: &Target) -> SendOutcome {
+        let last_event = self.last_event.as_deref();
+        let Target::Peer(peer) = target else {
+            return send(&self.outgoing, target, self.remaining(), last_event).await;
+        };
+        let context = PeerContext {
+            own: &self.host.settings.node.vm,
+            time_left: self.remaining(),
+            last_event,
+            may_fail_over: self.may_fail_over(),
+        };
+        peer_forwarding::send(&self.host.peer_connections, &self.outgoing, peer, &context).await
+    }
+
     /// Decides whether to keep waiting for an unresponsive target. A request
     /// that must not run twice always waits.
     pub(super) fn check_silence(
@@ -368,8 +458,13 @@
         }
         let now = self.host.now();
         let target = route.target_latency;
-        self.host
-            .with_gateway(|g| g.check_stall(now, guard.ticket(), silence, has_events, target))
+        let action = self
+            .host
+            .with_gateway(|g| g.check_stall(now, guard.ticket(), silence, has_events, target));
+        if silence >= SILENT_LINK {
+            self.host.publish_links();
+        }
+        action
     }
 
     /// Reserves capacity for one more send, with a few retries.
@@ -381,7 +476,12 @@
             if self.remaining().is_zero() {
                 return None;
             }
-            let guard = self.host.retry(&self.service, self.demand, &self.excluded);
+            let guard = match self.has_arrived {
+                true => None,
+                false => self.host.retry_at_peer(&self.service, &self.excluded),
+            };
+            let guard =
+                guard.or_else(|| self.host.retry(&self.service, self.demand, &self.excluded));
             if guard.is_some() {
                 return guard;
             }
@@ -406,7 +506,9 @@
     by.map(|address| address.to_string()).unwrap_or_default()
 }
 
+/// Returns the server or the peer to which a request was sent.
 fn first_server(guard: &TicketGuard) -> String {
-    let first = guard.target().first();
-    first.map(|(id, _)| id.to_string()).unwrap_or_default()
+    let first = guard.target().first().map(|(id, _)| id);
+    let id = first.or(guard.target().peer().map(|peer| &peer.vm));
+    id.map(VmId::to_string).unwrap_or_default()
 }
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -53,6 +53,10 @@
     pub(super) resumed: Counter,
     /// Streams that ended before their last event.
     pub(super) streams_cut: Counter,
+    /// Sends of requests to peers that forward them.
+    pub(super) forwarded_to_peers: Counter,
+    /// Requests of peers that this node took.
+    pub(super) taken_from_peers: Counter,
     /// Quarantines of requests and parts of prompts, with each extension.
     pub(super) quarantined: Counter,
     /// Messages and entries that could not be decoded.
@@ -80,6 +84,8 @@
             repeats: Counter::default(),
             resumed: Counter::default(),
             streams_cut: Counter::default(),
+            forwarded_to_peers: Counter::default(),
+            taken_from_peers: Counter::default(),
             quarantined: Counter::default(),
             malformed: Counter::default(),
         }
@@ -153,6 +159,16 @@
         registry.register("repeats", "Sends beyond the first", self.repeats.clone());
         registry.register("resumed_streams", "Streams resumed", self.resumed.clone());
         registry.register("cut_streams", "Streams cut", self.streams_cut.clone());
+        registry.register(
+            "forwarded_to_peers",
+            "Sends to peers that reach more servers",
+            self.forwarded_to_peers.clone(),
+        );
+        registry.register(
+            "taken_from_peers",
+            "Requests of peers with lost links",
+            self.taken_from_peers.clone(),
+        );
         registry.register(
             "quarantines",
             "Quarantines of requests and parts of prompts",
@@ -196,6 +212,17 @@
         "Requests and parts of prompts in quarantine",
         quarantined as i64,
     );
+    let (lost_links, peer_requests) = host.with_gateway(|g| (g.lost_links(), g.peer_requests()));
+    gauge(
+        "lost_links",
+        "Servers that this node does not reach",
+        lost_links as i64,
+    );
+    gauge(
+        "peer_requests",
+        "Requests of peers that are not answered",
+        i64::from(peer_requests),
+    );
     let limited = host.with_gateway(|g| g.server_limits(now).len());
     gauge(
         "limited_servers",
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -4,13 +4,18 @@
 //! Each message carries the full state, so the next message repairs a lost one.
 //! `radishhaven_core::gateway::hubs` decides which nodes exchange messages.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use radishhaven_core::{
     gateway::{
         StorePosition,
         hubs::HubRole,
         members::{ListPosition, Member, MemberPage},
+        peer_paths::PathsReport,
         peers::{NodeReport, ReportRecipient, Source},
         store_view::StoreView,
     },
@@ -97,7 +102,11 @@
     let mut current_hub = CurrentHub::default();
     loop {
         tokio::select! {
-            _ = interval.tick() => send_report(&host, &socket, &mut current_hub).await,
+            scheduled = interval.tick() => {
+                let delay = scheduled.elapsed().as_millis() as u64;
+                host.report_delay_ms.store(delay, Ordering::Relaxed);
+                send_report(&host, &socket, &mut current_hub).await;
+            }
             () = host.report_soon.notified() => send_report(&host, &socket, &mut current_hub).await,
             received = socket.recv_from(&mut buf) => match received {
                 Ok((length, from)) => handle_message(&host, &socket, &buf[..length], from, &mut current_hub).await,
@@ -122,7 +131,7 @@
     let now = host.now();
     match role {
         HubRole::Hub { others, .. } => {
-            let Some(bytes) = encode(&own_report(host, now)) else {
+            let Some(bytes) = encode(&own_report(host, now), &paths_to_hub(host, now)) else {
                 return;
             };
             for address in others.iter().filter_map(address) {
@@ -145,7 +154,8 @@
                 registry: host.with_gateway(|g| g.registry_end()),
                 members: lock(&host.peers).members.position(),
             };
-            if let (Some(bytes), Some(address)) = (encode(&query), address(hub)) {
+            let bytes = encode(&query, &paths_to_hub(host, now));
+            if let (Some(bytes), Some(address)) = (bytes, address(hub)) {
                 send(socket, &bytes, address).await;
             }
         }
@@ -172,8 +182,29 @@
     is_unlisted.then(|| members::own_member(host))
 }
 
-fn encode(message: &Message) -> Option<Vec<u8>> {
-    match bincode::serde::encode_to_vec(message, bincode::config::standard()) {
+/// Returns the report of this node's links to a hub.
+fn paths_to_hub(host: &GatewayHost, now: Timestamp) -> PathsReport {
+    paths_report(host, now, ReportRecipient::Hub)
+}
+
+fn paths_report(host: &GatewayHost, now: Timestamp, recipient: ReportRecipient<'_>) -> PathsReport {
+    let own = members::own_member(host);
+    let (requests, takes_requests) = (host.own_requests(), host.takes_peer_requests());
+    host.with_gateway(|g| {
+        let own = g.own_paths(now, &own, requests, takes_requests);
+        g.paths_report(now, own, recipient)
+    })
+}
+
+/// Encodes a message and the links of nodes, which follow it. A peer of an earlier
+/// version ignores what follows a message.
+fn encode(message: &Message, paths: &PathsReport) -> Option<Vec<u8>> {
+    let config = bincode::config::standard();
+    let encoded = bincode::serde::encode_to_vec(message, config).and_then(|mut bytes| {
+        bytes.extend(bincode::serde::encode_to_vec(paths, config)?);
+        Ok(bytes)
+    });
+    match encoded {
         Ok(bytes) if bytes.len() <= MAX_MESSAGE_BYTES => Some(bytes),
         Ok(bytes) => {
             warn!("a message to a peer is too large to send", kv: { bytes = bytes.len() });
@@ -200,8 +231,8 @@
     current_hub: &mut CurrentHub,
 ) {
     let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
-    let message: Message = match decoded {
-        Ok((message, _)) => message,
+    let (message, length): (Message, usize) = match decoded {
+        Ok(decoded) => decoded,
         Err(error) => {
             host.metrics.malformed.inc();
             debug!("failed to decode a message of a peer", kv: { error = error.to_string() });
@@ -209,12 +240,15 @@
         }
     };
     let now = host.now();
+    apply_paths(host, now, &message, &bytes[length..]);
     match message {
         Message::Report { from, node } => {
             let is_known = host.with_gateway(|g| g.has_report_of(now, &from));
             host.with_gateway(|g| g.apply_report(now, from, Source::Hub, node));
             // A node that starts lists its peers before they list it.
-            if !is_known && let Some(bytes) = encode(&own_report(host, now)) {
+            if !is_known
+                && let Some(bytes) = encode(&own_report(host, now), &paths_to_hub(host, now))
+            {
                 send(socket, &bytes, address).await;
             }
         }
@@ -226,8 +260,9 @@
             members,
         } => {
             let page = lock(&host.peers).members.page_for(&members);
-            let response = respond_to_leaf(host, now, from, node, (sent, registry), page);
-            if let Some(bytes) = encode(&response) {
+            let response = respond_to_leaf(host, now, from.clone(), node, (sent, registry), page);
+            let paths = paths_report(host, now, ReportRecipient::Leaf(&from));
+            if let Some(bytes) = encode(&response, &paths) {
                 send(socket, &bytes, address).await;
             }
         }
@@ -253,6 +288,28 @@
     host.log_limits();
 }
 
+/// Applies the links of nodes that follow a message. A peer of an earlier version sends
+/// none.
+fn apply_paths(host: &GatewayHost, now: Timestamp, message: &Message, bytes: &[u8]) {
+    if bytes.is_empty() {
+        return;
+    }
+    let (from, source) = match message {
+        Message::Query { from, .. } => (from, Source::Leaf),
+        Message::Report { from, .. } | Message::Response { from, .. } => (from, Source::Hub),
+    };
+    match bincode::serde::decode_from_slice(bytes, bincode::config::standard()) {
+        Ok((report, _)) => {
+            let own = &host.settings.node.vm;
+            host.with_gateway(|g| g.apply_paths(now, from, source, own, report));
+        }
+        Err(error) => {
+            host.metrics.malformed.inc();
+            debug!("failed to decode the links of a peer", kv: { error = error.to_string() });
+        }
+    }
+}
+
 /// Returns whether a hub can't read the store while other nodes can. Its leaves
 /// then switch to another hub, as if it did not respond.
 fn is_left_behind(host: &GatewayHost, node: &NodeReport, view: &StoreView) -> bool {
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -15,7 +15,7 @@
 use hyper::body::{Frame, Incoming};
 use radishhaven_client::{BodyFraming, Driver};
 use radishhaven_core::{
-    gateway::{RouteKind, TicketOutcome, stall::StallAction},
+    gateway::{RouteKind, TicketOutcome, admission::RequestSource, stall::StallAction},
     ids::VmId,
     time::Timestamp,
 };
@@ -96,9 +96,9 @@
         job,
         guard: Some(guard),
         body: response.body,
-        driver: Some(response.driver),
+        driver: response.driver,
         status,
-        framing: BodyFraming::of(&response.head.headers),
+        framing: response.framing,
         splitter: EventSplitter::default(),
         last_received: now,
         last_recorded: now,
@@ -154,6 +154,11 @@
                     if let (false, Some(guard)) = (self.goes_on, &self.guard) {
                         crash::check_stalled(&self.job, guard, &suspects).await;
                     }
+                    if self.job.source == RequestSource::Peer {
+                        self.job.record_failures(&suspects);
+                        let error = BodyError::Interrupted("silent".to_owned());
+                        return Some(Err(self.fail("silent", error)));
+                    }
                     if self.resume("silent", suspects).await {
                         continue;
                     }
@@ -406,9 +411,9 @@
             self.resume_count += 1;
             self.splitter.clear();
             (self.has_events_of_run, self.goes_on) = (false, false);
-            self.framing = BodyFraming::of(&response.head.headers);
+            self.framing = response.framing;
             self.body = response.body;
-            self.driver = Some(response.driver);
+            self.driver = response.driver;
             let now = self.job.host.now();
             self.longest_gap = self.longest_gap.max(now.since(self.last_received));
             self.last_received = now;
--- a/crates/daemon/src/gateway/shutdown.rs
+++ b/crates/daemon/src/gateway/shutdown.rs
@@ -1,14 +1,17 @@
 //! Starts the gateway's listeners and tasks, and shuts them down gracefully on
 //! a signal.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use spdlog::prelude::*;
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    signal::unix::{Signal, SignalKind, signal},
+};
 
 use super::{
-    GatewayHost, GatewaySettings, GatewayStartError, connections, directory, dump, ingress,
-    members, metrics, peers, placer, store_sync,
+    GatewayHost, GatewaySettings, GatewayStartError, connections, directory, dump, ingress, links,
+    members, metrics, peer_forwarding, peers, placer, store_sync,
 };
 
 /// Fraction of the grace period before SIGKILL that a shutdown may use.
@@ -19,6 +22,8 @@
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(6_200);
 /// Interval at which a shutdown checks whether all requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// Number of ports that are tried if any free one may be used.
+const MAX_PORT_ATTEMPTS: u32 = 16;
 /// Time for which the process stays up after the last request, to send the last
 /// bytes of responses.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
@@ -27,6 +32,29 @@
     signal(kind).map_err(GatewayStartError::Signal)
 }
 
+/// Binds the address for peers for reports and for forwarded requests, and replaces
+/// it by the bound one. If its port is zero, one is chosen that is free for both.
+async fn bind_peer_sockets(
+    address: &mut SocketAddr,
+) -> Result<(UdpSocket, TcpListener), GatewayStartError> {
+    let requested = *address;
+    let mut attempts = if requested.port() == 0 {
+        MAX_PORT_ATTEMPTS
+    } else {
+        1
+    };
+    loop {
+        attempts -= 1;
+        *address = requested;
+        let socket = peers::bind(address).await?;
+        match connections::listen(address) {
+            Ok(listener) => return Ok((socket, listener)),
+            Err(error) if attempts == 0 => return Err(error),
+            Err(_) => {}
+        }
+    }
+}
+
 impl GatewayHost {
     /// Serves until SIGTERM or SIGINT, and returns whether every request ended.
     ///
@@ -70,7 +98,7 @@
         let readiness_listener = connections::listen(&mut node.readiness)?;
         let directory_listener = connections::listen(&mut node.directory)?;
         let metrics_listener = connections::listen(&mut node.metrics)?;
-        let socket = peers::bind(&mut node.peers).await?;
+        let (socket, peer_listener) = bind_peer_sockets(&mut node.peers).await?;
         info!("the gateway starts", kv: {
             vm = node.vm.as_str(),
             failure_domain = node.failure_domain.as_str(),
@@ -102,6 +130,8 @@
         tokio::spawn(members::run(host.clone()));
         tokio::spawn(placer::run(host.clone()));
         tokio::spawn(peers::run(host.clone(), socket));
+        tokio::spawn(peer_forwarding::serve(host.clone(), peer_listener));
+        tokio::spawn(links::run(host.clone()));
         Ok(host)
     }
 
