--- a/crates/core/src/gateway/links.rs
+++ b/crates/core/src/gateway/links.rs
@@ -37,6 +37,10 @@
 const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of a service's servers that are probed when one is unreachable.
 const MAX_CHECKED: usize = 16;
+/// Time within which losses of links count as simultaneous.
+const SIMULTANEOUS: Duration = Duration::from_millis(500);
+/// Simultaneous losses from which this node's side may be at fault.
+const MIN_SIMULTANEOUS_LOSSES: usize = 3;
 /// Time by which a peer must have made progress after the loss of a link before it
 /// shows that the server is sound. Ages of reports are too low by their transit.
 const PEER_PROGRESS_MARGIN: Duration = Duration::from_millis(100);
@@ -283,6 +287,16 @@
         reach.is_some_and(|reach| reach.total > 0 && reach.reachable == 0)
     }
 
+    /// Returns whether several links were lost within a short time before `now`. Then
+    /// this node's side may be at fault, and not the servers.
+    pub(super) fn loses_links_at(&self, now: Timestamp) -> bool {
+        let impaired = !self.links.impaired.is_empty();
+        let rows = self.servers.iter().filter(|_| impaired);
+        let lost = rows.filter_map(|(_, row)| row.link.lost_at);
+        let recent = lost.filter(|at| now.since(*at) < SIMULTANEOUS);
+        recent.count() >= MIN_SIMULTANEOUS_LOSSES
+    }
+
     /// Returns the number of servers whose links are lost.
     pub fn lost_links(&self) -> usize {
         let impaired = !self.links.impaired.is_empty();
--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -42,6 +42,12 @@
 const MAX_DOUBLINGS: u32 = 8;
 /// Maximum duration of the quarantine of a part of prompts.
 const MAX_PART_QUARANTINE_TIME: Duration = Duration::from_secs(600);
+/// Time by which progress must follow a crash to show that there was none. Ages of
+/// reports are too low by their transit.
+const PROGRESS_MARGIN: Duration = Duration::from_millis(300);
+/// Time after which a suspect whose server's link was lost along with others counts,
+/// unless peers made progress on the server.
+const DOUBT_TIME: Duration = Duration::from_millis(600);
 /// Maximum number of causes of which it is known when they were last answered.
 const MAX_ANSWERED: usize = 8_192;
 /// Maximum number of suspect requests that a node keeps, and that a report
@@ -113,6 +119,9 @@
     answered: BTreeMap<CrashCause, Timestamp>,
     /// Suspect requests of this node, with the time of the crash.
     suspects: VecDeque<(Timestamp, Suspect)>,
+    /// Suspect requests of this node that don't count yet, because it may have lost
+    /// its links to the servers.
+    doubtful: VecDeque<(Timestamp, Suspect)>,
     quarantined: BTreeMap<CrashCause, Quarantined>,
     /// The requests under suspicion at any node. Answers to others are not kept.
     watched: BTreeSet<CrashCause>,
@@ -157,6 +166,14 @@
         self.suspects.push_back((now, suspect));
     }
 
+    /// Keeps a suspect request that does not count yet.
+    fn doubt(&mut self, at: Timestamp, suspect: Suspect) {
+        let is_known = self.doubtful.iter().any(|(_, known)| *known == suspect);
+        if !is_known && self.doubtful.len() < MAX_SUSPECTS {
+            self.doubtful.push_back((at, suspect));
+        }
+    }
+
     fn is_cleared(&self, now: Timestamp, suspect: &Suspect) -> bool {
         let mut causes = suspect.causes.iter();
         causes.all(|cause| self.last_answered(now, *cause).is_some())
@@ -237,10 +254,38 @@
             causes: causes.to_vec(),
             age_ms: 0,
         };
-        self.quarantine.record_suspect(now, suspect);
+        if self.loses_links_at(now) {
+            self.quarantine.doubt(now, suspect);
+        } else {
+            self.quarantine.record_suspect(now, suspect);
+        }
         self.review_quarantine(now);
     }
 
+    /// Returns whether a server made progress after it was taken for crashed.
+    fn goes_on(&self, at: Timestamp, suspect: &Suspect) -> bool {
+        let row = self.servers.get(&suspect.server);
+        let row = row.filter(|row| Incarnation::from(&row.entry) == suspect.incarnation);
+        row.is_some_and(|row| row.last_progress > at + PROGRESS_MARGIN)
+    }
+
+    /// Drops the suspects of this node whose servers go on, and counts the doubtful
+    /// ones whose servers don't.
+    fn review_suspects(&mut self, now: Timestamp) {
+        for (at, suspect) in std::mem::take(&mut self.quarantine.doubtful) {
+            if self.goes_on(at, &suspect) {
+                continue;
+            }
+            match now.since(at) < DOUBT_TIME {
+                true => self.quarantine.doubt(at, suspect),
+                false => self.quarantine.record_suspect(at, suspect),
+            }
+        }
+        let mut suspects = std::mem::take(&mut self.quarantine.suspects);
+        suspects.retain(|(at, suspect)| !self.goes_on(*at, suspect));
+        self.quarantine.suspects = suspects;
+    }
+
     /// Returns whether this node has recorded a crash of the server's current run.
     pub fn has_crashed(&self, server: &VmId) -> bool {
         let Some(row) = self.servers.get(server) else {
@@ -351,6 +396,9 @@
             suspects.map(move |s| (received_at - Duration::from_millis(s.age_ms), s))
         });
         for (at, suspect) in own.chain(of_peers) {
+            if self.goes_on(at, suspect) {
+                continue;
+            }
             let is_recent = |cause: &&CrashCause| now.since(at) < cause.memory();
             let causes = suspect.causes.iter().filter(is_recent);
             evidence.record_crash(at, suspect, causes.copied().collect());
@@ -371,6 +419,7 @@
     /// Quarantines causes and releases them, as the evidence of all nodes demands.
     pub(super) fn review_quarantine(&mut self, now: Timestamp) {
         self.quarantine.expire(now);
+        self.review_suspects(now);
         let evidence = self.evidence(now);
         self.quarantine.watched = self.quarantine.quarantined.keys().copied().collect();
         self.quarantine.watched.extend(evidence.causes());
