fix(gateway): a peer's refusal for want of capacity ends the search for a peer

Callers of cut nodes under a burst were refused at once for 500 ms after each refusal of a peer, though it was the servers that had no room and not the peer.

Change: the peer says whether every node would refuse; the caller then gets its refusal and delay, and the peer no backoff.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -13,6 +13,8 @@
     caller::{self, ForwardContext},
 };
 
+use super::peer_forwarding::NodeOutcome;
+
 /// Timeout for connecting to a backend server. A server that is alive accepts
 /// within a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -64,10 +66,8 @@
     Misdirected(Option<std::net::SocketAddr>),
     /// A peer refused to forward the request; it did not run.
     RefusedByPeer {
-        /// Whether servers have seen the request.
-        was_sent: bool,
-        /// Whether the peer lacks capacity. Otherwise it does not allow the request.
-        is_unavailable: bool,
+        /// What the peer stated about the request.
+        outcome: NodeOutcome,
         /// Time after which the caller should retry.
         retry_after: Option<Duration>,
     },
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -32,6 +32,7 @@
 /// Forwards a request and returns the response for the caller.
 pub(super) async fn forward(mut job: Job) -> Response<Body> {
     if let Some(left) = job.quarantine_left() {
+        job.is_refused = true;
         return refuse(&job, left, QUARANTINED);
     }
     let admission = job
@@ -46,6 +47,7 @@
             waited,
         } => {
             let reason = if waited { "no room in time" } else { "no room" };
+            job.is_refused = !job.host.with_gateway(|g| g.is_cut_off(&job.service));
             return refuse(&job, retry_after, reason);
         }
     };
@@ -63,6 +65,10 @@
                 }
             }
             Attempt::Retry => {}
+            Attempt::Refused(_) if job.runs > 0 => break,
+            Attempt::Refused(retry_after) => {
+                return refuse(&job, retry_after, "no room at a peer");
+            }
             Attempt::Quarantined => {
                 return end_quarantined(&job, job.quarantine_left().unwrap_or_default());
             }
@@ -83,7 +89,6 @@
     let retry_after = job
         .host
         .with_gateway(|g| g.retry_after_refusal(now, &job.service));
-    let retry_after = job.peer_retry_after.unwrap_or(retry_after);
     refuse(&job, retry_after, "no server took it")
 }
 
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -164,7 +164,7 @@
         source,
         sender_may_fail_over: forwarded.is_some_and(|forwarded| forwarded.may_fail_over),
         has_arrived: false,
-        peer_retry_after: None,
+        is_refused: false,
         excluded: Vec::new(),
         end_logged: AtomicBool::new(false),
         _open: open,
--- a/crates/daemon/src/gateway/job.rs
+++ b/crates/daemon/src/gateway/job.rs
@@ -68,8 +68,8 @@
     pub(super) sender_may_fail_over: bool,
     /// Whether a server may have seen the request.
     pub(super) has_arrived: bool,
-    /// The delay for the caller that the last peer named when it refused the request.
-    pub(super) peer_retry_after: Option<Duration>,
+    /// Whether other nodes would refuse the request too.
+    pub(super) is_refused: bool,
     /// Servers and peers to which this request is not sent again.
     pub(super) excluded: Vec<VmId>,
     /// Whether the end of the request was logged.
@@ -106,6 +106,9 @@
     Responded(Box<BackendResponse>, TicketGuard),
     /// The request may be sent again, within the limits of the route.
     Retry,
+    /// A peer refused the request, as other nodes would. The caller should retry
+    /// after the given delay.
+    Refused(Duration),
     /// The deadline of the request has passed.
     TimedOut,
     /// The request was quarantined before the response began.
@@ -150,6 +153,7 @@
     /// Returns what is certain about the request if this node answers it.
     pub(super) fn node_outcome(&self) -> NodeOutcome {
         match (self.runs, self.has_arrived) {
+            (0, _) if self.is_refused => NodeOutcome::Refused,
             (0, false) => NodeOutcome::NotSent,
             (0, true) => NodeOutcome::NotRun,
             _ => NodeOutcome::Unknown,
@@ -235,14 +239,16 @@
                 self.host.publish_links();
             }
             SendOutcome::RefusedByPeer {
-                is_unavailable,
+                outcome,
                 retry_after,
-                ..
             } => {
                 self.not_run += 1;
                 self.exclude_peer(&guard);
-                self.peer_retry_after = retry_after.filter(|_| is_unavailable);
-                self.log_failed_send(&guard, "refused by peer", sent_at, "");
+                self.log_failed_send(&guard, "refused by peer", sent_at, outcome.as_str());
+                if outcome == NodeOutcome::Refused {
+                    guard.settle(TicketOutcome::Abandoned);
+                    return Attempt::Refused(retry_after.unwrap_or_default());
+                }
                 guard.settle(TicketOutcome::RefusedByPeer);
             }
             SendOutcome::Unknown(reason) => {
@@ -260,7 +266,9 @@
     fn record_arrival(&mut self, outcome: &WatchedSend) {
         self.has_arrived |= match outcome {
             WatchedSend::Completed(SendOutcome::Unreachable(_)) => false,
-            WatchedSend::Completed(SendOutcome::RefusedByPeer { was_sent, .. }) => *was_sent,
+            WatchedSend::Completed(SendOutcome::RefusedByPeer { outcome, .. }) => {
+                *outcome == NodeOutcome::NotRun
+            }
             _ => true,
         };
     }
--- a/crates/daemon/src/gateway/peer_forwarding/client.rs
+++ b/crates/daemon/src/gateway/peer_forwarding/client.rs
@@ -9,7 +9,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, header};
+use http::{HeaderMap, HeaderValue, Request, Response, Uri, header};
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http2::SendRequest};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -168,10 +168,9 @@
     }
     let outcome = head.headers.get(OUTCOME).and_then(|v| v.to_str().ok());
     match outcome.and_then(|text| text.parse().ok()) {
-        Some(outcome @ (NodeOutcome::NotSent | NodeOutcome::NotRun)) => {
+        Some(outcome @ (NodeOutcome::Refused | NodeOutcome::NotSent | NodeOutcome::NotRun)) => {
             SendOutcome::RefusedByPeer {
-                was_sent: outcome == NodeOutcome::NotRun,
-                is_unavailable: head.status == StatusCode::SERVICE_UNAVAILABLE,
+                outcome,
                 retry_after: retry_after(&head.headers),
             }
         }
--- a/crates/daemon/src/gateway/peer_forwarding/mod.rs
+++ b/crates/daemon/src/gateway/peer_forwarding/mod.rs
@@ -30,6 +30,8 @@
 /// What is certain about a request that a node has answered itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum NodeOutcome {
+    /// It was sent to no server, and other nodes would refuse it too.
+    Refused,
     /// It was sent to no server.
     NotSent,
     /// Servers refused it; it did not run.
@@ -40,8 +42,9 @@
 
 impl NodeOutcome {
     /// Returns the text that a peer receives.
-    fn as_str(self) -> &'static str {
+    pub(super) fn as_str(self) -> &'static str {
         match self {
+            Self::Refused => "refused",
             Self::NotSent => "not-sent",
             Self::NotRun => "not-run",
             Self::Unknown => "unknown",
@@ -59,6 +62,7 @@
 
     fn from_str(text: &str) -> Result<Self, InvalidOutcome> {
         match text {
+            "refused" => Ok(Self::Refused),
             "not-sent" => Ok(Self::NotSent),
             "not-run" => Ok(Self::NotRun),
             "unknown" => Ok(Self::Unknown),
