test: requests that a peer forwards, and the choice of the peer

Core: one hop, no peer without more reach, bounded room, backoff, flapping links, and what hubs tell leaves.

--- a/crates/core/tests/gateway_lost_links.rs
+++ b/crates/core/tests/gateway_lost_links.rs
@@ -4,10 +4,12 @@
 
 use std::collections::BTreeMap;
 
-use gateway_fakes::{HOST, KEY, PLAIN, gateway, id, ms, name, server};
+use gateway_fakes::{HOST, KEY, PLAIN, gateway, id, member, ms, name, server};
 use radishhaven_core::{
     gateway::{
-        CrashCause, Gateway, PromptPart, RequestDigest, Ticket,
+        CrashCause, Gateway, PromptPart, RequestDigest, Target, Ticket, TicketOutcome,
+        links::PROBE_INTERVAL,
+        peer_paths::{MAX_REPORTED_NODES, PathsReport},
         peers::{ReportRecipient, Source},
         state::Admission,
     },
@@ -85,3 +87,187 @@
 fn requests_at_servers_that_crash_at_once_are_accused() {
     assert!(accuses(SERVERS, false));
 }
+
+/// Reports the links of `from`, which is node `number` and has `own_requests`, to `to`.
+fn report_paths(
+    now: Timestamp,
+    (number, from): (usize, &mut Gateway),
+    own_requests: u32,
+    to: &mut Gateway,
+) {
+    let report = paths(now, (number, from), own_requests, ReportRecipient::Hub);
+    to.apply_paths(now, &front(number), Source::Hub, &front(0), report);
+}
+
+fn paths(
+    now: Timestamp,
+    (number, from): (usize, &mut Gateway),
+    own_requests: u32,
+    recipient: ReportRecipient<'_>,
+) -> PathsReport {
+    let own = from.own_paths(now, &member(number, "centro", 250), own_requests, true);
+    from.paths_report(now, own, recipient)
+}
+
+fn front(number: usize) -> radishhaven_core::ids::VmId {
+    member(number, "centro", 250).vm
+}
+
+/// Loses the links to the first servers.
+fn lose_links(gateway: &mut Gateway, now: Timestamp, count: usize) {
+    for number in 0..count {
+        gateway.record_unreachable(now, &name(number));
+    }
+    // The probes of the others succeed.
+    for number in count..SERVERS {
+        let address = server(number, PLAIN, "centro").address;
+        gateway.record_probe(now, &name(number), address, true);
+    }
+}
+
+fn peer_of(admission: &Admission) -> Option<String> {
+    match admission {
+        Admission::Start(ticket) => ticket.target.peer().map(|peer| peer.vm.to_string()),
+        _ => None,
+    }
+}
+
+#[test]
+fn request_goes_to_a_peer_that_reaches_the_servers() {
+    let (mut cut, mut peer) = (node(), node());
+    lose_links(&mut cut, ms(100), SERVERS);
+    report_paths(ms(100), (1, &mut peer), 4, &mut cut);
+    let admission = admit(&mut cut, ms(110));
+    assert_eq!(peer_of(&admission), Some(front(1).to_string()));
+    // A report that is too old helps no more.
+    let refused = admit(&mut cut, ms(2_000));
+    assert!(matches!(refused, Admission::Refuse(_)), "{refused:?}");
+}
+
+/// The peer has lost the same servers, so they are gone or their side is cut.
+#[test]
+fn request_stays_if_no_peer_reaches_more_servers() {
+    for lost in [1, SERVERS / 2, SERVERS - 1] {
+        let (mut one, mut other) = (node(), node());
+        lose_links(&mut one, ms(100), lost);
+        lose_links(&mut other, ms(100), lost);
+        report_paths(ms(100), (1, &mut other), 4, &mut one);
+        let admission = admit(&mut one, ms(110));
+        let Admission::Start(ticket) = admission else {
+            panic!("{admission:?}");
+        };
+        let Target::Plain { server, .. } = ticket.target else {
+            panic!("{:?}", ticket.target);
+        };
+        let lost: Vec<_> = (0..lost).map(name).collect();
+        assert!(!lost.contains(&server), "{server}");
+    }
+}
+
+#[test]
+fn loss_of_few_links_needs_no_peer() {
+    let (mut cut, mut peer) = (node(), node());
+    lose_links(&mut cut, ms(100), SERVERS / 2 - 1);
+    report_paths(ms(100), (1, &mut peer), 4, &mut cut);
+    assert_eq!(peer_of(&admit(&mut cut, ms(110))), None);
+}
+
+/// Two cut nodes that took each other for helpers would send a request in circles.
+#[test]
+fn request_of_a_peer_is_never_sent_to_another_one() {
+    let (mut cut, mut peer) = (node(), node());
+    lose_links(&mut cut, ms(100), SERVERS);
+    report_paths(ms(100), (1, &mut peer), 4, &mut cut);
+    let routed = cut.route(ms(110), HOST, "/log/1", Some(KEY));
+    let routed = routed.expect("the route exists");
+    let admission = cut.admit_from_peer(ms(110), &routed, &id(PLAIN), None);
+    assert!(matches!(admission, Admission::Refuse(_)), "{admission:?}");
+}
+
+#[test]
+fn peer_that_refuses_gets_no_requests_for_a_time() {
+    let mut cut = node();
+    lose_links(&mut cut, ms(100), SERVERS);
+    for number in [1, 2] {
+        report_paths(ms(100), (number, &mut node()), 4, &mut cut);
+    }
+    let Admission::Start(ticket) = admit(&mut cut, ms(110)) else {
+        panic!("no peer was selected");
+    };
+    let refusing = ticket.target.peer().expect("a peer").vm.to_string();
+    cut.finish(ms(120), &ticket, TicketOutcome::RefusedByPeer);
+    for step in 0..20 {
+        let other = peer_of(&admit(&mut cut, ms(130 + step)));
+        assert!(other.is_some_and(|other| other != refusing));
+    }
+}
+
+/// Own callers come first when many nodes are cut.
+#[test]
+fn node_takes_a_bounded_number_of_requests_of_peers() {
+    let (mut cut, mut peer) = (node(), node());
+    lose_links(&mut cut, ms(100), SERVERS);
+    report_paths(ms(100), (1, &mut peer), 10, &mut cut);
+    let sent = (0..500).map(|_| admit(&mut cut, ms(110)));
+    let sent = sent
+        .filter(|admission| peer_of(admission).is_some())
+        .count();
+    let room = peer.peer_room(10) as usize;
+    assert_eq!(sent, room);
+    assert!(room <= 100, "{room}");
+    for _ in 0..room {
+        peer.begin_peer_request();
+    }
+    assert_eq!(peer.peer_room(10), 0);
+    peer.end_peer_request();
+    assert_eq!(peer.peer_room(10), 1);
+}
+
+/// Guards against swinging requests to and fro on a link that flaps.
+#[test]
+fn link_that_is_lost_again_and_again_returns_later_each_time() {
+    let mut gateway = node();
+    let server = server(0, PLAIN, "centro");
+    let mut now = ms(1_000);
+    let mut probes_needed = Vec::new();
+    for _ in 0..4 {
+        gateway.record_unreachable(now, &name(0));
+        let mut probes = 0;
+        while gateway.lost_links() > 0 {
+            now = now + PROBE_INTERVAL;
+            let due = gateway.begin_probes(now);
+            assert!(due.iter().any(|(id, _)| *id == name(0)));
+            gateway.record_probe(now, &name(0), server.address, true);
+            probes += 1;
+        }
+        probes_needed.push(probes);
+    }
+    assert!(probes_needed.is_sorted(), "{probes_needed:?}");
+    assert!(probes_needed[0] <= 3, "back within a second");
+    assert!(probes_needed[3] > 2 * probes_needed[0], "{probes_needed:?}");
+}
+
+/// A leaf hears of few peers, drawn anew each time, and only when it needs them.
+#[test]
+fn hub_tells_a_leaf_with_lost_links_some_of_its_peers() {
+    const LEAVES: usize = 120;
+    let mut hub = node();
+    for number in 1..=LEAVES {
+        let mut leaf = node();
+        if number == 1 {
+            lose_links(&mut leaf, ms(100), SERVERS);
+        }
+        let report = paths(ms(100), (number, &mut leaf), 4, ReportRecipient::Hub);
+        hub.apply_paths(ms(100), &front(number), Source::Leaf, &front(0), report);
+    }
+    let to_sound = paths(ms(110), (0, &mut hub), 4, ReportRecipient::Leaf(&front(2)));
+    assert_eq!(to_sound.nodes.len(), 1, "the hub only");
+    let mut known = std::collections::BTreeSet::new();
+    for _ in 0..40 {
+        let report = paths(ms(110), (0, &mut hub), 4, ReportRecipient::Leaf(&front(1)));
+        assert_eq!(report.nodes.len(), MAX_REPORTED_NODES);
+        assert!(report.nodes.iter().all(|node| node.vm != front(1)));
+        known.extend(report.nodes.into_iter().map(|node| node.vm));
+    }
+    assert!(known.len() > LEAVES / 2, "{}", known.len());
+}
