--- a/crates/core/src/gateway/peer_paths.rs
+++ b/crates/core/src/gateway/peer_paths.rs
@@ -93,6 +93,14 @@
     fn age(&self, now: Timestamp) -> Duration {
         now.since(self.received_at) + Duration::from_millis(self.paths.age_ms)
     }
+
+    /// Returns the report with its present age.
+    fn aged(&self, now: Timestamp) -> NodePaths {
+        NodePaths {
+            age_ms: self.age(now).as_millis() as u64,
+            ..self.paths.clone()
+        }
+    }
 }
 
 /// What this node knows of its peers' links.
@@ -211,10 +219,7 @@
         };
         let count = if is_asked { MAX_REPORTED_NODES - 1 } else { 0 };
         let drawn = others.choose_multiple(&mut self.rng, count);
-        let drawn = drawn.map(|known| NodePaths {
-            age_ms: known.age(now).as_millis() as u64,
-            ..known.paths.clone()
-        });
+        let drawn = drawn.map(|known| known.aged(now));
         PathsReport {
             nodes: std::iter::once(own).chain(drawn).collect(),
         }
@@ -246,6 +251,12 @@
         }
     }
 
+    /// Returns what this node knows of its peers' links.
+    pub fn peer_paths(&self, now: Timestamp) -> Vec<NodePaths> {
+        let known = self.peer_paths.known.values();
+        known.map(|known| known.aged(now)).collect()
+    }
+
     /// Returns the age of a peer's latest report, or `None` if there is no recent one.
     pub(super) fn paths_age(&self, now: Timestamp, peer: &VmId) -> Option<Duration> {
         self.peer_paths.known.get(peer).map(|known| known.age(now))
--- a/crates/daemon/src/gateway/dump.rs
+++ b/crates/daemon/src/gateway/dump.rs
@@ -38,6 +38,8 @@
             "quarantined_parts": g.quarantined_causes().iter().map(|(cause, quarantined)| {
                 (cause.to_string(), quarantined)
             }).collect::<BTreeMap<_, _>>(),
+            "peer_requests": g.peer_requests(),
+            "peer_paths": g.peer_paths(now),
             "servers": servers,
         })
     });
