fix(gateway): forward to peers only what sound servers would run

Crashed servers looked like lost links, so that requests went to peers that had not noticed, with deadly ones among them; and the evidence of crashes waited for proof that the links were sound.

Change: a lost link counts as such only if its server made progress for a peer since, or, for a node that reaches nothing, after 500 ms. Crashes count at once and are disproved by progress. Requests that no server has seen draw on no retry budget. A stream whose peer died is not sent to the same peer again: with budget for one retry it was cut. Probes are kept by due time instead of looked for among all servers.

--- a/crates/core/src/gateway/links.rs
+++ b/crates/core/src/gateway/links.rs
@@ -37,13 +37,14 @@
 const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of a service's servers that are probed when one is unreachable.
 const MAX_CHECKED: usize = 16;
-/// Time within which losses of links count as simultaneous.
-const SIMULTANEOUS: Duration = Duration::from_millis(500);
-/// Simultaneous losses from which this node's side may be at fault.
-const MIN_SIMULTANEOUS_LOSSES: usize = 3;
+/// Time after the loss of links within which peers report whether they reach the
+/// servers, also through hubs.
+const SEARCH_TIME: Duration = Duration::from_millis(1_000);
+/// Time after the loss of links within which peers with traffic report progress.
+const PROGRESS_SEARCH_TIME: Duration = Duration::from_millis(500);
 /// Time by which a peer must have made progress after the loss of a link before it
 /// shows that the server is sound. Ages of reports are too low by their transit.
-const PEER_PROGRESS_MARGIN: Duration = Duration::from_millis(100);
+const PEER_PROGRESS_MARGIN: Duration = Duration::from_millis(50);
 
 /// The link from this node to one server.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
@@ -53,8 +54,6 @@
     /// When the server last sent something on a request of this node that was sent
     /// to it.
     pub heard_at: Option<Timestamp>,
-    /// When the next probe is due.
-    probe_at: Option<Timestamp>,
     /// When the last probe began.
     probed_at: Option<Timestamp>,
     /// Whether it is open if the link is lost, because the service lost another one.
@@ -88,7 +87,6 @@
             .is_some_and(|returned| now.since(returned) < FLAP_WINDOW);
         self.flaps = if is_flap { self.flaps + 1 } else { 0 };
         self.lost_at = Some(now);
-        self.probe_at = Some(now + PROBE_INTERVAL);
     }
 
     /// Records a successful probe, and returns whether it ended the loss.
@@ -101,29 +99,15 @@
         if self.successes < MIN_SUCCESSES << self.flaps.min(MAX_DOUBLINGS) {
             return false;
         }
-        (self.lost_at, self.probe_at) = (None, None);
+        self.lost_at = None;
         self.returned_at = Some(now);
         true
     }
 
-    /// Makes a probe due, unless one began a short time ago.
-    fn request_probe(&mut self, now: Timestamp) {
-        let is_recent = self
-            .probed_at
-            .is_some_and(|probed| now.since(probed) < RECHECK_INTERVAL);
-        if !self.is_lost() && !is_recent && self.probe_at.is_none() {
-            self.probe_at = Some(now);
-        }
-    }
-
-    /// Begins a probe if one is due. A lost link is probed again after an interval.
-    fn begin_probe(&mut self, now: Timestamp) -> bool {
-        if self.probe_at.is_none_or(|at| at > now) {
-            return false;
-        }
-        self.probed_at = Some(now);
-        self.probe_at = self.is_lost().then(|| now + PROBE_INTERVAL);
-        true
+    /// Returns whether a probe of the link would tell something new.
+    fn is_unprobed(&self, now: Timestamp) -> bool {
+        let probed_at = self.probed_at;
+        !self.is_lost() && probed_at.is_none_or(|at| now.since(at) >= RECHECK_INTERVAL)
     }
 }
 
@@ -144,6 +128,8 @@
 pub struct Reach {
     /// Servers that this node can expect to reach.
     pub reachable: u32,
+    /// Servers whose link is lost and that have made progress for a peer since.
+    pub sound: u32,
     /// All of them.
     pub total: u32,
 }
@@ -152,6 +138,7 @@
     fn add(&mut self, row: &ServerRow) {
         self.total += 1;
         self.reachable += u32::from(row.link.is_usable());
+        self.sound += u32::from(row.is_sound_behind_lost_link());
     }
 }
 
@@ -162,9 +149,20 @@
 pub(super) struct LinkTable {
     /// Services with a link that is lost or not confirmed.
     impaired: BTreeMap<ServiceId, u32>,
+    /// When the next probe of each link is due.
+    probes: BTreeMap<VmId, Timestamp>,
     changes: Vec<LinkChange>,
 }
 
+impl ServerRow {
+    /// Returns whether the server has made progress for a peer since this node lost the
+    /// link to it, so that only the link is at fault.
+    fn is_sound_behind_lost_link(&self) -> bool {
+        let lost_at = self.link.lost_at;
+        lost_at.is_some_and(|lost| self.last_peer_progress > Some(lost + PEER_PROGRESS_MARGIN))
+    }
+}
+
 /// Returns whether requests of this node may be sent to the server directly, but
 /// for its link.
 fn takes_requests(row: &ServerRow) -> bool {
@@ -203,9 +201,12 @@
             .collect();
         ids.sort();
         for (_, other) in ids.into_iter().take(MAX_CHECKED) {
-            if let Some(row) = self.servers.get_mut(&other) {
-                row.link.request_probe(now);
-                row.link.is_unconfirmed = row.link.probe_at.is_some();
+            self.request_probe(now, &other);
+            if let (true, Some(row)) = (
+                self.links.probes.contains_key(&other),
+                self.servers.get_mut(&other),
+            ) {
+                row.link.is_unconfirmed = true;
             }
         }
         self.count_impaired_links(&service);
@@ -218,6 +219,7 @@
         row.link.record_loss(now);
         let service = row.entry.service.clone();
         if !was_lost {
+            self.links.probes.insert(id.clone(), now + PROBE_INTERVAL);
             self.links.changes.push(LinkChange {
                 server: id.clone(),
                 lost: true,
@@ -242,6 +244,7 @@
         }
         let service = row.entry.service.clone();
         if row.link.record_reached(now) {
+            self.links.probes.remove(id);
             self.links.changes.push(LinkChange {
                 server: id.clone(),
                 lost: false,
@@ -281,20 +284,42 @@
     }
 
     /// Returns whether this node reaches no server of a service, because the links
-    /// are lost.
-    pub fn is_cut_off(&self, service: &ServiceId) -> bool {
-        let reach = self.impaired_reach(service);
-        reach.is_some_and(|reach| reach.total > 0 && reach.reachable == 0)
+    /// were lost so long ago that peers would have been found.
+    pub fn is_cut_off(&self, now: Timestamp, service: &ServiceId) -> bool {
+        self.cut_off_for(now, service)
+            .is_some_and(|time| time >= SEARCH_TIME)
     }
 
-    /// Returns whether several links were lost within a short time before `now`. Then
-    /// this node's side may be at fault, and not the servers.
-    pub(super) fn loses_links_at(&self, now: Timestamp) -> bool {
-        let impaired = !self.links.impaired.is_empty();
-        let rows = self.servers.iter().filter(|_| impaired);
+    /// Returns whether this node reaches no server of a service, because the links are
+    /// lost.
+    pub fn has_lost_all_links(&self, now: Timestamp, service: &ServiceId) -> bool {
+        self.cut_off_for(now, service).is_some()
+    }
+
+    /// Returns whether this node has just lost the links to all servers of a service, so
+    /// that a peer that reaches them may soon be found.
+    pub fn is_searching_peer(&self, now: Timestamp, service: &ServiceId) -> bool {
+        self.cut_off_for(now, service)
+            .is_some_and(|time| time < SEARCH_TIME)
+    }
+
+    /// Returns whether this node has lost the links to all servers of a service for so
+    /// long that peers with traffic would have reported progress.
+    pub(super) fn has_searched_peer(&self, now: Timestamp, service: &ServiceId) -> bool {
+        self.cut_off_for(now, service)
+            .is_some_and(|time| time >= PROGRESS_SEARCH_TIME)
+    }
+
+    /// Returns the time since the first of the links to a service's servers was lost, if
+    /// this node reaches none of them.
+    fn cut_off_for(&self, now: Timestamp, service: &ServiceId) -> Option<Duration> {
+        let reach = self.impaired_reach(service)?;
+        if reach.total == 0 || reach.reachable > 0 {
+            return None;
+        }
+        let rows = self.servers.of_service(service);
         let lost = rows.filter_map(|(_, row)| row.link.lost_at);
-        let recent = lost.filter(|at| now.since(*at) < SIMULTANEOUS);
-        recent.count() >= MIN_SIMULTANEOUS_LOSSES
+        lost.min().map(|at| now.since(at))
     }
 
     /// Returns the number of servers whose links are lost.
@@ -304,20 +329,37 @@
         rows.filter(|(_, row)| row.link.is_lost()).count()
     }
 
-    /// Begins the probes that are due, and returns the servers to probe.
+    /// Makes a probe of a link due, unless one began a short time ago.
+    fn request_probe(&mut self, now: Timestamp, id: &VmId) {
+        let row = self.servers.get(id);
+        if row.is_some_and(|row| row.link.is_unprobed(now)) {
+            self.links.probes.entry(id.clone()).or_insert(now);
+        }
+    }
+
+    /// Begins the probes that are due, and returns the servers to probe. A lost link is
+    /// probed again after an interval.
     pub fn begin_probes(&mut self, now: Timestamp) -> Vec<(VmId, SocketAddr)> {
-        let rows = self.servers.iter_mut();
-        let due = rows.filter_map(|(id, row)| {
-            let due = row.link.begin_probe(now);
-            due.then(|| (id.clone(), row.entry.address))
-        });
-        due.collect()
+        let due = self.links.probes.iter().filter(|(_, at)| **at <= now);
+        let due: Vec<VmId> = due.map(|(id, _)| id.clone()).collect();
+        let mut begun = Vec::new();
+        for id in due {
+            self.links.probes.remove(&id);
+            let Some(row) = self.servers.get_mut(&id) else {
+                continue;
+            };
+            row.link.probed_at = Some(now);
+            if row.link.is_lost() {
+                self.links.probes.insert(id.clone(), now + PROBE_INTERVAL);
+            }
+            begun.push((id, row.entry.address));
+        }
+        begun
     }
 
     /// Returns when the next probe is due.
     pub fn next_probe(&self) -> Option<Timestamp> {
-        let rows = self.servers.iter();
-        rows.filter_map(|(_, row)| row.link.probe_at).min()
+        self.links.probes.values().min().copied()
     }
 
     /// Returns the changes of links since the last call.
@@ -345,14 +387,15 @@
             return false;
         }
         let first = ticket.target.first().map(|(id, _)| id);
-        let Some(row) = first.and_then(|id| self.servers.get_mut(id)) else {
+        let Some((id, link)) = first.and_then(|id| Some((id, &self.servers.get(id)?.link))) else {
             return false;
         };
-        let silent_since = row.link.heard_at.max(Some(ticket.acquired_at));
+        let is_lost = link.is_lost();
+        let silent_since = link.heard_at.max(Some(ticket.acquired_at));
         if silent_since.is_some_and(|at| now.since(at) >= SILENT_LINK) {
-            row.link.request_probe(now);
+            self.request_probe(now, id);
         }
-        row.link.is_lost()
+        is_lost
     }
 
     /// Ends the backoff of a server that made progress for a peer after this node
@@ -361,12 +404,7 @@
         let Some(row) = self.servers.get_mut(id) else {
             return;
         };
-        let progress = row.last_peer_progress;
-        let is_sound = row
-            .link
-            .lost_at
-            .is_some_and(|lost| progress > Some(lost + PEER_PROGRESS_MARGIN));
-        if is_sound && row.failures > 0 && row.refused_at.is_none() {
+        if row.is_sound_behind_lost_link() && row.failures > 0 && row.refused_at.is_none() {
             row.failures = 0;
             row.backoff_until = now;
         }
--- a/crates/core/src/gateway/peer_paths.rs
+++ b/crates/core/src/gateway/peer_paths.rs
@@ -262,8 +262,8 @@
         self.peer_paths.known.get(peer).map(|known| known.age(now))
     }
 
-    /// Selects a peer for a request, if this node has lost links to the service and a
-    /// peer reaches at least twice as many of its servers.
+    /// Selects a peer for a request, if this node has lost links to sound servers of the
+    /// service and a peer reaches at least twice as many servers.
     pub(super) fn choose_peer(
         &mut self,
         now: Timestamp,
@@ -271,6 +271,12 @@
         avoid: &[VmId],
     ) -> Option<PeerChoice> {
         let own = self.impaired_reach(service)?;
+        // Without progress for peers, the servers are likely gone. A peer without traffic
+        // makes none, so that its claim counts if nothing else is left.
+        let may_try_any = self.has_searched_peer(now, service);
+        if own.sound < own.reachable.max(1) && !may_try_any {
+            return None;
+        }
         self.peer_paths.expire(now);
         let table = &self.peer_paths;
         let domain = self.failure_domain.as_ref();
--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -22,6 +22,8 @@
 /// addresses from a directory.
 pub const MAX_UNLISTED_MEMBERS: usize = 64;
 
+/// Age up to which progress of a plain server is reported without a running request.
+const RECENT_PROGRESS: Duration = Duration::from_millis(500);
 /// Age after which a peer's report is ignored.
 pub(super) const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
 
@@ -161,7 +163,12 @@
         own: Option<Member>,
         recipient: ReportRecipient<'_>,
     ) -> NodeReport {
-        let rows = self.servers.iter().filter(|(_, row)| row.requests > 0);
+        // Requests of plain servers are so short that few run when a report is made.
+        let rows = self.servers.iter().filter(|(_, row)| {
+            row.requests > 0
+                || (row.entry.accelerator.is_none()
+                    && now.since(row.last_local_progress) < RECENT_PROGRESS)
+        });
         let own_load = rows.map(|(id, row)| ServerLoad {
             server: id.clone(),
             requests: row.requests,
--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -45,9 +45,11 @@
 /// Time by which progress must follow a crash to show that there was none. Ages of
 /// reports are too low by their transit.
 const PROGRESS_MARGIN: Duration = Duration::from_millis(300);
-/// Time after which a suspect whose server's link was lost along with others counts,
-/// unless peers made progress on the server.
-const DOUBT_TIME: Duration = Duration::from_millis(600);
+/// Time for which a suspect is reported although its server goes on, so that the other
+/// nodes find this out too and release its causes.
+const DISPROOF_TIME: Duration = Duration::from_secs(2);
+/// Maximum number of causes that are remembered as disproved.
+const MAX_DISPROVED: usize = 256;
 /// Maximum number of causes of which it is known when they were last answered.
 const MAX_ANSWERED: usize = 8_192;
 /// Maximum number of suspect requests that a node keeps, and that a report
@@ -119,9 +121,8 @@
     answered: BTreeMap<CrashCause, Timestamp>,
     /// Suspect requests of this node, with the time of the crash.
     suspects: VecDeque<(Timestamp, Suspect)>,
-    /// Suspect requests of this node that don't count yet, because it may have lost
-    /// its links to the servers.
-    doubtful: VecDeque<(Timestamp, Suspect)>,
+    /// Causes of suspects whose servers went on, and when that was last found.
+    disproved: BTreeMap<CrashCause, Timestamp>,
     quarantined: BTreeMap<CrashCause, Quarantined>,
     /// The requests under suspicion at any node. Answers to others are not kept.
     watched: BTreeSet<CrashCause>,
@@ -166,14 +167,6 @@
         self.suspects.push_back((now, suspect));
     }
 
-    /// Keeps a suspect request that does not count yet.
-    fn doubt(&mut self, at: Timestamp, suspect: Suspect) {
-        let is_known = self.doubtful.iter().any(|(_, known)| *known == suspect);
-        if !is_known && self.doubtful.len() < MAX_SUSPECTS {
-            self.doubtful.push_back((at, suspect));
-        }
-    }
-
     fn is_cleared(&self, now: Timestamp, suspect: &Suspect) -> bool {
         let mut causes = suspect.causes.iter();
         causes.all(|cause| self.last_answered(now, *cause).is_some())
@@ -254,11 +247,7 @@
             causes: causes.to_vec(),
             age_ms: 0,
         };
-        if self.loses_links_at(now) {
-            self.quarantine.doubt(now, suspect);
-        } else {
-            self.quarantine.record_suspect(now, suspect);
-        }
+        self.quarantine.record_suspect(now, suspect);
         self.review_quarantine(now);
     }
 
@@ -269,21 +258,38 @@
         row.is_some_and(|row| row.last_progress > at + PROGRESS_MARGIN)
     }
 
-    /// Drops the suspects of this node whose servers go on, and counts the doubtful
-    /// ones whose servers don't.
-    fn review_suspects(&mut self, now: Timestamp) {
-        for (at, suspect) in std::mem::take(&mut self.quarantine.doubtful) {
-            if self.goes_on(at, &suspect) {
-                continue;
-            }
-            match now.since(at) < DOUBT_TIME {
-                true => self.quarantine.doubt(at, suspect),
-                false => self.quarantine.record_suspect(at, suspect),
-            }
-        }
+    /// Remembers the causes of suspects whose servers go on, and drops those of this node
+    /// after a time in which all nodes have found this out.
+    fn disprove_suspects(&mut self, now: Timestamp) {
+        let own = self.quarantine.suspects.iter();
+        let own = own.map(|(at, suspect)| (*at, suspect));
+        let of_peers = self.fresh_reports(now).flat_map(|(received_at, report)| {
+            let suspects = report.crashes.suspects.iter();
+            suspects.map(move |s| (received_at - Duration::from_millis(s.age_ms), s))
+        });
+        let disproved = own.chain(of_peers);
+        let disproved = disproved.filter(|(at, suspect)| self.goes_on(*at, suspect));
+        let causes: BTreeSet<CrashCause> = disproved
+            .flat_map(|(_, suspect)| suspect.causes.iter().copied())
+            .collect();
         let mut suspects = std::mem::take(&mut self.quarantine.suspects);
-        suspects.retain(|(at, suspect)| !self.goes_on(*at, suspect));
+        suspects
+            .retain(|(at, suspect)| now.since(*at) < DISPROOF_TIME || !self.goes_on(*at, suspect));
         self.quarantine.suspects = suspects;
+        let known = &mut self.quarantine.disproved;
+        known.retain(|_, at| now.since(*at) < PART_MEMORY);
+        for cause in causes {
+            if known.len() < MAX_DISPROVED || known.contains_key(&cause) {
+                known.insert(cause, now);
+            }
+        }
+    }
+
+    /// Returns whether crashes on a cause were disproved, and too few are left to
+    /// quarantine it.
+    fn is_disproved(&self, evidence: &Evidence, cause: CrashCause) -> bool {
+        self.quarantine.disproved.contains_key(&cause)
+            && evidence.crashes_on(cause, |_| true) < MIN_CRASHES
     }
 
     /// Returns whether this node has recorded a crash of the server's current run.
@@ -419,7 +425,7 @@
     /// Quarantines causes and releases them, as the evidence of all nodes demands.
     pub(super) fn review_quarantine(&mut self, now: Timestamp) {
         self.quarantine.expire(now);
-        self.review_suspects(now);
+        self.disprove_suspects(now);
         let evidence = self.evidence(now);
         self.quarantine.watched = self.quarantine.quarantined.keys().copied().collect();
         self.quarantine.watched.extend(evidence.causes());
@@ -499,17 +505,20 @@
             let own = self.quarantine.quarantined.get(&cause);
             let is_longer = own.is_none_or(|own| own.until < quarantined.until);
             let is_current = now < quarantined.until;
-            if is_longer && is_current && !self.is_bystander(now, evidence, cause) {
+            let is_sound =
+                self.is_bystander(now, evidence, cause) || self.is_disproved(evidence, cause);
+            if is_longer && is_current && !is_sound {
                 self.quarantine.insert(cause, quarantined);
             }
         }
     }
 
-    /// Releases causes that were answered, unless servers crashed on them since.
+    /// Releases causes that were answered, unless servers crashed on them since, and
+    /// those whose servers have not crashed.
     fn release_answered(&mut self, now: Timestamp, evidence: &Evidence) {
         let quarantined: Vec<CrashCause> = self.quarantine.quarantined.keys().copied().collect();
         for cause in quarantined {
-            if self.is_bystander(now, evidence, cause) {
+            if self.is_bystander(now, evidence, cause) || self.is_disproved(evidence, cause) {
                 self.quarantine.release(cause);
             }
         }
--- a/crates/core/src/gateway/servers.rs
+++ b/crates/core/src/gateway/servers.rs
@@ -433,11 +433,6 @@
         rows.filter(move |(_, row)| row.entry.service == *service)
     }
 
-    /// Returns all servers, to change them.
-    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = (&VmId, &mut ServerRow)> {
-        self.rows.iter_mut()
-    }
-
     /// Returns all servers.
     pub fn iter(&self) -> impl Iterator<Item = (&VmId, &ServerRow)> {
         self.rows.iter()
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -320,7 +320,12 @@
         if let Some(ticket) = self.start(now, service, estimate, &[], source) {
             return Admission::Start(ticket);
         }
-        if self.is_cut_off(service)
+        // A request of a peer is refused at once, so that it is sent to another one.
+        let is_out_of_reach = match source {
+            RequestSource::Caller => self.is_cut_off(now, service),
+            RequestSource::Peer => self.has_lost_all_links(now, service),
+        };
+        if is_out_of_reach
             || self.pause_left(now, service).is_some()
             || self.is_limited(now, service)
         {
@@ -364,15 +369,16 @@
         None
     }
 
-    /// Selects a peer for a request that has reached no server yet. It draws on no
-    /// budget, because servers see it for the first time.
-    pub fn retry_at_peer(
+    /// Reserves servers for another attempt of a request that has reached no server yet.
+    /// It draws on no budget, because servers see it for the first time.
+    pub fn retry_unseen(
         &mut self,
         now: Timestamp,
         service: &ServiceId,
+        estimate: Option<TokenEstimate>,
         avoid: &[VmId],
     ) -> Option<Ticket> {
-        self.start_at_peer(now, service, avoid)
+        self.start(now, service, estimate, avoid, RequestSource::Caller)
     }
 
     /// Returns the number of nodes that share budgets and limits.
--- a/crates/core/tests/gateway_lost_links.rs
+++ b/crates/core/tests/gateway_lost_links.rs
@@ -50,20 +50,23 @@
     to.apply_report(now, id(from.0), Source::Hub, report);
 }
 
-/// Loses the links of `cut` to the first servers, on which a request was running, while
-/// the servers make progress for a peer or not. Returns whether the request was ever
-/// quarantined at one of the nodes.
-fn accuses(lost: usize, servers_go_on: bool) -> bool {
+/// Loses the links of `cut` to the first servers, on which a request was running. The
+/// servers go on for a peer or are gone. Returns whether the request is quarantined at one
+/// of the nodes after some reports.
+fn accuses(lost: usize, servers_go_on: bool, reports: u64) -> bool {
     let (mut cut, mut peer) = (node(), node());
     let running = start_everywhere(&mut peer, ms(0));
     let mut accused = false;
     for number in 0..lost {
         cut.record_unreachable(ms(1_000), &name(number));
+        if !servers_go_on {
+            peer.record_unreachable(ms(1_000), &name(number));
+        }
     }
     for number in 0..lost {
         cut.record_crash(ms(1_000), &name(number), &[PART, REQUEST]);
     }
-    for step in 0..20 {
+    for step in 0..reports {
         let now = ms(1_000 + step * REPORT_MS);
         for ticket in running.iter().filter(|_| servers_go_on) {
             peer.record_progress(now, ticket);
@@ -71,7 +74,7 @@
         exchange(now, ("peer", &peer), &mut cut);
         exchange(now, ("cut", &cut), &mut peer);
         let left = [&cut, &peer].map(|node| node.quarantine_left(now, &[PART, REQUEST]));
-        accused |= left.iter().any(Option::is_some);
+        accused = left.iter().any(Option::is_some);
     }
     accused
 }
@@ -80,21 +83,33 @@
 /// kept from all servers.
 #[test]
 fn requests_on_links_that_are_lost_at_once_are_not_accused() {
-    assert!(!accuses(SERVERS, true));
+    assert!(!accuses(SERVERS, true, 4));
 }
 
+/// Guards against letting a deadly request crash further servers while the node waits
+/// for proof that its links are sound.
 #[test]
-fn requests_at_servers_that_crash_at_once_are_accused() {
-    assert!(accuses(SERVERS, false));
+fn requests_at_servers_that_crash_at_once_are_accused_at_once() {
+    assert!(accuses(SERVERS / 2, false, 1));
 }
 
-/// Reports the links of `from`, which is node `number` and has `own_requests`, to `to`.
+/// Sends the reports of `from`, which is node `number` and has `own_requests`, to `to`.
+/// All servers that it reaches have just made progress for it.
 fn report_paths(
     now: Timestamp,
     (number, from): (usize, &mut Gateway),
     own_requests: u32,
     to: &mut Gateway,
 ) {
+    let admitted: Vec<Admission> = (0..2 * SERVERS).map(|_| admit(from, now)).collect();
+    for admission in admitted {
+        let Admission::Start(ticket) = admission else {
+            continue;
+        };
+        from.record_progress(now, &ticket);
+        from.finish(now, &ticket, TicketOutcome::Abandoned);
+    }
+    exchange(now, (front(number).as_str(), from), to);
     let report = paths(now, (number, from), own_requests, ReportRecipient::Hub);
     to.apply_paths(now, &front(number), Source::Hub, &front(0), report);
 }
@@ -136,11 +151,11 @@
 fn request_goes_to_a_peer_that_reaches_the_servers() {
     let (mut cut, mut peer) = (node(), node());
     lose_links(&mut cut, ms(100), SERVERS);
-    report_paths(ms(100), (1, &mut peer), 4, &mut cut);
-    let admission = admit(&mut cut, ms(110));
+    report_paths(ms(300), (1, &mut peer), 4, &mut cut);
+    let admission = admit(&mut cut, ms(310));
     assert_eq!(peer_of(&admission), Some(front(1).to_string()));
     // A report that is too old helps no more.
-    let refused = admit(&mut cut, ms(2_000));
+    let refused = admit(&mut cut, ms(2_500));
     assert!(matches!(refused, Admission::Refuse(_)), "{refused:?}");
 }
 
@@ -151,8 +166,8 @@
         let (mut one, mut other) = (node(), node());
         lose_links(&mut one, ms(100), lost);
         lose_links(&mut other, ms(100), lost);
-        report_paths(ms(100), (1, &mut other), 4, &mut one);
-        let admission = admit(&mut one, ms(110));
+        report_paths(ms(300), (1, &mut other), 4, &mut one);
+        let admission = admit(&mut one, ms(310));
         let Admission::Start(ticket) = admission else {
             panic!("{admission:?}");
         };
@@ -168,8 +183,8 @@
 fn loss_of_few_links_needs_no_peer() {
     let (mut cut, mut peer) = (node(), node());
     lose_links(&mut cut, ms(100), SERVERS / 2 - 1);
-    report_paths(ms(100), (1, &mut peer), 4, &mut cut);
-    assert_eq!(peer_of(&admit(&mut cut, ms(110))), None);
+    report_paths(ms(300), (1, &mut peer), 4, &mut cut);
+    assert_eq!(peer_of(&admit(&mut cut, ms(310))), None);
 }
 
 /// Two cut nodes that took each other for helpers would send a request in circles.
@@ -177,10 +192,10 @@
 fn request_of_a_peer_is_never_sent_to_another_one() {
     let (mut cut, mut peer) = (node(), node());
     lose_links(&mut cut, ms(100), SERVERS);
-    report_paths(ms(100), (1, &mut peer), 4, &mut cut);
-    let routed = cut.route(ms(110), HOST, "/log/1", Some(KEY));
+    report_paths(ms(300), (1, &mut peer), 4, &mut cut);
+    let routed = cut.route(ms(310), HOST, "/log/1", Some(KEY));
     let routed = routed.expect("the route exists");
-    let admission = cut.admit_from_peer(ms(110), &routed, &id(PLAIN), None);
+    let admission = cut.admit_from_peer(ms(310), &routed, &id(PLAIN), None);
     assert!(matches!(admission, Admission::Refuse(_)), "{admission:?}");
 }
 
@@ -189,15 +204,15 @@
     let mut cut = node();
     lose_links(&mut cut, ms(100), SERVERS);
     for number in [1, 2] {
-        report_paths(ms(100), (number, &mut node()), 4, &mut cut);
+        report_paths(ms(300), (number, &mut node()), 4, &mut cut);
     }
-    let Admission::Start(ticket) = admit(&mut cut, ms(110)) else {
+    let Admission::Start(ticket) = admit(&mut cut, ms(310)) else {
         panic!("no peer was selected");
     };
     let refusing = ticket.target.peer().expect("a peer").vm.to_string();
-    cut.finish(ms(120), &ticket, TicketOutcome::RefusedByPeer);
+    cut.finish(ms(320), &ticket, TicketOutcome::RefusedByPeer);
     for step in 0..20 {
-        let other = peer_of(&admit(&mut cut, ms(130 + step)));
+        let other = peer_of(&admit(&mut cut, ms(330 + step)));
         assert!(other.is_some_and(|other| other != refusing));
     }
 }
@@ -207,8 +222,8 @@
 fn node_takes_a_bounded_number_of_requests_of_peers() {
     let (mut cut, mut peer) = (node(), node());
     lose_links(&mut cut, ms(100), SERVERS);
-    report_paths(ms(100), (1, &mut peer), 10, &mut cut);
-    let sent = (0..500).map(|_| admit(&mut cut, ms(110)));
+    report_paths(ms(300), (1, &mut peer), 10, &mut cut);
+    let sent = (0..500).map(|_| admit(&mut cut, ms(310)));
     let sent = sent
         .filter(|admission| peer_of(admission).is_some())
         .count();
@@ -260,11 +275,11 @@
         let report = paths(ms(100), (number, &mut leaf), 4, ReportRecipient::Hub);
         hub.apply_paths(ms(100), &front(number), Source::Leaf, &front(0), report);
     }
-    let to_sound = paths(ms(110), (0, &mut hub), 4, ReportRecipient::Leaf(&front(2)));
+    let to_sound = paths(ms(310), (0, &mut hub), 4, ReportRecipient::Leaf(&front(2)));
     assert_eq!(to_sound.nodes.len(), 1, "the hub only");
     let mut known = std::collections::BTreeSet::new();
     for _ in 0..40 {
-        let report = paths(ms(110), (0, &mut hub), 4, ReportRecipient::Leaf(&front(1)));
+        let report = paths(ms(310), (0, &mut hub), 4, ReportRecipient::Leaf(&front(1)));
         assert_eq!(report.nodes.len(), MAX_REPORTED_NODES);
         assert!(report.nodes.iter().all(|node| node.vm != front(1)));
         known.extend(report.nodes.into_iter().map(|node| node.vm));
--- a/crates/daemon/src/gateway/crash.rs
+++ b/crates/daemon/src/gateway/crash.rs
@@ -12,10 +12,6 @@
 /// Time within which a machine refuses a connection to a process that has ended.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Time for which the service's other links are probed before a refusal counts. They
-/// refuse as fast if all links of this node are lost.
-const LINK_CHECK_TIME: Duration = Duration::from_millis(20);
-
 /// Reports a request whose connection ended before its answer, if its first server
 /// has crashed.
 pub(super) async fn check_first(job: &Job, guard: &TicketGuard) {
@@ -55,7 +51,6 @@
             let now = job.host.now();
             job.host.with_gateway(|g| g.record_unreachable(now, server));
             job.host.publish_links();
-            tokio::time::sleep(LINK_CHECK_TIME).await;
         }
         has_crashed.then_some(server)
     }));
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -7,7 +7,7 @@
 use http::{HeaderValue, Response, StatusCode, header, response};
 use http_body_util::{BodyExt, Limited};
 use radishhaven_client::BodyFraming;
-use radishhaven_core::gateway::{RouteKind, TicketOutcome};
+use radishhaven_core::gateway::{Gateway, RouteKind, TicketOutcome};
 use radishhaven_platform::backend_response;
 use spdlog::prelude::*;
 
@@ -47,7 +47,9 @@
             waited,
         } => {
             let reason = if waited { "no room in time" } else { "no room" };
-            job.is_refused = !job.host.with_gateway(|g| g.is_cut_off(&job.service));
+            let now = job.host.now();
+            let has_lost_all_links = |g: &mut Gateway| g.has_lost_all_links(now, &job.service);
+            job.is_refused = !job.host.with_gateway(has_lost_all_links);
             return refuse(&job, retry_after, reason);
         }
     };
--- a/crates/daemon/src/gateway/host.rs
+++ b/crates/daemon/src/gateway/host.rs
@@ -362,14 +362,15 @@
         Some(TicketGuard::new(self, ticket))
     }
 
-    /// Selects a peer for a request that no server has seen yet.
-    pub(super) fn retry_at_peer(
+    /// Reserves capacity for another send of a request that no server has seen yet.
+    pub(super) fn retry_unseen(
         self: &Arc<Self>,
         service: &ServiceId,
+        demand: Option<TokenEstimate>,
         excluded: &[VmId],
     ) -> Option<TicketGuard> {
         let now = self.now();
-        let ticket = self.with_gateway(|g| g.retry_at_peer(now, service, excluded))?;
+        let ticket = self.with_gateway(|g| g.retry_unseen(now, service, demand, excluded))?;
         Some(TicketGuard::new(self, ticket))
     }
 
--- a/crates/daemon/src/gateway/job.rs
+++ b/crates/daemon/src/gateway/job.rs
@@ -274,7 +274,7 @@
     }
 
     /// Excludes the peer to which the request was sent from further sends.
-    fn exclude_peer(&mut self, guard: &TicketGuard) {
+    pub(super) fn exclude_peer(&mut self, guard: &TicketGuard) {
         let peer = guard.target().peer();
         self.excluded.extend(peer.map(|peer| peer.vm.clone()));
     }
@@ -475,26 +475,36 @@
         action
     }
 
+    /// Returns whether this node has just lost its links, and a peer may soon be found.
+    fn is_searching_peer(&self) -> bool {
+        let now = self.host.now();
+        self.source == RequestSource::Caller
+            && self
+                .host
+                .with_gateway(|g| g.is_searching_peer(now, &self.service))
+    }
+
     /// Reserves capacity for one more send, with a few retries.
     pub(super) async fn acquire_retry(&self) -> Option<TicketGuard> {
-        for check in 0..MAX_CAPACITY_CHECKS {
-            if check > 0 {
+        let mut checks = 0;
+        loop {
+            if checks > 0 {
                 tokio::time::sleep(CAPACITY_RETRY_DELAY).await;
             }
-            if self.remaining().is_zero() {
+            let may_check = checks < MAX_CAPACITY_CHECKS || self.is_searching_peer();
+            if !may_check || self.remaining().is_zero() {
                 return None;
             }
+            checks += 1;
+            let (service, excluded) = (&self.service, &self.excluded);
             let guard = match self.has_arrived {
-                true => None,
-                false => self.host.retry_at_peer(&self.service, &self.excluded),
+                true => self.host.retry(service, self.demand, excluded),
+                false => self.host.retry_unseen(service, self.demand, excluded),
             };
-            let guard =
-                guard.or_else(|| self.host.retry(&self.service, self.demand, &self.excluded));
             if guard.is_some() {
                 return guard;
             }
         }
-        None
     }
 }
 
--- a/crates/daemon/src/gateway/links.rs
+++ b/crates/daemon/src/gateway/links.rs
@@ -44,9 +44,14 @@
 }
 
 impl GatewayHost {
-    /// Logs the latest changes of links, and wakes the task that probes them.
+    /// Logs the latest changes of links, reports them to the peers, and wakes the task
+    /// that probes them.
     pub(super) fn publish_links(&self) {
-        for change in self.with_gateway(Gateway::take_link_changes) {
+        let changes = self.with_gateway(Gateway::take_link_changes);
+        if !changes.is_empty() {
+            self.report_soon.notify_one();
+        }
+        for change in changes {
             let server = change.server.as_str();
             let age = change.peer_progress_age;
             let peer_progress_ms = age.map_or(-1, |age| age.as_millis() as i64);
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -286,6 +286,8 @@
     }
     host.publish_quarantine();
     host.log_limits();
+    // The report may show a peer that reaches the servers.
+    host.start_waiting_requests();
 }
 
 /// Applies the links of nodes that follow a message. A peer of an earlier version sends
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -360,6 +360,9 @@
         if let (false, Some(guard)) = (self.goes_on, &self.guard) {
             crash::check_first(&self.job, guard).await;
         }
+        if let Some(guard) = &self.guard {
+            self.job.exclude_peer(guard);
+        }
         while self.resumable {
             let now = self.job.host.now();
             if now.since(self.last_received) >= MAX_SILENCE || now >= self.job.deadline {
