--- a/crates/core/src/gateway/links.rs
+++ b/crates/core/src/gateway/links.rs
@@ -142,12 +142,11 @@
     }
 }
 
-/// The numbers of lost and of unconfirmed links, by service. Requests look here
-/// first, so that their cost does not grow with the servers as long as no link is
-/// lost.
+/// The services with lost links, and the probes that are due. Requests look here first,
+/// so that their cost does not grow with the servers as long as no link is lost.
 #[derive(Debug, Default)]
 pub(super) struct LinkTable {
-    /// Services with a link that is lost or not confirmed.
+    /// Services with links that are lost or not confirmed, and the number of these.
     impaired: BTreeMap<ServiceId, u32>,
     /// When the next probe of each link is due.
     probes: BTreeMap<VmId, Timestamp>,
