refactor(core): one module for each job of the gateway's state

Cause: state.rs had grown to 696 lines by the choice of peers and the outcomes of links, and held three jobs.

Change: state.rs keeps what a gateway knows (273 lines), starts.rs decides where a request starts (265), outcomes.rs records what becomes of requests (193).

Measured: all tests of the core pass, without a change to them.

--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -1,4 +1,5 @@
-//! The state of a gateway, and its decisions on each request.
+//! The state of a gateway: its configuration, routes and backend servers. The decisions
+//! on requests are in the modules beside.
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -6,23 +7,20 @@
 use serde::Serialize;
 
 use super::{
-    admission::{self, RequestSource, WaitKey, WaitQueue},
+    admission::{WaitKey, WaitQueue},
     budget::{BudgetConfig, NodeCount, RetryBudget},
     config::Configuration,
     freshness::{ConfigurationRead, Freshness},
-    hubs,
-    links::{LinkTable, SILENT_LINK},
-    paths::{self, TokenEstimate, copies::CopyTable},
+    links::LinkTable,
+    paths::copies::CopyTable,
     peer_paths::PeerPaths,
     peers::Peer,
-    plain,
     quarantine::Quarantine,
     routes::{RouteError, RouteMatch, RouteTable},
     server_limits::ServerLimits,
-    servers::{Server, ServerChange, ServerRow, Servers},
-    stall::{self, StallAction},
+    servers::{Server, ServerChange, Servers},
     store_view::RegistryHistory,
-    ticket::{Target, Ticket, TicketOutcome},
+    ticket::Ticket,
 };
 use crate::{
     ids::{FailureDomain, ServiceId, VmId},
@@ -32,25 +30,6 @@
 /// Number of nodes assumed to share the retry budgets before the first member
 /// list arrives.
 const DEFAULT_NODE_COUNT: u32 = 16;
-/// Backoff of a server after its first failure. It doubles with each
-/// consecutive failure.
-const INITIAL_BACKOFF: Duration = Duration::from_millis(400);
-/// Maximum backoff of a server.
-const MAX_BACKOFF: Duration = Duration::from_millis(3_200);
-/// Time after a backoff during which a single request tests whether the server
-/// has recovered. A healthy server sends its first event within 200 ms.
-const TRIAL_TIMEOUT: Duration = Duration::from_millis(250);
-/// Backoff of a server that was full. It doubles with each consecutive refusal,
-/// because a server that is shutting down unnoticed refuses all requests.
-const FULL_BACKOFF: Duration = Duration::from_millis(150);
-/// Backoff of a server that does not match its registry entry. The registry is
-/// updated within one heartbeat.
-const MISDIRECTED_BACKOFF: Duration = Duration::from_millis(1_000);
-/// Weight of one answer in the moving average of a plain server's latency.
-const LATENCY_EWMA_WEIGHT: f64 = 0.1;
-/// Latency that a failure of a plain server counts as, in milliseconds.
-const FAILURE_LATENCY_MS: f64 = 400.0;
-
 /// Limits of a gateway that the operators set.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct GatewayConfig {
@@ -91,8 +70,8 @@
 /// The state on which a gateway bases its decisions.
 #[derive(Debug)]
 pub struct Gateway {
-    cfg: GatewayConfig,
-    configuration: Option<Arc<Configuration>>,
+    pub(super) cfg: GatewayConfig,
+    pub(super) configuration: Option<Arc<Configuration>>,
     routes: RouteTable,
     freshness: Freshness,
     /// The highest version of the configuration that a peer has reported.
@@ -100,9 +79,9 @@
     /// When a peer last had the newest configuration.
     peers_confirmed_at: Option<Timestamp>,
     pub(super) servers: Servers,
-    copies: CopyTable,
-    budgets: BTreeMap<ServiceId, RetryBudget>,
-    queue: WaitQueue,
+    pub(super) copies: CopyTable,
+    pub(super) budgets: BTreeMap<ServiceId, RetryBudget>,
+    pub(super) queue: WaitQueue,
     pub(super) registry: RegistryHistory,
     pub(super) peers: BTreeMap<VmId, Peer>,
     pub(super) quarantine: Quarantine,
@@ -111,7 +90,7 @@
     pub(super) peer_paths: PeerPaths,
     /// The failure domain of this node, if it is known.
     pub(super) failure_domain: Option<FailureDomain>,
-    nodes: NodeCount,
+    pub(super) nodes: NodeCount,
     pub(super) rng: StdRng,
 }
 
@@ -284,103 +263,6 @@
         super::routes::choose_service(&route_match.route, draw).cloned()
     }
 
-    /// Decides whether a caller's new request starts, is queued or is refused.
-    pub fn admit(
-        &mut self,
-        now: Timestamp,
-        route_match: &RouteMatch,
-        service: &ServiceId,
-        estimate: Option<TokenEstimate>,
-    ) -> Admission {
-        let budget = self.budgets.entry(service.clone()).or_default();
-        budget.record_request(now, &self.cfg.budget);
-        self.admit_from(now, route_match, service, estimate, RequestSource::Caller)
-    }
-
-    /// Decides whether a request that a peer forwards starts, is queued or is refused.
-    /// The peer has counted it for the retry budget.
-    pub fn admit_from_peer(
-        &mut self,
-        now: Timestamp,
-        route_match: &RouteMatch,
-        service: &ServiceId,
-        estimate: Option<TokenEstimate>,
-    ) -> Admission {
-        self.admit_from(now, route_match, service, estimate, RequestSource::Peer)
-    }
-
-    fn admit_from(
-        &mut self,
-        now: Timestamp,
-        route_match: &RouteMatch,
-        service: &ServiceId,
-        estimate: Option<TokenEstimate>,
-        source: RequestSource,
-    ) -> Admission {
-        if let Some(ticket) = self.start(now, service, estimate, &[], source) {
-            return Admission::Start(ticket);
-        }
-        // A request of a peer is refused at once, so that it is sent to another one.
-        let is_out_of_reach = match source {
-            RequestSource::Caller => self.is_cut_off(now, service),
-            RequestSource::Peer => self.has_lost_all_links(now, service),
-        };
-        if is_out_of_reach
-            || self.pause_left(now, service).is_some()
-            || self.is_limited(now, service)
-        {
-            return Admission::Refuse(self.retry_after_refusal(now, service));
-        }
-        let draw = self.rng.random_range(0.0..1.0);
-        let estimate = estimate.unwrap_or(TokenEstimate {
-            prompt: 0,
-            output: 0,
-        });
-        let target = route_match.route.target_latency;
-        match self.queue.push(
-            now,
-            route_match.priority,
-            service,
-            (source, estimate),
-            target,
-            draw,
-        ) {
-            Ok((key, until)) => Admission::Wait(key, until),
-            Err(after) => Admission::Refuse(after),
-        }
-    }
-
-    /// Reserves servers for another attempt of a request. Returns `None` if the
-    /// retry budget is exhausted or no server outside `avoid` has capacity.
-    pub fn retry(
-        &mut self,
-        now: Timestamp,
-        service: &ServiceId,
-        estimate: Option<TokenEstimate>,
-        avoid: &[VmId],
-    ) -> Option<Ticket> {
-        let ticket = self.start(now, service, estimate, avoid, RequestSource::Caller)?;
-        let nodes = self.node_count(now);
-        let budget = self.budgets.entry(service.clone()).or_default();
-        if budget.try_acquire(now, &self.cfg.budget, nodes) {
-            return Some(ticket);
-        }
-        self.release(&ticket);
-        None
-    }
-
-    /// Reserves servers for another attempt of a request that has reached no server yet.
-    /// It draws on no budget, because servers see it for the first time.
-    pub fn retry_unseen(
-        &mut self,
-        now: Timestamp,
-        service: &ServiceId,
-        estimate: Option<TokenEstimate>,
-        avoid: &[VmId],
-    ) -> Option<Ticket> {
-        self.start(now, service, estimate, avoid, RequestSource::Caller)
-    }
-
     /// Returns the number of nodes that share budgets and limits.
     pub(super) fn node_count(&mut self, now: Timestamp) -> u32 {
         let listed = self.nodes.max_in_window(now, self.cfg.budget.window);
@@ -388,309 +270,4 @@
         let nodes = listed.map(|listed| listed.saturating_add(unlisted));
         nodes.unwrap_or(DEFAULT_NODE_COUNT)
     }
-
-    /// Returns a random delay after which a refused caller should retry.
-    pub fn retry_after(&mut self) -> Duration {
-        admission::retry_after(self.rng.random_range(0.0..1.0))
-    }
-
-    /// Returns the delay after which a caller should retry whose request this node
-    /// could not check. If other nodes can, the caller should use one of them soon.
-    pub fn retry_after_unconfirmed(&mut self, now: Timestamp) -> Duration {
-        let draw = self.rng.random_range(0.0..1.0);
-        match self.is_left_behind(now) {
-            true => admission::retry_elsewhere_after(draw),
-            false => admission::retry_after(draw),
-        }
-    }
-
-    /// Returns the delay after which a caller should use another node, because
-    /// this one is shutting down.
-    pub fn retry_elsewhere_after(&mut self) -> Duration {
-        admission::retry_elsewhere_after(self.rng.random_range(0.0..1.0))
-    }
-
-    /// Returns the delay after which a caller whose request a service did not
-    /// take should retry. It is longer than the pause that all servers of the
-    /// service asked for.
-    pub fn retry_after_refusal(&mut self, now: Timestamp, service: &ServiceId) -> Duration {
-        self.pause_left(now, service).unwrap_or_default() + self.retry_after()
-    }
-
-    /// Reserves servers for a request, or selects a peer if this node has lost the
-    /// links to most of them.
-    fn start(
-        &mut self,
-        now: Timestamp,
-        service: &ServiceId,
-        estimate: Option<TokenEstimate>,
-        avoid: &[VmId],
-        source: RequestSource,
-    ) -> Option<Ticket> {
-        let at_peer = match source {
-            RequestSource::Caller => self.start_at_peer(now, service, avoid),
-            RequestSource::Peer => None,
-        };
-        at_peer.or_else(|| self.try_start(now, service, estimate, avoid))
-    }
-
-    fn try_start(
-        &mut self,
-        now: Timestamp,
-        service: &ServiceId,
-        estimate: Option<TokenEstimate>,
-        avoid: &[VmId],
-    ) -> Option<Ticket> {
-        let configuration = self.configuration.clone()?;
-        let spec = configuration.services.get(service)?;
-        let limits = self.draw_limited(now, service);
-        let avoid = &[avoid, &limits.closed].concat();
-        let has_stale_view = self.nodes.current() > Some(hubs::MAX_MESH_NODES as u32);
-        let rng = &mut self.rng;
-        let mut draw = || rng.random_range(0.0..1.0);
-        let target = match (&spec.engine, estimate) {
-            (Some(engine), Some(estimate)) => {
-                let servers = &self.servers;
-                let drawn = has_stale_view.then(|| {
-                    let copies = self.copies.get(engine, servers, service);
-                    copies.draw_path(engine, servers, now, estimate, avoid, &mut draw)
-                });
-                let path = drawn.flatten().or_else(|| {
-                    paths::choose(engine, servers, service, now, estimate, avoid, &mut draw)
-                });
-                Target::Engines(path?)
-            }
-            _ => {
-                let chosen = plain::choose(&self.servers, service, now, avoid, draw)?;
-                Target::Plain {
-                    server: chosen.0.clone(),
-                    address: chosen.1.entry.address,
-                }
-            }
-        };
-        self.charge_limited(&limits, &target);
-        let unread_tokens = estimate.map_or(0, |estimate| estimate.prompt);
-        for reservation in target.reservations() {
-            if let Some(row) = self.servers.get_mut(reservation.server) {
-                if row.requests == 0 {
-                    row.busy_since = now;
-                }
-                row.requests += 1;
-                row.sent.record(now);
-                row.tokens += reservation.tokens;
-                if row.failures > 0 {
-                    // One request tests the server. Others follow once it
-                    // succeeds.
-                    row.backoff_until = now + TRIAL_TIMEOUT;
-                }
-                row.add_unread(unread_tokens, reservation.crosses);
-            }
-        }
-        Some(Ticket {
-            service: service.clone(),
-            target,
-            unread_tokens,
-            acquired_at: now,
-        })
-    }
-
-    fn release(&mut self, ticket: &Ticket) {
-        for reservation in ticket.target.reservations() {
-            if let Some(row) = self.row_unless_restarted(reservation.server, ticket.acquired_at) {
-                row.requests = row.requests.saturating_sub(1);
-                row.tokens = row.tokens.saturating_sub(reservation.tokens);
-                row.remove_unread(ticket.unread_tokens, reservation.crosses);
-            }
-        }
-    }
-
-    /// Returns a server unless it has restarted since `since`. A restarted
-    /// server has new counters, from which earlier tickets must not be
-    /// subtracted.
-    pub(super) fn row_unless_restarted(
-        &mut self,
-        id: &VmId,
-        since: Timestamp,
-    ) -> Option<&mut ServerRow> {
-        self.servers
-            .get_mut(id)
-            .filter(|row| row.first_seen <= since)
-    }
-
-    /// Records a stream's first event, which shows that its prompt was
-    /// processed.
-    pub fn record_first_event(&mut self, ticket: &mut Ticket) {
-        let unread_tokens = std::mem::take(&mut ticket.unread_tokens);
-        for reservation in ticket.target.reservations() {
-            if let Some(row) = self.row_unless_restarted(reservation.server, ticket.acquired_at) {
-                row.remove_unread(unread_tokens, reservation.crosses);
-            }
-        }
-    }
-
-    /// Releases a ticket's servers and updates their health from the outcome.
-    pub fn finish(&mut self, now: Timestamp, ticket: &Ticket, outcome: TicketOutcome) {
-        self.release(ticket);
-        self.queue.record_end(now);
-        let first = ticket.target.first().map(|(id, _)| id.clone());
-        let server_at_fault = |servers: &Servers, by: Option<std::net::SocketAddr>| {
-            let named = by.and_then(|address| servers.by_address(address).cloned());
-            named.or(first.clone())
-        };
-        let has_failed = matches!(
-            outcome,
-            TicketOutcome::Unreachable | TicketOutcome::RefusedByPeer | TicketOutcome::Failed
-        );
-        if let (true, Some(peer)) = (has_failed, ticket.target.peer()) {
-            self.back_off_peer(now, &peer.vm);
-        }
-        match outcome {
-            TicketOutcome::Answered { took } => {
-                self.record_heard(now, ticket);
-                for reservation in ticket.target.reservations() {
-                    self.record_server_success(now, reservation.server, ticket.acquired_at, took);
-                }
-            }
-            TicketOutcome::Full { by } => {
-                if let Some(id) = server_at_fault(&self.servers, by) {
-                    self.record_refusal(now, &id, FULL_BACKOFF);
-                }
-            }
-            TicketOutcome::Misdirected { by } => {
-                if let Some(id) = server_at_fault(&self.servers, by) {
-                    self.record_refusal(now, &id, MISDIRECTED_BACKOFF);
-                }
-            }
-            TicketOutcome::Unreachable => {
-                if let Some(id) = server_at_fault(&self.servers, None) {
-                    self.record_server_failure(now, &id);
-                    self.record_unreachable(now, &id);
-                }
-            }
-            TicketOutcome::RefusedByPeer => {}
-            TicketOutcome::Failed => {
-                if let Some(id) = server_at_fault(&self.servers, None) {
-                    self.record_server_failure(now, &id);
-                }
-            }
-            TicketOutcome::Abandoned => {}
-        }
-    }
-
-    fn record_server_success(
-        &mut self,
-        now: Timestamp,
-        id: &VmId,
-        sent: Timestamp,
-        took: Duration,
-    ) {
-        if let Some(row) = self.servers.get_mut(id) {
-            row.record_success(now, sent);
-            row.latency_ms += (took.as_secs_f64() * 1e3 - row.latency_ms) * LATENCY_EWMA_WEIGHT;
-        }
-    }
-
-    /// Starts the backoff of a server that refused new work.
-    fn record_refusal(&mut self, now: Timestamp, id: &VmId, first: Duration) {
-        self.back_off(now, id, first);
-        if let Some(row) = self.servers.get_mut(id) {
-            row.refused_at = Some(now);
-        }
-    }
-
-    /// Starts a server's backoff, which is `first` after one failure and
-    /// doubles with each consecutive failure.
-    fn back_off(&mut self, now: Timestamp, id: &VmId, first: Duration) {
-        if let Some(row) = self.servers.get_mut(id) {
-            let backoff = first * 2_u32.saturating_pow(row.failures.min(8));
-            row.failures = row.failures.saturating_add(1);
-            row.backoff_until = row.backoff_until.max(now + backoff.min(MAX_BACKOFF));
-        }
-    }
-
-    /// Records that a server failed a request and starts its backoff.
-    pub fn record_server_failure(&mut self, now: Timestamp, id: &VmId) {
-        self.back_off(now, id, INITIAL_BACKOFF);
-        if let Some(row) = self.servers.get_mut(id) {
-            row.latency_ms += (FAILURE_LATENCY_MS - row.latency_ms) * LATENCY_EWMA_WEIGHT;
-        }
-    }
-
-    /// Records an event of a stream, which shows progress at every engine on
-    /// its path.
-    pub fn record_progress(&mut self, now: Timestamp, ticket: &Ticket) {
-        self.record_heard(now, ticket);
-        for reservation in ticket.target.reservations() {
-            if let Some(row) = self.servers.get_mut(reservation.server) {
-                row.record_success(now, ticket.acquired_at);
-            }
-        }
-    }
-
-    /// Decides whether a request that made no progress for `stalled_for` fails
-    /// over. `begun` is whether its first event has arrived, and `target` is
-    /// the time within which it should be answered.
-    pub fn check_stall(
-        &mut self,
-        now: Timestamp,
-        ticket: &Ticket,
-        stalled_for: Duration,
-        begun: bool,
-        target: Duration,
-    ) -> StallAction {
-        if self.is_link_lost(now, ticket, stalled_for) {
-            return StallAction::Failover(Vec::new());
-        }
-        let action = match &ticket.target {
-            Target::Engines(path) => {
-                stall::check_path(&self.servers, now, path, stalled_for, begun)
-            }
-            Target::Plain { server, .. } => stall::check_plain(server, stalled_for, target),
-            Target::Peer(peer) => {
-                let report_age = self.paths_age(now, &peer.vm);
-                stall::check_peer(&peer.vm, report_age, stalled_for, begun)
-            }
-        };
-        match action {
-            StallAction::Wait(wait) => StallAction::Wait(wait.min(SILENT_LINK)),
-            failover @ StallAction::Failover(_) => failover,
-        }
-    }
-
-    /// Starts the queued requests for which there is capacity now.
-    pub fn start_queued(&mut self, now: Timestamp) -> Vec<(WaitKey, Ticket)> {
-        let waiting: Vec<_> = self
-            .queue
-            .in_order(now)
-            .into_iter()
-            .map(|(key, w)| (key, w.service.clone(), w.source, w.estimate))
-            .collect();
-        let mut started = Vec::new();
-        for (key, service, source, estimate) in waiting {
-            let is_engine = self
-                .configuration
-                .as_ref()
-                .and_then(|c| c.services.get(&service))
-                .is_some_and(|s| s.engine.is_some());
-            let estimate = is_engine.then_some(estimate);
-            let Some(ticket) = self.start(now, &service, estimate, &[], source) else {
-                // Later requests may belong to other services or need less
-                // capacity, so they are still tried.
-                continue;
-            };
-            self.queue.remove(key);
-            started.push((key, ticket));
-        }
-        started
-    }
-
-    /// Removes a request from the queue.
-    pub fn remove_queued(&mut self, key: WaitKey) {
-        self.queue.remove(key);
-    }
-
-    /// Returns the number of queued requests.
-    pub fn queued(&self) -> usize {
-        self.queue.len()
-    }
 }
