fix(gateway): crashes count once another server is reached, and few probes for one

Cause: all crashes counted at once, also at a node that reached no server at all; and the cost of a crash grew with the nodes times the servers of a service.

Change: a crash counts as soon as this node reaches another server of the service, which a probe shows within milliseconds, and otherwise after 600 ms unless the server goes on. A refusal has 2 other servers probed, a connection that hangs 8, and only a failed probe 16. Silent servers are probed only if they go on for a peer, and lost ones without such progress once a second.

--- a/crates/client/src/http1.rs
+++ b/crates/client/src/http1.rs
@@ -27,6 +27,14 @@
         /// Description of the error.
         reason: String,
     },
+    /// The connection was not opened in time, so nothing was sent.
+    #[error("cannot connect to {address}: no answer within {timeout:?}")]
+    ConnectTimeout {
+        /// Address of the server.
+        address: SocketAddr,
+        /// The timeout.
+        timeout: Duration,
+    },
     /// The connection broke before a complete response. The server may have
     /// received the request.
     #[error("no answer: {0}")]
@@ -118,7 +126,10 @@
         let connect_error = |reason: String| ConnectionError::Connect { address, reason };
         let stream = tokio::time::timeout(timeouts.connect, TcpStream::connect(address))
             .await
-            .map_err(|_| connect_error(format!("no answer within {:?}", timeouts.connect)))?
+            .map_err(|_| ConnectionError::ConnectTimeout {
+                address,
+                timeout: timeouts.connect,
+            })?
             .map_err(|e| connect_error(e.to_string()))?;
         stream
             .set_nodelay(true)
--- a/crates/core/src/gateway/links.rs
+++ b/crates/core/src/gateway/links.rs
@@ -20,8 +20,11 @@
     time::Timestamp,
 };
 
-/// Interval at which a lost link is probed.
+/// Interval at which a lost link to a sound server is probed.
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// The same if no peer has made progress on the server, which is likely gone. Hundreds of
+/// nodes probe it until the registry shows that.
+const GONE_PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time after which a probe that got no answer counts as failed.
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Consecutive successful probes that end the loss of a link.
@@ -35,8 +38,15 @@
 pub const SILENT_LINK: Duration = Duration::from_millis(250);
 /// Minimum time between two probes of a link that is not lost.
 const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// Maximum number of a service's servers that are probed when one is unreachable.
-const MAX_CHECKED: usize = 16;
+/// Age up to which progress for a peer shows that a server is sound at present.
+const RECENT_PROGRESS: Duration = Duration::from_millis(1_000);
+/// Number of a service's servers that are probed when one refuses a connection. Mostly
+/// its process has ended, and all nodes find that out.
+const REFUSAL_CHECKS: usize = 2;
+/// The same when a connection hangs, which takes much longer to find out.
+const HANG_CHECKS: usize = 8;
+/// The same when such a probe has failed, so that the node itself may be cut off.
+const FAILED_PROBE_CHECKS: usize = 16;
 /// Time after the loss of links within which peers report whether they reach the
 /// servers, also through hubs.
 const SEARCH_TIME: Duration = Duration::from_millis(1_000);
@@ -111,6 +121,15 @@
     }
 }
 
+/// How a connection could not be opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectFailure {
+    /// It was refused or reset.
+    Refused,
+    /// There was no answer in time.
+    Hung,
+}
+
 /// A link that was lost or has returned.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LinkChange {
@@ -181,16 +200,25 @@
 }
 
 impl Gateway {
-    /// Records that no connection to a server could be opened. All other servers of
+    /// Records that no connection to a server could be opened. Some other servers of
     /// the service are probed.
-    pub fn record_unreachable(&mut self, now: Timestamp, id: &VmId) {
+    pub fn record_unreachable(&mut self, now: Timestamp, id: &VmId, failure: ConnectFailure) {
         let Some(service) = self.lose_link(now, id) else {
             return;
         };
+        let checks = match failure {
+            ConnectFailure::Refused => REFUSAL_CHECKS,
+            ConnectFailure::Hung => HANG_CHECKS,
+        };
+        self.check_links(now, &service, checks);
+    }
+
+    /// Probes servers of a service whose links are not lost.
+    fn check_links(&mut self, now: Timestamp, service: &ServiceId, count: usize) {
         let ids: Vec<VmId> = self
             .servers
-            .of_service(&service)
-            .filter(|(other, row)| *other != id && takes_requests(row) && !row.link.is_lost())
+            .of_service(service)
+            .filter(|(_, row)| takes_requests(row) && !row.link.is_lost())
             .map(|(other, _)| other.clone())
             .collect();
         // Servers that were not heard for the longest time are the most doubtful.
@@ -199,7 +227,7 @@
             .filter_map(|other| Some((self.servers.get(&other)?.link.heard_at, other)))
             .collect();
         ids.sort();
-        for (_, other) in ids.into_iter().take(MAX_CHECKED) {
+        for (_, other) in ids.into_iter().take(count) {
             self.request_probe(now, &other);
             if let (true, Some(row)) = (
                 self.links.probes.contains_key(&other),
@@ -208,7 +236,7 @@
                 row.link.is_unconfirmed = true;
             }
         }
-        self.count_impaired_links(&service);
+        self.count_impaired_links(service);
     }
 
     /// Marks a link as lost and returns the service of the server.
@@ -238,7 +266,11 @@
             return;
         }
         if !reached {
-            self.lose_link(now, id);
+            let was_lost = row.link.is_lost();
+            if let (false, Some(service)) = (was_lost, self.lose_link(now, id)) {
+                self.check_links(now, &service, FAILED_PROBE_CHECKS);
+            }
+            self.review_after_probe(now);
             return;
         }
         let service = row.entry.service.clone();
@@ -251,6 +283,7 @@
             });
         }
         self.count_impaired_links(&service);
+        self.review_after_probe(now);
     }
 
     fn count_impaired_links(&mut self, service: &ServiceId) {
@@ -349,7 +382,11 @@
             };
             row.link.probed_at = Some(now);
             if row.link.is_lost() {
-                self.links.probes.insert(id.clone(), now + PROBE_INTERVAL);
+                let interval = match row.is_sound_behind_lost_link() {
+                    true => PROBE_INTERVAL,
+                    false => GONE_PROBE_INTERVAL,
+                };
+                self.links.probes.insert(id.clone(), now + interval);
             }
             begun.push((id, row.entry.address));
         }
@@ -375,7 +412,8 @@
     }
 
     /// Checks the link of a request that has made no progress for `stalled_for`, and
-    /// returns whether it is lost. A link that was silent for some time is probed.
+    /// returns whether it is lost. A link that was silent for some time is probed if the
+    /// server goes on for a peer.
     pub(super) fn is_link_lost(
         &mut self,
         now: Timestamp,
@@ -386,12 +424,16 @@
             return false;
         }
         let first = ticket.target.first().map(|(id, _)| id);
-        let Some((id, link)) = first.and_then(|id| Some((id, &self.servers.get(id)?.link))) else {
+        let Some((id, row)) = first.and_then(|id| Some((id, self.servers.get(id)?))) else {
             return false;
         };
-        let is_lost = link.is_lost();
-        let silent_since = link.heard_at.max(Some(ticket.acquired_at));
-        if silent_since.is_some_and(|at| now.since(at) >= SILENT_LINK) {
+        let is_lost = row.link.is_lost();
+        let silent_since = row.link.heard_at.max(Some(ticket.acquired_at));
+        let is_silent = silent_since.is_some_and(|at| now.since(at) >= SILENT_LINK);
+        let goes_on = row
+            .last_peer_progress
+            .is_some_and(|at| now.since(at) < RECENT_PROGRESS);
+        if is_silent && goes_on {
             self.request_probe(now, id);
         }
         is_lost
--- a/crates/core/src/gateway/outcomes.rs
+++ b/crates/core/src/gateway/outcomes.rs
@@ -73,7 +73,7 @@
         };
         let has_failed = matches!(
             outcome,
-            TicketOutcome::Unreachable | TicketOutcome::RefusedByPeer | TicketOutcome::Failed
+            TicketOutcome::Unreachable(_) | TicketOutcome::RefusedByPeer | TicketOutcome::Failed
         );
         if let (true, Some(peer)) = (has_failed, ticket.target.peer()) {
             self.back_off_peer(now, &peer.vm);
@@ -95,10 +95,10 @@
                     self.record_refusal(now, &id, MISDIRECTED_BACKOFF);
                 }
             }
-            TicketOutcome::Unreachable => {
+            TicketOutcome::Unreachable(failure) => {
                 if let Some(id) = server_at_fault(&self.servers, None) {
                     self.record_server_failure(now, &id);
-                    self.record_unreachable(now, &id);
+                    self.record_unreachable(now, &id, failure);
                 }
             }
             TicketOutcome::RefusedByPeer => {}
--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -45,6 +45,9 @@
 /// Time by which progress must follow a crash to show that there was none. Ages of
 /// reports are too low by their transit.
 const PROGRESS_MARGIN: Duration = Duration::from_millis(300);
+/// Time after which a suspect counts although this node reaches no server of the
+/// service, unless the server goes on.
+const DOUBT_TIME: Duration = Duration::from_millis(600);
 /// Time for which a suspect is reported although its server goes on, so that the other
 /// nodes find this out too and release its causes.
 const DISPROOF_TIME: Duration = Duration::from_secs(2);
@@ -121,6 +124,9 @@
     answered: BTreeMap<CrashCause, Timestamp>,
     /// Suspect requests of this node, with the time of the crash.
     suspects: VecDeque<(Timestamp, Suspect)>,
+    /// Suspect requests of this node that don't count yet, because it reaches no server
+    /// of the service.
+    doubtful: VecDeque<(Timestamp, Suspect)>,
     /// Causes of suspects whose servers went on, and when that was last found.
     disproved: BTreeMap<CrashCause, Timestamp>,
     quarantined: BTreeMap<CrashCause, Quarantined>,
@@ -167,6 +173,14 @@
         self.suspects.push_back((now, suspect));
     }
 
+    /// Keeps a suspect request that does not count yet.
+    fn doubt(&mut self, at: Timestamp, suspect: Suspect) {
+        let is_known = self.doubtful.iter().any(|(_, known)| *known == suspect);
+        if !is_known && self.doubtful.len() < MAX_SUSPECTS {
+            self.doubtful.push_back((at, suspect));
+        }
+    }
+
     fn is_cleared(&self, now: Timestamp, suspect: &Suspect) -> bool {
         let mut causes = suspect.causes.iter();
         causes.all(|cause| self.last_answered(now, *cause).is_some())
@@ -247,7 +261,7 @@
             causes: causes.to_vec(),
             age_ms: 0,
         };
-        self.quarantine.record_suspect(now, suspect);
+        self.quarantine.doubt(now, suspect);
         self.review_quarantine(now);
     }
 
@@ -258,6 +272,31 @@
         row.is_some_and(|row| row.last_progress > at + PROGRESS_MARGIN)
     }
 
+    /// Counts the doubtful suspects as soon as this node reaches another server of the
+    /// service, or after a time in which none of the servers has gone on.
+    fn review_doubtful(&mut self, now: Timestamp) {
+        for (at, suspect) in std::mem::take(&mut self.quarantine.doubtful) {
+            if self.goes_on(at, &suspect) {
+                continue;
+            }
+            let row = self.servers.get(&suspect.server);
+            let service = row.map(|row| &row.entry.service);
+            let is_doubtful = now.since(at) < DOUBT_TIME
+                && service.is_some_and(|service| self.has_lost_all_links(now, service));
+            match is_doubtful {
+                true => self.quarantine.doubt(at, suspect),
+                false => self.quarantine.record_suspect(at, suspect),
+            }
+        }
+    }
+
+    /// Reviews the quarantine after a probe of a link, if suspects wait for it.
+    pub(super) fn review_after_probe(&mut self, now: Timestamp) {
+        if !self.quarantine.doubtful.is_empty() {
+            self.review_quarantine(now);
+        }
+    }
+
     /// Remembers the causes of suspects whose servers go on, and drops those of this node
     /// after a time in which all nodes have found this out.
     fn disprove_suspects(&mut self, now: Timestamp) {
@@ -425,6 +464,7 @@
     /// Quarantines causes and releases them, as the evidence of all nodes demands.
     pub(super) fn review_quarantine(&mut self, now: Timestamp) {
         self.quarantine.expire(now);
+        self.review_doubtful(now);
         self.disprove_suspects(now);
         let evidence = self.evidence(now);
         self.quarantine.watched = self.quarantine.quarantined.keys().copied().collect();
--- a/crates/core/src/gateway/ticket.rs
+++ b/crates/core/src/gateway/ticket.rs
@@ -5,7 +5,7 @@
 
 use serde::Serialize;
 
-use super::{paths::Path, peer_paths::PeerChoice};
+use super::{links::ConnectFailure, paths::Path, peer_paths::PeerChoice};
 use crate::{
     ids::{ServiceId, VmId},
     time::Timestamp,
@@ -129,7 +129,7 @@
         by: Option<SocketAddr>,
     },
     /// No connection could be opened; the request did not run.
-    Unreachable,
+    Unreachable(ConnectFailure),
     /// A peer refused to forward the request; it did not run.
     RefusedByPeer,
     /// The connection to the first server or the peer failed, or its response was
--- a/crates/core/tests/gateway_lost_links.rs
+++ b/crates/core/tests/gateway_lost_links.rs
@@ -8,7 +8,7 @@
 use radishhaven_core::{
     gateway::{
         CrashCause, Gateway, PromptPart, RequestDigest, Target, Ticket, TicketOutcome,
-        links::PROBE_INTERVAL,
+        links::{ConnectFailure, PROBE_INTERVAL},
         peer_paths::{MAX_REPORTED_NODES, PathsReport},
         peers::{ReportRecipient, Source},
         state::Admission,
@@ -51,17 +51,15 @@
 }
 
 /// Loses the links of `cut` to the first servers, on which a request was running. The
-/// servers go on for a peer or are gone. Returns whether the request is quarantined at one
-/// of the nodes after some reports.
+/// servers go on for a peer or are gone. Returns whether the request was ever quarantined
+/// at one of the nodes within some reports.
 fn accuses(lost: usize, servers_go_on: bool, reports: u64) -> bool {
     let (mut cut, mut peer) = (node(), node());
     let running = start_everywhere(&mut peer, ms(0));
     let mut accused = false;
-    for number in 0..lost {
-        cut.record_unreachable(ms(1_000), &name(number));
-        if !servers_go_on {
-            peer.record_unreachable(ms(1_000), &name(number));
-        }
+    lose_links(&mut cut, ms(1_000), lost);
+    if !servers_go_on {
+        lose_links(&mut peer, ms(1_000), lost);
     }
     for number in 0..lost {
         cut.record_crash(ms(1_000), &name(number), &[PART, REQUEST]);
@@ -74,7 +72,7 @@
         exchange(now, ("peer", &peer), &mut cut);
         exchange(now, ("cut", &cut), &mut peer);
         let left = [&cut, &peer].map(|node| node.quarantine_left(now, &[PART, REQUEST]));
-        accused = left.iter().any(Option::is_some);
+        accused |= left.iter().any(Option::is_some);
     }
     accused
 }
@@ -83,7 +81,7 @@
 /// kept from all servers.
 #[test]
 fn requests_on_links_that_are_lost_at_once_are_not_accused() {
-    assert!(!accuses(SERVERS, true, 4));
+    assert!(!accuses(SERVERS, true, 20));
 }
 
 /// Guards against letting a deadly request crash further servers while the node waits
@@ -93,6 +91,11 @@
     assert!(accuses(SERVERS / 2, false, 1));
 }
 
+#[test]
+fn requests_at_all_servers_of_a_service_that_crash_at_once_are_accused() {
+    assert!(accuses(SERVERS, false, 20));
+}
+
 /// Sends the reports of `from`, which is node `number` and has `own_requests`, to `to`.
 /// All servers that it reaches have just made progress for it.
 fn report_paths(
@@ -131,7 +134,7 @@
 /// Loses the links to the first servers.
 fn lose_links(gateway: &mut Gateway, now: Timestamp, count: usize) {
     for number in 0..count {
-        gateway.record_unreachable(now, &name(number));
+        gateway.record_unreachable(now, &name(number), ConnectFailure::Refused);
     }
     // The probes of the others succeed.
     for number in count..SERVERS {
@@ -241,15 +244,20 @@
 /// Guards against swinging requests to and fro on a link that flaps.
 #[test]
 fn link_that_is_lost_again_and_again_returns_later_each_time() {
-    let mut gateway = node();
+    let (mut gateway, mut peer) = (node(), node());
+    let running = start_everywhere(&mut peer, ms(0));
     let server = server(0, PLAIN, "centro");
     let mut now = ms(1_000);
     let mut probes_needed = Vec::new();
     for _ in 0..4 {
-        gateway.record_unreachable(now, &name(0));
+        gateway.record_unreachable(now, &name(0), ConnectFailure::Refused);
         let mut probes = 0;
         while gateway.lost_links() > 0 {
             now = now + PROBE_INTERVAL;
+            for ticket in &running {
+                peer.record_progress(now, ticket);
+            }
+            exchange(now, ("peer", &peer), &mut gateway);
             let due = gateway.begin_probes(now);
             assert!(due.iter().any(|(id, _)| *id == name(0)));
             gateway.record_probe(now, &name(0), server.address, true);
@@ -286,3 +294,20 @@
     }
     assert!(known.len() > LEAVES / 2, "{}", known.len());
 }
+
+/// Guards against probes that grow with the nodes times the servers when one server ends.
+#[test]
+fn end_of_one_server_causes_few_probes() {
+    let mut gateway = node();
+    let mut probes = 0;
+    for step in 0..30 {
+        let now = ms(1_000 + step * 100);
+        gateway.record_unreachable(now, &name(0), ConnectFailure::Refused);
+        for (id, address) in gateway.begin_probes(now) {
+            probes += 1;
+            gateway.record_probe(now, &id, address, id != name(0));
+        }
+    }
+    // Three for the lost link, and in each second two for others.
+    assert!(probes <= 3 + 3 * 2, "{probes} probes in 3 s");
+}
--- a/crates/daemon/src/gateway/crash.rs
+++ b/crates/daemon/src/gateway/crash.rs
@@ -3,7 +3,10 @@
 use std::{io::ErrorKind, net::SocketAddr, time::Duration};
 
 use futures_util::future;
-use radishhaven_core::{gateway::Target, ids::VmId};
+use radishhaven_core::{
+    gateway::{Target, links::ConnectFailure},
+    ids::VmId,
+};
 use spdlog::prelude::*;
 use tokio::net::TcpStream;
 
@@ -49,7 +52,9 @@
         let has_crashed = is_known || refuses_connections(address).await;
         if has_crashed && !is_known {
             let now = job.host.now();
-            job.host.with_gateway(|g| g.record_unreachable(now, server));
+            let refused = ConnectFailure::Refused;
+            job.host
+                .with_gateway(|g| g.record_unreachable(now, server, refused));
             job.host.publish_links();
         }
         has_crashed.then_some(server)
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -7,7 +7,10 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use radishhaven_client::{BodyFraming, Connection, ConnectionError, ConnectionTimeouts, Driver};
-use radishhaven_core::{gateway::Target, ids::OrganisationId};
+use radishhaven_core::{
+    gateway::{Target, links::ConnectFailure},
+    ids::OrganisationId,
+};
 use radishhaven_platform::{
     backend_response::{self, ResponseHead, ServerNotices},
     caller::{self, ForwardContext},
@@ -72,7 +75,7 @@
         retry_after: Option<Duration>,
     },
     /// No connection could be opened, so the request was not run.
-    Unreachable(String),
+    Unreachable(ConnectFailure, String),
     /// The request may have run, but no valid response arrived.
     Unknown(String),
 }
@@ -86,7 +89,8 @@
     last_event: Option<&str>,
 ) -> SendOutcome {
     let Some((_, address)) = target.first() else {
-        return SendOutcome::Unreachable("the path is empty".to_owned());
+        let reason = "the path is empty".to_owned();
+        return SendOutcome::Unreachable(ConnectFailure::Refused, reason);
     };
     let context = ForwardContext {
         target,
@@ -104,14 +108,12 @@
     };
     let mut connection = match Connection::open(address, timeouts).await {
         Ok(connection) => connection,
-        Err(error) => return SendOutcome::Unreachable(error.to_string()),
+        Err(error) => return unreachable(&error),
     };
     let resp = match connection.send(req).await {
         Ok(resp) => resp,
-        Err(error @ ConnectionError::Connect { .. }) => {
-            return SendOutcome::Unreachable(error.to_string());
-        }
         Err(error @ ConnectionError::Broken(_)) => return SendOutcome::Unknown(error.to_string()),
+        Err(error) => return unreachable(&error),
     };
     let (head, body) = resp.into_parts();
     match backend_response::decode(&head, &outgoing.attempt_id) {
@@ -130,3 +132,11 @@
         }
     }
 }
+
+fn unreachable(error: &ConnectionError) -> SendOutcome {
+    let failure = match error {
+        ConnectionError::ConnectTimeout { .. } => ConnectFailure::Hung,
+        ConnectionError::Connect { .. } | ConnectionError::Broken(_) => ConnectFailure::Refused,
+    };
+    SendOutcome::Unreachable(failure, error.to_string())
+}
--- a/crates/daemon/src/gateway/job.rs
+++ b/crates/daemon/src/gateway/job.rs
@@ -231,11 +231,11 @@
                 self.log_failed_send(&guard, "misdirected", sent_at, &address_text(by));
                 guard.settle(TicketOutcome::Misdirected { by });
             }
-            SendOutcome::Unreachable(reason) => {
+            SendOutcome::Unreachable(failure, reason) => {
                 self.not_run += 1;
                 self.exclude_peer(&guard);
                 self.log_failed_send(&guard, "unreachable", sent_at, &reason);
-                guard.settle(TicketOutcome::Unreachable);
+                guard.settle(TicketOutcome::Unreachable(failure));
                 self.host.publish_links();
             }
             SendOutcome::RefusedByPeer {
@@ -265,7 +265,7 @@
     /// Records whether a server may have seen the request.
     fn record_arrival(&mut self, outcome: &WatchedSend) {
         self.has_arrived |= match outcome {
-            WatchedSend::Completed(SendOutcome::Unreachable(_)) => false,
+            WatchedSend::Completed(SendOutcome::Unreachable(..)) => false,
             WatchedSend::Completed(SendOutcome::RefusedByPeer { outcome, .. }) => {
                 *outcome == NodeOutcome::NotRun
             }
--- a/crates/daemon/src/gateway/links.rs
+++ b/crates/daemon/src/gateway/links.rs
@@ -40,6 +40,7 @@
     let now = host.now();
     host.with_gateway(|g| g.record_probe(now, &server, address, reached));
     host.publish_links();
+    host.publish_quarantine();
     host.start_waiting_requests();
 }
 
--- a/crates/daemon/src/gateway/peer_forwarding/client.rs
+++ b/crates/daemon/src/gateway/peer_forwarding/client.rs
@@ -14,7 +14,10 @@
 use hyper::{body::Incoming, client::conn::http2::SendRequest};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use radishhaven_client::BodyFraming;
-use radishhaven_core::{gateway::PeerChoice, ids::VmId};
+use radishhaven_core::{
+    gateway::{PeerChoice, links::ConnectFailure},
+    ids::VmId,
+};
 use radishhaven_platform::{
     backend_response::{self, ResponseHead},
     caller,
@@ -115,14 +118,14 @@
 ) -> SendOutcome {
     let mut sender = match connections.get(peer.address).await {
         Ok(sender) => sender,
-        Err(error) => return SendOutcome::Unreachable(error.to_string()),
+        Err(error) => return unreachable(&error),
     };
     if let Err(error) = sender.ready().await {
-        return SendOutcome::Unreachable(error.to_string());
+        return unreachable(&error);
     }
     let req = match request(outgoing, peer, context) {
         Ok(req) => req,
-        Err(error) => return SendOutcome::Unreachable(error.to_string()),
+        Err(error) => return unreachable(&error),
     };
     match sender.send_request(req).await {
         Ok(resp) => decode(resp, &outgoing.attempt_id),
@@ -130,6 +133,11 @@
     }
 }
 
+/// The kind of the failure matters for servers only.
+fn unreachable(error: &impl ToString) -> SendOutcome {
+    SendOutcome::Unreachable(ConnectFailure::Refused, error.to_string())
+}
+
 fn request(
     outgoing: &OutgoingRequest,
     peer: &PeerChoice,
