test(review): a planned stop cuts plain requests that it took late

Tried: SIGTERM to one node of three; a client that has just asked the directory sends eight plain requests of 1.9 s to it from 5.55 s to 5.9 s later.

Without SIGTERM all are answered (three runs).

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -11,6 +11,7 @@
 mod node;
 mod record;
 mod server;
+mod stop;
 mod store;
 
 use std::{
@@ -62,6 +63,7 @@
     recorder.say(&format!("case {name}, with trouble: {trouble}"));
     let verdict = match name.as_str() {
         "crash" => crash::run(&case),
+        "stop" => stop::run(&case),
         _ => Verdict::CouldNotRun("there is no such case".to_owned()),
     };
     node::end_all();
