test(review): a peer with an old configuration handles forwarded requests

Tried: four nodes; one can't reach the workers, another one gets no answer of the store; a public route moves to another service.

--- a/review/harness/http.rs
+++ b/review/harness/http.rs
@@ -15,7 +15,6 @@
 
 #[derive(Debug, Clone)]
 pub struct Request {
-    pub method: String,
     pub target: String,
     pub headers: Headers,
     pub body: Vec<u8>,
@@ -82,9 +81,7 @@
 
 pub fn read_request(reader: &mut BufReader<TcpStream>) -> io::Result<Request> {
     let line = read_line(reader)?;
-    let mut words = line.split(' ');
-    let method = words.next().unwrap_or_default().to_owned();
-    let target = words.next().unwrap_or_default().to_owned();
+    let target = line.split(' ').nth(1).unwrap_or_default().to_owned();
     let headers = read_headers(reader)?;
     let mut body = Vec::new();
     if is_chunked(&headers) {
@@ -95,7 +92,7 @@
         body.resize(length(&headers).unwrap_or(0), 0);
         reader.read_exact(&mut body)?;
     }
-    Ok(Request { method, target, headers, body })
+    Ok(Request { target, headers, body })
 }
 
 pub fn write_response(
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -9,6 +9,8 @@
 mod crash;
 mod http;
 mod node;
+mod old_peer;
+mod proxy;
 mod record;
 mod server;
 mod stop;
@@ -62,8 +64,9 @@
     });
     recorder.say(&format!("case {name}, with trouble: {trouble}"));
     let verdict = match name.as_str() {
-        "crash" => crash::run(&case),
         "stop" => stop::run(&case),
+        "crash" => crash::run(&case),
+        "old-peer" => old_peer::run(&case),
         _ => Verdict::CouldNotRun("there is no such case".to_owned()),
     };
     node::end_all();
--- a/review/harness/node.rs
+++ b/review/harness/node.rs
@@ -192,12 +192,6 @@
         let ticks: u64 = fields.take(2).filter_map(|v| v.parse::<u64>().ok()).sum();
         Duration::from_millis(ticks * 10)
     }
-
-    /// Returns the lines of the log that contain a text.
-    pub fn log_lines(&self, text: &str) -> Vec<String> {
-        let log = fs::read_to_string(&self.log).unwrap_or_default();
-        log.lines().filter(|line| line.contains(text)).map(str::to_owned).collect()
-    }
 }
 
 impl Drop for Node {
--- a/review/harness/server.rs
+++ b/review/harness/server.rs
@@ -259,6 +259,11 @@
     )
 }
 
+/// The same route, which asks for no key.
+pub fn public(route: String) -> String {
+    route.replace(r#""public":false"#, r#""public":true"#)
+}
+
 /// One route of the operator's configuration.
 pub fn route(path: &str, kind: &str, service: &str, timeout_ms: u32) -> String {
     let name = path.trim_matches('/');
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -54,20 +54,35 @@
 pub struct Store {
     pub address: SocketAddr,
     state: Arc<(Mutex<State>, Condvar)>,
+    /// Addresses in records that callers of this listener see replaced.
+    replaced: Arc<Vec<(SocketAddr, SocketAddr)>>,
 }
 
 impl Store {
     /// Starts a store. `era` is the value of its header `Store-Era`, if it sends one.
     pub fn start(era: Option<u64>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("an address");
         let state = State {
             contents: Contents::default(),
             era,
             is_away: false,
             connections: Vec::new(),
         };
-        let store = Self { address, state: Arc::new((Mutex::new(state), Condvar::new())) };
+        Self::listen(Arc::new((Mutex::new(state), Condvar::new())), Vec::new())
+    }
+
+    /// Starts a further listener of the same store, for one node. It sees each worker
+    /// behind the address of its own link to the worker.
+    pub fn behind_links(&self, links: Vec<(SocketAddr, SocketAddr)>) -> Self {
+        Self::listen(self.state.clone(), links)
+    }
+
+    fn listen(
+        state: Arc<(Mutex<State>, Condvar)>,
+        replaced: Vec<(SocketAddr, SocketAddr)>,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let store = Self { address, state, replaced: Arc::new(replaced) };
         let served = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -159,6 +174,15 @@
         (!state.is_away && state.era == era).then_some(reply)
     }
 
+    /// Returns a value as the callers of this listener see it.
+    fn seen(&self, value: &[u8]) -> Vec<u8> {
+        let mut text = String::from_utf8_lossy(value).into_owned();
+        for (worker, link) in self.replaced.iter() {
+            text = text.replace(&format!("\"{worker}\""), &format!("\"{link}\""));
+        }
+        text.into_bytes()
+    }
+
     fn newest(&self, req: &Request) -> Reply {
         let mut state = self.state.0.lock().unwrap();
         let topic = req.query("topic").unwrap_or_default().to_owned();
@@ -171,7 +195,7 @@
             };
         }
         let items = newest.into_iter().map(|(key, (offset, value))| {
-            let value = base64(value);
+            let value = base64(&self.seen(value));
             format!(r#"{{"key":"{key}","value":"{value}","offset":{offset}}}"#)
         });
         let items: Vec<String> = items.collect();
@@ -201,11 +225,11 @@
                 let mut out = (records.len() as u64).to_be_bytes().to_vec();
                 out.extend(0_u64.to_be_bytes());
                 for (key, value) in &records[from..] {
-                    let value = value.as_deref().unwrap_or_default();
+                    let value = self.seen(value.as_deref().unwrap_or_default());
                     out.extend(((1 + key.len() + value.len()) as u32).to_be_bytes());
                     out.push(key.len() as u8);
                     out.extend(key.as_bytes());
-                    out.extend(value);
+                    out.extend(&value);
                 }
                 return Some((200, BYTES, out));
             }
