test(review): a node that starts in a drill accepts a revoked key

Tried: the store returns from a copy 7.5 s old, without the version that took a key away, and a node is added just then. The operator writes again after 1.5 s.

Without the drill all refuse it.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -7,6 +7,7 @@
 //! and 2 if the case could not run.
 
 mod crash;
+mod drill;
 mod http;
 mod node;
 mod old_peer;
@@ -67,6 +68,7 @@
         "stop" => stop::run(&case),
         "crash" => crash::run(&case),
         "old-peer" => old_peer::run(&case),
+        "drill" => drill::run(&case),
         _ => Verdict::CouldNotRun("there is no such case".to_owned()),
     };
     node::end_all();
