--- a/review/harness/crash.rs
+++ b/review/harness/crash.rs
@@ -32,8 +32,11 @@
 const READ_MS: f64 = 3.2 / 105.0;
 const EVENTS: u32 = 10;
 const EVENT_GAP: Duration = Duration::from_millis(50);
-const PLAIN_WORK: Work =
-    Work { first: Duration::from_millis(60), events: 0, gap: Duration::ZERO };
+const PLAIN_WORK: Work = Work {
+    first: Duration::from_millis(60),
+    events: 0,
+    gap: Duration::ZERO,
+};
 /// Timeout of the plain route, after which the rule asks for an answer in half a second.
 const TIMEOUT: Duration = Duration::from_millis(3_000);
 const SLACK: Duration = Duration::from_millis(500);
@@ -53,7 +56,10 @@
 type Plain = (Duration, Answer);
 
 fn parts() -> u32 {
-    env::var("PARTS").ok().and_then(|v| v.parse().ok()).unwrap_or(PARTS)
+    env::var("PARTS")
+        .ok()
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(PARTS)
 }
 
 fn send_generation(recorder: &Recorder, to: SocketAddr, number: u32) {
@@ -68,14 +74,22 @@
         ("Host", "ficu95.example".to_owned()),
         ("Radishhaven-Attempt-Id", attempt.clone()),
         ("Radishhaven-Model", "daka510000".to_owned()),
-        ("Radishhaven-Token-Count", format!("{},30", parts * TOKENS_PER_PART)),
+        (
+            "Radishhaven-Token-Count",
+            format!("{},30", parts * TOKENS_PER_PART),
+        ),
         ("Radishhaven-Prompt-Prefix", prefix.join(",")),
         ("Radishhaven-Deadline-Ms", "20000".to_owned()),
         ("Radishhaven-Key", KEY.to_owned()),
     ];
-    let size: usize = headers.iter().map(|(key, value)| key.len() + value.len() + 4).sum();
+    let size: usize = headers
+        .iter()
+        .map(|(key, value)| key.len() + value.len() + 4)
+        .sum();
     assert!(size < 16_384, "the head keeps to max_header_bytes");
-    recorder.note(&format!("client sends {attempt} (trip-entry, {parts} parts, head {size} B)"));
+    recorder.note(&format!(
+        "client sends {attempt} (trip-entry, {parts} parts, head {size} B)"
+    ));
     let limit = Duration::from_secs(20);
     let answer = call(to, "POST", "/lohu930/1", &headers, b"dictation", limit);
     recorder.note(&format!(
@@ -95,7 +109,14 @@
         ("Radishhaven-Key", KEY.to_owned()),
     ];
     recorder.note(&format!("client sends {attempt} (log-fetch)"));
-    let answer = call(to, "POST", "/puxa403/1", &headers, b"month=11", Duration::from_secs(15));
+    let answer = call(
+        to,
+        "POST",
+        "/puxa403/1",
+        &headers,
+        b"month=11",
+        Duration::from_secs(15),
+    );
     recorder.note(&format!(
         "client got {attempt}: status {}, {}, after {} ms",
         answer.status,
@@ -110,11 +131,19 @@
     let free_at = Mutex::new(Instant::now());
     move |req| {
         let tokens = req.header("radishhaven-token-count").unwrap_or_default();
-        let tokens = tokens.split(',').next().and_then(|v| v.parse().ok()).unwrap_or(0.0);
+        let tokens = tokens
+            .split(',')
+            .next()
+            .and_then(|v| v.parse().ok())
+            .unwrap_or(0.0);
         let now = Instant::now();
         let mut free_at = free_at.lock().unwrap();
         *free_at = now.max(*free_at) + Duration::from_secs_f64(tokens * READ_MS / 1e3);
-        Work { first: free_at.duration_since(now), events: EVENTS, gap: EVENT_GAP }
+        Work {
+            first: free_at.duration_since(now),
+            events: EVENTS,
+            gap: EVENT_GAP,
+        }
     }
 }
 
@@ -132,15 +161,30 @@
     for (index, zone) in zones.iter().enumerate() {
         let id = format!("i-p{index}");
         let server = (id.as_str(), "wuno96b", *zone);
-        plain.push(Server::start(server, false, &store, recorder, |_: &Request| PLAIN_WORK));
+        plain.push(Server::start(
+            server,
+            false,
+            &store,
+            recorder,
+            |_: &Request| PLAIN_WORK,
+        ));
     }
     let routes = [
         route("/lohu930/", "streaming", "huvo11a", 20_000),
-        route("/puxa403/", "non_idempotent", "wuno96b", TIMEOUT.as_millis() as u32),
+        route(
+            "/puxa403/",
+            "non_idempotent",
+            "wuno96b",
+            TIMEOUT.as_millis() as u32,
+        ),
     ];
     let services = [engine_service("huvo11a"), plain_service("wuno96b")];
     let tenants = BTreeMap::from([("hule930", vec![KEY])]);
-    store.put("keyed.op", "config", Some(configuration(7, &routes, &services, &tenants)));
+    store.put(
+        "keyed.op",
+        "config",
+        Some(configuration(7, &routes, &services, &tenants)),
+    );
     let new = |index: usize| {
         let zone = zones[index % 3];
         let name = format!("front-{zone}-{}", index / 3 + 1);
@@ -185,16 +229,23 @@
                             send_generation(&recorder, to, number);
                         }
                     }));
-                    thread::sleep(if is_plain { PLAIN_INTERVAL } else { GENERATION_INTERVAL });
+                    thread::sleep(if is_plain {
+                        PLAIN_INTERVAL
+                    } else {
+                        GENERATION_INTERVAL
+                    });
                 }
-                open.into_iter().for_each(|request| request.join().expect("no panic"));
+                open.into_iter()
+                    .for_each(|request| request.join().expect("no panic"));
             }));
         }
     }
     thread::sleep(CRASH_AT.saturating_sub(started.elapsed()));
     // The first worker that reads this many prompts is the one that crashes.
     let crashed = loop {
-        let busy = engines.iter().position(|engine| engine.unanswered() >= MIN_UNANSWERED);
+        let busy = engines
+            .iter()
+            .position(|engine| engine.unanswered() >= MIN_UNANSWERED);
         if let Some(index) = busy {
             break index;
         }
@@ -210,8 +261,14 @@
     let end_at = started.elapsed() + OBSERVED;
     while started.elapsed() < end_at {
         thread::sleep(Duration::from_secs(2));
-        let peaks: Vec<String> = nodes.iter().map(|node| node.peak_mb().to_string()).collect();
-        let cpus: Vec<String> = nodes.iter().map(|n| n.cpu().as_millis().to_string()).collect();
+        let peaks: Vec<String> = nodes
+            .iter()
+            .map(|node| node.peak_mb().to_string())
+            .collect();
+        let cpus: Vec<String> = nodes
+            .iter()
+            .map(|n| n.cpu().as_millis().to_string())
+            .collect();
         recorder.note(&format!(
             "peak memory of the nodes, MB: {}; processor time, ms: {}",
             peaks.join(", "),
@@ -219,7 +276,9 @@
         ));
     }
     is_over.store(true, Ordering::SeqCst);
-    clients.into_iter().for_each(|client| client.join().expect("no panic"));
+    clients
+        .into_iter()
+        .for_each(|client| client.join().expect("no panic"));
     judge(case, &answers.lock().unwrap(), &nodes)
 }
 
@@ -228,12 +287,20 @@
 fn judge(case: &Case, answers: &[Plain], nodes: &[Node]) -> Verdict {
     let recorder = &case.recorder;
     let unanswered_at = |limit: Duration| {
-        let late = answers.iter().filter(|(_, a)| !a.complete || a.took > limit);
+        let late = answers
+            .iter()
+            .filter(|(_, a)| !a.complete || a.took > limit);
         late.count()
     };
     let (late, later) = (unanswered_at(TIMEOUT), unanswered_at(TIMEOUT + SLACK));
-    let served = answers.iter().filter(|(_, a)| a.status == 200 && a.complete).count();
-    let peaks: Vec<String> = nodes.iter().map(|node| node.peak_mb().to_string()).collect();
+    let served = answers
+        .iter()
+        .filter(|(_, a)| a.status == 200 && a.complete)
+        .count();
+    let peaks: Vec<String> = nodes
+        .iter()
+        .map(|node| node.peak_mb().to_string())
+        .collect();
     recorder.say(&format!(
         "{} plain requests, {served} served; {late} without an answer after {} ms, {later} of them \
          still after {} ms; peak memory of the nodes, MB: {}",
--- a/review/harness/drill.rs
+++ b/review/harness/drill.rs
@@ -20,7 +20,11 @@
 /// The key that is taken away, and one that stays.
 const REVOKED: &str = "n2ctnfzs989anu6wsjnb";
 const KEPT: &str = "anfqasnmgkcuyj8pjbvk";
-const WORK: Work = Work { first: Duration::from_millis(60), events: 0, gap: Duration::ZERO };
+const WORK: Work = Work {
+    first: Duration::from_millis(60),
+    events: 0,
+    gap: Duration::ZERO,
+};
 /// Time after which no request with the revoked key may run.
 const REVOKE_TIME: Duration = Duration::from_millis(5_000);
 /// Times from the acknowledgement of the version without the key.
@@ -47,7 +51,9 @@
             ("Radishhaven-Key", key.to_owned()),
         ];
         let which = if key == REVOKED { "revoked" } else { "kept" };
-        self.recorder.note(&format!("client sends {attempt} to {name} with the {which} key"));
+        self.recorder.note(&format!(
+            "client sends {attempt} to {name} with the {which} key"
+        ));
         let limit = Duration::from_millis(3_500);
         let answer = call(to, "POST", "/puxa403/1", &headers, b"month=11", limit);
         self.recorder.note(&format!(
@@ -68,7 +74,13 @@
     for (index, zone) in zones.iter().enumerate() {
         let id = format!("i-{index}");
         let server = (id.as_str(), "wuno96b", *zone);
-        servers.push(Server::start(server, false, &store, recorder, |_: &Request| WORK));
+        servers.push(Server::start(
+            server,
+            false,
+            &store,
+            recorder,
+            |_: &Request| WORK,
+        ));
     }
     let config = |version, keys: Vec<&'static str>| {
         let routes = [route("/puxa403/", "non_idempotent", "wuno96b", 3_000)];
@@ -88,7 +100,10 @@
         return Verdict::CouldNotRun("the nodes are not ready".to_owned());
     }
     thread::sleep(Duration::from_secs(3));
-    let mut sender = Sender { recorder, number: 0 };
+    let mut sender = Sender {
+        recorder,
+        number: 0,
+    };
     if sender.send(nodes[0].callers, &nodes[0].name, REVOKED) != (200, true) {
         return Verdict::CouldNotRun("the key is not accepted at first".to_owned());
     }
@@ -120,7 +135,10 @@
     if !added.wait_ready(Duration::from_secs(5)) {
         return Verdict::CouldNotRun("the added node is not ready".to_owned());
     }
-    recorder.say(&format!("it is ready {} ms after the acknowledgement", acked.elapsed().as_millis()));
+    recorder.say(&format!(
+        "it is ready {} ms after the acknowledgement",
+        acked.elapsed().as_millis()
+    ));
     let mut is_rewritten = !case.trouble;
     let mut counts = BTreeMap::new();
     let mut broken = 0;
@@ -134,14 +152,18 @@
         let targets = nodes.iter().chain([&added]);
         for node in targets {
             let (status, has_run) = sender.send(node.callers, &node.name, REVOKED);
-            *counts.entry((node.name.clone(), status, has_run)).or_insert(0_u32) += 1;
+            *counts
+                .entry((node.name.clone(), status, has_run))
+                .or_insert(0_u32) += 1;
             broken += u32::from(has_run && at > REVOKE_TIME);
         }
         thread::sleep(INTERVAL);
     }
     for ((name, status, has_run), count) in &counts {
         let run = if *has_run { "run" } else { "not run" };
-        recorder.say(&format!("{name}, revoked key: {count} answered {status}, {run}"));
+        recorder.say(&format!(
+            "{name}, revoked key: {count} answered {status}, {run}"
+        ));
     }
     match broken {
         0 => Verdict::Held,
--- a/review/harness/http.rs
+++ b/review/harness/http.rs
@@ -9,7 +9,9 @@
 pub type Headers = Vec<(String, String)>;
 
 pub fn header<'a>(headers: &'a Headers, name: &str) -> Option<&'a str> {
-    let found = headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+    let found = headers
+        .iter()
+        .find(|(key, _)| key.eq_ignore_ascii_case(name));
     found.map(|(_, value)| value.as_str())
 }
 
@@ -92,7 +94,11 @@
         body.resize(length(&headers).unwrap_or(0), 0);
         reader.read_exact(&mut body)?;
     }
-    Ok(Request { target, headers, body })
+    Ok(Request {
+        target,
+        headers,
+        body,
+    })
 }
 
 pub fn write_response(
@@ -101,7 +107,10 @@
     headers: &[(&str, &str)],
     body: &[u8],
 ) -> io::Result<()> {
-    let mut out = format!("HTTP/1.1 {status} Status\r\ncontent-length: {}\r\n", body.len());
+    let mut out = format!(
+        "HTTP/1.1 {status} Status\r\ncontent-length: {}\r\n",
+        body.len()
+    );
     for (key, value) in headers {
         out.push_str(&format!("{key}: {value}\r\n"));
     }
@@ -143,7 +152,15 @@
         end: String::new(),
         took: Duration::ZERO,
     };
-    let result = exchange(address, method, target, headers, body, (started, limit), &mut answer);
+    let result = exchange(
+        address,
+        method,
+        target,
+        headers,
+        body,
+        (started, limit),
+        &mut answer,
+    );
     answer.took = started.elapsed();
     answer.end = match result {
         Ok(()) => "whole".to_owned(),
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -56,7 +56,11 @@
     let folder = env::temp_dir().join(format!("radishhaven-review-{}", process::id()));
     fs::create_dir_all(&folder).expect("a temporary folder");
     let trouble = env::var("TROUBLE").as_deref() != Ok("0");
-    let case = Case { recorder: recorder.clone(), folder: folder.clone(), trouble };
+    let case = Case {
+        recorder: recorder.clone(),
+        folder: folder.clone(),
+        trouble,
+    };
     let late = recorder.clone();
     thread::spawn(move || {
         thread::sleep(TIME_LIMIT);
--- a/review/harness/node.rs
+++ b/review/harness/node.rs
@@ -78,7 +78,10 @@
     for (name, value) in fields {
         out = out.replace(&format!("{{{{{name}}}}}"), value);
     }
-    assert!(!out.contains("{{"), "a field of the template is unknown: {out}");
+    assert!(
+        !out.contains("{{"),
+        "a field of the template is unknown: {out}"
+    );
     out
 }
 
@@ -124,7 +127,11 @@
 
     /// Starts the process with the command of the deploy file.
     pub fn start(&mut self) {
-        let log = File::options().create(true).append(true).open(&self.log).expect("a log");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("a log");
         let errors = log.try_clone().expect("a log");
         let child = Command::new("target/release/radishhavend")
             .args(["route", "--config"])
@@ -201,9 +208,16 @@
 
     /// Returns the processor time that the process has used.
     pub fn cpu(&self) -> Duration {
-        let Some(child) = &self.child else { return Duration::ZERO };
+        let Some(child) = &self.child else {
+            return Duration::ZERO;
+        };
         let stat = fs::read_to_string(format!("/proc/{}/stat", child.id())).unwrap_or_default();
-        let fields = stat.rsplit(')').next().unwrap_or_default().split_whitespace().skip(11);
+        let fields = stat
+            .rsplit(')')
+            .next()
+            .unwrap_or_default()
+            .split_whitespace()
+            .skip(11);
         let ticks: u64 = fields.take(2).filter_map(|v| v.parse::<u64>().ok()).sum();
         Duration::from_millis(ticks * 10)
     }
@@ -226,7 +240,9 @@
         let target = "/-/resolve?name=ficu95.example&region=mvd&zone=mvd-centro";
         let answer = call(node.directory, "GET", target, &[], b"", limit);
         let text = String::from_utf8_lossy(&answer.body).into_owned();
-        nodes.iter().all(|other| text.contains(&format!("\"{}\"", other.callers)))
+        nodes
+            .iter()
+            .all(|other| text.contains(&format!("\"{}\"", other.callers)))
     };
     while Instant::now() < until {
         if nodes.iter().all(|node| node.is_ready() && lists_all(node)) {
@@ -236,7 +252,10 @@
     }
     for node in nodes {
         let (is_ready, lists_all) = (node.is_ready(), lists_all(node));
-        println!("{}: ready {is_ready}, lists all nodes {lists_all}", node.name);
+        println!(
+            "{}: ready {is_ready}, lists all nodes {lists_all}",
+            node.name
+        );
     }
     false
 }
--- a/review/harness/old_peer.rs
+++ b/review/harness/old_peer.rs
@@ -25,7 +25,11 @@
 const OTHER: &str = "/puxa403/";
 const OLD: &str = "wuno96b";
 const NEW: &str = "xite41c";
-const WORK: Work = Work { first: Duration::from_millis(60), events: 0, gap: Duration::ZERO };
+const WORK: Work = Work {
+    first: Duration::from_millis(60),
+    events: 0,
+    gap: Duration::ZERO,
+};
 /// Time within which a version holds at all machines in touch.
 const CONFIG_TIME: Duration = Duration::from_millis(2_000);
 /// Times from the start of traffic.
@@ -74,7 +78,13 @@
         for (index, zone) in zones.iter().enumerate() {
             let id = format!("{prefix}{index}");
             let server = (id.as_str(), service, *zone);
-            servers.push(Server::start(server, false, &store, recorder, |_: &Request| WORK));
+            servers.push(Server::start(
+                server,
+                false,
+                &store,
+                recorder,
+                |_: &Request| WORK,
+            ));
         }
     }
     let config = |version, service| {
@@ -89,10 +99,18 @@
     store.put("keyed.op", "config", config(7, OLD));
     // Node 0 has a link of its own to each worker, node 1 one to the store.
     let links: Vec<Proxy> = servers.iter().map(|s| Proxy::start(s.address())).collect();
-    let replaced = servers.iter().zip(&links).map(|(s, link)| (s.address(), link.address));
+    let replaced = servers
+        .iter()
+        .zip(&links)
+        .map(|(s, link)| (s.address(), link.address));
     let seen_by_first = store.behind_links(replaced.collect());
     let store_link = Proxy::start(store.address);
-    let stores = [seen_by_first.address, store_link.address, store.address, store.address];
+    let stores = [
+        seen_by_first.address,
+        store_link.address,
+        store.address,
+        store.address,
+    ];
     let new = |(index, store): (usize, &SocketAddr)| {
         let name = format!("front-{}-{}", zones[index % 3], index / 3 + 1);
         Node::new(&case.folder, &name, zones[index % 3], *store)
@@ -117,17 +135,27 @@
                 if at >= END_AT {
                     break;
                 }
-                let attempt = format!("{:016x}", 0x01d0_0000_u64 + (index as u64 * 0x1_0000) + number);
+                let attempt = format!(
+                    "{:016x}",
+                    0x01d0_0000_u64 + (index as u64 * 0x1_0000) + number
+                );
                 let route = if number % 2 == 0 { MOVED } else { OTHER };
                 recorder.note(&format!("client sends {attempt} GET {route}1 to {name}"));
                 let (recorder, all) = (recorder.clone(), all.clone());
                 open.push(thread::spawn(move || {
                     let status = send(&recorder, to, route, &attempt);
-                    all.lock().unwrap().push(Sent { attempt, route, node: index, at, status });
+                    all.lock().unwrap().push(Sent {
+                        attempt,
+                        route,
+                        node: index,
+                        at,
+                        status,
+                    });
                 }));
                 thread::sleep(INTERVAL);
             }
-            open.into_iter().for_each(|request| request.join().expect("no panic"));
+            open.into_iter()
+                .for_each(|request| request.join().expect("no panic"));
         }));
     }
     let wait_until = |at: Duration| thread::sleep(at.saturating_sub(started.elapsed()));
@@ -144,12 +172,16 @@
     wait_until(CHANGE_AT);
     store.put("keyed.op", "config", config(9, NEW));
     let acked = started.elapsed();
-    recorder.say(&format!("version 9 is acknowledged: the route moves from {OLD} to {NEW}"));
+    recorder.say(&format!(
+        "version 9 is acknowledged: the route moves from {OLD} to {NEW}"
+    ));
     wait_until(CUTS_END_AT);
     links.iter().for_each(|link| link.set(None));
     store_link.set(None);
     recorder.say("both cuts have ended");
-    clients.into_iter().for_each(|client| client.join().expect("no panic"));
+    clients
+        .into_iter()
+        .for_each(|client| client.join().expect("no panic"));
 
     let mut broken = 0;
     for (index, node) in nodes.iter().enumerate() {
--- a/review/harness/proxy.rs
+++ b/review/harness/proxy.rs
@@ -33,7 +33,10 @@
     pub fn start(to: SocketAddr) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let proxy = Self { address, state: Arc::default() };
+        let proxy = Self {
+            address,
+            state: Arc::default(),
+        };
         let accepting = proxy.clone();
         thread::spawn(move || {
             let mut listener = Some(listener);
@@ -75,19 +78,25 @@
             return;
         }
         let _ = stream.set_nodelay(true);
-        let Ok(clone) = stream.try_clone() else { return };
+        let Ok(clone) = stream.try_clone() else {
+            return;
+        };
         self.state.lock().unwrap().connections.push(clone);
         if cut == Some(Cut::Silent) {
             // The connection is kept in the list, and nobody reads it.
             return;
         }
-        let Ok(server) = TcpStream::connect(to) else { return };
+        let Ok(server) = TcpStream::connect(to) else {
+            return;
+        };
         let _ = server.set_nodelay(true);
         if let Ok(clone) = server.try_clone() {
             self.state.lock().unwrap().connections.push(clone);
         }
         for (from, to) in [(&stream, &server), (&server, &stream)] {
-            let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else { return };
+            let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else {
+                return;
+            };
             let proxy = self.clone();
             thread::spawn(move || proxy.copy(from, to));
         }
--- a/review/harness/record.rs
+++ b/review/harness/record.rs
@@ -44,11 +44,19 @@
     /// Records that a server of a service began to run an attempt.
     pub fn ran(&self, attempt: &str, service: &str) {
         let mut runs = self.0.runs.lock().unwrap();
-        runs.entry(attempt.to_owned()).or_default().push(service.to_owned());
+        runs.entry(attempt.to_owned())
+            .or_default()
+            .push(service.to_owned());
     }
 
     /// Returns the services that ran an attempt.
     pub fn runs(&self, attempt: &str) -> Vec<String> {
-        self.0.runs.lock().unwrap().get(attempt).cloned().unwrap_or_default()
+        self.0
+            .runs
+            .lock()
+            .unwrap()
+            .get(attempt)
+            .cloned()
+            .unwrap_or_default()
     }
 }
--- a/review/harness/server.rs
+++ b/review/harness/server.rs
@@ -161,7 +161,9 @@
     }
 
     fn serve(&self, stream: TcpStream) {
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         while let Ok(req) = read_request(&mut reader) {
             if self.0.is_dead.load(Ordering::SeqCst) {
@@ -199,14 +201,20 @@
 
     fn run(&self, writer: &mut TcpStream, req: &Request) -> std::io::Result<()> {
         let inner = &self.0;
-        let attempt = req.header("radishhaven-attempt-id").unwrap_or_default().to_owned();
+        let attempt = req
+            .header("radishhaven-attempt-id")
+            .unwrap_or_default()
+            .to_owned();
         if self.is_other_target(req) {
             let id = [("radishhaven-instance-id", inner.id.as_str())];
             return write_response(writer, 421, &id, b"");
         }
         let tenant = req.header("radishhaven-tenant").unwrap_or("-").to_owned();
         let work = (inner.work)(req);
-        let line = format!("{} of {} runs {attempt} for {tenant}", inner.id, inner.service);
+        let line = format!(
+            "{} of {} runs {attempt} for {tenant}",
+            inner.id, inner.service
+        );
         inner.recorder.note(&line);
         inner.recorder.ran(&attempt, &inner.service);
         inner.unanswered.fetch_add(1, Ordering::SeqCst);
@@ -223,7 +231,11 @@
                 "{} of {} has answered {attempt}: {}",
                 inner.id,
                 inner.service,
-                if sent.is_ok() { "sent" } else { "the connection was gone" }
+                if sent.is_ok() {
+                    "sent"
+                } else {
+                    "the connection was gone"
+                }
             ));
             return sent;
         }
@@ -235,7 +247,9 @@
         }
         head.push_str("\r\n");
         writer.write_all(head.as_bytes())?;
-        let last = req.header("last-event-id").and_then(|v| v.parse::<u32>().ok());
+        let last = req
+            .header("last-event-id")
+            .and_then(|v| v.parse::<u32>().ok());
         for event in last.map_or(1, |last| last + 1)..=work.events {
             let event = format!("id: {event}\ndata: {}\n\n", "x".repeat(50));
             writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
--- a/review/harness/stop.rs
+++ b/review/harness/stop.rs
@@ -64,20 +64,38 @@
     let recorder = &case.recorder;
     let store = Store::start(None);
     let work = |req: &crate::http::Request| Work {
-        first: if req.target.contains("/month/") { LONG_WORK } else { SHORT_WORK },
+        first: if req.target.contains("/month/") {
+            LONG_WORK
+        } else {
+            SHORT_WORK
+        },
         events: 0,
         gap: Duration::ZERO,
     };
-    let servers = [("i-10a1", "mvd-centro"), ("i-10a2", "mvd-cordon"), ("i-10a3", "mvd-pocitos")];
-    let _servers = servers.map(|(id, zone)| {
-        Server::start((id, "wuno96b", zone), false, &store, recorder, work)
-    });
+    let servers = [
+        ("i-10a1", "mvd-centro"),
+        ("i-10a2", "mvd-cordon"),
+        ("i-10a3", "mvd-pocitos"),
+    ];
+    let _servers = servers
+        .map(|(id, zone)| Server::start((id, "wuno96b", zone), false, &store, recorder, work));
     let routes = [route("/puxa403/", "non_idempotent", "wuno96b", TIMEOUT_MS)];
     let tenants = BTreeMap::from([("hule930", vec![KEY])]);
     let services = [plain_service("wuno96b")];
-    store.put("keyed.op", "config", Some(configuration(7, &routes, &services, &tenants)));
+    store.put(
+        "keyed.op",
+        "config",
+        Some(configuration(7, &routes, &services, &tenants)),
+    );
     let zones = ["mvd-centro", "mvd-cordon", "mvd-pocitos"];
-    let new = |zone: &&str| Node::new(&case.folder, &format!("front-{zone}-1"), zone, store.address);
+    let new = |zone: &&str| {
+        Node::new(
+            &case.folder,
+            &format!("front-{zone}-1"),
+            zone,
+            store.address,
+        )
+    };
     let mut nodes: Vec<Node> = zones.iter().map(new).collect();
     nodes.iter_mut().for_each(Node::start);
     if !wait_settled(&nodes, Duration::from_secs(25)) {
@@ -106,13 +124,21 @@
     }
     for number in 0..LONG_COUNT {
         wait_until(LONG_FROM + LONG_GAP * number);
-        sent.push(send(recorder, nodes[0].callers, "/puxa403/month/", 100 + number));
+        sent.push(send(
+            recorder,
+            nodes[0].callers,
+            "/puxa403/month/",
+            100 + number,
+        ));
     }
     let mut ended = None;
     while stopped.elapsed() < GRACE {
         if ended.is_none() && nodes[0].has_ended() {
             ended = Some(stopped.elapsed());
-            recorder.say(&format!("the process ended {} ms after SIGTERM", stopped.elapsed().as_millis()));
+            recorder.say(&format!(
+                "the process ended {} ms after SIGTERM",
+                stopped.elapsed().as_millis()
+            ));
         }
         thread::sleep(Duration::from_millis(5));
     }
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -82,7 +82,11 @@
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
-        let store = Self { address, state, replaced: Arc::new(replaced) };
+        let store = Self {
+            address,
+            state,
+            replaced: Arc::new(replaced),
+        };
         let served = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -101,14 +105,18 @@
     }
 
     fn serve(&self, stream: TcpStream) {
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         while let Ok(req) = read_request(&mut reader) {
             // An answer belongs to the era in which its call arrived.
             let era = self.state.0.lock().unwrap().era;
             // An answer takes 4 ms.
             thread::sleep(Duration::from_millis(4));
-            let Some((status, kind, body)) = self.handle(&req, era) else { return };
+            let Some((status, kind, body)) = self.handle(&req, era) else {
+                return;
+            };
             let text = era.map(|era| era.to_string()).unwrap_or_default();
             let mut headers = vec![("content-type", kind)];
             if era.is_some() {
@@ -207,7 +215,10 @@
 
     fn read(&self, req: &Request, era: Option<u64>) -> Option<Reply> {
         let from: usize = req.query("from").and_then(|v| v.parse().ok()).unwrap_or(0);
-        let wait = req.query("wait_ms").and_then(|v| v.parse().ok()).unwrap_or(0);
+        let wait = req
+            .query("wait_ms")
+            .and_then(|v| v.parse().ok())
+            .unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(wait);
         let topic = req.query("topic").unwrap_or_default().to_owned();
         let (state, changed) = &*self.state;
@@ -252,7 +263,10 @@
         if !contents.members.contains_key(&member) {
             contents.generation += 1;
         }
-        let entry = Member { joined: Instant::now(), ttl };
+        let entry = Member {
+            joined: Instant::now(),
+            ttl,
+        };
         contents.members.insert(member.clone(), entry);
         let parts = contents.renew(&member, generation);
         let rows: Vec<String> = parts
@@ -275,12 +289,22 @@
     fn owners(&self) -> Reply {
         let mut state = self.state.0.lock().unwrap();
         state.contents.expire(Instant::now());
-        let rows = state.contents.holders.iter().map(|((topic, part), holder)| {
-            let holder = holder.as_ref().map_or("null".to_owned(), |h| format!("\"{h}\""));
-            format!(r#"["{topic}",{part},{holder},0]"#)
-        });
+        let rows = state
+            .contents
+            .holders
+            .iter()
+            .map(|((topic, part), holder)| {
+                let holder = holder
+                    .as_ref()
+                    .map_or("null".to_owned(), |h| format!("\"{h}\""));
+                format!(r#"["{topic}",{part},{holder},0]"#)
+            });
         let rows: Vec<String> = rows.collect();
-        (200, JSON, format!(r#"{{"parts":[{}]}}"#, rows.join(",")).into_bytes())
+        (
+            200,
+            JSON,
+            format!(r#"{{"parts":[{}]}}"#, rows.join(",")).into_bytes(),
+        )
     }
 }
 
@@ -335,17 +359,28 @@
 }
 
 fn text_field(body: &str, name: &str) -> String {
-    after(body, name).split('"').nth(1).unwrap_or_default().to_owned()
+    after(body, name)
+        .split('"')
+        .nth(1)
+        .unwrap_or_default()
+        .to_owned()
 }
 
 fn number_field(body: &str, name: &str) -> u64 {
-    let digits: String = after(body, name).chars().take_while(char::is_ascii_digit).collect();
+    let digits: String = after(body, name)
+        .chars()
+        .take_while(char::is_ascii_digit)
+        .collect();
     digits.parse().unwrap_or(0)
 }
 
 fn list_field(body: &str, name: &str) -> Vec<String> {
     let list = after(body, name).split(']').next().unwrap_or_default();
-    list.split('"').skip(1).step_by(2).map(str::to_owned).collect()
+    list.split('"')
+        .skip(1)
+        .step_by(2)
+        .map(str::to_owned)
+        .collect()
 }
 
 fn base64(bytes: &[u8]) -> String {
@@ -357,7 +392,11 @@
         for index in 0..4 {
             let bits = (group >> (18 - 6 * index)) & 63;
             let is_data = index <= chunk.len();
-            out.push(if is_data { char::from(ALPHABET[bits as usize]) } else { '=' });
+            out.push(if is_data {
+                char::from(ALPHABET[bits as usize])
+            } else {
+                '='
+            });
         }
     }
     out
--- a/review/harness/uploads.rs
+++ b/review/harness/uploads.rs
@@ -70,7 +70,9 @@
 
 fn upload(recorder: &Recorder, to: SocketAddr, number: u32) {
     let attempt = format!("{:016x}", 0x0b16_0000 + number);
-    let Ok(mut stream) = TcpStream::connect(to) else { return };
+    let Ok(mut stream) = TcpStream::connect(to) else {
+        return;
+    };
     recorder.note(&format!("client sends {attempt} with {BODY_BYTES} B"));
     let _ = stream.write_all(head(&attempt, BODY_BYTES).as_bytes());
     let piece = vec![b'x'; BODY_BYTES / PIECES as usize];
@@ -101,7 +103,9 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let Ok(clone) = stream.try_clone() else { continue };
+        let Ok(clone) = stream.try_clone() else {
+            continue;
+        };
         let mut reader = BufReader::new(clone);
         let mut on_connection = 0;
         while !is_over.load(Ordering::SeqCst) {
@@ -113,7 +117,9 @@
                 break;
             }
             let status = read_answer(&mut reader);
-            recorder.note(&format!("kept connection {client} got {attempt}: status {status:?}"));
+            recorder.note(&format!(
+                "kept connection {client} got {attempt}: status {status:?}"
+            ));
             if status.is_none() {
                 let has_run = !recorder.runs(&attempt).is_empty();
                 if has_run && on_connection > 0 {
@@ -135,15 +141,30 @@
     let mut servers = Vec::new();
     for (index, zone) in zones.iter().enumerate() {
         let id = format!("i-{index}");
-        let work = |_: &Request| Work { first: WORK, events: 0, gap: Duration::ZERO };
+        let work = |_: &Request| Work {
+            first: WORK,
+            events: 0,
+            gap: Duration::ZERO,
+        };
         let server = (id.as_str(), "wuno96b", *zone);
         servers.push(Server::start(server, false, &store, recorder, work));
     }
     let routes = [route("/puxa403/", "non_idempotent", "wuno96b", 5_000)];
     let services = [plain_service("wuno96b")];
     let tenants = BTreeMap::from([("hule930", vec![KEY])]);
-    store.put("keyed.op", "config", Some(configuration(7, &routes, &services, &tenants)));
-    let new = |zone: &&str| Node::new(&case.folder, &format!("front-{zone}-1"), zone, store.address);
+    store.put(
+        "keyed.op",
+        "config",
+        Some(configuration(7, &routes, &services, &tenants)),
+    );
+    let new = |zone: &&str| {
+        Node::new(
+            &case.folder,
+            &format!("front-{zone}-1"),
+            zone,
+            store.address,
+        )
+    };
     let mut nodes: Vec<Node> = zones.iter().map(new).collect();
     nodes.iter_mut().for_each(Node::start);
     if !wait_settled(&nodes, Duration::from_secs(25)) {
@@ -151,7 +172,10 @@
     }
     let started = Instant::now();
     let to = nodes[0].callers;
-    let (is_over, lost) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU32::new(0)));
+    let (is_over, lost) = (
+        Arc::new(AtomicBool::new(false)),
+        Arc::new(AtomicU32::new(0)),
+    );
     let mut kept = Vec::new();
     for client in 0..KEPT {
         let (recorder, is_over, lost) = (recorder.clone(), is_over.clone(), lost.clone());
@@ -162,7 +186,10 @@
     thread::sleep(UPLOADS_AT);
     let mut uploads = Vec::new();
     let count = if case.trouble { UPLOADS } else { 3 };
-    recorder.say(&format!("{count} clients send {BODY_BYTES} B each to {}", nodes[0].name));
+    recorder.say(&format!(
+        "{count} clients send {BODY_BYTES} B each to {}",
+        nodes[0].name
+    ));
     for number in 0..count {
         let recorder = recorder.clone();
         uploads.push(thread::spawn(move || upload(&recorder, to, number)));
@@ -173,7 +200,9 @@
         let used = nodes[0].memory_mb();
         peak = peak.max(used);
         if used > MEMORY_MB {
-            recorder.say(&format!("the process has {used} MB: the platform kills it and starts it again"));
+            recorder.say(&format!(
+                "the process has {used} MB: the platform kills it and starts it again"
+            ));
             kills += 1;
             nodes[0].signal(SIGKILL);
             while !nodes[0].has_ended() {
@@ -185,8 +214,13 @@
         thread::sleep(Duration::from_millis(2));
     }
     is_over.store(true, Ordering::SeqCst);
-    uploads.into_iter().for_each(|upload| upload.join().expect("no panic"));
-    let answered: u32 = kept.into_iter().map(|client| client.join().expect("no panic")).sum();
+    uploads
+        .into_iter()
+        .for_each(|upload| upload.join().expect("no panic"));
+    let answered: u32 = kept
+        .into_iter()
+        .map(|client| client.join().expect("no panic"))
+        .sum();
     let lost = lost.load(Ordering::SeqCst);
     recorder.say(&format!(
         "peak memory {peak} MB, {kills} kills; kept connections: {answered} requests answered, \
