fix(gateway): a planned stop takes only requests that end before the process

What callers saw: a node that had been sent SIGTERM took plain requests for 6 s of its grace period of 8 s, whatever their time limits, and ended after 7.3 s with them open. Callers got a closed connection for work that servers had run (LOST).

Cause: the times of a shutdown were fractions of the grace period alone. Neither the caller's deadline nor the route's timeout was part of the decision, and the process left 0.7 s of its grace period unused.

Change: a request is taken if its time limit, from its head on, is reached 0.4 s before the end of the grace period. Bodies, the queue (no longer beyond the deadline), further sends and streams all end at that limit. All else is refused at once, unsent. Time limits of streams are longer than grace periods, so within the first 2.4 s a stream is also sent if its engines are predicted to end it in time, which is checked when they are free, after the queue. Requests from before SIGTERM have until 0.2 s before SIGKILL; that rest is for late timers and for the last bytes. A process ends when each connection has sent its last response (HTTP/1 and HTTP/2 close gracefully) and no longer after a fixed 0.1 s.

The test `requests_accepted_during_shutdown_can_finish` asserted the fault itself (a request without any time limit is taken at 5.9 s of 8 s); three tests replace it, of which one covers each length of grace period, elapsed time and time limit.

Ruled out: refusing each stream whose deadline is beyond the end. Ruled out too: taking streams for 2.4 s without a look at their length, as before, which is what cuts them.

--- a/crates/core/src/gateway/ticket.rs
+++ b/crates/core/src/gateway/ticket.rs
@@ -87,6 +87,15 @@
         }
     }
 
+    /// Returns the time that the servers are predicted to take for the whole
+    /// response, if they are engines.
+    pub fn predicted_time(&self) -> Option<Duration> {
+        match self {
+            Self::Engines(path) => Duration::try_from_secs_f64(path.cost_ms / 1e3).ok(),
+            Self::Plain { .. } | Self::Peer(_) => None,
+        }
+    }
+
     pub(super) fn reservations(&self) -> Vec<Reservation<'_>> {
         match self {
             Self::Plain { server, .. } => vec![Reservation {
--- a/crates/core/tests/gateway_requests.rs
+++ b/crates/core/tests/gateway_requests.rs
@@ -15,7 +15,7 @@
         Gateway, RouteKind, Target, Ticket, TicketOutcome,
         admission::MAX_QUEUE_WAIT,
         budget::{BudgetConfig, NodeCount, RetryBudget},
-        drain,
+        drain::DrainSchedule,
         peers::{NodeReport, ServerLoad, Source, UnlistedNodes},
         quarantine::CrashReport,
         routes::RouteError,
@@ -401,14 +401,53 @@
     }
 }
 
+/// Guards against requests that a shutdown accepts and then cuts at the end of the
+/// process.
 #[test]
-fn requests_accepted_during_shutdown_can_finish() {
-    let grace = Duration::from_secs(8);
-    let streaming = RouteKind::Streaming { resumable: true };
-    let accepts = |kind, ms| drain::accepts(kind, Duration::from_millis(ms), grace);
-    assert!(accepts(streaming, 2_000) && !accepts(streaming, 2_500));
-    assert!(accepts(RouteKind::Idempotent, 5_900) && !accepts(RouteKind::Idempotent, 6_100));
-    assert!(!accepts(RouteKind::NonIdempotent, 6_100));
+fn requests_accepted_during_shutdown_end_before_the_process() {
+    for grace in [0, 300, 1_000, 8_000, 30_000].map(Duration::from_millis) {
+        let schedule = DrainSchedule::new(grace);
+        assert!(schedule.last_end() <= schedule.exit() && schedule.exit() <= grace);
+        for elapsed in (0..=30_000).step_by(50).map(Duration::from_millis) {
+            for limit in [1, 600, 3_000, 6_000, 20_000].map(Duration::from_millis) {
+                let ends_in_time = elapsed + limit <= schedule.last_end();
+                for kind in [RouteKind::Idempotent, RouteKind::NonIdempotent] {
+                    assert_eq!(schedule.accepts(elapsed, kind, limit), ends_in_time);
+                }
+                assert_eq!(schedule.allows_send(elapsed, limit, None), ends_in_time);
+            }
+        }
+        let kind = RouteKind::NonIdempotent;
+        assert!(!schedule.accepts(Duration::ZERO, kind, Duration::MAX));
+    }
+}
+
+/// The time limit of a stream is longer than most grace periods.
+#[test]
+fn streams_accepted_during_shutdown_are_predicted_to_end_before_the_process() {
+    let schedule = DrainSchedule::new(Duration::from_secs(8));
+    let [early, late] = [1_000, 2_500].map(Duration::from_millis);
+    let [limit, short, long] = [20_000, 4_000, 7_000].map(Duration::from_millis);
+    let stream = RouteKind::Streaming { resumable: false };
+    assert!(schedule.accepts(early, stream, limit) && !schedule.accepts(late, stream, limit));
+    assert!(schedule.allows_send(early, limit, Some(short)));
+    assert!(!schedule.allows_send(early, limit, Some(long)));
+    assert!(!schedule.allows_send(late, limit, Some(short)));
+    assert!(!schedule.allows_send(early, limit, None));
+    assert!(schedule.accepts(late, stream, short) && schedule.allows_send(late, short, None));
+}
+
+/// Callers that keep the node's address are served for as long as their requests
+/// can end.
+#[test]
+fn shutdown_serves_callers_that_keep_the_address() {
+    let schedule = DrainSchedule::new(Duration::from_secs(8));
+    let accepts = |elapsed, limit| {
+        let [elapsed, limit] = [elapsed, limit].map(Duration::from_millis);
+        schedule.accepts(elapsed, RouteKind::Idempotent, limit)
+    };
+    assert!(accepts(6_000, 600) && accepts(4_500, 3_000));
+    assert!(!accepts(5_550, 3_000) && !accepts(3_300, 6_000) && !accepts(4_900, 3_000));
 }
 
 /// An engine on which only a peer observes progress is slow for this node, not
--- a/crates/daemon/src/gateway/connections.rs
+++ b/crates/daemon/src/gateway/connections.rs
@@ -1,6 +1,6 @@
 //! Serves the HTTP/1.1 connections of a listener.
 
-use std::{convert::Infallible, future::Future, net::SocketAddr, time::Duration};
+use std::{convert::Infallible, future::Future, net::SocketAddr, pin::pin, time::Duration};
 
 use http::{Request, Response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -12,6 +12,7 @@
     GatewayStartError,
     body::Body,
     caller_stream::{CallerStream, EndOfResponse},
+    closing::Closing,
 };
 
 /// Largest number of connections that wait to be accepted.
@@ -44,8 +45,8 @@
     bind().map_err(|source| GatewayStartError::Listen { address, source })
 }
 
-/// Serves all connections until the process ends.
-pub(super) async fn serve<H, F>(listener: TcpListener, handler: H)
+/// Serves all connections until the process ends. `closing` ends them earlier.
+pub(super) async fn serve<H, F>(listener: TcpListener, closing: Closing, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
@@ -72,17 +73,23 @@
             async move { Ok::<_, Infallible>(response.await) }
         });
         let stream = CallerStream::new(stream, end.clone());
-        let mut connection = http1::Builder::new()
+        let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(IDLE_TIMEOUT)
             .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(TokioIo::new(stream), service);
         // An error means that the caller disconnected or that a response was cut.
         // The end of each request is logged by its job.
+        let closing = closing.clone();
         tokio::spawn(async move {
-            if (&mut connection).await.is_ok() {
+            let mut connection = pin!(connection);
+            let driving = closing.drive(connection.as_mut(), |c| c.graceful_shutdown());
+            if driving.await.is_ok() {
                 end.record_complete();
             }
         });
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/daemon/src/gateway/directory.rs
+++ b/crates/daemon/src/gateway/directory.rs
@@ -1,7 +1,7 @@
 //! Responds to callers with the nodes to use, and to the platform with the
 //! readiness of this node.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
@@ -14,13 +14,26 @@
 use super::{
     body::{Body, full, text_response},
     host::{GatewayHost, lock},
+    settings::Bounds,
 };
 
 /// Largest number of addresses in one response; callers use no more.
 const MAX_NODES: usize = 64;
-/// TTL of a response, in seconds. Some callers keep a response three times as
-/// long, so a leaving node stays in use for at most six seconds.
-const TTL_S: f64 = 2.0;
+/// TTL of a response.
+const TTL: Duration = Duration::from_secs(2);
+/// Multiple of its TTL for which some callers keep a response.
+const MAX_CACHED_TTLS: u32 = 3;
+
+/// Returns the TTL of a response under these bounds.
+fn ttl(bounds: &Bounds) -> Duration {
+    TTL.min(bounds.max_directory_ttl)
+}
+
+/// Returns the longest time for which callers use a node that a directory has
+/// left out.
+pub(super) fn max_cache_time(bounds: &Bounds) -> Duration {
+    ttl(bounds) * MAX_CACHED_TTLS
+}
 
 /// Responds with the addresses of the nodes to use.
 pub(super) fn resolve(host: &Arc<GatewayHost>, req: &Request<Incoming>) -> Response<Body> {
@@ -48,10 +61,9 @@
             "no node is known to be ready",
         );
     }
-    let max_ttl_s = host.settings.bounds.max_directory_ttl.as_secs_f64();
     let directory = DirectoryResponse {
         addresses,
-        ttl_s: TTL_S.min(max_ttl_s),
+        ttl_s: ttl(&host.settings.bounds).as_secs_f64(),
     };
     let body = serde_json::to_vec(&directory).unwrap_or_default();
     let mut resp = Response::new(full(body));
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -28,6 +28,8 @@
 const NO_ANSWER: &str = "no answer to rely on";
 /// Reason of a refusal because the request, or a part of its prompt, crashes servers.
 const QUARANTINED: &str = "quarantined after crashes";
+/// Reason of a refusal because the request may not end before the process.
+pub(super) const SHUTTING_DOWN: &str = "shutting down";
 
 /// Forwards a request and returns the response for the caller.
 pub(super) async fn forward(mut job: Job) -> Response<Body> {
@@ -37,7 +39,13 @@
     }
     let admission = job
         .host
-        .admit(&job.routed, &job.service, job.demand, job.source)
+        .admit(
+            &job.routed,
+            &job.service,
+            job.demand,
+            job.source,
+            job.deadline,
+        )
         .await;
     job.waited = job.host.now().since(job.arrived);
     let mut guard = match admission {
@@ -53,6 +61,11 @@
             return refuse(&job, retry_after, reason);
         }
     };
+    if !job.ends_before_exit(&guard) {
+        drop(guard);
+        let retry_after = job.host.with_gateway(|g| g.retry_elsewhere_after());
+        return refuse(&job, retry_after, SHUTTING_DOWN);
+    }
     loop {
         if let Some(left) = job.quarantine_left() {
             return end_quarantined(&job, left);
--- a/crates/daemon/src/gateway/host.rs
+++ b/crates/daemon/src/gateway/host.rs
@@ -14,7 +14,7 @@
     gateway::{
         Gateway, RouteKind, StoreEra, Target, Ticket, TicketOutcome,
         admission::{RequestSource, WaitKey},
-        drain,
+        drain::DrainSchedule,
         hubs::HubRole,
         members::MemberTable,
         paths::TokenEstimate,
@@ -29,7 +29,9 @@
 use spdlog::prelude::*;
 use tokio::sync::{Notify, oneshot};
 
-use super::{GatewaySettings, metrics::GatewayMetrics, peer_forwarding::PeerConnections};
+use super::{
+    GatewaySettings, closing::Closing, metrics::GatewayMetrics, peer_forwarding::PeerConnections,
+};
 use crate::clock::Clock;
 
 /// Delay of two reports in a row from which the processor is too busy for requests of peers.
@@ -104,6 +106,8 @@
     pub(super) metrics: GatewayMetrics,
     /// When the shutdown began.
     drain_started: OnceLock<Timestamp>,
+    /// Closes the connections of callers and peers.
+    pub(super) closing: Closing,
     /// Whether the process exits now, even if requests are still open.
     stopping: AtomicBool,
     open_count: AtomicU64,
@@ -215,6 +219,7 @@
             settings,
             metrics: GatewayMetrics::default(),
             drain_started: OnceLock::new(),
+            closing: Closing::default(),
             stopping: AtomicBool::new(false),
             open_count: AtomicU64::new(0),
         }
@@ -271,13 +276,22 @@
         self.drain_started.get().is_some()
     }
 
-    /// Returns whether a request on a route of this kind is still accepted.
-    pub(super) fn accepts(&self, kind: RouteKind) -> bool {
-        let Some(started) = self.drain_started.get() else {
-            return true;
-        };
-        let elapsed = self.now().since(*started);
-        drain::accepts(kind, elapsed, self.settings.bounds.grace_period)
+    /// Returns the times of a shutdown.
+    pub(super) fn drain_schedule(&self) -> DrainSchedule {
+        DrainSchedule::new(self.settings.bounds.grace_period)
+    }
+
+    /// Returns the time since the shutdown began, or `None` if it has not.
+    pub(super) fn drain_elapsed(&self) -> Option<Duration> {
+        let started = self.drain_started.get()?;
+        Some(self.now().since(*started))
+    }
+
+    /// Returns whether a new request with this time limit is still accepted.
+    pub(super) fn accepts(&self, kind: RouteKind, time_limit: Duration) -> bool {
+        let schedule = self.drain_schedule();
+        self.drain_elapsed()
+            .is_none_or(|elapsed| schedule.accepts(elapsed, kind, time_limit))
     }
 
     /// Begins the shutdown.
@@ -306,13 +320,15 @@
         OpenRequestGuard { host: self.clone() }
     }
 
-    /// Admits a new request, queues it until there is capacity, or refuses it.
+    /// Admits a new request, queues it until there is capacity, or refuses it. It
+    /// is not queued beyond its `deadline`.
     pub(super) async fn admit(
         self: &Arc<Self>,
         routed: &RouteMatch,
         service: &ServiceId,
         demand: Option<TokenEstimate>,
         source: RequestSource,
+        deadline: Timestamp,
     ) -> AdmissionOutcome {
         let now = self.now();
         let admission = self.with_gateway(|g| g.admit_from(now, routed, service, demand, source));
@@ -331,7 +347,7 @@
         let (tx, mut rx) = oneshot::channel();
         lock(&self.waiters).insert(key, tx);
         let _guard = WaitGuard { host: self, key };
-        let max_wait = until.since(now);
+        let max_wait = until.min(deadline).since(now);
         match tokio::time::timeout(max_wait, &mut rx).await {
             Ok(Ok(guard)) => AdmissionOutcome::Admitted(guard),
             _ => match rx.try_recv() {
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -27,7 +27,7 @@
 use super::{
     body::{Body, text_response},
     exchange::OutgoingRequest,
-    forward::{forward, set_retry_after},
+    forward::{SHUTTING_DOWN, forward, set_retry_after},
     host::{GatewayHost, OpenRequestGuard},
     job::Job,
     peer_forwarding::NodeOutcome,
@@ -114,14 +114,14 @@
     if head.method == Method::CONNECT {
         return refuse(StatusCode::METHOD_NOT_ALLOWED, "a tunnel is not forwarded");
     }
-    if !host.accepts(routed.route.kind) {
-        let mut resp = refuse(StatusCode::SERVICE_UNAVAILABLE, "shutting down");
-        set_retry_after(&mut resp, host.with_gateway(|g| g.retry_elsewhere_after()));
-        return resp;
-    }
     let arrived = host.now();
     let timeout = routed.route.timeout;
     let time_limit = caller_request.deadline.map_or(timeout, |d| d.min(timeout));
+    if !host.accepts(routed.route.kind, time_limit) {
+        let mut resp = refuse(StatusCode::SERVICE_UNAVAILABLE, SHUTTING_DOWN);
+        set_retry_after(&mut resp, host.with_gateway(|g| g.retry_elsewhere_after()));
+        return resp;
+    }
     let body = match tokio::time::timeout(time_limit, read_body(host, body)).await {
         Ok(Ok(body)) => body,
         Ok(Err(ReadError::TooLarge)) => {
--- a/crates/daemon/src/gateway/job.rs
+++ b/crates/daemon/src/gateway/job.rs
@@ -131,6 +131,16 @@
         self.deadline.since(self.host.now())
     }
 
+    /// Returns whether the request ends before a shutdown of the node does, as far as
+    /// is known, if it is sent now.
+    pub(super) fn ends_before_exit(&self, guard: &TicketGuard) -> bool {
+        let schedule = self.host.drain_schedule();
+        let predicted = guard.target().predicted_time();
+        self.host
+            .drain_elapsed()
+            .is_none_or(|elapsed| schedule.allows_send(elapsed, self.remaining(), predicted))
+    }
+
     /// Returns whether the route allows one more send that may run.
     pub(super) fn may_retry(&self) -> bool {
         if self.source == RequestSource::Peer {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 mod body;
 mod caller_stream;
+mod closing;
 mod connections;
 mod crash;
 mod directory;
--- a/crates/daemon/src/gateway/peer_forwarding/server.rs
+++ b/crates/daemon/src/gateway/peer_forwarding/server.rs
@@ -1,6 +1,6 @@
 //! Takes requests that peers forward.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{convert::Infallible, pin::pin, sync::Arc, time::Duration};
 
 use http::{HeaderValue, Request, Response};
 use hyper::{body::Incoming, server::conn::http2, service::service_fn};
@@ -44,6 +44,7 @@
         debug!("a peer closed its connection", kv: { error = error.to_string() });
         return;
     }
+    let closing = host.closing.clone();
     let service = service_fn(move |req| {
         let host = host.clone();
         async move { Ok::<_, Infallible>(handle(host, req).await) }
@@ -59,7 +60,8 @@
         .serve_connection(TokioIo::new(stream), service);
     // The sender notices the end of a connection by its requests.
     tokio::spawn(async move {
-        let _ = connection.await;
+        let connection = pin!(connection);
+        let _ = closing.drive(connection, |c| c.graceful_shutdown()).await;
     });
 }
 
--- a/crates/daemon/src/gateway/shutdown.rs
+++ b/crates/daemon/src/gateway/shutdown.rs
@@ -14,18 +14,16 @@
     members, metrics, peer_forwarding, peers, placer, store_sync,
 };
 
-/// Fraction of the grace period before SIGKILL that a shutdown may use.
-const GRACE_PERIOD_FRACTION: f64 = 0.9;
-/// Minimum time for which the node keeps serving after the shutdown began.
-/// Callers learn of the shutdown from the directory, so this is three times the
-/// TTL of a directory response, minus the time that open requests take.
-const MIN_DRAIN_TIME: Duration = Duration::from_millis(6_200);
+/// Time until the directories of all nodes leave a node out that shuts down.
+const DIRECTORY_DELAY: Duration = Duration::from_millis(200);
 /// Interval at which a shutdown checks whether all requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Number of ports that are tried if any free one may be used.
 const MAX_PORT_ATTEMPTS: u32 = 16;
-/// Time for which the process stays up after the last request, to send the last
-/// bytes of responses.
+/// Time for which the process stays up after [`DrainSchedule::exit`], to send the
+/// last bytes of responses.
+///
+/// [`DrainSchedule::exit`]: radishhaven_core::gateway::drain::DrainSchedule::exit
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 
 fn listen_for(kind: SignalKind) -> Result<Signal, GatewayStartError> {
@@ -107,24 +105,35 @@
         });
         let host = Arc::new(Self::new(settings));
         let shared_host = host.clone();
-        tokio::spawn(connections::serve(caller_listener, move |req| {
-            ingress::handle(shared_host.clone(), req)
-        }));
+        let closing = &host.closing;
+        tokio::spawn(connections::serve(
+            caller_listener,
+            closing.clone(),
+            move |req| ingress::handle(shared_host.clone(), req),
+        ));
         let shared_host = host.clone();
-        tokio::spawn(connections::serve(readiness_listener, move |req| {
-            std::future::ready(directory::readiness(&shared_host, &req))
-        }));
+        tokio::spawn(connections::serve(
+            readiness_listener,
+            closing.clone(),
+            move |req| std::future::ready(directory::readiness(&shared_host, &req)),
+        ));
         let shared_host = host.clone();
-        tokio::spawn(connections::serve(directory_listener, move |req| {
-            std::future::ready(directory::resolve(&shared_host, &req))
-        }));
+        tokio::spawn(connections::serve(
+            directory_listener,
+            closing.clone(),
+            move |req| std::future::ready(directory::resolve(&shared_host, &req)),
+        ));
         let shared_host = host.clone();
-        tokio::spawn(connections::serve(metrics_listener, move |req| {
-            std::future::ready(match req.uri().path() {
-                dump::DUMP_PATH => dump::render(&shared_host),
-                _ => metrics::render(&shared_host),
-            })
-        }));
+        tokio::spawn(connections::serve(
+            metrics_listener,
+            closing.clone(),
+            move |req| {
+                std::future::ready(match req.uri().path() {
+                    dump::DUMP_PATH => dump::render(&shared_host),
+                    _ => metrics::render(&shared_host),
+                })
+            },
+        ));
         tokio::spawn(store_sync::configuration::run(host.clone()));
         tokio::spawn(store_sync::registry::run(host.clone()));
         tokio::spawn(members::run(host.clone()));
@@ -142,12 +151,9 @@
         let started_at = self.now();
         self.begin_drain();
         info!("shutting down gracefully", kv: { open = self.open_requests() });
-        let max_time = self
-            .settings
-            .bounds
-            .grace_period
-            .mul_f64(GRACE_PERIOD_FRACTION);
-        let min_time = MIN_DRAIN_TIME.min(max_time);
+        let max_time = self.drain_schedule().exit();
+        let max_cached = directory::max_cache_time(&self.settings.bounds);
+        let min_time = (max_cached + DIRECTORY_DELAY).min(max_time);
         loop {
             let elapsed = self.now().since(started_at);
             let idle = self.open_requests() == 0;
@@ -156,8 +162,10 @@
             }
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
-        let all_ended = self.open_requests() == 0;
-        tokio::time::sleep(FLUSH_TIME).await;
+        self.closing.begin();
+        let time_left = max_time.saturating_sub(self.now().since(started_at)) + FLUSH_TIME;
+        let closed = tokio::time::timeout(time_left, self.closing.ended()).await;
+        let all_ended = self.open_requests() == 0 && closed.is_ok();
         self.set_stopping();
         info!("stopped", kv: { all_requests_ended = all_ended, open = self.open_requests() });
         all_ended
