fix(gateway): bound what a crash under long prompts costs

What callers saw: after one of six servers had crashed while five prompts of 1,000 parts waited there, all seven nodes hung. Plain requests for other servers had no answer after their timeout (CONFIG), and the nodes grew from 10 MB to 210 MB.

Change: crashes are bits, and the order of parts stays in the prompts, so that the evidence costs as much as it has causes. It, reports and answers are bounded; what has no room is left out in a stated order and logged (docs/design/quarantine.md). Parts of long prompts take turns: a fixed number of them would let a deadly part hide. With much evidence a review waits for up to 250 ms. A message that is too large lacks details. Messages keep their form; bytes of the version before are kept as fixtures.

--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -132,11 +132,6 @@
 }
 
 impl Peer {
-    /// Returns the report.
-    pub(super) fn report(&self) -> &NodeReport {
-        &self.report
-    }
-
     fn is_fresh(&self, now: Timestamp) -> bool {
         now.since(self.received_at) < MAX_REPORT_AGE
     }
--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -8,19 +8,31 @@
 //! they have seen, since such requests come to all of them. See
 //! `docs/design/quarantine.md`.
 
+mod answers;
 mod evidence;
 mod report;
+mod reporting;
+mod selection;
+mod suspects;
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
 use serde::Serialize;
 
-use self::evidence::Evidence;
-pub use self::report::{CrashReport, ReportedQuarantine, Suspect};
-use super::{crash_cause::CrashCause, notices::Incarnation, peers::NodeReport, state::Gateway};
+use self::{
+    answers::Answers,
+    evidence::{CountedSuspect, Evidence},
+    suspects::{KnownSuspect, OwnSuspect, Suspects},
+};
+pub use self::{
+    report::{CrashReport, ReportedQuarantine, Suspect},
+    reporting::{MAX_REPORTED_ANSWERS, MAX_REPORTED_CAUSES},
+    suspects::MAX_SUSPECTS,
+};
+use super::{crash_cause::CrashCause, notices::Incarnation, state::Gateway};
 use crate::{ids::VmId, time::Timestamp};
 
 /// Crashes on requests with a cause after which it is quarantined.
@@ -52,12 +64,16 @@
 /// nodes find this out too and release its causes.
 const DISPROOF_TIME: Duration = Duration::from_secs(2);
 /// Maximum number of causes that are remembered as disproved.
-const MAX_DISPROVED: usize = 256;
-/// Maximum number of causes of which it is known when they were last answered.
-const MAX_ANSWERED: usize = 8_192;
-/// Maximum number of suspect requests that a node keeps, and that a report
-/// contains.
-pub const MAX_SUSPECTS: usize = 32;
+const MAX_DISPROVED: usize = 2_048;
+/// Work of a review that is done with each report and each crash: the number of
+/// causes, suspects and reported quarantines.
+const FREE_REVIEW_WORK: usize = 256;
+/// Time to the next review for each unit of work beyond [`FREE_REVIEW_WORK`]. A
+/// review takes a small fraction of it, so that reviews can't keep a node busy however
+/// much evidence there is.
+const REVIEW_GAP: Duration = Duration::from_micros(16);
+/// Longest time to the next review: about the interval of reports.
+const MAX_REVIEW_GAP: Duration = Duration::from_millis(250);
 /// Maximum number of quarantined causes.
 pub const MAX_QUARANTINED: usize = 64;
 
@@ -119,19 +135,23 @@
 /// The causes of crashes, and the evidence for and against them.
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    /// When a request with the cause was last answered, at this node or at a peer
-    /// that reported it.
-    answered: BTreeMap<CrashCause, Timestamp>,
-    /// Suspect requests of this node, with the time of the crash.
-    suspects: VecDeque<(Timestamp, Suspect)>,
+    answers: Answers,
+    /// Suspect requests of this node.
+    suspects: Suspects,
     /// Suspect requests of this node that don't count yet, because it reaches no server
     /// of the service.
-    doubtful: VecDeque<(Timestamp, Suspect)>,
+    doubtful: Suspects,
     /// Causes of suspects whose servers went on, and when that was last found.
     disproved: BTreeMap<CrashCause, Timestamp>,
     quarantined: BTreeMap<CrashCause, Quarantined>,
     /// The requests under suspicion at any node. Answers to others are not kept.
     watched: BTreeSet<CrashCause>,
+    /// The causes whose answers are reported, the most important ones first.
+    suspected: Vec<CrashCause>,
+    /// Before this time, the evidence is not reviewed again.
+    next_review: Timestamp,
+    /// Number of causes for which the evidence or the reports had no room.
+    left_out: usize,
     changes: Vec<QuarantineChange>,
 }
 
@@ -143,53 +163,9 @@
                 CrashCause::Request(_) => self.watched.contains(cause),
             };
             if is_kept {
-                self.answered.insert(*cause, now);
+                self.answers.record(*cause, now);
             }
         }
-        self.limit_answered(now);
-    }
-
-    fn limit_answered(&mut self, now: Timestamp) {
-        if self.answered.len() > MAX_ANSWERED {
-            self.answered
-                .retain(|cause, at| now.since(*at) < cause.memory() / 2);
-        }
-        while self.answered.len() > MAX_ANSWERED {
-            self.answered.pop_first();
-        }
-    }
-
-    /// Keeps a suspect request. If there are too many, those are dropped first whose
-    /// causes were all answered lately.
-    fn record_suspect(&mut self, now: Timestamp, suspect: Suspect) {
-        if self.suspects.iter().any(|(_, known)| *known == suspect) {
-            return;
-        }
-        if self.suspects.len() >= MAX_SUSPECTS {
-            let is_cleared = |(_, suspect): &(Timestamp, Suspect)| self.is_cleared(now, suspect);
-            let cleared = self.suspects.iter().position(is_cleared);
-            self.suspects.remove(cleared.unwrap_or_default());
-        }
-        self.suspects.push_back((now, suspect));
-    }
-
-    /// Keeps a suspect request that does not count yet.
-    fn doubt(&mut self, at: Timestamp, suspect: Suspect) {
-        let is_known = self.doubtful.iter().any(|(_, known)| *known == suspect);
-        if !is_known && self.doubtful.len() < MAX_SUSPECTS {
-            self.doubtful.push_back((at, suspect));
-        }
-    }
-
-    fn is_cleared(&self, now: Timestamp, suspect: &Suspect) -> bool {
-        let mut causes = suspect.causes.iter();
-        causes.all(|cause| self.last_answered(now, *cause).is_some())
-    }
-
-    /// Returns when a cause was last answered, if that still speaks for it.
-    fn last_answered(&self, now: Timestamp, cause: CrashCause) -> Option<Timestamp> {
-        let answered = self.answered.get(&cause).copied();
-        answered.filter(|at| now.since(*at) < cause.memory())
     }
 
     /// Records what a peer has reported about answers. They are kept, because the
@@ -197,15 +173,13 @@
     fn record_peer_answers(&mut self, now: Timestamp, answered: &BTreeMap<CrashCause, u64>) {
         for (cause, age_ms) in answered {
             let at = now - Duration::from_millis(*age_ms);
-            let known = self.answered.entry(*cause).or_insert(at);
-            *known = at.max(*known);
+            self.answers.record(*cause, at);
         }
-        self.limit_answered(now);
     }
 
     fn expire(&mut self, now: Timestamp) {
         self.suspects
-            .retain(|(at, _)| now.since(*at) < REQUEST_MEMORY);
+            .retain(|own| now.since(own.at) < REQUEST_MEMORY);
         self.quarantined
             .retain(|cause, quarantined| quarantined.is_remembered(now, *cause));
     }
@@ -261,7 +235,9 @@
             causes: causes.to_vec(),
             age_ms: 0,
         };
-        self.quarantine.doubt(now, suspect);
+        let answers = &self.quarantine.answers;
+        let own = OwnSuspect::new(now, suspect, |cause| answers.last(now, cause).is_some());
+        self.quarantine.doubtful.push(own);
         self.review_quarantine(now);
     }
 
@@ -275,17 +251,20 @@
     /// Counts the doubtful suspects as soon as this node reaches another server of the
     /// service, or after a time in which none of the servers has gone on.
     fn review_doubtful(&mut self, now: Timestamp) {
-        for (at, suspect) in std::mem::take(&mut self.quarantine.doubtful) {
-            if self.goes_on(at, &suspect) {
+        for own in self.quarantine.doubtful.take() {
+            if self.goes_on(own.at, &own.suspect) {
                 continue;
             }
-            let row = self.servers.get(&suspect.server);
+            let row = self.servers.get(&own.suspect.server);
             let service = row.map(|row| &row.entry.service);
-            let is_doubtful = now.since(at) < DOUBT_TIME
+            let is_doubtful = now.since(own.at) < DOUBT_TIME
                 && service.is_some_and(|service| self.has_lost_all_links(now, service));
-            match is_doubtful {
-                true => self.quarantine.doubt(at, suspect),
-                false => self.quarantine.record_suspect(at, suspect),
+            if is_doubtful {
+                self.quarantine.doubtful.push(own);
+            } else {
+                let answers = &self.quarantine.answers;
+                let suspects = &mut self.quarantine.suspects;
+                suspects.push_over(own, |suspect| answers.clear(now, suspect));
             }
         }
     }
@@ -299,21 +278,10 @@
 
     /// Remembers the causes of suspects whose servers go on, and drops those of this node
     /// after a time in which all nodes have found this out.
-    fn disprove_suspects(&mut self, now: Timestamp) {
-        let own = self.quarantine.suspects.iter();
-        let own = own.map(|(at, suspect)| (*at, suspect));
-        let of_peers = self.fresh_reports(now).flat_map(|(received_at, report)| {
-            let suspects = report.crashes.suspects.iter();
-            suspects.map(move |s| (received_at - Duration::from_millis(s.age_ms), s))
-        });
-        let disproved = own.chain(of_peers);
-        let disproved = disproved.filter(|(at, suspect)| self.goes_on(*at, suspect));
-        let causes: BTreeSet<CrashCause> = disproved
-            .flat_map(|(_, suspect)| suspect.causes.iter().copied())
-            .collect();
+    fn disprove(&mut self, now: Timestamp, causes: BTreeSet<CrashCause>) {
         let mut suspects = std::mem::take(&mut self.quarantine.suspects);
         suspects
-            .retain(|(at, suspect)| now.since(*at) < DISPROOF_TIME || !self.goes_on(*at, suspect));
+            .retain(|own| now.since(own.at) < DISPROOF_TIME || !self.goes_on(own.at, &own.suspect));
         self.quarantine.suspects = suspects;
         let known = &mut self.quarantine.disproved;
         known.retain(|_, at| now.since(*at) < PART_MEMORY);
@@ -328,7 +296,7 @@
     /// quarantine it.
     fn is_disproved(&self, evidence: &Evidence, cause: CrashCause) -> bool {
         self.quarantine.disproved.contains_key(&cause)
-            && evidence.crashes_on(cause, |_| true) < MIN_CRASHES
+            && evidence.crashes_on(cause).len() < MIN_CRASHES
     }
 
     /// Returns whether this node has recorded a crash of the server's current run.
@@ -337,16 +305,18 @@
             return false;
         };
         let incarnation = Incarnation::from(&row.entry);
-        let mut suspects = self.quarantine.suspects.iter();
-        suspects.any(|(_, s)| s.server == *server && s.incarnation == incarnation)
+        let mut suspects = self.quarantine.suspects.iter().map(|own| &own.suspect);
+        suspects.any(|s| s.server == *server && s.incarnation == incarnation)
     }
 
     /// Returns the time until requests with these causes may reach servers again, or
     /// `None` if they may now.
     pub fn quarantine_left(&self, now: Timestamp, causes: &[CrashCause]) -> Option<Duration> {
-        let quarantined = causes
-            .iter()
-            .filter_map(|cause| self.quarantine.quarantined.get(cause));
+        let known = &self.quarantine.quarantined;
+        if known.is_empty() {
+            return None;
+        }
+        let quarantined = causes.iter().filter_map(|cause| known.get(cause));
         let until = quarantined.map(|quarantined| quarantined.until).max()?;
         (now < until).then(|| until.since(now))
     }
@@ -361,99 +331,38 @@
         std::mem::take(&mut self.quarantine.changes)
     }
 
-    /// Returns this node's report about crashes, with the evidence of the
-    /// reports that it covers and the time at which each was received.
-    pub(super) fn crash_report(
-        &self,
-        now: Timestamp,
-        covered: &[(Timestamp, &NodeReport)],
-    ) -> CrashReport {
-        let quarantined = self.quarantine.quarantined.iter();
-        let quarantined = quarantined.filter(|(_, quarantined)| now < quarantined.until);
-        let quarantined = quarantined.map(|(cause, quarantined)| {
-            let reported = ReportedQuarantine {
-                left_ms: quarantined.until.since(now).as_millis() as u64,
-                crashes: quarantined.crashes,
-            };
-            (*cause, reported)
-        });
-        CrashReport {
-            suspects: self.reported_suspects(now, covered),
-            answered: self.reported_answers(now),
-            quarantined: quarantined.collect(),
-        }
+    /// Returns the number of causes for which the evidence or the reports of this node
+    /// have no room at a time.
+    pub fn crash_causes_left_out(&self) -> usize {
+        self.quarantine.left_out
     }
 
-    fn reported_suspects(
-        &self,
-        now: Timestamp,
-        covered: &[(Timestamp, &NodeReport)],
-    ) -> Vec<Suspect> {
-        let own = self.quarantine.suspects.iter();
-        let own = own.map(|(at, suspect)| (now.since(*at), suspect));
-        let of_peers = covered.iter().flat_map(|(received_at, report)| {
-            let transit = now.since(*received_at);
-            let suspects = report.crashes.suspects.iter();
-            suspects.map(move |suspect| (transit, suspect))
-        });
-        let mut suspects: Vec<Suspect> = own
-            .chain(of_peers)
-            .map(|(age, suspect)| Suspect {
-                age_ms: suspect.age_ms + age.as_millis() as u64,
-                ..suspect.clone()
-            })
-            .collect();
-        suspects.sort_by_key(|s| (self.quarantine.is_cleared(now, s), s.age_ms));
-        suspects.truncate(MAX_SUSPECTS);
-        suspects
-    }
-
-    fn reported_answers(&self, now: Timestamp) -> BTreeMap<CrashCause, u64> {
-        let causes = self.suspect_causes().into_iter();
-        let answered = causes.filter_map(|cause| {
-            let age = now.since(self.quarantine.last_answered(now, cause)?);
-            Some((cause, age.as_millis() as u64))
-        });
-        answered.collect()
-    }
-
-    /// Returns the causes for which it matters whether they were answered.
-    fn suspect_causes(&self) -> BTreeSet<CrashCause> {
-        let own = self.quarantine.suspects.iter();
-        let own = own.flat_map(|(_, suspect)| &suspect.causes);
-        let of_peers = self.peers.values().flat_map(|peer| {
-            let reported = &peer.report().crashes;
-            let suspects = reported.suspects.iter();
-            let causes = suspects.flat_map(|suspect| &suspect.causes);
-            causes.chain(reported.quarantined.keys())
-        });
-        let quarantined = self.quarantine.quarantined.keys();
-        own.chain(of_peers).chain(quarantined).copied().collect()
+    /// Returns the suspects of this node and of the recent reports, the latest ones if
+    /// there are too many.
+    fn known_suspects(&self, now: Timestamp) -> Vec<KnownSuspect<'_>> {
+        let of_peers = self.fresh_reports(now);
+        let of_peers = of_peers.map(|(received_at, report)| (received_at, &report.crashes));
+        suspects::latest(&self.quarantine.suspects, of_peers)
     }
 
     /// Collects the evidence of this node and of the recent reports.
-    fn evidence(&self, now: Timestamp) -> Evidence {
-        let mut evidence = Evidence::default();
-        let own = self.quarantine.suspects.iter();
-        let own = own.map(|(at, suspect)| (*at, suspect));
-        let of_peers = self.fresh_reports(now).flat_map(|(received_at, report)| {
-            let suspects = report.crashes.suspects.iter();
-            suspects.map(move |s| (received_at - Duration::from_millis(s.age_ms), s))
+    fn evidence(&self, now: Timestamp, suspects: &[KnownSuspect<'_>]) -> Evidence {
+        // All causes of this node's suspects count, so that one of them is found as soon
+        // as a peer reports it too.
+        let (own, of_peers): (Vec<KnownSuspect<'_>>, Vec<KnownSuspect<'_>>) =
+            suspects.iter().copied().partition(|known| known.is_own);
+        let own_causes: usize = own.iter().map(KnownSuspect::count).sum();
+        let room = evidence::MAX_CAUSES.saturating_sub(own_causes);
+        let share = selection::fair_share(of_peers.iter().map(KnownSuspect::count), room);
+        let counted = own.iter().chain(&of_peers).map(|known| {
+            let at = known.at;
+            let share = if known.is_own { usize::MAX } else { share };
+            let mut causes = known.select(share, now);
+            causes.retain(|cause| now.since(at) < cause.memory());
+            let crash = (&known.suspect.server, &known.suspect.incarnation);
+            CountedSuspect { crash, at, causes }
         });
-        for (at, suspect) in own.chain(of_peers) {
-            if self.goes_on(at, suspect) {
-                continue;
-            }
-            let is_recent = |cause: &&CrashCause| now.since(at) < cause.memory();
-            let causes = suspect.causes.iter().filter(is_recent);
-            evidence.record_crash(at, suspect, causes.copied().collect());
-        }
-        for cause in evidence.causes() {
-            if let Some(at) = self.quarantine.last_answered(now, cause) {
-                evidence.answered.insert(cause, at);
-            }
-        }
-        evidence
+        Evidence::new(counted, |cause| self.quarantine.answers.last(now, cause))
     }
 
     /// Applies what a peer has reported about crashes.
@@ -461,26 +370,53 @@
         self.quarantine.record_peer_answers(now, &report.answered);
     }
 
-    /// Quarantines causes and releases them, as the evidence of all nodes demands.
-    pub(super) fn review_quarantine(&mut self, now: Timestamp) {
+    /// Quarantines causes and releases them, as the evidence of all nodes demands. If
+    /// there is much evidence, it is reviewed only after some time since the last
+    /// review.
+    pub fn review_quarantine(&mut self, now: Timestamp) {
         self.quarantine.expire(now);
         self.review_doubtful(now);
-        self.disprove_suspects(now);
-        let evidence = self.evidence(now);
-        self.quarantine.watched = self.quarantine.quarantined.keys().copied().collect();
-        self.quarantine.watched.extend(evidence.causes());
-        self.adopt_quarantines(now, &evidence);
+        if now < self.quarantine.next_review {
+            return;
+        }
+        let mut suspects = self.known_suspects(now);
+        let disproved = suspects.extract_if(.., |known| self.goes_on(known.at, known.suspect));
+        let disproved = disproved.flat_map(|known| known.suspect.causes.iter().copied());
+        let disproved = disproved.take(MAX_DISPROVED).collect();
+        let evidence = self.evidence(now, &suspects);
+        let left_out = self.count_left_out(&suspects, &evidence);
+        self.disprove(now, disproved);
+        self.quarantine.left_out = left_out;
+        let quarantined = self.quarantine.quarantined.keys();
+        let requests = quarantined.copied().chain(evidence.requests());
+        self.quarantine.watched = requests.collect();
+        let reported = self.reported_quarantines(now);
+        let (causes, suspects) = evidence.size();
+        let work = causes + suspects + reported.len();
+        let gap = REVIEW_GAP * work.saturating_sub(FREE_REVIEW_WORK) as u32;
+        self.quarantine.next_review = now + gap.min(MAX_REVIEW_GAP);
+        self.adopt_quarantines(now, &evidence, &reported);
         self.release_answered(now, &evidence);
+        self.accuse_causes(now, &evidence);
+        self.quarantine.suspected = self.suspected_causes(&evidence, &reported);
+    }
+
+    /// Quarantines the causes that the evidence accuses.
+    fn accuse_causes(&mut self, now: Timestamp, evidence: &Evidence) {
+        // Fewer crashes accuse only causes that were quarantined before.
+        let quarantined = &self.quarantine.quarantined;
+        let causes = evidence.causes().filter(|(cause, crashes)| {
+            crashes.len() >= MIN_CRASHES || quarantined.contains_key(cause)
+        });
         // Causes without an answer come first: they account for the crashes on the
         // causes beside them.
-        let (answered, unanswered): (Vec<CrashCause>, Vec<CrashCause>) = evidence
-            .causes()
-            .into_iter()
+        let (answered, unanswered): (Vec<CrashCause>, Vec<CrashCause>) = causes
+            .map(|(cause, _)| cause)
             .partition(|cause| evidence.answered.contains_key(cause));
         for causes in [unanswered, answered] {
             let accused: BTreeMap<CrashCause, Quarantined> = causes
                 .into_iter()
-                .filter_map(|cause| Some((cause, self.accuse(now, &evidence, cause)?)))
+                .filter_map(|cause| Some((cause, self.accuse(now, evidence, cause)?)))
                 .collect();
             // A request does not account for its parts unless they were answered:
             // the next request with a deadly part is another one.
@@ -489,9 +425,10 @@
                 .filter(|cause| matches!(cause, CrashCause::Part(_)))
                 .copied()
                 .collect();
+            // Of two parts of a prompt, fewer sound ones share the later.
+            let preceding = evidence.preceding(&accused_parts);
             for (cause, quarantined) in accused {
-                // Of two parts of a prompt, fewer sound ones share the later.
-                if !evidence.precedes_any(cause, &accused_parts) {
+                if !preceding.contains(&cause) {
                     self.quarantine.insert(cause, quarantined);
                 }
             }
@@ -519,36 +456,52 @@
         let needed = match self.quarantine.quarantined.get(&cause) {
             Some(active) if now < active.until => active.crashes + 1,
             Some(ended) => {
-                let again = evidence.crashes_on(cause, |crash| crash.at >= ended.until);
-                crashes = ended.crashes + again;
+                let later = evidence.crashes(|at| at >= ended.until);
+                let again = evidence.crashes_on(cause) & later;
+                crashes = ended.crashes + again.len();
                 ended.crashes + 1
             }
             None if evidence.answered.contains_key(&cause) => MIN_CRASHES_IF_ANSWERED,
+            None if crashes < MIN_CRASHES => return None,
             None if evidence.is_ambiguous(cause) => MIN_CRASHES_IF_AMBIGUOUS,
             None => MIN_CRASHES,
         };
         (crashes >= needed).then(|| Quarantined::new(now, cause, crashes))
     }
 
-    /// Adopts the quarantines of the peers.
-    fn adopt_quarantines(&mut self, now: Timestamp, evidence: &Evidence) {
-        let of_peers = self.fresh_reports(now).flat_map(|(received_at, report)| {
-            let quarantined = report.crashes.quarantined.iter();
-            quarantined.map(move |(cause, reported)| {
+    /// Returns the quarantines of the peers, the longest one of each cause.
+    fn reported_quarantines(&self, now: Timestamp) -> BTreeMap<CrashCause, Quarantined> {
+        let mut longest: BTreeMap<CrashCause, Quarantined> = BTreeMap::new();
+        for (received_at, report) in self.fresh_reports(now) {
+            for (cause, reported) in &report.crashes.quarantined {
                 let until = received_at + Duration::from_millis(reported.left_ms);
                 let crashes = reported.crashes;
-                (*cause, Quarantined { until, crashes })
-            })
-        });
-        let of_peers: Vec<(CrashCause, Quarantined)> = of_peers.collect();
-        for (cause, quarantined) in of_peers {
-            let own = self.quarantine.quarantined.get(&cause);
+                let known = longest.get(cause);
+                if known.is_none_or(|known| known.until < until) {
+                    longest.insert(*cause, Quarantined { until, crashes });
+                }
+            }
+        }
+        longest
+    }
+
+    /// Adopts the quarantines of the peers.
+    fn adopt_quarantines(
+        &mut self,
+        now: Timestamp,
+        evidence: &Evidence,
+        reported: &BTreeMap<CrashCause, Quarantined>,
+    ) {
+        for (cause, quarantined) in reported {
+            let own = self.quarantine.quarantined.get(cause);
             let is_longer = own.is_none_or(|own| own.until < quarantined.until);
             let is_current = now < quarantined.until;
-            let is_sound =
-                self.is_bystander(now, evidence, cause) || self.is_disproved(evidence, cause);
-            if is_longer && is_current && !is_sound {
-                self.quarantine.insert(cause, quarantined);
+            if is_longer
+                && is_current
+                && !self.is_bystander(now, evidence, *cause)
+                && !self.is_disproved(evidence, *cause)
+            {
+                self.quarantine.insert(*cause, *quarantined);
             }
         }
     }
@@ -569,9 +522,9 @@
     /// of them, and there were too few to tell the two apart.
     fn is_bystander(&self, now: Timestamp, evidence: &Evidence, cause: CrashCause) -> bool {
         let crashes = self.unexplained_crashes(now, evidence, cause);
-        let is_answered = self.quarantine.last_answered(now, cause).is_some();
-        let is_ambiguous = evidence.is_ambiguous(cause)
-            && evidence.crashes_on(cause, |_| true) < MIN_CRASHES_IF_AMBIGUOUS;
+        let is_answered = self.quarantine.answers.last(now, cause).is_some();
+        let is_ambiguous = evidence.crashes_on(cause).len() < MIN_CRASHES_IF_AMBIGUOUS
+            && evidence.is_ambiguous(cause);
         is_ambiguous || (is_answered && crashes < MIN_CRASHES_IF_ANSWERED)
     }
 }
--- a/crates/core/tests/gateway_fakes/mod.rs
+++ b/crates/core/tests/gateway_fakes/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod crashes;
 pub mod fleet;
 
 use std::{
--- a/crates/daemon/src/gateway/crash.rs
+++ b/crates/daemon/src/gateway/crash.rs
@@ -73,7 +73,7 @@
     });
     let host = &job.host;
     let now = host.now();
-    host.with_gateway(|g| g.record_crash(now, server, &job.causes()));
+    host.with_gateway(|g| g.record_crash(now, server, &job.causes));
     host.publish_quarantine();
     host.report_soon.notify_one();
 }
--- a/crates/daemon/src/gateway/host.rs
+++ b/crates/daemon/src/gateway/host.rs
@@ -88,6 +88,8 @@
     pub(super) newer_configuration: Notify,
     /// Wakes requests when some are quarantined.
     pub(super) quarantine_changed: Notify,
+    /// Whether causes of crashes are left out of the evidence or the reports at a time.
+    leaves_causes_out: AtomicBool,
     /// Wakes the sender of reports when peers should learn something at once.
     pub(super) report_soon: Notify,
     /// Wakes the task that probes links.
@@ -210,6 +212,7 @@
             peers: Mutex::default(),
             newer_configuration: Notify::new(),
             quarantine_changed: Notify::new(),
+            leaves_causes_out: AtomicBool::new(false),
             report_soon: Notify::new(),
             probes_changed: Notify::new(),
             peer_connections: PeerConnections::default(),
@@ -474,6 +477,18 @@
         if !changes.is_empty() {
             self.quarantine_changed.notify_waiters();
         }
+        self.log_causes_left_out();
+    }
+
+    /// Logs when the evidence about crashes no longer has room, and when it has again.
+    fn log_causes_left_out(&self) {
+        let left_out = self.with_gateway(|g| g.crash_causes_left_out());
+        let was_complete = !self.leaves_causes_out.swap(left_out > 0, Ordering::Relaxed);
+        match (was_complete, left_out) {
+            (true, 1..) => warn!("the evidence about crashes takes turns", kv: { left_out }),
+            (false, 0) => info!("the evidence about crashes is complete again"),
+            _ => {}
+        }
     }
 
     /// Starts queued requests for which there is capacity now.
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use radishhaven_core::{
     gateway::{
-        RequestDigest,
+        CrashCause, PromptPart, RequestDigest,
         admission::RequestSource,
         routes::{RouteError, RouteMatch},
         state::Rejection,
@@ -154,7 +154,7 @@
         service,
         demand: caller_request.token_estimate,
         digest,
-        shared_parts: caller_request.shared_parts,
+        causes: causes(caller_request.shared_parts, digest),
         arrived,
         deadline: arrived + time_limit,
         last_event: caller_request.last_event,
@@ -172,6 +172,13 @@
     forward(job).await
 }
 
+/// Returns what a request shares with others: the parts of its prompt, and last the
+/// request itself.
+fn causes(parts: Vec<PromptPart>, digest: RequestDigest) -> Vec<CrashCause> {
+    let parts = parts.into_iter().map(CrashCause::Part);
+    parts.chain([CrashCause::Request(digest)]).collect()
+}
+
 fn log_forwarded(forwarded: &Forwarded, attempt_id: &str) {
     info!("a request of a peer is taken", kv: {
         request = attempt_id,
--- a/crates/daemon/src/gateway/job.rs
+++ b/crates/daemon/src/gateway/job.rs
@@ -8,9 +8,8 @@
 
 use radishhaven_core::{
     gateway::{
-        CrashCause, PeerChoice, PromptPart, RequestDigest, Target, TicketOutcome,
-        admission::RequestSource, links::SILENT_LINK, paths::TokenEstimate, routes::RouteMatch,
-        stall::StallAction,
+        CrashCause, PeerChoice, RequestDigest, Target, TicketOutcome, admission::RequestSource,
+        links::SILENT_LINK, paths::TokenEstimate, routes::RouteMatch, stall::StallAction,
     },
     ids::{ServiceId, VmId},
     time::Timestamp,
@@ -30,6 +29,8 @@
 const MAX_NOT_RUN_SENDS: u32 = 4;
 /// Delay before capacity is checked again.
 const CAPACITY_RETRY_DELAY: Duration = Duration::from_millis(40);
+/// Largest number of the parts of a prompt in a line of the log.
+const MAX_LOGGED_PARTS: usize = 32;
 /// Number of capacity checks after which a request is refused.
 const MAX_CAPACITY_CHECKS: u32 = 6;
 
@@ -48,8 +49,8 @@
     pub(super) demand: Option<TokenEstimate>,
     /// What a repetition of the request shares with it.
     pub(super) digest: RequestDigest,
-    /// The parts of the prompt that other requests may share.
-    pub(super) shared_parts: Vec<PromptPart>,
+    /// What the request shares with others, the parts of its prompt first.
+    pub(super) causes: Vec<CrashCause>,
     /// When the request arrived.
     pub(super) arrived: Timestamp,
     /// When the time limit of the caller or of the route is reached.
@@ -116,14 +117,19 @@
 }
 
 impl Job {
-    /// Returns the shared parts of the prompt for the log.
+    /// Returns the shared parts of the prompt for the log, the first and the last ones
+    /// of many.
     pub(super) fn parts_text(&self) -> String {
-        let parts: Vec<String> = self
-            .shared_parts
-            .iter()
-            .map(PromptPart::to_string)
-            .collect();
-        parts.join(",")
+        let parts = self.causes.split_last().map_or(&[][..], |(_, parts)| parts);
+        let left_out = parts.len().saturating_sub(MAX_LOGGED_PARTS);
+        let start = (parts.len() - left_out).div_ceil(2);
+        let mut texts: Vec<String> = parts[..start].iter().map(CrashCause::to_string).collect();
+        if left_out > 0 {
+            texts.push(format!("({left_out} more)"));
+        }
+        let rest = parts[start + left_out..].iter();
+        texts.extend(rest.map(CrashCause::to_string));
+        texts.join(",")
     }
 
     /// Returns the time until the deadline.
@@ -170,26 +176,19 @@
         }
     }
 
-    /// Returns what the request shares with others, the parts of its prompt first.
-    pub(super) fn causes(&self) -> Vec<CrashCause> {
-        let parts = self.shared_parts.iter();
-        let parts = parts.map(|part| CrashCause::Part(*part));
-        parts.chain([CrashCause::Request(self.digest)]).collect()
-    }
-
     /// Returns the time until the request may reach servers, if it or a part of its
     /// prompt is quarantined.
     pub(super) fn quarantine_left(&self) -> Option<Duration> {
         let now = self.host.now();
         self.host
-            .with_gateway(|g| g.quarantine_left(now, &self.causes()))
+            .with_gateway(|g| g.quarantine_left(now, &self.causes))
     }
 
     /// Records that the request can be answered, and releases it and its parts from a
     /// quarantine for which another one accounts.
     pub(super) fn record_answerable(&self, now: Timestamp) {
         self.host
-            .with_gateway(|g| g.record_request_answered(now, &self.causes()));
+            .with_gateway(|g| g.record_request_answered(now, &self.causes));
         self.host.publish_quarantine();
     }
 
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -5,12 +5,13 @@
 //! `radishhaven_core::gateway::hubs` decides which nodes exchange messages.
 
 use std::{
+    cmp::Reverse,
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
 
-use bincode::error::DecodeError;
+use bincode::error::{DecodeError, EncodeError};
 use radishhaven_core::{
     gateway::{
         StorePosition,
@@ -37,6 +38,9 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// Largest message, in bytes; below the limit of a datagram.
 const MAX_MESSAGE_BYTES: usize = 32 * 1024;
+/// Number of servers whose load a message contains that is too large otherwise. Their
+/// load takes a third of the message.
+const MAX_LOAD_IN_LARGE_MESSAGE: usize = 256;
 /// Time without a response after which a leaf switches to another hub. Three
 /// messages have been lost by then.
 const HUB_TIMEOUT: Duration = Duration::from_millis(650);
@@ -73,6 +77,74 @@
     },
 }
 
+impl Message {
+    fn node_mut(&mut self) -> &mut NodeReport {
+        match self {
+            Self::Report { node, .. } | Self::Query { node, .. } | Self::Response { node, .. } => {
+                node
+            }
+        }
+    }
+}
+
+/// Details of a message that the next messages repeat or that other nodes report too.
+#[derive(Debug, Clone, Copy)]
+enum Detail {
+    /// The evidence about crashes, but not what is quarantined.
+    CrashEvidence,
+    /// The members that a leaf lacks, which it asks for again.
+    MemberPage,
+    /// The members that the store does not list.
+    UnlistedMembers,
+    /// The load of the servers with the fewest requests, beyond
+    /// [`MAX_LOAD_IN_LARGE_MESSAGE`] servers.
+    SmallLoad,
+}
+
+impl Detail {
+    /// The order in which details are left out.
+    const LEFT_OUT_FIRST: [Self; 4] = [
+        Self::CrashEvidence,
+        Self::MemberPage,
+        Self::UnlistedMembers,
+        Self::SmallLoad,
+    ];
+
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::CrashEvidence => "evidence about crashes",
+            Self::MemberPage => "members",
+            Self::UnlistedMembers => "unlisted members",
+            Self::SmallLoad => "small load",
+        }
+    }
+
+    /// Removes the detail from a message, and returns whether the message had it.
+    fn remove_from(self, message: &mut Message) -> bool {
+        if let (Self::MemberPage, Message::Response { members, .. }) = (self, &mut *message) {
+            return members.take().is_some();
+        }
+        let node = message.node_mut();
+        match self {
+            Self::CrashEvidence => {
+                let crashes = &mut node.crashes;
+                let had = !crashes.suspects.is_empty() || !crashes.answered.is_empty();
+                crashes.suspects.clear();
+                crashes.answered.clear();
+                had
+            }
+            Self::MemberPage => false,
+            Self::UnlistedMembers => !std::mem::take(&mut node.unlisted.members).is_empty(),
+            Self::SmallLoad => {
+                let had = node.load.len() > MAX_LOAD_IN_LARGE_MESSAGE;
+                node.load.sort_by_key(|load| Reverse(load.requests));
+                node.load.truncate(MAX_LOAD_IN_LARGE_MESSAGE);
+                had
+            }
+        }
+    }
+}
+
 /// The hub that a leaf currently queries.
 #[derive(Debug, Default)]
 struct CurrentHub {
@@ -124,6 +196,8 @@
 }
 
 async fn send_report(host: &Arc<GatewayHost>, socket: &UdpSocket, current_hub: &mut CurrentHub) {
+    host.with_gateway(|g| g.review_quarantine(host.now()));
+    host.publish_quarantine();
     let (role, addresses) = {
         let peers = lock(&host.peers);
         let members = peers.members.members().iter();
@@ -135,7 +209,7 @@
     let now = host.now();
     match role {
         HubRole::Hub { others, .. } => {
-            let Some(bytes) = encode(&own_report(host, now), &paths_to_hub(host, now)) else {
+            let Some(bytes) = encode(own_report(host, now), &paths_to_hub(host, now)) else {
                 return;
             };
             for address in others.iter().filter_map(address) {
@@ -158,7 +232,7 @@
                 registry: host.with_gateway(|g| g.registry_end()),
                 members: lock(&host.peers).members.position(),
             };
-            let bytes = encode(&query, &paths_to_hub(host, now));
+            let bytes = encode(query, &paths_to_hub(host, now));
             if let (Some(bytes), Some(address)) = (bytes, address(hub)) {
                 send(socket, &bytes, address).await;
             }
@@ -201,26 +275,37 @@
 }
 
 /// Encodes a message and the links of nodes, which follow it. A peer of an earlier
-/// version ignores what follows a message.
-fn encode(message: &Message, paths: &PathsReport) -> Option<Vec<u8>> {
-    let config = bincode::config::standard();
-    let encoded = bincode::serde::encode_to_vec(message, config).and_then(|mut bytes| {
-        bytes.extend(bincode::serde::encode_to_vec(paths, config)?);
-        Ok(bytes)
-    });
-    match encoded {
-        Ok(bytes) if bytes.len() <= MAX_MESSAGE_BYTES => Some(bytes),
-        Ok(bytes) => {
-            warn!("a message to a peer is too large to send", kv: { bytes = bytes.len() });
-            None
-        }
-        Err(error) => {
-            error!("failed to encode a message to a peer", kv: { error = error.to_string() });
-            None
-        }
+/// version ignores what follows a message. Of a message that is too large, details are
+/// left out: a node whose messages don't arrive counts as gone.
+fn encode(mut message: Message, paths: &PathsReport) -> Option<Vec<u8>> {
+    let mut details = Detail::LEFT_OUT_FIRST.into_iter();
+    loop {
+        let bytes = match encode_whole(&message, paths) {
+            Ok(bytes) if bytes.len() <= MAX_MESSAGE_BYTES => return Some(bytes),
+            Ok(bytes) => bytes.len(),
+            Err(error) => {
+                error!("failed to encode a message to a peer", kv: { error = error.to_string() });
+                return None;
+            }
+        };
+        let Some(detail) = details.find(|detail| detail.remove_from(&mut message)) else {
+            error!("a message to a peer is too large to send", kv: { bytes });
+            return None;
+        };
+        warn!("a message to a peer is too large and lacks a detail", kv: {
+            bytes,
+            detail = detail.as_str(),
+        });
     }
 }
 
+fn encode_whole(message: &Message, paths: &PathsReport) -> Result<Vec<u8>, EncodeError> {
+    let config = bincode::config::standard();
+    let mut bytes = bincode::serde::encode_to_vec(message, config)?;
+    bytes.extend(bincode::serde::encode_to_vec(paths, config)?);
+    Ok(bytes)
+}
+
 async fn send(socket: &UdpSocket, bytes: &[u8], address: SocketAddr) {
     if let Err(error) = socket.send_to(bytes, address).await {
         debug!("failed to send a message to a peer", kv: { peer = address.to_string(), error = error.to_string() });
@@ -252,7 +337,7 @@
             host.with_gateway(|g| g.apply_report(now, from, Source::Hub, node));
             // A node that starts lists its peers before they list it.
             if !is_known
-                && let Some(bytes) = encode(&own_report(host, now), &paths_to_hub(host, now))
+                && let Some(bytes) = encode(own_report(host, now), &paths_to_hub(host, now))
             {
                 send(socket, &bytes, address).await;
             }
@@ -267,7 +352,7 @@
             let page = lock(&host.peers).members.page_for(&members);
             let response = respond_to_leaf(host, now, from.clone(), node, (sent, registry), page);
             let paths = paths_report(host, now, ReportRecipient::Leaf(&from));
-            if let Some(bytes) = encode(&response, &paths) {
+            if let Some(bytes) = encode(response, &paths) {
                 send(socket, &bytes, address).await;
             }
         }
--- a/crates/daemon/src/gateway/peers/tests.rs
+++ b/crates/daemon/src/gateway/peers/tests.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 
 use radishhaven_core::gateway::{
-    Gateway,
+    CrashCause, Gateway, PromptPart,
     budget::BudgetConfig,
     peer_paths::{NodePaths, PathsReport},
     peers::ReportRecipient,
+    quarantine::ReportedQuarantine,
     state::GatewayConfig,
 };
 
@@ -51,7 +52,7 @@
 
 #[test]
 fn links_follow_the_message() {
-    let bytes = encode(&message(), &paths()).expect("a datagram");
+    let bytes = encode(message(), &paths()).expect("a datagram");
     let (decoded, links) = decode(&bytes).expect("the datagram is valid");
     assert_eq!(sender(&decoded), "node-1");
     assert_eq!(links, Some(paths()));
@@ -69,7 +70,7 @@
 /// The version before decoded the message and ignored what followed.
 #[test]
 fn version_before_reads_the_message_alone() {
-    let bytes = encode(&message(), &paths()).expect("a datagram");
+    let bytes = encode(message(), &paths()).expect("a datagram");
     let decoded = bincode::serde::decode_from_slice(&bytes, bincode::config::standard());
     let (decoded, _): (Message, usize) = decoded.expect("the message is valid");
     assert_eq!(sender(&decoded), "node-1");
@@ -77,6 +78,54 @@
 
 #[test]
 fn truncated_links_are_an_error() {
-    let bytes = encode(&message(), &paths()).expect("a datagram");
+    let bytes = encode(message(), &paths()).expect("a datagram");
     assert!(decode(&bytes[..bytes.len() - 1]).is_err());
 }
+
+/// Datagrams of each kind that commit f3e2776 encoded, with all details.
+const DATAGRAMS_OF_THE_VERSION_BEFORE: [&[u8]; 3] = [
+    include_bytes!("fixtures/report.bin"),
+    include_bytes!("fixtures/query.bin"),
+    include_bytes!("fixtures/response.bin"),
+];
+
+/// Nodes of both versions run side by side while a deployment is upgraded. Each reads
+/// the other's messages if they have the same form.
+#[test]
+fn messages_have_the_form_of_the_version_before() {
+    for datagram in DATAGRAMS_OF_THE_VERSION_BEFORE {
+        let (mut message, links) = decode(datagram).expect("the datagram is valid");
+        let node = message.node_mut();
+        assert_eq!(node.crashes.suspects[0].causes.len(), 2);
+        assert_eq!((node.limits.len(), node.load[0].tokens), (1, 9_999));
+        assert_eq!(links, Some(paths()));
+        let encoded = encode(message, &paths()).expect("a datagram");
+        assert_eq!(encoded, datagram);
+    }
+}
+
+/// Guards against a node that counts as gone, because its messages are too large to be
+/// sent.
+#[test]
+fn details_of_a_message_that_is_too_large_are_left_out() {
+    let datagram = DATAGRAMS_OF_THE_VERSION_BEFORE[0];
+    let (mut message, _) = decode(datagram).expect("the datagram is valid");
+    let node = message.node_mut();
+    let cause = |number| CrashCause::Part(PromptPart(u64::MAX - number));
+    node.crashes.suspects[0].causes = (0..5_000).map(cause).collect();
+    let quarantine = ReportedQuarantine {
+        left_ms: 1,
+        crashes: 2,
+    };
+    node.crashes.quarantined = [(cause(7), quarantine)].into();
+    node.load = vec![node.load[0].clone(); 5_000];
+    node.load[4_999].requests = 99;
+    let bytes = encode(message, &paths()).expect("a datagram");
+    let (mut received, links) = decode(&bytes).expect("the datagram is valid");
+    let node = received.node_mut();
+    assert!(node.crashes.suspects.is_empty());
+    assert_eq!(node.crashes.quarantined.len(), 1);
+    assert_eq!(node.load.len(), MAX_LOAD_IN_LARGE_MESSAGE);
+    assert_eq!(node.load[0].requests, 99);
+    assert_eq!(links, Some(paths()));
+}
--- a/crates/daemon/tests/report_size.rs
+++ b/crates/daemon/tests/report_size.rs
@@ -8,7 +8,10 @@
         members::{MAX_PAGE_MEMBERS, Member, Millicores},
         notices::Incarnation,
         peers::{MAX_UNLISTED_MEMBERS, NodeReport, ServerLoad, UnlistedNodes},
-        quarantine::{CrashReport, MAX_QUARANTINED, MAX_SUSPECTS, ReportedQuarantine, Suspect},
+        quarantine::{
+            CrashReport, MAX_QUARANTINED, MAX_REPORTED_ANSWERS, MAX_REPORTED_CAUSES, MAX_SUSPECTS,
+            ReportedQuarantine, Suspect,
+        },
         server_limits::{LimitReport, MAX_REPORTED_LIMITS, ReportedStatement},
     },
     ids::VmId,
@@ -19,8 +22,6 @@
 const MAX_MESSAGE_BYTES: usize = 32 * 1024;
 /// Engines of the largest deployment that is run.
 const ENGINES: u32 = 196;
-/// Parts of a prompt that others share.
-const SHARED_PARTS: u64 = 3;
 
 fn vm(number: u32) -> VmId {
     let id = format!("i-{:010x}", 0x4c_9d22_7e67_u64 + u64::from(number));
@@ -51,8 +52,9 @@
 }
 
 fn causes(number: u64) -> Vec<CrashCause> {
-    let part = |index| CrashCause::Part(PromptPart(u64::MAX - SHARED_PARTS * number - index));
-    let parts = (0..SHARED_PARTS).map(part);
+    let count = (MAX_REPORTED_CAUSES / MAX_SUSPECTS) as u64;
+    let part = |index| CrashCause::Part(PromptPart(u64::MAX - count * number - index));
+    let parts = (1..count).map(part);
     let request = CrashCause::Request(RequestDigest(u64::MAX - number));
     parts.chain([request]).collect()
 }
@@ -72,7 +74,10 @@
     };
     let quarantined = (0..MAX_QUARANTINED as u64).map(|n| CrashCause::Request(RequestDigest(!n)));
     CrashReport {
-        answered: suspected.map(|cause| (*cause, 599_999)).collect(),
+        answered: suspected
+            .take(MAX_REPORTED_ANSWERS)
+            .map(|cause| (*cause, 599_999))
+            .collect(),
         quarantined: quarantined.map(|cause| (cause, quarantine)).collect(),
         suspects,
     }
