fix(gateway): only an event stream continues a resumed one

What callers saw: a resumed stream whose server answered 200 with an empty body that is no event stream ended as complete, with events missing.

Cause: of the answer to a resumption only the status was compared with the first one. Bytes that are not events are noticed, but an empty body has none.

Change: the answer continues the stream only if its media type is that of the first response. Any other one counts as a run that failed.

Evidence: `response_that_is_no_stream_does_not_end_a_resumed_one` fails on (200, complete) and passes. `failed_resumption_leaves_no_text_in_the_stream` covers 500, 404, a refusal, an unsigned event stream and a head inside the stream; it passed before too.

--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -10,7 +10,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
-use http::Response;
+use http::{HeaderMap, Response, header, response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use radishhaven_client::{BodyFraming, Driver};
@@ -55,12 +55,21 @@
     })
 }
 
+/// Returns the media type of a response in lower case, without its parameters.
+fn media_type(headers: &HeaderMap) -> Option<String> {
+    let value = headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
+    let essence = value.split(';').next()?;
+    Some(essence.trim().to_ascii_lowercase())
+}
+
 struct StreamRelay {
     job: Job,
     guard: Option<TicketGuard>,
     body: Incoming,
     driver: Option<Driver>,
     status: http::StatusCode,
+    /// The media type of the first engine's response.
+    media_type: Option<String>,
     /// How the current engine shows the end of the stream.
     framing: BodyFraming,
     splitter: EventSplitter,
@@ -90,6 +99,7 @@
     let now = job.host.now();
     let headers = backend_response::caller_headers(&response.head);
     let status = response.head.status;
+    let media_type = media_type(&response.head.headers);
     job.runs += 1;
     let resumable = job.routed.route.kind == RouteKind::Streaming { resumable: true };
     let relay = StreamRelay {
@@ -98,6 +108,7 @@
         body: response.body,
         driver: response.driver,
         status,
+        media_type,
         framing: response.framing,
         splitter: EventSplitter::default(),
         last_received: now,
@@ -292,6 +303,12 @@
         is_empty.then_some("the connection ended before the first event")
     }
 
+    /// Returns whether a response continues the stream. Any other one, such as the text
+    /// of an error, must not reach the caller, nor must its end complete the stream.
+    fn is_continued_by(&self, head: &response::Parts) -> bool {
+        head.status == self.status && media_type(&head.headers) == self.media_type
+    }
+
     fn finish(&mut self) -> Option<Result<Bytes, BodyError>> {
         self.ended = true;
         let now = self.job.host.now();
@@ -395,7 +412,7 @@
         let framing = self.framing.to_string();
         let suspects: Vec<&str> = suspects.iter().map(VmId::as_str).collect();
         let outcome = self.job.send_once(guard).await;
-        let resumed = matches!(&outcome, Attempt::Responded(response, _) if response.head.status == self.status);
+        let resumed = matches!(&outcome, Attempt::Responded(response, _) if self.is_continued_by(&response.head));
         info!("a stream moves to another path", kv: {
             request = self.job.outgoing.attempt_id.as_str(),
             why,
