fix(gateway): a registry entry with very many slots does not overflow

Report of other operators: one odd entry among those of the workers ends the machines that read the list, or they stop following it.

What callers saw: nothing in release builds, where the number of requests that a plain server may hold wrapped around, so that an entry with 2,147,483,648 slots got none. A build with overflow checks ended each request of the service with a panic.

Cause: the number of slots is any u32, and is multiplied by 2.

Change: the product saturates.

Evidence: `odd_registry_entries_change_nothing` writes 54 entries (numbers of many sizes, ports 0, 70000 and -1, layers to 65536, 200,000 levels) and failed with "attempt to multiply with overflow"; it passes. Ruled out by the same test and `decoders_reject_deeply_nested_values`: that depth, size or type of a value ends a node or hides the entries after it.

--- a/crates/core/src/gateway/plain.rs
+++ b/crates/core/src/gateway/plain.rs
@@ -29,8 +29,9 @@
     avoid: &[VmId],
     mut draw: impl FnMut() -> f64,
 ) -> Option<(&'a VmId, &'a ServerRow)> {
-    let has_capacity =
-        |row: &ServerRow| row.total_requests() < row.entry.slots * (1 + MAX_QUEUED_PER_SLOT);
+    let has_capacity = |row: &ServerRow| {
+        row.total_requests() < row.entry.slots.saturating_mul(1 + MAX_QUEUED_PER_SLOT)
+    };
     let mut best: Option<(bool, f64, &VmId, &ServerRow)> = None;
     for (id, row) in servers.of_service(service) {
         if !row.is_entry_open(now) || avoid.contains(id) || !has_capacity(row) {
