fix(gateway): suspects whose servers go on count no more, however many parts they have

What callers would see: sound long prompts that stay refused after a node with lost links had taken their servers for crashed.

Suspects that are disproved were taken out of the evidence by an iterator that ended with the 2,048 causes that a node remembers, so that with more causes the rest went on to count. Also, crashes beyond 128 were left out in the order of nodes, and not the oldest ones as the design says.

Change: all disproved suspects are parted from the others first; those of peers are ordered by the time of their crash.

--- a/crates/core/src/gateway/quarantine.rs
+++ b/crates/core/src/gateway/quarantine.rs
@@ -16,6 +16,7 @@
 mod suspects;
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
@@ -349,8 +350,10 @@
     fn evidence(&self, now: Timestamp, suspects: &[KnownSuspect<'_>]) -> Evidence {
         // All causes of this node's suspects count, so that one of them is found as soon
         // as a peer reports it too.
-        let (own, of_peers): (Vec<KnownSuspect<'_>>, Vec<KnownSuspect<'_>>) =
+        let (own, mut of_peers): (Vec<KnownSuspect<'_>>, Vec<KnownSuspect<'_>>) =
             suspects.iter().copied().partition(|known| known.is_own);
+        // The evidence leaves out the last ones if there are too many crashes.
+        of_peers.sort_by_key(|known| Reverse(known.at));
         let own_causes: usize = own.iter().map(KnownSuspect::count).sum();
         let room = evidence::MAX_CAUSES.saturating_sub(own_causes);
         let share = selection::fair_share(of_peers.iter().map(KnownSuspect::count), room);
@@ -379,12 +382,14 @@
         if now < self.quarantine.next_review {
             return;
         }
-        let mut suspects = self.known_suspects(now);
-        let disproved = suspects.extract_if(.., |known| self.goes_on(known.at, known.suspect));
-        let disproved = disproved.flat_map(|known| known.suspect.causes.iter().copied());
-        let disproved = disproved.take(MAX_DISPROVED).collect();
-        let evidence = self.evidence(now, &suspects);
-        let left_out = self.count_left_out(&suspects, &evidence);
+        let (disproved, counted): (Vec<KnownSuspect<'_>>, Vec<KnownSuspect<'_>>) = self
+            .known_suspects(now)
+            .into_iter()
+            .partition(|known| self.goes_on(known.at, known.suspect));
+        let disproved = disproved.iter().flat_map(|known| &known.suspect.causes);
+        let disproved = disproved.take(MAX_DISPROVED).copied().collect();
+        let evidence = self.evidence(now, &counted);
+        let left_out = self.count_left_out(&counted, &evidence);
         self.disprove(now, disproved);
         self.quarantine.left_out = left_out;
         let quarantined = self.quarantine.quarantined.keys();
--- a/crates/core/tests/gateway_long_prompts.rs
+++ b/crates/core/tests/gateway_long_prompts.rs
@@ -11,9 +11,10 @@
 use radishhaven_core::{
     gateway::{
         CrashCause, Gateway, PromptPart,
-        peers::{ReportRecipient, Source},
+        peers::{ReportRecipient, ServerLoad, Source},
         quarantine::{MAX_REPORTED_ANSWERS, MAX_REPORTED_CAUSES, MAX_SUSPECTS},
     },
+    ids::VmId,
     time::Timestamp,
 };
 
@@ -129,3 +130,33 @@
     let counts: Vec<usize> = report.suspects.iter().map(|s| s.causes.len()).collect();
     assert_eq!(counts, [11; WAITING]);
 }
+
+/// Guards against sound prompts that stay refused although their servers go on: there are
+/// more causes than a node remembers as disproved.
+#[test]
+fn disproved_crashes_under_long_prompts_release_all_parts() {
+    let mut node = node_after_crashes(0, 0, 0);
+    for number in 0..6 {
+        let mut causes = sound(number);
+        causes[1] = DEADLY;
+        node.record_crash(ms(1_000), &name(number % 3), &causes);
+    }
+    node.review_quarantine(ms(1_500));
+    assert!(is_quarantined(&node, ms(1_500), DEADLY));
+    let mut report =
+        node_after_crashes(0, 0, 0).report(ms(2_000), true, None, ReportRecipient::Hub);
+    report.load = (0..3).map(|number| progress(&name(number))).collect();
+    node.apply_report(ms(2_000), id("front-1"), Source::Hub, report);
+    assert!(!is_quarantined(&node, ms(2_000), DEADLY));
+}
+
+fn progress(server: &VmId) -> ServerLoad {
+    ServerLoad {
+        server: server.clone(),
+        requests: 1,
+        tokens: 1,
+        unread_tokens: 0,
+        inbound_tokens: 0,
+        progress_age_ms: 0,
+    }
+}
