fix(gateway): a stopping node predicts half of a path's cost for a stream

Cause: the cost of a path weighs the time to the first event and crossings more than once, and assumes the whole output limit. A stream that waited in the queue beyond 2.4 s was refused too.

Change: half of the cost is the predicted time, and only the end counts when engines are free for a stream that was taken.

--- a/crates/core/src/gateway/drain.rs
+++ b/crates/core/src/gateway/drain.rs
@@ -19,8 +19,8 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(200);
 /// Largest part of the grace period that a margin takes, as a divisor.
 const MARGIN_DIVISOR: u32 = 4;
-/// Time from the start of a shutdown in which predictions are relied on. A stream
-/// that takes longer than predicted has the rest of the grace period.
+/// Time from the start of a shutdown in which streams are accepted by their
+/// prediction. One that takes longer has the rest of the grace period.
 const PREDICTION_WINDOW: Duration = Duration::from_millis(2_400);
 /// The same as a fraction of the grace period, if that is shorter.
 const PREDICTION_FRACTION: f64 = 0.3;
@@ -70,10 +70,9 @@
         time_left: Duration,
         predicted: Option<Duration>,
     ) -> bool {
-        let may_end_in_time = |predicted| {
-            self.relies_on_predictions(elapsed) && self.ends_in_time(elapsed, predicted)
-        };
-        self.ends_in_time(elapsed, time_left) || predicted.is_some_and(may_end_in_time)
+        let times = [Some(time_left), predicted];
+        let mut times = times.into_iter().flatten();
+        times.any(|time| self.ends_in_time(elapsed, time))
     }
 
     fn ends_in_time(self, elapsed: Duration, time_limit: Duration) -> bool {
--- a/crates/core/src/gateway/ticket.rs
+++ b/crates/core/src/gateway/ticket.rs
@@ -11,6 +11,10 @@
     time::Timestamp,
 };
 
+/// Time of a response as a fraction of the cost of its path. The cost weighs some of
+/// the time more than once, and most requests end before their output limit.
+const TIME_PER_COST: f64 = 0.5;
+
 /// A request's reservation on the servers of its target. Every ticket has to be
 /// passed to [`Gateway::finish`](super::Gateway::finish) in the end.
 #[derive(Debug)]
@@ -91,7 +95,9 @@
     /// response, if they are engines.
     pub fn predicted_time(&self) -> Option<Duration> {
         match self {
-            Self::Engines(path) => Duration::try_from_secs_f64(path.cost_ms / 1e3).ok(),
+            Self::Engines(path) => {
+                Duration::try_from_secs_f64(TIME_PER_COST * path.cost_ms / 1e3).ok()
+            }
             Self::Plain { .. } | Self::Peer(_) => None,
         }
     }
