feat(placement): deal slow engines to all copies where routes state a gap

Copies of the slowest engines alone keep the gap between events that routes state only while they are nearly idle: an event waits behind prompts at each stage. Where a copy of one kind would miss the gap with all slots in use, the engines of a failure domain are now dealt to copies of equal memory.

A crash now hits a copy with as many streams as any other.

Copies that are as they were planned are found before others, so that a copy no longer continues on an engine of another one that happens to be of the same kind.

--- a/crates/core/src/gateway/chains.rs
+++ b/crates/core/src/gateway/chains.rs
@@ -49,6 +49,11 @@
         self.by_start.get(&0).cloned().unwrap_or_default()
     }
 
+    /// Returns an engine whose first layer is `position`.
+    fn starting_at(&self, position: u16) -> Option<usize> {
+        self.by_start.get(&position)?.first().copied()
+    }
+
     fn remove(&mut self, links: &[Link], index: usize) {
         if let Some(indices) = self.by_start.get_mut(&links[index].layers.start()) {
             indices.retain(|other| *other != index);
@@ -64,6 +69,17 @@
     }
 }
 
+/// Which engine may follow another one in a copy.
+#[derive(Debug, Clone, Copy)]
+enum Fit {
+    /// One that starts where the other one ends.
+    Exact,
+    /// One of the same kind that also holds the next layer.
+    SameKind,
+    /// Any one that holds the next layer.
+    Any,
+}
+
 /// Engines of one failure domain in no copy yet.
 #[derive(Debug)]
 struct DomainPool {
@@ -97,15 +113,18 @@
     }
 
     /// Returns the engine that goes on from the layer `position` in a copy with
-    /// engines of a kind. `mixed` is whether it may be of another kind.
-    fn next(&self, links: &[Link], kind: u64, position: u16, mixed: bool) -> Option<usize> {
-        let same = self
-            .by_kind
-            .get(&kind)
-            .and_then(|p| p.next(links, position));
-        match mixed {
-            true => same.or_else(|| self.all.next(links, position)),
-            false => same,
+    /// engines of a kind.
+    fn next(&self, links: &[Link], kind: u64, position: u16, fit: Fit) -> Option<usize> {
+        let same_kind = self.by_kind.get(&kind);
+        let same = || same_kind?.next(links, position);
+        let exact = || {
+            let same = same_kind.and_then(|pool| pool.starting_at(position));
+            same.or_else(|| self.all.starting_at(position))
+        };
+        match fit {
+            Fit::Exact => exact(),
+            Fit::SameKind => same(),
+            Fit::Any => same().or_else(|| self.all.next(links, position)),
         }
     }
 
@@ -115,7 +134,7 @@
         layers: u16,
         links: &[Link],
         head: usize,
-        mixed: bool,
+        fit: Fit,
     ) -> Option<Vec<StageStart>> {
         let kind = kind_key(&links[head]);
         let mut copy = Vec::new();
@@ -126,7 +145,7 @@
             if start >= layers {
                 return Some(copy);
             }
-            index = self.next(links, kind, start, mixed)?;
+            index = self.next(links, kind, start, fit)?;
         }
     }
 
@@ -139,7 +158,7 @@
 
     /// Takes copies out of the pool as long as there are any. Fast engines come
     /// first.
-    fn take_copies(&mut self, layers: u16, links: &[Link], mixed: bool) -> Vec<Vec<StageStart>> {
+    fn take_copies(&mut self, layers: u16, links: &[Link], fit: Fit) -> Vec<Vec<StageStart>> {
         let heads: Vec<usize> = self.by_kind.values().flat_map(Pool::heads).collect();
         let mut copies = Vec::new();
         let mut taken = vec![false; links.len()];
@@ -147,7 +166,7 @@
             if taken[head] {
                 continue;
             }
-            if let Some(copy) = self.copy(layers, links, head, mixed) {
+            if let Some(copy) = self.copy(layers, links, head, fit) {
                 for stage in &copy {
                     taken[stage.index] = true;
                     self.remove(links, stage.index);
@@ -160,9 +179,9 @@
 }
 
 /// Divides engines into copies of `layers` layers. Engines that remain are in no
-/// copy. Copies of one kind of engine are found before mixed ones, so that a slow
-/// engine does not slow down a fast copy, and a broken copy does not break another
-/// one.
+/// copy. Copies as they were planned are found first, so that a broken copy does not
+/// break another one, and then those of one kind of engine, so that a slow engine does
+/// not slow down a fast copy.
 pub(super) fn find_copies(layers: u16, links: &[Link]) -> Vec<Vec<StageStart>> {
     let mut domains: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
     for (index, link) in links.iter().enumerate() {
@@ -171,8 +190,8 @@
     let mut copies = Vec::new();
     for indices in domains.into_values() {
         let mut pool = DomainPool::new(links, &indices);
-        for mixed in [false, true] {
-            copies.extend(pool.take_copies(layers, links, mixed));
+        for fit in [Fit::Exact, Fit::SameKind, Fit::Any] {
+            copies.extend(pool.take_copies(layers, links, fit));
         }
     }
     copies
@@ -203,7 +222,7 @@
         let (mut chain, mut gaps) = (Vec::new(), Vec::new());
         let mut position = 0;
         while position < layers {
-            if let Some(index) = pool.next(links, *kind, position, true) {
+            if let Some(index) = pool.next(links, *kind, position, Fit::Any) {
                 chain.push(index);
                 position = links[index].layers.end();
                 continue;
--- a/crates/core/src/gateway/config.rs
+++ b/crates/core/src/gateway/config.rs
@@ -132,6 +132,11 @@
     pub per_request_ms: f64,
     /// Additional step time per 1,000 tokens of context, in milliseconds.
     pub per_context_k_ms: f64,
+    /// Decoding steps that an engine runs for a request before it passes the result on.
+    /// An event of a stream holds the tokens of these steps.
+    pub stride: u32,
+    /// The shortest [`Route::target_gap`] of the routes to the service.
+    pub target_gap: Option<Duration>,
     /// Prompt tokens processed per second over all layers at read factor 1.
     #[serde(rename = "read_per_s")]
     pub prefill_tokens_per_s: f64,
@@ -179,6 +184,12 @@
 }
 
 impl EngineSpec {
+    /// Returns the number of tokens of a request of typical size.
+    pub fn baseline_tokens(&self) -> u32 {
+        let tokens = self.baseline_prompt_tokens + self.baseline_output_tokens;
+        tokens.max(1)
+    }
+
     /// Returns the number of KV cache tokens that fit into memory beside
     /// `layers` layers, or `None` if `layers` is zero or the layers alone
     /// exceed the memory.
--- a/crates/core/src/gateway/paths.rs
+++ b/crates/core/src/gateway/paths.rs
@@ -24,7 +24,7 @@
 
 /// Maximum fraction of an engine's KV cache that is reserved. The rest is for
 /// answers that grow longer than their callers estimated.
-const MAX_KV_FILL: f64 = 0.92;
+pub(super) const MAX_KV_FILL: f64 = 0.92;
 /// Cost of forwarding activations to another failure domain, in milliseconds.
 /// The link is shared by all requests and would be saturated if each of them
 /// crossed it once.
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -5,13 +5,16 @@
 //! and the links between domains are shared. A copy consists of the fastest
 //! engines of the domain. Its size is a trade-off: more engines leave more
 //! memory for requests, but slower engines make each request take longer. The
-//! remaining engines form copies across domains.
+//! remaining engines form copies across domains. If routes state a gap between events
+//! that copies of the slowest engines would not keep, each copy gets engines of all
+//! kinds instead ([`mixed`]).
 //!
 //! Later, engines without layers and engines of broken copies complete other
 //! broken copies. An engine without layers that completes none gets the range
 //! with the lowest coverage.
 
 mod completion;
+mod mixed;
 
 use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
@@ -259,7 +262,14 @@
     let mut assignments = Vec::new();
     let mut left = Vec::new();
     for engines in by_domain.into_values() {
-        left.extend(make_copies(spec, coverage, engines, &mut assignments));
+        match mixed::deal(spec, &engines) {
+            Some(dealt) => {
+                for engines in dealt.copies {
+                    assign(spec, coverage, &engines, dealt.tokens, &mut assignments);
+                }
+            }
+            None => left.extend(make_copies(spec, coverage, engines, &mut assignments)),
+        }
     }
     left.sort_by(|a, b| a.kind.step_factor.total_cmp(&b.kind.step_factor));
     let left = make_copies(spec, coverage, left, &mut assignments);
@@ -275,20 +285,32 @@
 ) -> Vec<Engine<'a>> {
     while let Some((count, tokens)) = best_copy(spec, &engines) {
         let rest = engines.split_off(count);
-        let mut start = 0;
-        for (engine, width) in engines.iter().zip(widths(spec, &engines, tokens)) {
-            if let Ok(layers) = LayerRange::new(start, start + width) {
-                coverage.add(engine.domain, layers, engine.kind);
-                let server = engine.id.clone();
-                assignments.push(Assignment { server, layers });
-            }
-            start += width;
-        }
+        assign(spec, coverage, &engines, tokens, assignments);
         engines = rest;
     }
     engines
 }
 
+/// Assigns all layers to the engines of one copy, each of which keeps KV cache free
+/// for `tokens` tokens.
+fn assign<'a>(
+    spec: &EngineSpec,
+    coverage: &mut Coverage<'a>,
+    engines: &[Engine<'a>],
+    tokens: u32,
+    assignments: &mut Vec<Assignment>,
+) {
+    let mut start = 0;
+    for (engine, width) in engines.iter().zip(widths(spec, engines, tokens)) {
+        if let Ok(layers) = LayerRange::new(start, start + width) {
+            coverage.add(engine.domain, layers, engine.kind);
+            let server = engine.id.clone();
+            assignments.push(Assignment { server, layers });
+        }
+        start += width;
+    }
+}
+
 /// Returns how many of the fastest engines form the best copy, and the KV cache
 /// in tokens that each of them keeps free.
 fn best_copy(spec: &EngineSpec, engines: &[Engine<'_>]) -> Option<(usize, u32)> {
--- a/crates/core/tests/gateway_fakes/mod.rs
+++ b/crates/core/tests/gateway_fakes/mod.rs
@@ -106,6 +106,8 @@
         step_ms: 1.02,
         per_request_ms: 0.00714,
         per_context_k_ms: 0.00956,
+        stride: 3,
+        target_gap: None,
         prefill_tokens_per_s: 105_000.0,
         activation_bytes_per_token: 45_900.0,
         link_mbps: 26_000.0,
