feat(gateway): share faults of engines, bound starts by priority

Nodes learned of a crashed engine one by one. Messages between nodes now carry the faults of the last second, after the links of nodes, where the version before ignores them. A fault is void once any node reports later progress, so that a node whose own links are cut does not close healthy engines.

A new request starts only where its first event is predicted within the shortest target latency of the recent requests that are as urgent, less a reserve for more urgent ones, and below a KV cache fill that leaves them room. If recent requests have several priorities, engines get that of each request.

--- a/crates/core/src/gateway/admission.rs
+++ b/crates/core/src/gateway/admission.rs
@@ -57,6 +57,8 @@
 pub struct QueuedRequest {
     /// The service that it waits for.
     pub service: ServiceId,
+    /// Its priority.
+    pub priority: Priority,
     /// From where it came.
     pub source: RequestSource,
     /// Its token estimate.
@@ -130,6 +132,7 @@
         let until = now + MAX_QUEUE_WAIT;
         let waiting = QueuedRequest {
             service: service.clone(),
+            priority,
             source,
             estimate,
             start_by: now + target.saturating_sub(TYPICAL_FIRST_EVENT),
--- a/crates/core/src/gateway/chains.rs
+++ b/crates/core/src/gateway/chains.rs
@@ -129,13 +129,7 @@
     }
 
     /// Returns a copy that starts with the engine `head`.
-    fn copy(
-        &self,
-        layers: u16,
-        links: &[Link],
-        head: usize,
-        fit: Fit,
-    ) -> Option<Vec<StageStart>> {
+    fn copy(&self, layers: u16, links: &[Link], head: usize, fit: Fit) -> Option<Vec<StageStart>> {
         let kind = kind_key(&links[head]);
         let mut copy = Vec::new();
         let (mut index, mut start) = (head, 0);
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod config;
 pub mod crash_cause;
 pub mod drain;
+pub mod faults;
 pub mod freshness;
 pub mod hubs;
 pub mod links;
@@ -39,6 +40,7 @@
 pub mod state;
 pub mod store_view;
 pub mod ticket;
+pub mod urgency;
 
 pub use config::{Configuration, EngineSpec, Organisation, Route, RouteKind, Service};
 pub use crash_cause::CrashCause;
--- a/crates/core/src/gateway/outcomes.rs
+++ b/crates/core/src/gateway/outcomes.rs
@@ -130,6 +130,7 @@
         if let Some(row) = self.servers.get_mut(id) {
             row.refused_at = Some(now);
         }
+        self.has_new_fault |= self.record_fault(now, id);
     }
 
     /// Starts a server's backoff, which is `first` after one failure and
@@ -145,6 +146,7 @@
     /// Records that a server failed a request and starts its backoff.
     pub fn record_server_failure(&mut self, now: Timestamp, id: &VmId) {
         self.back_off(now, id, INITIAL_BACKOFF);
+        self.has_new_fault |= self.record_fault(now, id);
         if let Some(row) = self.servers.get_mut(id) {
             row.latency_ms += (FAILURE_LATENCY_MS - row.latency_ms) * LATENCY_EWMA_WEIGHT;
         }
--- a/crates/core/src/gateway/paths.rs
+++ b/crates/core/src/gateway/paths.rs
@@ -79,8 +79,12 @@
     /// Predicted time to the last token in milliseconds, with weighted time to
     /// the first event and weighted crossings between failure domains.
     pub cost_ms: f64,
-    /// Predicted time to the first event, in milliseconds.
+    /// Predicted time until the prompt has been processed, in milliseconds.
     pub first_ms: f64,
+    /// Predicted longest time between two events while the prompts that are not
+    /// processed yet pass the engines, in milliseconds. The first event comes after
+    /// the same time, because it takes the same steps.
+    pub gap_ms: f64,
 }
 
 /// An engine that may take part in a request.
@@ -349,13 +353,16 @@
         stages: Vec::with_capacity(stages.len()),
         cost_ms: 0.0,
         first_ms: 0.0,
+        gap_ms: 0.0,
     };
     let mut previous_domain = None;
     for StageStart { index, start } in stages.iter().copied() {
         let candidate = &candidates[index];
         let end = candidate.layers.end();
         let run = f64::from(end - start);
-        path.first_ms += prefill_ms(spec, candidate, start, estimate);
+        let prefill = prefill_ms(spec, candidate, start, estimate);
+        path.first_ms += prefill;
+        path.gap_ms += f64::from(spec.stride) * step_ms(spec, candidate, start) + prefill;
         path.cost_ms += stage_cost(spec, candidate, start, estimate)?;
         path.stages.push(Stage {
             server: candidate.id.clone(),
--- a/crates/core/src/gateway/paths/copies.rs
+++ b/crates/core/src/gateway/paths/copies.rs
@@ -16,13 +16,14 @@
 
 use std::collections::BTreeMap;
 
-use super::{Candidate, MAX_KV_FILL, Path, build_path, candidate, prefill_ms, step_ms};
+use super::{Candidate, Path, build_path, candidate, prefill_ms, step_ms};
 use crate::{
     gateway::{
         chains::{self, Link, StageStart},
         config::EngineSpec,
         paths::TokenEstimate,
         servers::Servers,
+        urgency::StartLimits,
     },
     ids::{FailureDomain, ServiceId, VmId},
     time::Timestamp,
@@ -95,13 +96,15 @@
     }
 
     /// Draws a copy that has capacity, and returns its path. Engines in `avoid`
-    /// are excluded. `draw` returns random numbers in `0.0..1.0`.
+    /// are excluded, and copies beyond the `limits`. `draw` returns random numbers in
+    /// `0.0..1.0`.
     pub fn draw_path(
         &self,
         spec: &EngineSpec,
         servers: &Servers,
         now: Timestamp,
         estimate: TokenEstimate,
+        limits: StartLimits,
         avoid: &[VmId],
         mut draw: impl FnMut() -> f64,
     ) -> Option<Path> {
@@ -114,7 +117,7 @@
         };
         let usable = drawn.into_iter().filter_map(|index| {
             let copy = self.candidates(index, spec, servers, now, avoid)?;
-            let weight = weight(spec, &copy, estimate)?;
+            let weight = weight(spec, &copy, estimate, limits)?;
             Some((weight, copy))
         });
         let usable: Vec<_> = usable.collect();
@@ -157,19 +160,20 @@
 type LoadedCopy<'a> = (Vec<Candidate<'a>>, Vec<StageStart>);
 
 /// Returns the relative share of requests that a copy gets, or `None` if it
-/// lacks capacity for the request. The share grows with the tokens that still
+/// lacks capacity for the request within the limits. The share grows with the tokens that still
 /// fit, and falls with the time per request.
 fn weight(
     spec: &EngineSpec,
     (candidates, stages): &LoadedCopy<'_>,
     estimate: TokenEstimate,
+    limits: StartLimits,
 ) -> Option<f64> {
     let mut free_tokens = f64::INFINITY;
     let (mut first_ms, mut token_ms) = (0.0, 0.0);
     for (candidate, stage) in candidates.iter().zip(stages) {
         let held = f64::from(candidate.layers.count());
         let run = f64::from(candidate.layers.end() - stage.start);
-        let free = MAX_KV_FILL * candidate.capacity - candidate.row.total_tokens() as f64;
+        let free = limits.kv_fill * candidate.capacity - candidate.row.total_tokens() as f64;
         free_tokens = free_tokens.min(free * held / run);
         first_ms += prefill_ms(spec, candidate, stage.start, estimate);
         token_ms += step_ms(spec, candidate, stage.start);
@@ -181,6 +185,9 @@
     if free_tokens < tokens {
         return None;
     }
+    if !limits.allow(first_ms + f64::from(spec.stride) * token_ms) {
+        return None;
+    }
     let duration = first_ms + token_ms * f64::from(spec.baseline_output_tokens.max(1));
     let backlog = first_ms / HALF_WEIGHT_BACKLOG_MS;
     Some(free_tokens / duration.powf(DURATION_EXPONENT) / (1.0 + backlog.powi(2)))
--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -217,7 +217,7 @@
     }
 
     /// Returns the peers whose load is included in a report to `recipient`.
-    fn aggregated_peers(
+    pub(super) fn aggregated_peers(
         &self,
         now: Timestamp,
         recipient: ReportRecipient<'_>,
--- a/crates/core/src/gateway/servers.rs
+++ b/crates/core/src/gateway/servers.rs
@@ -10,6 +10,7 @@
 
 use super::{
     config::{Accelerator, EngineSpec},
+    faults::PeerFault,
     links::Link,
     notices::{Incarnation, Notice, Notices},
     peers::ServerLoad,
@@ -115,6 +116,8 @@
     /// Time at which requests of any node were last found to make no progress on
     /// the server, or `None` if there was progress since.
     pub stalled_at: Option<Timestamp>,
+    /// The last fault that a peer has reported.
+    pub peer_fault: Option<PeerFault>,
     /// The link from this node to the server.
     pub link: Link,
     /// Moving average of a plain server's latency, in milliseconds.
@@ -148,6 +151,7 @@
             busy_since: now,
             peer_busy_since: now,
             stalled_at: None,
+            peer_fault: None,
             link: Link::default(),
             latency_ms: 0.0,
             notice: Notice::default(),
@@ -267,7 +271,10 @@
 
     /// Returns whether the server may take part in new requests.
     pub fn is_available(&self, now: Timestamp) -> bool {
-        self.is_open(now) && now >= self.backoff_until
+        let failed_at_peer = |fault: PeerFault| fault.holds(now, self.last_progress);
+        self.is_open(now)
+            && now >= self.backoff_until
+            && !self.peer_fault.is_some_and(failed_at_peer)
     }
 }
 
--- a/crates/core/src/gateway/starts.rs
+++ b/crates/core/src/gateway/starts.rs
@@ -13,9 +13,10 @@
     routes::RouteMatch,
     state::Admission,
     ticket::{Target, Ticket},
+    urgency::StartLimits,
 };
 use crate::{
-    ids::{ServiceId, VmId},
+    ids::{Priority, ServiceId, VmId},
     time::Timestamp,
 };
 
@@ -49,7 +50,10 @@
             let budget = self.budgets.entry(service.clone()).or_default();
             budget.record_request(now, &self.cfg.budget);
         }
-        if let Some(ticket) = self.start(now, service, estimate, &[], source) {
+        let (priority, route) = (route_match.priority, &route_match.route);
+        self.priorities.record(now, service, priority, route);
+        let limits = self.priorities.start_limits(now, service, priority);
+        if let Some(ticket) = self.start(now, service, estimate, limits, &[], source) {
             return Admission::Start(ticket);
         }
         // A request of a peer is refused at once, so that it is sent to another one.
@@ -91,7 +95,8 @@
         estimate: Option<TokenEstimate>,
         avoid: &[VmId],
     ) -> Option<Ticket> {
-        let ticket = self.start(now, service, estimate, avoid, RequestSource::Caller)?;
+        let (limits, source) = (StartLimits::RESUMED, RequestSource::Caller);
+        let ticket = self.start(now, service, estimate, limits, avoid, source)?;
         let nodes = self.node_count(now);
         let budget = self.budgets.entry(service.clone()).or_default();
         if budget.try_acquire(now, &self.cfg.budget, nodes) {
@@ -110,7 +115,8 @@
         estimate: Option<TokenEstimate>,
         avoid: &[VmId],
     ) -> Option<Ticket> {
-        self.start(now, service, estimate, avoid, RequestSource::Caller)
+        let (limits, source) = (StartLimits::RESUMED, RequestSource::Caller);
+        self.start(now, service, estimate, limits, avoid, source)
     }
 
     /// Returns a random delay after which a refused caller should retry.
@@ -148,6 +154,7 @@
         now: Timestamp,
         service: &ServiceId,
         estimate: Option<TokenEstimate>,
+        limits: StartLimits,
         avoid: &[VmId],
         source: RequestSource,
     ) -> Option<Ticket> {
@@ -155,7 +162,7 @@
             RequestSource::Caller => self.start_at_peer(now, service, avoid),
             RequestSource::Peer => None,
         };
-        at_peer.or_else(|| self.try_start(now, service, estimate, avoid))
+        at_peer.or_else(|| self.try_start(now, service, estimate, limits, avoid))
     }
 
     fn try_start(
@@ -163,6 +170,7 @@
         now: Timestamp,
         service: &ServiceId,
         estimate: Option<TokenEstimate>,
+        start_limits: StartLimits,
         avoid: &[VmId],
     ) -> Option<Ticket> {
         let configuration = self.configuration.clone()?;
@@ -177,12 +185,20 @@
                 let servers = &self.servers;
                 let drawn = has_stale_view.then(|| {
                     let copies = self.copies.get(engine, servers, service);
-                    copies.draw_path(engine, servers, now, estimate, avoid, &mut draw)
+                    copies.draw_path(
+                        engine,
+                        servers,
+                        now,
+                        estimate,
+                        start_limits,
+                        avoid,
+                        &mut draw,
+                    )
                 });
                 let path = drawn.flatten().or_else(|| {
                     paths::choose(engine, servers, service, now, estimate, avoid, &mut draw)
                 });
-                Target::Engines(path?)
+                Target::Engines(path.filter(|path| start_limits.allow(path.gap_ms))?)
             }
             _ => {
                 let chosen = plain::choose(&self.servers, service, now, avoid, draw)?;
@@ -224,17 +240,18 @@
             .queue
             .in_order(now)
             .into_iter()
-            .map(|(key, w)| (key, w.service.clone(), w.source, w.estimate))
+            .map(|(key, w)| (key, w.service.clone(), w.source, w.estimate, w.priority))
             .collect();
         let mut started = Vec::new();
-        for (key, service, source, estimate) in waiting {
+        for (key, service, source, estimate, priority) in waiting {
             let is_engine = self
                 .configuration
                 .as_ref()
                 .and_then(|c| c.services.get(&service))
                 .is_some_and(|s| s.engine.is_some());
             let estimate = is_engine.then_some(estimate);
-            let Some(ticket) = self.start(now, &service, estimate, &[], source) else {
+            let limits = self.priorities.start_limits(now, &service, priority);
+            let Some(ticket) = self.start(now, &service, estimate, limits, &[], source) else {
                 // Later requests may belong to other services or need less
                 // capacity, so they are still tried.
                 continue;
@@ -245,6 +262,17 @@
         started
     }
 
+    /// Returns the priority that engines should give to a request, or `None` if all
+    /// recent requests of the service have the same one.
+    pub fn engine_priority(
+        &self,
+        now: Timestamp,
+        service: &ServiceId,
+        priority: Priority,
+    ) -> Option<Priority> {
+        self.priorities.are_mixed(now, service).then_some(priority)
+    }
+
     /// Removes a request from the queue.
     pub fn remove_queued(&mut self, key: WaitKey) {
         self.queue.remove(key);
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -10,6 +10,7 @@
     admission::{WaitKey, WaitQueue},
     budget::{BudgetConfig, NodeCount, RetryBudget},
     config::Configuration,
+    faults::Faults,
     freshness::{ConfigurationRead, Freshness},
     links::LinkTable,
     paths::copies::CopyTable,
@@ -21,6 +22,7 @@
     servers::{Server, ServerChange, Servers},
     store_view::RegistryHistory,
     ticket::Ticket,
+    urgency::Priorities,
 };
 use crate::{
     ids::{FailureDomain, ServiceId, VmId},
@@ -86,6 +88,10 @@
     pub(super) peers: BTreeMap<VmId, Peer>,
     pub(super) quarantine: Quarantine,
     pub(super) limits: ServerLimits,
+    pub(super) faults: Faults,
+    pub(super) priorities: Priorities,
+    /// Whether peers should learn a fault at once.
+    pub(super) has_new_fault: bool,
     pub(super) links: LinkTable,
     pub(super) peer_paths: PeerPaths,
     /// The failure domain of this node, if it is known.
@@ -113,6 +119,9 @@
             peers: BTreeMap::new(),
             quarantine: Quarantine::default(),
             limits: ServerLimits::default(),
+            faults: Faults::default(),
+            priorities: Priorities::default(),
+            has_new_fault: false,
             links: LinkTable::default(),
             peer_paths: PeerPaths::default(),
             failure_domain: None,
--- a/crates/core/tests/gateway_fakes/mod.rs
+++ b/crates/core/tests/gateway_fakes/mod.rs
@@ -20,6 +20,7 @@
         members::{Member, Millicores},
         paths::{TokenEstimate, choose, copies::Copies},
         state::GatewayConfig,
+        urgency::StartLimits,
     },
     ids::{LayerRange, Priority, VmId},
     time::Timestamp,
@@ -76,7 +77,15 @@
 ) -> Option<Path> {
     let service = id(ENGINES);
     let copies = Copies::new(&spec(), servers, &service);
-    let path = copies.draw_path(&spec(), servers, now, estimate, &[], &mut draw);
+    let path = copies.draw_path(
+        &spec(),
+        servers,
+        now,
+        estimate,
+        StartLimits::RESUMED,
+        &[],
+        &mut draw,
+    );
     path.or_else(|| choose(&spec(), servers, &service, now, estimate, &[], draw))
 }
 
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -9,7 +9,7 @@
 use radishhaven_client::{BodyFraming, Connection, ConnectionError, ConnectionTimeouts, Driver};
 use radishhaven_core::{
     gateway::{Target, links::ConnectFailure},
-    ids::OrganisationId,
+    ids::{OrganisationId, Priority},
 };
 use radishhaven_platform::{
     backend_response::{self, ResponseHead, ServerNotices},
@@ -81,12 +81,13 @@
 }
 
 /// Sends a request and reads the head of the response. A stream is resumed
-/// after the event with id `last_event`.
+/// after the event with id `last_event`. `priority` is that of the request at engines.
 pub(super) async fn send(
     outgoing: &OutgoingRequest,
     target: &Target,
     remaining: Duration,
     last_event: Option<&str>,
+    priority: Option<Priority>,
 ) -> SendOutcome {
     let Some((_, address)) = target.first() else {
         let reason = "the path is empty".to_owned();
@@ -97,6 +98,7 @@
         time_left: remaining,
         organisation: outgoing.organisation.as_ref(),
         last_event,
+        priority,
     };
     let mut req = Request::new(Full::new(outgoing.body.clone()));
     *req.method_mut() = outgoing.method.clone();
--- a/crates/daemon/src/gateway/host.rs
+++ b/crates/daemon/src/gateway/host.rs
@@ -162,6 +162,7 @@
         if let Some(ticket) = self.ticket.take() {
             let now = self.host.now();
             self.host.with_gateway(|g| g.finish(now, &ticket, settled));
+            self.host.publish_faults();
             self.host.start_waiting_requests();
         }
     }
@@ -390,6 +391,13 @@
         Some(TicketGuard::new(self, ticket))
     }
 
+    /// Tells peers at once if this node found a fault of an engine.
+    pub(super) fn publish_faults(&self) {
+        if self.with_gateway(|g| g.take_new_fault()) {
+            self.report_soon.notify_one();
+        }
+    }
+
     /// Returns the number of open requests that came from callers.
     pub(super) fn own_requests(&self) -> u32 {
         let taken = u64::from(self.with_gateway(|g| g.peer_requests()));
--- a/crates/daemon/src/gateway/job.rs
+++ b/crates/daemon/src/gateway/job.rs
@@ -335,6 +335,7 @@
             self.host.with_gateway(|g| g.record_server_failure(now, id));
             self.excluded.push(id.clone());
         }
+        self.host.publish_faults();
     }
 
     /// Logs the target of a send, and how old the data is that the choice was
@@ -450,7 +451,11 @@
     async fn send_to(&self, target: &Target) -> SendOutcome {
         let last_event = self.last_event.as_deref();
         let Target::Peer(peer) = target else {
-            return send(&self.outgoing, target, self.remaining(), last_event).await;
+            let (now, remaining) = (self.host.now(), self.remaining());
+            let priority = self
+                .host
+                .with_gateway(|g| g.engine_priority(now, &self.service, self.routed.priority));
+            return send(&self.outgoing, target, remaining, last_event, priority).await;
         };
         let context = PeerContext {
             own: &self.host.settings.node.vm,
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -15,6 +15,7 @@
 use radishhaven_core::{
     gateway::{
         StorePosition,
+        faults::FaultReport,
         hubs::HubRole,
         members::{ListPosition, Member, MemberPage},
         peer_paths::PathsReport,
@@ -24,7 +25,7 @@
     ids::VmId,
     time::Timestamp,
 };
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use spdlog::prelude::*;
 use tokio::{net::UdpSocket, time::MissedTickBehavior};
 
@@ -209,7 +210,7 @@
     let now = host.now();
     match role {
         HubRole::Hub { others, .. } => {
-            let Some(bytes) = encode(own_report(host, now), &paths_to_hub(host, now)) else {
+            let Some(bytes) = encode(own_report(host, now), &supplement_to_hub(host, now)) else {
                 return;
             };
             for address in others.iter().filter_map(address) {
@@ -232,7 +233,7 @@
                 registry: host.with_gateway(|g| g.registry_end()),
                 members: lock(&host.peers).members.position(),
             };
-            let bytes = encode(query, &paths_to_hub(host, now));
+            let bytes = encode(query, &supplement_to_hub(host, now));
             if let (Some(bytes), Some(address)) = (bytes, address(hub)) {
                 send(socket, &bytes, address).await;
             }
@@ -260,27 +261,38 @@
     is_unlisted.then(|| members::own_member(host))
 }
 
-/// Returns the report of this node's links to a hub.
-fn paths_to_hub(host: &GatewayHost, now: Timestamp) -> PathsReport {
-    paths_report(host, now, ReportRecipient::Hub)
+/// What follows a message. Each part was added by a later version than the one before,
+/// and a node of an earlier version neither sends it nor reads it.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+struct Supplement {
+    paths: Option<PathsReport>,
+    faults: Option<FaultReport>,
 }
 
-fn paths_report(host: &GatewayHost, now: Timestamp, recipient: ReportRecipient<'_>) -> PathsReport {
+/// Returns what follows a message of this node to a hub.
+fn supplement_to_hub(host: &GatewayHost, now: Timestamp) -> Supplement {
+    supplement(host, now, ReportRecipient::Hub)
+}
+
+fn supplement(host: &GatewayHost, now: Timestamp, recipient: ReportRecipient<'_>) -> Supplement {
     let own = members::own_member(host);
     let (requests, takes_requests) = (host.own_requests(), host.takes_peer_requests());
     host.with_gateway(|g| {
         let own = g.own_paths(now, &own, requests, takes_requests);
-        g.paths_report(now, own, recipient)
+        Supplement {
+            paths: Some(g.paths_report(now, own, recipient)),
+            faults: Some(g.fault_report(now, recipient)),
+        }
     })
 }
 
-/// Encodes a message and the links of nodes, which follow it. A peer of an earlier
-/// version ignores what follows a message. Of a message that is too large, details are
+/// Encodes a message and its supplement. A peer of an earlier version ignores what
+/// follows a message. Of a message that is too large, details are
 /// left out: a node whose messages don't arrive counts as gone.
-fn encode(mut message: Message, paths: &PathsReport) -> Option<Vec<u8>> {
+fn encode(mut message: Message, supplement: &Supplement) -> Option<Vec<u8>> {
     let mut details = Detail::LEFT_OUT_FIRST.into_iter();
     loop {
-        let bytes = match encode_whole(&message, paths) {
+        let bytes = match encode_whole(&message, supplement) {
             Ok(bytes) if bytes.len() <= MAX_MESSAGE_BYTES => return Some(bytes),
             Ok(bytes) => bytes.len(),
             Err(error) => {
@@ -299,10 +311,15 @@
     }
 }
 
-fn encode_whole(message: &Message, paths: &PathsReport) -> Result<Vec<u8>, EncodeError> {
+fn encode_whole(message: &Message, supplement: &Supplement) -> Result<Vec<u8>, EncodeError> {
     let config = bincode::config::standard();
     let mut bytes = bincode::serde::encode_to_vec(message, config)?;
-    bytes.extend(bincode::serde::encode_to_vec(paths, config)?);
+    if let Some(paths) = &supplement.paths {
+        bytes.extend(bincode::serde::encode_to_vec(paths, config)?);
+        if let Some(faults) = &supplement.faults {
+            bytes.extend(bincode::serde::encode_to_vec(faults, config)?);
+        }
+    }
     Ok(bytes)
 }
 
@@ -319,7 +336,7 @@
     address: SocketAddr,
     current_hub: &mut CurrentHub,
 ) {
-    let (message, paths) = match decode(bytes) {
+    let (message, received) = match decode(bytes) {
         Ok(decoded) => decoded,
         Err(error) => {
             host.metrics.malformed.inc();
@@ -328,16 +345,14 @@
         }
     };
     let now = host.now();
-    if let Some(paths) = paths {
-        apply_paths(host, now, &message, paths);
-    }
+    apply_supplement(host, now, &message, received);
     match message {
         Message::Report { from, node } => {
             let is_known = host.with_gateway(|g| g.has_report_of(now, &from));
             host.with_gateway(|g| g.apply_report(now, from, Source::Hub, node));
             // A node that starts lists its peers before they list it.
             if !is_known
-                && let Some(bytes) = encode(own_report(host, now), &paths_to_hub(host, now))
+                && let Some(bytes) = encode(own_report(host, now), &supplement_to_hub(host, now))
             {
                 send(socket, &bytes, address).await;
             }
@@ -351,8 +366,8 @@
         } => {
             let page = lock(&host.peers).members.page_for(&members);
             let response = respond_to_leaf(host, now, from.clone(), node, (sent, registry), page);
-            let paths = paths_report(host, now, ReportRecipient::Leaf(&from));
-            if let Some(bytes) = encode(response, &paths) {
+            let appended = supplement(host, now, ReportRecipient::Leaf(&from));
+            if let Some(bytes) = encode(response, &appended) {
                 send(socket, &bytes, address).await;
             }
         }
@@ -380,26 +395,40 @@
     host.start_waiting_requests();
 }
 
-/// Decodes a message and the links of nodes that follow it. A peer of an earlier version
-/// sends none.
-fn decode(bytes: &[u8]) -> Result<(Message, Option<PathsReport>), DecodeError> {
-    let config = bincode::config::standard();
-    let (message, length) = bincode::serde::decode_from_slice(bytes, config)?;
-    let rest = &bytes[length..];
-    let paths = match rest.is_empty() {
-        true => None,
-        false => Some(bincode::serde::decode_from_slice(rest, config)?.0),
-    };
-    Ok((message, paths))
+/// Decodes a message and what follows it.
+fn decode(bytes: &[u8]) -> Result<(Message, Supplement), DecodeError> {
+    let (message, mut rest) = decode_part(bytes)?;
+    let mut supplement = Supplement::default();
+    if !rest.is_empty() {
+        let (paths, after) = decode_part(rest)?;
+        (supplement.paths, rest) = (Some(paths), after);
+    }
+    if !rest.is_empty() {
+        supplement.faults = Some(decode_part(rest)?.0);
+    }
+    Ok((message, supplement))
 }
 
-fn apply_paths(host: &GatewayHost, now: Timestamp, message: &Message, paths: PathsReport) {
+/// Decodes the next part of a datagram and returns the bytes after it.
+fn decode_part<T: DeserializeOwned>(bytes: &[u8]) -> Result<(T, &[u8]), DecodeError> {
+    let (part, length) = bincode::serde::decode_from_slice(bytes, bincode::config::standard())?;
+    Ok((part, &bytes[length..]))
+}
+
+fn apply_supplement(host: &GatewayHost, now: Timestamp, message: &Message, supplement: Supplement) {
     let (from, source) = match message {
         Message::Query { from, .. } => (from, Source::Leaf),
         Message::Report { from, .. } | Message::Response { from, .. } => (from, Source::Hub),
     };
     let own = &host.settings.node.vm;
-    host.with_gateway(|g| g.apply_paths(now, from, source, own, paths));
+    if let Some(paths) = supplement.paths {
+        host.with_gateway(|g| g.apply_paths(now, from, source, own, paths));
+    }
+    let faults = supplement.faults.unwrap_or_default();
+    let is_new = host.with_gateway(|g| g.apply_faults(now, from, faults));
+    if is_new && source == Source::Leaf {
+        host.report_soon.notify_one();
+    }
 }
 
 /// Returns whether a hub can't read the store while other nodes can. Its leaves
--- a/crates/daemon/src/gateway/peers/tests.rs
+++ b/crates/daemon/src/gateway/peers/tests.rs
@@ -5,6 +5,8 @@
 use radishhaven_core::gateway::{
     CrashCause, Gateway, PromptPart,
     budget::BudgetConfig,
+    faults::ReportedFault,
+    notices::Incarnation,
     peer_paths::{NodePaths, PathsReport},
     peers::ReportRecipient,
     quarantine::ReportedQuarantine,
@@ -43,6 +45,28 @@
     }
 }
 
+/// What a node of the version before sends after a message.
+fn paths_only() -> Supplement {
+    Supplement {
+        paths: Some(paths()),
+        faults: None,
+    }
+}
+
+fn faults() -> FaultReport {
+    let incarnation = Incarnation {
+        started_ms: Some(7),
+        address: "10.0.64.1:8080".parse().expect("an address"),
+    };
+    let fault = ReportedFault {
+        incarnation,
+        age_ms: 12,
+    };
+    FaultReport {
+        faults: BTreeMap::from([("i-1".parse().expect("a name"), fault)]),
+    }
+}
+
 fn sender(message: &Message) -> &str {
     match message {
         Message::Report { from, .. } => from.as_str(),
@@ -52,25 +76,49 @@
 
 #[test]
 fn links_follow_the_message() {
-    let bytes = encode(message(), &paths()).expect("a datagram");
-    let (decoded, links) = decode(&bytes).expect("the datagram is valid");
+    let bytes = encode(message(), &paths_only()).expect("a datagram");
+    let (decoded, supplement) = decode(&bytes).expect("the datagram is valid");
     assert_eq!(sender(&decoded), "node-1");
-    assert_eq!(links, Some(paths()));
+    assert_eq!(supplement, paths_only());
+}
+
+#[test]
+fn faults_follow_the_links() {
+    let supplement = Supplement {
+        faults: Some(faults()),
+        ..paths_only()
+    };
+    let bytes = encode(message(), &supplement).expect("a datagram");
+    let (_, decoded) = decode(&bytes).expect("the datagram is valid");
+    assert_eq!(decoded, supplement);
+}
+
+/// The version before decoded the links and ignored what followed them.
+#[test]
+fn version_before_reads_the_links_without_the_faults() {
+    let supplement = Supplement {
+        faults: Some(faults()),
+        ..paths_only()
+    };
+    let bytes = encode(message(), &supplement).expect("a datagram");
+    let (_, rest): (Message, _) = decode_part(&bytes).expect("the message is valid");
+    let (decoded, _): (PathsReport, _) = decode_part(rest).expect("the links are valid");
+    assert_eq!(decoded, paths());
 }
 
 /// The version before sent the message alone.
 #[test]
 fn message_of_the_version_before_has_no_links() {
     let bytes = bincode::serde::encode_to_vec(message(), bincode::config::standard());
-    let (decoded, links) = decode(&bytes.expect("a datagram")).expect("the datagram is valid");
+    let (decoded, supplement) = decode(&bytes.expect("a datagram")).expect("the datagram is valid");
     assert_eq!(sender(&decoded), "node-1");
-    assert_eq!(links, None);
+    assert_eq!(supplement, Supplement::default());
 }
 
 /// The version before decoded the message and ignored what followed.
 #[test]
 fn version_before_reads_the_message_alone() {
-    let bytes = encode(message(), &paths()).expect("a datagram");
+    let bytes = encode(message(), &paths_only()).expect("a datagram");
     let decoded = bincode::serde::decode_from_slice(&bytes, bincode::config::standard());
     let (decoded, _): (Message, usize) = decoded.expect("the message is valid");
     assert_eq!(sender(&decoded), "node-1");
@@ -78,7 +126,7 @@
 
 #[test]
 fn truncated_links_are_an_error() {
-    let bytes = encode(message(), &paths()).expect("a datagram");
+    let bytes = encode(message(), &paths_only()).expect("a datagram");
     assert!(decode(&bytes[..bytes.len() - 1]).is_err());
 }
 
@@ -94,12 +142,12 @@
 #[test]
 fn messages_have_the_form_of_the_version_before() {
     for datagram in DATAGRAMS_OF_THE_VERSION_BEFORE {
-        let (mut message, links) = decode(datagram).expect("the datagram is valid");
+        let (mut message, supplement) = decode(datagram).expect("the datagram is valid");
         let node = message.node_mut();
         assert_eq!(node.crashes.suspects[0].causes.len(), 2);
         assert_eq!((node.limits.len(), node.load[0].tokens), (1, 9_999));
-        assert_eq!(links, Some(paths()));
-        let encoded = encode(message, &paths()).expect("a datagram");
+        assert_eq!(supplement, paths_only());
+        let encoded = encode(message, &supplement).expect("a datagram");
         assert_eq!(encoded, datagram);
     }
 }
@@ -120,12 +168,12 @@
     node.crashes.quarantined = [(cause(7), quarantine)].into();
     node.load = vec![node.load[0].clone(); 5_000];
     node.load[4_999].requests = 99;
-    let bytes = encode(message, &paths()).expect("a datagram");
-    let (mut received, links) = decode(&bytes).expect("the datagram is valid");
+    let bytes = encode(message, &paths_only()).expect("a datagram");
+    let (mut received, supplement) = decode(&bytes).expect("the datagram is valid");
     let node = received.node_mut();
     assert!(node.crashes.suspects.is_empty());
     assert_eq!(node.crashes.quarantined.len(), 1);
     assert_eq!(node.load.len(), MAX_LOAD_IN_LARGE_MESSAGE);
     assert_eq!(node.load[0].requests, 99);
-    assert_eq!(links, Some(paths()));
+    assert_eq!(supplement, paths_only());
 }
