feat(gateway): keep starts within copies, complete broken copies in parts

While copies are intact, a new request now waits instead.

Empty engines now fill single gaps, the largest first, and engines beside a gap take its layers.

--- a/crates/core/src/gateway/chains.rs
+++ b/crates/core/src/gateway/chains.rs
@@ -124,7 +124,9 @@
         match fit {
             Fit::Exact => exact(),
             Fit::SameKind => same(),
-            Fit::Any => same().or_else(|| self.all.next(links, position)),
+            Fit::Any => exact()
+                .or_else(same)
+                .or_else(|| self.all.next(links, position)),
         }
     }
 
--- a/crates/core/src/gateway/placement/completion.rs
+++ b/crates/core/src/gateway/placement/completion.rs
@@ -1,12 +1,15 @@
 //! Completes broken copies.
 //!
 //! Load pattern: engines are lost one by one in different copies. Each loss makes
-//! a whole copy useless, although most of its engines are left. The engines of
-//! one broken copy can fill the gaps of the others.
+//! a whole copy useless, although most of its engines are left. Empty engines fill its
+//! gaps; without any, the engines on both sides of a gap take its layers too, and if they
+//! lack memory, the engines of one broken copy fill the gaps of the others.
 
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
-use super::{Assignment, Engine, MIN_COPY_TOKENS, PendingOrders, assigned_layers, max_layers};
+use super::{
+    Assignment, Engine, MIN_COPY_TOKENS, PendingOrders, REPAIR_TOKENS, assigned_layers, max_layers,
+};
 use crate::{
     gateway::{
         chains::{self, BrokenCopy, Link},
@@ -101,16 +104,20 @@
         let Some(BrokenCopy { chain, gaps }) = broken else {
             return assignments;
         };
-        let mut donors: Vec<Engine<'_>> = spare.empty.clone();
-        if may_move {
-            let unchained = (0..spare.holding.len()).filter(|index| !chain.contains(index));
-            let movable = unchained.map(|index| &spare.holding[index].0);
-            donors.extend(movable.filter(|e| !pending.contains_key(e.id)).cloned());
-        }
         let like = spare.holding[chain[0]].0.kind.step_factor;
-        let Some(fills) = fill_gaps(spec, &gaps, donors, like) else {
+        let fills = fill_with(spec, &gaps, spare.empty.clone(), like)
+            .or_else(|| extend(spec, &spare.holding, &chain, &gaps, pending))
+            .or_else(|| {
+                let unchained = (0..spare.holding.len()).filter(|index| !chain.contains(index));
+                let held = unchained.map(|index| &spare.holding[index].0);
+                let movable = held.filter(|e| may_move && !pending.contains_key(e.id));
+                let donors = spare.empty.iter().chain(movable).cloned().collect();
+                fill_with(spec, &gaps, donors, like)
+            })
+            .unwrap_or_else(|| fill_some(spec, gaps, spare.empty.clone(), like));
+        if fills.is_empty() {
             return assignments;
-        };
+        }
         let is_used = |engine: &Engine<'_>| fills.iter().any(|fill| fill.server == *engine.id);
         spare.empty.retain(|engine| !is_used(engine));
         let holding = std::mem::take(&mut spare.holding).into_iter().enumerate();
@@ -120,9 +127,83 @@
     }
 }
 
+/// Assigns to empty engines those gaps that they can fill, the largest ones first. The
+/// others are filled once further engines return.
+fn fill_some(
+    spec: &EngineSpec,
+    mut gaps: Vec<(u16, u16)>,
+    mut empty: Vec<Engine<'_>>,
+    like: f64,
+) -> Vec<Assignment> {
+    let mut fills = Vec::new();
+    gaps.sort_by_key(|(from, to)| Reverse(to - from));
+    for gap in gaps {
+        let filled = fill_with(spec, &[gap], empty.clone(), like).unwrap_or_default();
+        empty.retain(|engine| filled.iter().all(|fill| fill.server != *engine.id));
+        fills.extend(filled);
+    }
+    fills
+}
+
+/// Extends the engines on both sides of each gap, which go on serving meanwhile. Returns
+/// `None` if they lack memory for that.
+///
+/// An engine that gives up layers accepts nothing until the streams that use them have
+/// ended. This takes longer than the load of a few layers.
+fn extend(
+    spec: &EngineSpec,
+    holding: &[(Engine<'_>, Link)],
+    chain: &[usize],
+    gaps: &[(u16, u16)],
+    pending: &PendingOrders,
+) -> Option<Vec<Assignment>> {
+    let mut ranges: Vec<(u16, u16)> = chain
+        .iter()
+        .map(|index| holding[*index].1.layers)
+        .map(|layers| (layers.start(), layers.end()))
+        .collect();
+    let spare_layers = |stage: usize, (start, end): (u16, u16)| {
+        let engine = &holding[chain[stage]].0;
+        match pending.contains_key(engine.id) {
+            true => 0,
+            false => max_layers(spec, engine.kind, REPAIR_TOKENS).saturating_sub(end - start),
+        }
+    };
+    for &(from, to) in gaps {
+        let before = ranges.iter().position(|(_, end)| *end == from);
+        let after = ranges.iter().position(|(start, _)| *start == to);
+        let room = |stage: Option<usize>| stage.map_or(0, |s| spare_layers(s, ranges[s]));
+        let (room_before, room_after) = (room(before), room(after));
+        let missing = to - from;
+        if room_before + room_after < missing {
+            return None;
+        }
+        let half = missing.div_ceil(2);
+        let by_before = half
+            .min(room_before)
+            .max(missing.saturating_sub(room_after));
+        if let Some(stage) = before {
+            ranges[stage].1 += by_before;
+        }
+        if let Some(stage) = after {
+            ranges[stage].0 -= missing - by_before;
+        }
+    }
+    let mut extended = Vec::new();
+    for (index, (start, end)) in chain.iter().zip(ranges) {
+        let (engine, link) = &holding[*index];
+        let layers = LayerRange::new(start, end).ok()?;
+        if layers != link.layers {
+            let server = engine.id.clone();
+            extended.push(Assignment { server, layers });
+        }
+    }
+    Some(extended)
+}
+
 /// Assigns the gaps to engines, or returns `None` if there are too few. Engines of
 /// the speed `like` come first, as a copy is as slow as its slowest engines.
-fn fill_gaps(
+fn fill_with(
     spec: &EngineSpec,
     gaps: &[(u16, u16)],
     mut donors: Vec<Engine<'_>>,
--- a/crates/core/src/gateway/starts.rs
+++ b/crates/core/src/gateway/starts.rs
@@ -8,7 +8,7 @@
     Gateway,
     admission::{self, RequestSource, WaitKey},
     hubs,
-    paths::{self, TokenEstimate},
+    paths::{self, TokenEstimate, copies::Draw},
     plain,
     routes::RouteMatch,
     state::Admission,
@@ -170,13 +170,13 @@
         now: Timestamp,
         service: &ServiceId,
         estimate: Option<TokenEstimate>,
-        start_limits: StartLimits,
+        limits: StartLimits,
         avoid: &[VmId],
     ) -> Option<Ticket> {
         let configuration = self.configuration.clone()?;
         let spec = configuration.services.get(service)?;
-        let limits = self.draw_limited(now, service);
-        let avoid = &[avoid, &limits.closed].concat();
+        let limited = self.draw_limited(now, service);
+        let avoid = &[avoid, &limited.closed].concat();
         let has_stale_view = self.nodes.current() > Some(hubs::MAX_MESH_NODES as u32);
         let rng = &mut self.rng;
         let mut draw = || rng.random_range(0.0..1.0);
@@ -185,20 +185,19 @@
                 let servers = &self.servers;
                 let drawn = has_stale_view.then(|| {
                     let copies = self.copies.get(engine, servers, service);
-                    copies.draw_path(
-                        engine,
-                        servers,
-                        now,
-                        estimate,
-                        start_limits,
-                        avoid,
-                        &mut draw,
-                    )
-                });
-                let path = drawn.flatten().or_else(|| {
-                    paths::choose(engine, servers, service, now, estimate, avoid, &mut draw)
+                    copies.draw_path(engine, servers, now, estimate, limits, avoid, &mut draw)
                 });
-                Target::Engines(path.filter(|path| start_limits.allow(path.gap_ms))?)
+                let path = match drawn {
+                    Some(Draw::Path(path)) => path,
+                    // All nodes would take the cheapest path outside the copies at the
+                    // same time, and it leads through engines of copies that are full.
+                    Some(Draw::NoCapacity) if limits.first_event.is_some() => return None,
+                    Some(Draw::NoCapacity | Draw::NoCopy) | None => {
+                        paths::choose(engine, servers, service, now, estimate, avoid, &mut draw)
+                            .filter(|path| limits.allow(path.gap_ms))?
+                    }
+                };
+                Target::Engines(path)
             }
             _ => {
                 let chosen = plain::choose(&self.servers, service, now, avoid, draw)?;
@@ -208,7 +207,7 @@
                 }
             }
         };
-        self.charge_limited(&limits, &target);
+        self.charge_limited(&limited, &target);
         let unread_tokens = estimate.map_or(0, |estimate| estimate.prompt);
         for reservation in target.reservations() {
             if let Some(row) = self.servers.get_mut(reservation.server) {
