fix(gateway): refuse forwarded requests that a newer configuration decided

A node that has lost its links to the servers forwards requests to a peer. The peer looked up route, service and key by its own configuration.

Neither side compared versions. A forwarded request now states the version that its sender decided by. A peer with an older one refuses it before it looks up the route, so that nothing has run, and the sender tries another peer. Peers whose report names an older version are chosen only if there is no other: a report may be older than the configuration, and the peer has the last word. If all peers are older, callers come back to another node within 100 ms.

The statement is a second value of `peer-forwarded-by`. The release before takes the first value and removes all; it would pass a header of its own on to servers. A request without a statement is handled as before, and the new outcome `older` is sent only to nodes that state a version.

--- a/crates/core/src/gateway/outcomes.rs
+++ b/crates/core/src/gateway/outcomes.rs
@@ -102,6 +102,11 @@
                 }
             }
             TicketOutcome::RefusedByPeer => {}
+            TicketOutcome::PeerIsOlder => {
+                if let Some(peer) = ticket.target.peer() {
+                    self.back_off_older_peer(now, &peer.vm);
+                }
+            }
             TicketOutcome::Failed => {
                 if let Some(id) = server_at_fault(&self.servers, None) {
                     self.record_server_failure(now, &id);
--- a/crates/core/src/gateway/peer_paths.rs
+++ b/crates/core/src/gateway/peer_paths.rs
@@ -42,6 +42,12 @@
 /// Time for which a peer that failed or refused a request gets no further ones.
 const PEER_BACKOFF: Duration = Duration::from_millis(500);
 
+/// The same for a peer that refused a request because its configuration is older than
+/// this node's. A peer that the store serves reads the newer one within 100 ms.
+const OLDER_PEER_BACKOFF: Duration = Duration::from_millis(100);
+/// Time after such a refusal for which refused callers are sent to other nodes.
+const OLDER_PEER_MEMORY: Duration = Duration::from_millis(500);
+
 /// How a node reaches one service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServicePaths {
@@ -109,6 +115,8 @@
     known: BTreeMap<VmId, KnownPaths>,
     /// Until when a peer gets no further requests.
     backoffs: BTreeMap<VmId, Timestamp>,
+    /// When a peer last refused a request because its configuration is older.
+    refused_as_older_at: Option<Timestamp>,
     /// Requests of peers that run here.
     taken: u32,
 }
@@ -262,8 +270,18 @@
         self.peer_paths.known.get(peer).map(|known| known.age(now))
     }
 
+    /// Returns whether a peer has reported an older configuration than this node's. The
+    /// configuration of a peer that is known through a hub is not known.
+    fn is_older(&self, now: Timestamp, peer: &VmId) -> bool {
+        let own = self.configuration().map(|c| c.version);
+        self.reported_version(now, peer)
+            .is_some_and(|version| Some(version) < own)
+    }
+
     /// Selects a peer for a request, if this node has lost links to sound servers of the
-    /// service and a peer reaches at least twice as many servers.
+    /// service and a peer reaches at least twice as many servers. Peers with an older
+    /// configuration than this node's are selected only if there are no others: a report
+    /// may be older than the peer's configuration, and the peer refuses if it is not.
     pub(super) fn choose_peer(
         &mut self,
         now: Timestamp,
@@ -290,7 +308,11 @@
                 && !table.backoffs.contains_key(vm);
             is_usable.then(|| (weight(known, paths, room, now, domain), vm, known, paths))
         });
-        let candidates: Vec<_> = candidates.collect();
+        let mut candidates: Vec<_> = candidates.collect();
+        let is_current = |(_, vm, ..): &(_, &VmId, _, _)| !self.is_older(now, vm);
+        if candidates.iter().any(is_current) {
+            candidates.retain(is_current);
+        }
         let total: f64 = candidates.iter().map(|(weight, ..)| weight).sum();
         let mut left = self.rng.random_range(0.0..1.0) * total;
         let (_, vm, known, paths) = candidates.iter().find(|(weight, ..)| {
@@ -326,6 +348,24 @@
         })
     }
 
+    /// Sends no further requests for a short time to a peer that refused one because its
+    /// configuration is older.
+    pub(super) fn back_off_older_peer(&mut self, now: Timestamp, peer: &VmId) {
+        let paths = &mut self.peer_paths;
+        paths
+            .backoffs
+            .insert(peer.clone(), now + OLDER_PEER_BACKOFF);
+        paths.refused_as_older_at = Some(now);
+    }
+
+    /// Returns whether this node has lost the links to all servers of a service, and a peer
+    /// has just refused a request because its configuration is older.
+    pub(super) fn has_only_older_peers(&self, now: Timestamp, service: &ServiceId) -> bool {
+        let refused_at = self.peer_paths.refused_as_older_at;
+        refused_at.is_some_and(|at| now.since(at) < OLDER_PEER_MEMORY)
+            && self.has_lost_all_links(now, service)
+    }
+
     /// Sends no further requests to a peer for a time.
     pub(super) fn back_off_peer(&mut self, now: Timestamp, peer: &VmId) {
         let backoffs = &mut self.peer_paths.backoffs;
--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -246,6 +246,12 @@
         self.peers.get(peer).is_some_and(|peer| peer.is_fresh(now))
     }
 
+    /// Returns the version of a peer's configuration according to its own recent report.
+    pub(super) fn reported_version(&self, now: Timestamp, peer: &VmId) -> Option<u64> {
+        let peer = self.peers.get(peer).filter(|peer| peer.is_fresh(now))?;
+        peer.report.configuration_version
+    }
+
     /// Stores a peer's report and recomputes the load of all peers.
     pub fn apply_report(&mut self, now: Timestamp, peer: VmId, source: Source, report: NodeReport) {
         for load in &report.load {
--- a/crates/core/src/gateway/routes.rs
+++ b/crates/core/src/gateway/routes.rs
@@ -8,6 +8,7 @@
 /// The routes and keys of one configuration, indexed for lookup.
 #[derive(Debug, Default)]
 pub struct RouteTable {
+    version: u64,
     by_host: BTreeMap<String, Vec<(String, Arc<Route>)>>,
     by_key: Option<BTreeMap<String, (OrganisationId, Option<Priority>)>>,
 }
@@ -15,6 +16,8 @@
 /// The route and the permissions of a request that the configuration allows.
 #[derive(Debug, Clone)]
 pub struct RouteMatch {
+    /// The version of the configuration that allows the request.
+    pub configuration_version: u64,
     /// The route's name.
     pub name: String,
     /// The route.
@@ -58,7 +61,11 @@
             }
             keys
         });
-        Self { by_host, by_key }
+        Self {
+            version: cfg.version,
+            by_host,
+            by_key,
+        }
     }
 
     /// Returns the route with the longest matching prefix and the organisation
@@ -80,6 +87,7 @@
             .find(|(_, route)| path.starts_with(&route.path_prefix))
             .ok_or(RouteError::NoRoute)?;
         let mut found = RouteMatch {
+            configuration_version: self.version,
             name: name.clone(),
             route: route.clone(),
             organisation: None,
--- a/crates/core/src/gateway/starts.rs
+++ b/crates/core/src/gateway/starts.rs
@@ -136,9 +136,14 @@
 
     /// Returns the delay after which a caller whose request a service did not
     /// take should retry. It is longer than the pause that all servers of the
-    /// service asked for.
+    /// service asked for. If this node reaches the servers only through peers with an
+    /// older configuration, the caller should use another node soon.
     pub fn retry_after_refusal(&mut self, now: Timestamp, service: &ServiceId) -> Duration {
-        self.pause_left(now, service).unwrap_or_default() + self.retry_after()
+        let retry_after = match self.has_only_older_peers(now, service) {
+            true => self.retry_elsewhere_after(),
+            false => self.retry_after(),
+        };
+        self.pause_left(now, service).unwrap_or_default() + retry_after
     }
 
     /// Reserves servers for a request, or selects a peer if this node has lost the
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -50,6 +50,9 @@
     /// The configuration was not confirmed recently to be the newest.
     #[error("the configuration was not confirmed recently")]
     Unconfirmed,
+    /// The configuration is older than the one by which a peer has forwarded the request.
+    #[error("the configuration is older than that of the peer")]
+    Older,
     /// The configuration does not allow the request.
     #[error(transparent)]
     Route(#[from] RouteError),
--- a/crates/core/src/gateway/ticket.rs
+++ b/crates/core/src/gateway/ticket.rs
@@ -147,6 +147,9 @@
     Unreachable(ConnectFailure),
     /// A peer refused to forward the request; it did not run.
     RefusedByPeer,
+    /// A peer refused the request because its configuration is older than this node's;
+    /// it did not run.
+    PeerIsOlder,
     /// The connection to the first server or the peer failed, or its response was
     /// invalid.
     Failed,
--- a/crates/core/tests/gateway_lost_links.rs
+++ b/crates/core/tests/gateway_lost_links.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use gateway_fakes::{HOST, KEY, PLAIN, gateway, id, member, ms, name, server};
+use gateway_fakes::{HOST, KEY, PLAIN, configuration, gateway, id, member, ms, name, server};
 use radishhaven_core::{
     gateway::{
         CrashCause, Gateway, PromptPart, RequestDigest, Target, Ticket, TicketOutcome,
@@ -221,6 +221,57 @@
     }
 }
 
+/// Guards against a request that a peer handles by an older version of the configuration
+/// than the one in force here: the store may have turned that peer away.
+#[test]
+fn request_goes_to_a_peer_whose_configuration_is_not_older() {
+    let (mut cut, mut older, mut newer) = (node(), node(), node());
+    cut.set_configuration(configuration(9));
+    newer.set_configuration(configuration(10));
+    lose_links(&mut cut, ms(100), SERVERS);
+    report_paths(ms(300), (1, &mut older), 4, &mut cut);
+    report_paths(ms(300), (2, &mut newer), 4, &mut cut);
+    for step in 0..20 {
+        let peer = peer_of(&admit(&mut cut, ms(310 + step)));
+        assert_eq!(peer, Some(front(2).to_string()));
+    }
+}
+
+/// A report may be older than the peer's configuration, so a peer that is older according
+/// to its report is still tried if there is no other one, and refuses if it is.
+#[test]
+fn peer_with_an_older_configuration_is_tried_if_there_is_no_other() {
+    let (mut cut, mut older) = (node(), node());
+    cut.set_configuration(configuration(9));
+    lose_links(&mut cut, ms(100), SERVERS);
+    report_paths(ms(300), (1, &mut older), 4, &mut cut);
+    assert_eq!(
+        peer_of(&admit(&mut cut, ms(310))),
+        Some(front(1).to_string())
+    );
+}
+
+/// Guards against callers that wait at a node which is the only one with the newest
+/// configuration and reaches no server.
+#[test]
+fn caller_uses_another_node_if_all_peers_are_older() {
+    let mut cut = node();
+    cut.set_configuration(configuration(9));
+    lose_links(&mut cut, ms(100), SERVERS);
+    report_paths(ms(1_200), (1, &mut node()), 4, &mut cut);
+    let Admission::Start(ticket) = admit(&mut cut, ms(1_210)) else {
+        panic!("no peer was selected");
+    };
+    cut.finish(ms(1_220), &ticket, TicketOutcome::PeerIsOlder);
+    let Admission::Refuse(retry_after) = admit(&mut cut, ms(1_230)) else {
+        panic!("the peer was selected again at once");
+    };
+    assert!(retry_after.as_millis() <= 100, "{retry_after:?}");
+    // The peer reads the new configuration soon if the store serves it.
+    let later = admit(&mut cut, ms(1_400));
+    assert_eq!(peer_of(&later), Some(front(1).to_string()));
+}
+
 /// Own callers come first when many nodes are cut.
 #[test]
 fn node_takes_a_bounded_number_of_requests_of_peers() {
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -38,6 +38,8 @@
 pub(super) struct Forwarded {
     /// The node.
     pub(super) from: Option<VmId>,
+    /// The version of the configuration that it has decided by, if it states one.
+    pub(super) configuration_version: Option<u64>,
     /// Whether it can still send the request elsewhere.
     pub(super) may_fail_over: bool,
 }
@@ -84,7 +86,8 @@
     let open = host.track_request();
     let (head, body) = req.into_parts();
     let caller_request = caller::decode(&head.headers);
-    match authorize(host, &head, &caller_request) {
+    let min_version = forwarded.as_ref().and_then(|f| f.configuration_version);
+    match authorize(host, &head, &caller_request, min_version) {
         Ok(authorized) => {
             let parts = (head, body, open);
             accept(host, parts, caller_request, authorized, forwarded).await
@@ -238,6 +241,7 @@
     host: &Arc<GatewayHost>,
     head: &request::Parts,
     caller_request: &CallerRequest,
+    min_version: Option<u64>,
 ) -> Result<(RouteMatch, ServiceId), Rejection> {
     let authority = head.headers.get(header::HOST).and_then(|v| v.to_str().ok());
     let authority = authority.or_else(|| head.uri.authority().map(|a| a.as_str()));
@@ -246,6 +250,9 @@
     let now = host.now();
     let path = head.uri.path();
     host.with_gateway(|g| {
+        if min_version > g.configuration().map(|c| c.version) {
+            return Err(Rejection::Older);
+        }
         let routed = g.route(
             now,
             &name.to_ascii_lowercase(),
@@ -266,13 +273,18 @@
     let status = match rejected {
         Rejection::Route(RouteError::NoRoute) => StatusCode::NOT_FOUND,
         Rejection::Route(RouteError::UnknownKey) => StatusCode::UNAUTHORIZED,
-        Rejection::NoConfiguration | Rejection::Unconfirmed => StatusCode::SERVICE_UNAVAILABLE,
+        Rejection::NoConfiguration | Rejection::Unconfirmed | Rejection::Older => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
     };
     let mut resp = reject(host, "", attempt_id, status, &rejected.to_string());
     if status == StatusCode::SERVICE_UNAVAILABLE {
         let after = host.with_gateway(|g| g.retry_after_unconfirmed(host.now()));
         set_retry_after(&mut resp, after);
     }
+    if rejected == Rejection::Older {
+        resp.extensions_mut().insert(NodeOutcome::Older);
+    }
     resp
 }
 
--- a/crates/daemon/src/gateway/job.rs
+++ b/crates/daemon/src/gateway/job.rs
@@ -252,8 +252,13 @@
                 retry_after,
             } => {
                 self.not_run += 1;
-                self.exclude_peer(&guard);
                 self.log_failed_send(&guard, "refused by peer", sent_at, outcome.as_str());
+                if outcome == NodeOutcome::Older {
+                    // The peer may soon read the newer configuration.
+                    guard.settle(TicketOutcome::PeerIsOlder);
+                    return Attempt::Retry;
+                }
+                self.exclude_peer(&guard);
                 if outcome == NodeOutcome::Refused {
                     guard.settle(TicketOutcome::Abandoned);
                     return Attempt::Refused(retry_after.unwrap_or_default());
@@ -454,6 +459,7 @@
         };
         let context = PeerContext {
             own: &self.host.settings.node.vm,
+            configuration_version: self.routed.configuration_version,
             time_left: self.remaining(),
             last_event,
             may_fail_over: self.may_fail_over(),
--- a/crates/daemon/src/gateway/peer_forwarding/client.rs
+++ b/crates/daemon/src/gateway/peer_forwarding/client.rs
@@ -24,7 +24,7 @@
 };
 use tokio::net::TcpStream;
 
-use super::{FORWARDED_BY, MAY_FAIL_OVER, NodeOutcome, OUTCOME};
+use super::{FORWARDED_BY, MAY_FAIL_OVER, NodeOutcome, OUTCOME, VERSION_PREFIX};
 use crate::gateway::exchange::{BackendResponse, OutgoingRequest, SendOutcome};
 
 /// Timeout for connecting to a peer.
@@ -101,6 +101,8 @@
 pub(in crate::gateway) struct PeerContext<'a> {
     /// This node.
     pub(in crate::gateway) own: &'a VmId,
+    /// The version of the configuration that this node has decided by.
+    pub(in crate::gateway) configuration_version: u64,
     /// Time left until the deadline.
     pub(in crate::gateway) time_left: Duration,
     /// Id of the last event that the caller has received.
@@ -153,6 +155,8 @@
         caller::encode_for_peer(&outgoing.headers, context.time_left, context.last_event);
     if let Ok(own) = HeaderValue::from_str(context.own.as_str()) {
         headers.insert(FORWARDED_BY, own);
+        let version = format!("{VERSION_PREFIX}{}", context.configuration_version);
+        headers.append(FORWARDED_BY, HeaderValue::from_str(&version)?);
     }
     if context.may_fail_over {
         headers.insert(MAY_FAIL_OVER, HeaderValue::from_static("1"));
@@ -176,12 +180,15 @@
     }
     let outcome = head.headers.get(OUTCOME).and_then(|v| v.to_str().ok());
     match outcome.and_then(|text| text.parse().ok()) {
-        Some(outcome @ (NodeOutcome::Refused | NodeOutcome::NotSent | NodeOutcome::NotRun)) => {
-            SendOutcome::RefusedByPeer {
-                outcome,
-                retry_after: retry_after(&head.headers),
-            }
-        }
+        Some(
+            outcome @ (NodeOutcome::Refused
+            | NodeOutcome::NotSent
+            | NodeOutcome::Older
+            | NodeOutcome::NotRun),
+        ) => SendOutcome::RefusedByPeer {
+            outcome,
+            retry_after: retry_after(&head.headers),
+        },
         Some(NodeOutcome::Unknown) | None => {
             SendOutcome::Unknown(format!("the peer answered with status {}", head.status))
         }
--- a/crates/daemon/src/gateway/peer_forwarding/mod.rs
+++ b/crates/daemon/src/gateway/peer_forwarding/mod.rs
@@ -19,8 +19,13 @@
     server::serve,
 };
 
-/// The VM of the node that forwards a request.
+/// The VM of the node that forwards a request. A second value states the version of the
+/// configuration that it has decided by ([`VERSION_PREFIX`]). The release before the
+/// statement was added takes the first value and removes all; it would pass a header
+/// that it does not know on to servers.
 const FORWARDED_BY: HeaderName = HeaderName::from_static("peer-forwarded-by");
+/// Begins the value that states a version of the configuration.
+const VERSION_PREFIX: &str = "configuration-version=";
 /// Set to `1` if the sender can still send the request elsewhere, so that the peer
 /// ends it when a server is silent.
 const MAY_FAIL_OVER: HeaderName = HeaderName::from_static("peer-may-fail-over");
@@ -34,6 +39,9 @@
     Refused,
     /// It was sent to no server.
     NotSent,
+    /// It was sent to no server, because the node's configuration is older than the one
+    /// that the sender has stated. Only senders that state one receive this.
+    Older,
     /// Servers refused it; it did not run.
     NotRun,
     /// It may have run.
@@ -46,6 +54,7 @@
         match self {
             Self::Refused => "refused",
             Self::NotSent => "not-sent",
+            Self::Older => "older",
             Self::NotRun => "not-run",
             Self::Unknown => "unknown",
         }
@@ -64,6 +73,7 @@
         match text {
             "refused" => Ok(Self::Refused),
             "not-sent" => Ok(Self::NotSent),
+            "older" => Ok(Self::Older),
             "not-run" => Ok(Self::NotRun),
             "unknown" => Ok(Self::Unknown),
             _ => Err(InvalidOutcome),
--- a/crates/daemon/src/gateway/peer_forwarding/server.rs
+++ b/crates/daemon/src/gateway/peer_forwarding/server.rs
@@ -2,14 +2,14 @@
 
 use std::{convert::Infallible, pin::pin, sync::Arc, time::Duration};
 
-use http::{HeaderValue, Request, Response};
+use http::{HeaderMap, HeaderValue, Request, Response};
 use hyper::{body::Incoming, server::conn::http2, service::service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use spdlog::prelude::*;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{
-    FORWARDED_BY, MAY_FAIL_OVER, NodeOutcome, OUTCOME,
+    FORWARDED_BY, MAY_FAIL_OVER, NodeOutcome, OUTCOME, VERSION_PREFIX,
     client::{CONNECTION_WINDOW, MAX_STREAMS, STREAM_WINDOW},
 };
 use crate::gateway::{
@@ -68,11 +68,13 @@
 /// Handles one request of a peer and returns the response for it.
 async fn handle(host: Arc<GatewayHost>, mut req: Request<Incoming>) -> Response<Body> {
     let headers = req.headers_mut();
+    let configuration_version = stated_version(headers);
     let from = headers.remove(FORWARDED_BY);
     let may_fail_over = headers.remove(MAY_FAIL_OVER).is_some();
     let from = from.and_then(|vm| vm.to_str().ok()?.parse().ok());
     let forwarded = Forwarded {
         from,
+        configuration_version,
         may_fail_over,
     };
     let mut resp = ingress::handle_from_peer(host, req, forwarded).await;
@@ -82,3 +84,11 @@
     }
     resp
 }
+
+/// Returns the version of the configuration that the sender has decided by, or `None` if
+/// it is of a release that states none.
+fn stated_version(headers: &HeaderMap) -> Option<u64> {
+    let values = headers.get_all(FORWARDED_BY).into_iter();
+    let mut stated = values.filter_map(|value| value.to_str().ok()?.strip_prefix(VERSION_PREFIX));
+    stated.next()?.parse().ok()
+}
