fix(gateway): confirm nothing by the first read in a later era of the store

The first read of a process confirmed the configuration at once, in whatever era, and `Gateway::route` went on with that confirmation although a peer had named a newer version.

A process whose first read is in an era above 0 now waits for a write or 2.3 s, as one does that sees the era change. It can't tell how long ago the store returned, so until then the confirmations of peers with the same version count here with the age that they state: a start long after a drill is not delayed, and a peer that the store turned away before the revocation extends nothing. Without peers it accepts keys after 2.3 s.

A confirmation that may rest on a copy (an era above 0, in which no write was seen) ends when a peer names a newer version. Others still count while the newer version is being read: they prove that it is younger than they are, and ending them would refuse keys at each new version.

--- a/crates/core/src/gateway/freshness.rs
+++ b/crates/core/src/gateway/freshness.rs
@@ -33,6 +33,11 @@
     era: Option<StoreEra>,
     /// Time from which reads of the current era confirm the configuration.
     trusted_from: Timestamp,
+    /// Whether the process has begun in the current era, which is not the first one.
+    began_in_later_era: bool,
+    /// Whether the store has returned from a copy, and no configuration was seen that was
+    /// written since.
+    may_lack_newest: bool,
 }
 
 impl Freshness {
@@ -43,16 +48,23 @@
 
     /// Records a read of the configuration that was answered at `now`. It
     /// confirms the configuration unless the store has returned from an older
-    /// copy and the configuration may still be missing from it.
+    /// copy and the configuration may still be missing from it. A process that
+    /// begins in a later era can't tell how long ago that was.
     pub fn record_read(&mut self, now: Timestamp, read: ConfigurationRead) {
         match self.era {
             Some(era) if read.era < era => return,
-            Some(era) if read.era > era => self.trusted_from = now + REWRITE_TIME,
-            _ => {}
+            Some(era) if read.era == era => {}
+            None if read.era == StoreEra::default() => {}
+            previous => {
+                self.trusted_from = now + REWRITE_TIME;
+                self.began_in_later_era = previous.is_none();
+                self.may_lack_newest = true;
+            }
         }
         self.era = Some(read.era);
         if read.written {
             self.trusted_from = self.trusted_from.min(read.sent);
+            self.may_lack_newest = false;
         }
         if read.sent >= self.trusted_from {
             self.confirm(read.sent);
@@ -65,6 +77,18 @@
         self.sent < Some(self.trusted_from)
     }
 
+    /// Returns whether the process has begun in a later era of the store, and its own
+    /// reads confirm nothing yet.
+    pub fn relies_on_peers(&self, now: Timestamp) -> bool {
+        self.began_in_later_era && now < self.trusted_from
+    }
+
+    /// Returns whether a confirmation may rest on a copy that lacks the newest
+    /// configuration.
+    pub fn may_lack_newest(&self) -> bool {
+        self.may_lack_newest
+    }
+
     /// Returns the time since the latest confirmation, or `None` if there is
     /// none yet.
     pub fn age(&self, now: Timestamp) -> Option<Duration> {
--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -264,12 +264,17 @@
         self.apply_leaving(&report.leaving);
         self.apply_crash_report(now, &report.crashes);
         self.apply_limits(now, &report.limits);
-        if let Some(age) = report.confirmation_age_ms {
-            self.record_peer_confirmation(now - Duration::from_millis(age));
-        }
         if let Some(version) = report.configuration_version {
             self.record_configuration_version(version);
         }
+        if let Some(age) = report.confirmation_age_ms {
+            let confirmed_at = now - Duration::from_millis(age);
+            self.record_peer_confirmation(confirmed_at);
+            // The age of a report that covers other nodes may be that of another version.
+            if let (1, Some(version)) = (report.nodes, report.configuration_version) {
+                self.record_confirmation_of(now, confirmed_at, version);
+            }
+        }
         let received_at = now;
         self.peers.insert(
             peer,
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -169,6 +169,16 @@
         self.newest_known_version = self.newest_known_version.max(version);
     }
 
+    /// Records that a peer has confirmed at `at` that its configuration `version` is the
+    /// newest. This confirms the configuration of a process that has begun in a later era
+    /// of the store, so that it need not wait for a write.
+    pub(super) fn record_confirmation_of(&mut self, now: Timestamp, at: Timestamp, version: u64) {
+        let is_active = self.configuration().is_some_and(|c| c.version == version);
+        if is_active && self.freshness.relies_on_peers(now) {
+            self.confirm_configuration(at);
+        }
+    }
+
     /// Records that a peer had the newest configuration at `at`.
     pub(super) fn record_peer_confirmation(&mut self, at: Timestamp) {
         self.peers_confirmed_at = self.peers_confirmed_at.max(Some(at));
@@ -181,8 +191,18 @@
     pub fn is_left_behind(&self, now: Timestamp) -> bool {
         let bound = self.cfg.max_confirmation_age;
         let peers_confirmed = self.peers_confirmed_at;
-        !self.freshness.is_fresh(now, bound)
-            && peers_confirmed.is_some_and(|at| now.since(at) < bound)
+        !self.is_confirmed(now) && peers_confirmed.is_some_and(|at| now.since(at) < bound)
+    }
+
+    /// Returns whether keys can be checked: the active configuration was confirmed recently.
+    ///
+    /// A confirmation that may rest on an older copy of the store ends when a peer names a
+    /// newer version. Any other one proves that the newer version is younger than itself,
+    /// so it counts while that version is being read.
+    fn is_confirmed(&self, now: Timestamp) -> bool {
+        let bound = self.cfg.max_confirmation_age;
+        self.freshness.is_fresh(now, bound)
+            && (self.has_newest_known_configuration() || !self.freshness.may_lack_newest())
     }
 
     /// Returns whether no peer has a newer configuration. The store may return
@@ -252,7 +272,7 @@
         if self.configuration.is_none() {
             return Err(Rejection::NoConfiguration);
         }
-        let confirmed = self.freshness.is_fresh(now, self.cfg.max_confirmation_age);
+        let confirmed = self.is_confirmed(now);
         match self.routes.find(host, path, key) {
             Ok(route_match) if route_match.organisation.is_none() || confirmed => Ok(route_match),
             Err(denied) if confirmed => Err(denied.into()),
--- a/crates/core/tests/gateway_eras.rs
+++ b/crates/core/tests/gateway_eras.rs
@@ -7,7 +7,7 @@
 
 use bolero_generator::TypeGenerator;
 use gateway_fakes::{
-    HOST, KEY, PLAIN, configuration, empty_engines, gateway, id, ms, name, server,
+    HOST, KEY, PLAIN, configuration, empty_engines, gateway, gateway_config, id, ms, name, server,
 };
 use radishhaven_cases::{INVARIANT_CASES, check};
 use radishhaven_core::{
@@ -32,10 +32,28 @@
 /// A gateway whose configuration was confirmed in era 1 at 1,000 ms.
 fn confirmed() -> Gateway {
     let mut gateway = gateway(ms(0), BTreeMap::new());
-    gateway.record_configuration_read(ms(1_000), read(1, ms(1_000), false));
+    gateway.record_configuration_read(ms(1_000), read(1, ms(1_000), true));
     gateway
 }
 
+/// A gateway that has just started and has read version 1 in an era.
+fn started(now: Timestamp, era: u64) -> Gateway {
+    let mut gateway = Gateway::new(gateway_config(), 7);
+    gateway.set_configuration(configuration(1));
+    gateway.record_configuration_read(now, read(era, now, false));
+    gateway
+}
+
+fn accepts_key(gateway: &Gateway, now: Timestamp) -> bool {
+    gateway.route(now, HOST, "/log/1", Some(KEY)).is_ok()
+}
+
+/// Sends the report of a peer.
+fn report_to(gateway: &mut Gateway, now: Timestamp, peer: &Gateway) {
+    let report = peer.report(now, true, None, ReportRecipient::Hub);
+    gateway.apply_report(now, id("peer"), Source::Hub, report);
+}
+
 fn age_at(gateway: &Gateway, now: u64) -> u128 {
     let age = gateway.confirmation_age(ms(now));
     age.expect("a confirmation").as_millis()
@@ -87,6 +105,89 @@
     assert!(behind.route(ms(6_000), HOST, "/log/1", Some(KEY)).is_ok());
 }
 
+/// Guards against a key that a lost configuration had revoked: a node that starts while the
+/// store is back from the copy can't know how long ago it returned.
+#[test]
+fn node_that_starts_in_a_later_era_confirms_nothing_until_the_configuration_can_be_written() {
+    let mut gateway = started(ms(1_000), 1);
+    assert!(!accepts_key(&gateway, ms(1_000)));
+    gateway.record_configuration_read(ms(3_200), read(1, ms(3_100), false));
+    assert!(!accepts_key(&gateway, ms(3_200)));
+    let public = gateway.route(ms(3_200), HOST, "/open/1", None);
+    assert!(public.is_ok(), "a public route needs no confirmation");
+    gateway.record_configuration_read(ms(3_500), read(1, ms(3_400), false));
+    assert!(
+        accepts_key(&gateway, ms(3_500)),
+        "it does not wait for ever"
+    );
+    assert!(accepts_key(&started(ms(1_000), 0), ms(1_000)));
+}
+
+#[test]
+fn write_in_a_later_era_confirms_at_a_node_that_has_just_started() {
+    let mut gateway = started(ms(1_000), 1);
+    gateway.set_configuration(configuration(2));
+    gateway.record_configuration_read(ms(1_400), read(1, ms(1_300), true));
+    assert!(accepts_key(&gateway, ms(1_400)));
+}
+
+/// Guards against refusing keys at each start of a node because the store has once returned
+/// from a copy.
+#[test]
+fn peer_with_the_same_version_confirms_it_at_a_node_that_has_just_started() {
+    let mut peer = confirmed();
+    peer.record_configuration_read(ms(9_000), read(1, ms(9_000), false));
+    let mut gateway = started(ms(10_000), 1);
+    report_to(&mut gateway, ms(10_200), &peer);
+    assert!(accepts_key(&gateway, ms(10_200)));
+    assert_eq!(age_at(&gateway, 10_200), 1_200, "as old as at the peer");
+}
+
+/// Guards against taking a peer's word for a version that it could not confirm lately, or
+/// for another one.
+#[test]
+fn peer_with_an_old_confirmation_or_another_version_confirms_nothing() {
+    let mut gateway = started(ms(10_000), 1);
+    report_to(&mut gateway, ms(10_200), &confirmed());
+    assert!(!accepts_key(&gateway, ms(10_200)), "9.2 s old");
+    let mut newer = confirmed();
+    newer.set_configuration(configuration(9));
+    newer.record_configuration_read(ms(10_200), read(1, ms(10_200), false));
+    report_to(&mut gateway, ms(10_300), &newer);
+    gateway.record_configuration_read(ms(13_000), read(1, ms(12_900), false));
+    assert!(!accepts_key(&gateway, ms(13_000)));
+    assert!(gateway.is_left_behind(ms(13_000)), "the peer checks keys");
+}
+
+/// Guards against a confirmation by a copy that counts on after a peer has named a newer
+/// version.
+#[test]
+fn newer_version_of_a_peer_ends_a_confirmation_that_may_rest_on_a_copy() {
+    let mut gateway = confirmed();
+    gateway.record_configuration_read(ms(2_000), read(2, ms(1_990), false));
+    gateway.record_configuration_read(ms(4_400), read(2, ms(4_390), false));
+    assert!(accepts_key(&gateway, ms(4_400)));
+    let mut newer = confirmed();
+    newer.set_configuration(configuration(9));
+    report_to(&mut gateway, ms(4_500), &newer);
+    assert!(!accepts_key(&gateway, ms(4_500)));
+    assert!(gateway.route(ms(4_500), HOST, "/open/1", None).is_ok());
+    gateway.set_configuration(configuration(9));
+    gateway.record_configuration_read(ms(4_700), read(2, ms(4_600), true));
+    assert!(accepts_key(&gateway, ms(4_700)));
+}
+
+/// Guards against refusing keys at each new version until it was read.
+#[test]
+fn newer_version_of_a_peer_does_not_end_a_confirmation_that_proves_its_age() {
+    let mut gateway = confirmed();
+    let mut newer = confirmed();
+    newer.set_configuration(configuration(9));
+    report_to(&mut gateway, ms(1_200), &newer);
+    assert!(accepts_key(&gateway, ms(1_200)));
+    assert!(!accepts_key(&gateway, ms(1_000 + 4_600)));
+}
+
 /// Load pattern: the store refuses a part of the nodes. Their callers are sent to
 /// the others at once; if no node can check keys, they return spread over time.
 #[test]
@@ -160,13 +261,14 @@
 #[derive(Debug, Clone, TypeGenerator)]
 enum Step {
     Restore,
+    Restart,
     Read { delay: u8, from_start: bool },
     Write,
     Wait { ms: u16 },
 }
 
-/// For any history of restores, writes and late answers, the confirmation is
-/// never younger than the newest configuration that the store holds or has
+/// For any history of restores, writes, restarts of the process and late answers, the
+/// confirmation is never younger than the newest configuration that the store holds or has
 /// lost.
 #[test]
 fn no_history_confirms_a_configuration_that_was_replaced() {
@@ -188,6 +290,10 @@
                     // Operators write again within two seconds.
                     rewrite_at = (acknowledged > 1).then(|| now + Duration::from_millis(2_000));
                 }
+                Step::Restart => {
+                    gateway = Gateway::new(gateway_config(), 7);
+                    (replaced_at, has_read_era) = (None, false);
+                }
                 Step::Write => {
                     acknowledged += 1;
                     stored = acknowledged;
@@ -211,8 +317,8 @@
                     }
                 }
             }
-            if let Some(replaced_at) = replaced_at {
-                let confirmed_at = now - gateway.confirmation_age(now).expect("a confirmation");
+            if let (Some(replaced_at), Some(age)) = (replaced_at, gateway.confirmation_age(now)) {
+                let confirmed_at = now - age;
                 assert!(
                     confirmed_at <= replaced_at + Duration::from_millis(1),
                     "confirmed at {confirmed_at:?}, replaced at {replaced_at:?}"
