fix(gateway): end a hub's confirmation in a later era when a peer is newer

A leaf reads the configuration in a new era only when its hub names a newer one, so its reader still was in the era before.

The era in which the registry was last read is known at a leaf. If it is later than that of the configuration, confirmations end when a peer names a newer version, as at a node that reads the configuration itself.

Evidence: newer_version_of_a_peer_ends_a_confirmation_by_a_hub_in_a_later_era fails on the code before and passes now; gateway_eras (16), gateway_hubs (14) and gateway_lost_links (15) pass.

--- a/crates/core/src/gateway/freshness.rs
+++ b/crates/core/src/gateway/freshness.rs
@@ -84,9 +84,11 @@
     }
 
     /// Returns whether a confirmation may rest on a copy that lacks the newest
+    /// configuration. `registry_era` is the era in which the registry was last read: a leaf
+    /// reads the registry in a new era, and takes its hub's confirmations of the
     /// configuration.
-    pub fn may_lack_newest(&self) -> bool {
-        self.may_lack_newest
+    pub fn may_lack_newest(&self, registry_era: Option<StoreEra>) -> bool {
+        self.may_lack_newest || registry_era > self.era
     }
 
     /// Returns the time since the latest confirmation, or `None` if there is
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -201,8 +201,10 @@
     /// so it counts while that version is being read.
     fn is_confirmed(&self, now: Timestamp) -> bool {
         let bound = self.cfg.max_confirmation_age;
+        let registry_era = self.registry_end().map(|end| end.era);
         self.freshness.is_fresh(now, bound)
-            && (self.has_newest_known_configuration() || !self.freshness.may_lack_newest())
+            && (self.has_newest_known_configuration()
+                || !self.freshness.may_lack_newest(registry_era))
     }
 
     /// Returns whether no peer has a newer configuration. The store may return
--- a/crates/core/tests/gateway_eras.rs
+++ b/crates/core/tests/gateway_eras.rs
@@ -177,6 +177,24 @@
     assert!(accepts_key(&gateway, ms(4_700)));
 }
 
+/// Guards against the same at a leaf, which reads the configuration in a new era only when
+/// its hub names a newer one.
+#[test]
+fn newer_version_of_a_peer_ends_a_confirmation_by_a_hub_in_a_later_era() {
+    let mut hub = confirmed();
+    hub.record_configuration_read(ms(2_000), read(2, ms(1_990), false));
+    hub.record_configuration_read(ms(4_400), read(2, ms(4_390), false));
+    let mut leaf = confirmed();
+    leaf.record_registry_read(ms(2_000), position(2, 3));
+    let view = hub.store_view(ms(4_500), None);
+    leaf.apply_store_view(ms(4_510), ms(4_490), view);
+    assert!(accepts_key(&leaf, ms(4_510)));
+    let mut newer = confirmed();
+    newer.set_configuration(configuration(9));
+    report_to(&mut leaf, ms(4_600), &newer);
+    assert!(!accepts_key(&leaf, ms(4_600)));
+}
+
 /// Guards against refusing keys at each new version until it was read.
 #[test]
 fn newer_version_of_a_peer_does_not_end_a_confirmation_that_proves_its_age() {
