--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -246,6 +246,12 @@
         self.peers.get(peer).is_some_and(|peer| peer.is_fresh(now))
     }
 
+    /// Returns the version of a peer's configuration according to its own recent report.
+    pub(super) fn reported_version(&self, now: Timestamp, peer: &VmId) -> Option<u64> {
+        let peer = self.peers.get(peer).filter(|peer| peer.is_fresh(now))?;
+        peer.report.configuration_version
+    }
+
     /// Stores a peer's report and recomputes the load of all peers.
     pub fn apply_report(&mut self, now: Timestamp, peer: VmId, source: Source, report: NodeReport) {
         for load in &report.load {
@@ -258,12 +264,17 @@
         self.apply_leaving(&report.leaving);
         self.apply_crash_report(now, &report.crashes);
         self.apply_limits(now, &report.limits);
-        if let Some(age) = report.confirmation_age_ms {
-            self.record_peer_confirmation(now - Duration::from_millis(age));
-        }
         if let Some(version) = report.configuration_version {
             self.record_configuration_version(version);
         }
+        if let Some(age) = report.confirmation_age_ms {
+            let confirmed_at = now - Duration::from_millis(age);
+            self.record_peer_confirmation(confirmed_at);
+            // The age of a report that covers other nodes may be that of another version.
+            if let (1, Some(version)) = (report.nodes, report.configuration_version) {
+                self.record_confirmation_of(now, confirmed_at, version);
+            }
+        }
         let received_at = now;
         self.peers.insert(
             peer,
