--- a/crates/core/src/gateway/paths/copies.rs
+++ b/crates/core/src/gateway/paths/copies.rs
@@ -40,17 +40,6 @@
 /// among all of them.
 const MAX_DRAWN_COPIES: usize = 32;
 
-/// The outcome of a draw among the copies.
-#[derive(Debug, PartialEq)]
-pub enum Draw {
-    /// The path through a copy.
-    Path(Path),
-    /// Copies are intact, but none has capacity within the limits.
-    NoCapacity,
-    /// A part of each copy takes no requests.
-    NoCopy,
-}
-
 /// The copies of one service.
 #[derive(Debug, Default)]
 pub struct Copies {
@@ -106,7 +95,7 @@
         }
     }
 
-    /// Draws a copy that has capacity for its path. Engines in `avoid`
+    /// Draws a copy that has capacity, and returns its path. Engines in `avoid`
     /// are excluded, and copies beyond the `limits`. `draw` returns random numbers in
     /// `0.0..1.0`.
     pub fn draw_path(
@@ -118,7 +107,7 @@
         limits: StartLimits,
         avoid: &[VmId],
         mut draw: impl FnMut() -> f64,
-    ) -> Draw {
+    ) -> Option<Path> {
         let count = self.copies.len();
         let drawn: Vec<usize> = match count <= MAX_DRAWN_COPIES {
             true => (0..count).collect(),
@@ -126,26 +115,19 @@
                 .map(|_| (draw() * count as f64) as usize)
                 .collect(),
         };
-        let mut is_intact = false;
         let usable = drawn.into_iter().filter_map(|index| {
             let copy = self.candidates(index, spec, servers, now, avoid)?;
-            is_intact = true;
             let weight = weight(spec, &copy, estimate, limits)?;
             Some((weight, copy))
         });
         let usable: Vec<_> = usable.collect();
         let total: f64 = usable.iter().map(|(weight, _)| weight).sum();
         let mut left = draw() * total;
-        let drawn = usable.iter().find(|(weight, _)| {
+        let (_, (candidates, stages)) = usable.iter().find(|(weight, _)| {
             left -= weight;
             left < 0.0
-        });
-        let path = drawn.and_then(|(_, (copy, stages))| build_path(spec, copy, stages, estimate));
-        match path {
-            Some(path) => Draw::Path(path),
-            None if is_intact => Draw::NoCapacity,
-            None => Draw::NoCopy,
-        }
+        })?;
+        build_path(spec, candidates, stages, estimate)
     }
 
     /// Returns the engines of a copy with their current load, or `None` if one of
--- a/crates/core/src/gateway/starts.rs
+++ b/crates/core/src/gateway/starts.rs
@@ -8,7 +8,7 @@
     Gateway,
     admission::{self, RequestSource, WaitKey},
     hubs,
-    paths::{self, TokenEstimate, copies::Draw},
+    paths::{self, TokenEstimate},
     plain,
     routes::RouteMatch,
     state::Admission,
@@ -192,17 +192,11 @@
                     let copies = self.copies.get(engine, servers, service);
                     copies.draw_path(engine, servers, now, estimate, limits, avoid, &mut draw)
                 });
-                let path = match drawn {
-                    Some(Draw::Path(path)) => path,
-                    // All nodes would take the cheapest path outside the copies at the
-                    // same time, and it leads through engines of copies that are full.
-                    Some(Draw::NoCapacity) if limits.first_event.is_some() => return None,
-                    Some(Draw::NoCapacity | Draw::NoCopy) | None => {
-                        paths::choose(engine, servers, service, now, estimate, avoid, &mut draw)
-                            .filter(|path| limits.allow(path.gap_ms))?
-                    }
-                };
-                Target::Engines(path)
+                let path = drawn.flatten().or_else(|| {
+                    paths::choose(engine, servers, service, now, estimate, avoid, &mut draw)
+                        .filter(|path| limits.allow(path.gap_ms))
+                });
+                Target::Engines(path?)
             }
             _ => {
                 let chosen = plain::choose(&self.servers, service, now, avoid, draw)?;
--- a/crates/core/tests/gateway_fakes/mod.rs
+++ b/crates/core/tests/gateway_fakes/mod.rs
@@ -18,10 +18,7 @@
         budget::BudgetConfig,
         config::{Accelerator, CallerLimits},
         members::{Member, Millicores},
-        paths::{
-            TokenEstimate, choose,
-            copies::{Copies, Draw},
-        },
+        paths::{TokenEstimate, choose, copies::Copies},
         state::GatewayConfig,
         urgency::StartLimits,
     },
@@ -89,10 +86,6 @@
         &[],
         &mut draw,
     );
-    let path = match path {
-        Draw::Path(path) => Some(path),
-        Draw::NoCapacity | Draw::NoCopy => None,
-    };
     path.or_else(|| choose(&spec(), servers, &service, now, estimate, &[], draw))
 }
 
--- a/crates/core/tests/gateway_spread.rs
+++ b/crates/core/tests/gateway_spread.rs
@@ -12,10 +12,7 @@
 use radishhaven_core::{
     gateway::{
         Gateway, Path, Server, Servers,
-        paths::{
-            self,
-            copies::{CopyTable, Draw},
-        },
+        paths::{self, copies::CopyTable},
         peers::{ReportRecipient, ServerLoad, Source},
         urgency::StartLimits,
     },
@@ -286,11 +283,9 @@
         (0..300).any(|_| {
             let draw = || rng.random_range(0.0..1.0);
             let limits = StartLimits::RESUMED;
-            let drawn = copies.draw_path(&spec(), view, ms(0), TYPICAL, limits, &[], draw);
-            let Draw::Path(path) = drawn else {
-                panic!("there is capacity: {drawn:?}");
-            };
-            path.stages.iter().any(|stage| stage.server == *server)
+            let path = copies.draw_path(&spec(), view, ms(0), TYPICAL, limits, &[], draw);
+            let stages = path.expect("there is capacity").stages;
+            stages.iter().any(|stage| stage.server == *server)
         })
     };
     let fast = |(_, server): &(&VmId, &Server)| server.accelerator.as_deref() == Some("a100");
