feat(gateway): send slow repeatable requests to a second server

A few slow answers of plain services decide the tail: p99 was 694 ms against a target of 300 ms in a deployment.

After a delay, a plain request that may be repeated goes to another server; the first usable response is taken, and the other exchange is dropped, so that its server stops. The delay is a quantile of the service's own recent response times. `[hedging] max_percent` bounds the hedges per 100 requests over 20 s, and is 0, which is off, by default. A hedge draws on the shared retry budget. None is sent while requests of the service are queued or were refused in the last second, to a server that is busy, limited, paused, leaving or in backoff, for a quarantined or forwarded request, or during a shutdown. A cancelled attempt counts as a run, since it may have run.

The send of a request owns what it needs instead of borrowing the job, so that the job can record the end of one send while the other goes on.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod crash_cause;
 pub mod drain;
 pub mod freshness;
+pub mod hedging;
 pub mod hubs;
 pub mod links;
 pub mod list_schedule;
--- a/crates/core/src/gateway/server_limits.rs
+++ b/crates/core/src/gateway/server_limits.rs
@@ -260,6 +260,12 @@
         open.next().is_some_and(&mut is_limited) && open.all(is_limited)
     }
 
+    /// Returns whether a server has named a limit that still holds.
+    pub(super) fn has_limit(&self, now: Timestamp, id: &VmId) -> bool {
+        let row = self.servers.get(id);
+        row.is_some_and(|row| self.limits.rate(now, id, row).is_some())
+    }
+
     /// Returns the changes of limits since the last call.
     pub fn take_limit_changes(&mut self) -> Vec<LimitChange> {
         std::mem::take(&mut self.limits.changes)
--- a/crates/core/src/gateway/starts.rs
+++ b/crates/core/src/gateway/starts.rs
@@ -158,7 +158,7 @@
         at_peer.or_else(|| self.try_start(now, service, estimate, avoid))
     }
 
-    fn try_start(
+    pub(super) fn try_start(
         &mut self,
         now: Timestamp,
         service: &ServiceId,
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -11,6 +11,7 @@
     budget::{BudgetConfig, NodeCount, RetryBudget},
     config::Configuration,
     freshness::{ConfigurationRead, Freshness},
+    hedging::{HedgePercent, Hedging},
     links::LinkTable,
     paths::copies::CopyTable,
     peer_paths::PeerPaths,
@@ -39,6 +40,8 @@
     pub max_confirmation_age: Duration,
     /// The retry budget of each service, shared by all nodes.
     pub budget: BudgetConfig,
+    /// The limit of hedges of each service.
+    pub hedging: HedgePercent,
 }
 
 /// Why a request was rejected before it was sent.
@@ -81,6 +84,7 @@
     pub(super) servers: Servers,
     pub(super) copies: CopyTable,
     pub(super) budgets: BTreeMap<ServiceId, RetryBudget>,
+    pub(super) hedging: Hedging,
     pub(super) queue: WaitQueue,
     pub(super) registry: RegistryHistory,
     pub(super) peers: BTreeMap<VmId, Peer>,
@@ -99,6 +103,7 @@
     /// its random number generator.
     pub fn new(cfg: GatewayConfig, seed: u64) -> Self {
         Self {
+            hedging: Hedging::new(cfg.hedging),
             cfg,
             configuration: None,
             routes: RouteTable::default(),
--- a/crates/core/tests/gateway_fakes/mod.rs
+++ b/crates/core/tests/gateway_fakes/mod.rs
@@ -17,6 +17,7 @@
         ServerState, Servers, Service, StoreEra, StorePosition,
         budget::BudgetConfig,
         config::{Accelerator, CallerLimits},
+        hedging::HedgePercent,
         members::{Member, Millicores},
         paths::{TokenEstimate, choose, copies::Copies},
         state::GatewayConfig,
@@ -225,6 +226,7 @@
             window: Duration::from_secs(10),
             slack: 198.0,
         },
+        hedging: HedgePercent::default(),
     }
 }
 
--- a/crates/daemon/src/explain.rs
+++ b/crates/daemon/src/explain.rs
@@ -220,8 +220,9 @@
             let (status, took) = (line.text("status"), line.number("took_ms"));
             return format!(
                 "A backend server responded with status {status} after {took} ms, including \
-                 {} ms of waiting for capacity. {}",
+                 {} ms of waiting for capacity. {}{}",
                 line.number("waited_ms"),
+                hedge(&timeline),
                 failures(&timeline, &context)
             );
         }
@@ -288,9 +289,10 @@
     };
     format!(
         "The node itself responded with status {status} after {} ms, including {} ms of waiting for \
-         capacity: {reason}; {execution}. {}",
+         capacity: {reason}; {execution}. {}{}",
         line.number("took_ms"),
         line.number("waited_ms"),
+        hedge(timeline),
         failures(timeline, context)
     )
 }
@@ -310,6 +312,28 @@
     )
 }
 
+/// Describes the second attempt of a slow request, if there was one.
+fn hedge(timeline: &[&LogLine]) -> String {
+    let find = |payload: &str| timeline.iter().find(|line| line.payload == payload);
+    let Some(sent) = find("a hedge is sent") else {
+        return String::new();
+    };
+    let outcome = match find("a hedge won") {
+        Some(won) => format!(
+            "{} answered {} ms after that, and the first attempt was cancelled",
+            won.text("server"),
+            won.number("took_ms")
+        ),
+        None => "it was not the first to answer".to_owned(),
+    };
+    format!(
+        "{} had not answered after {} ms, so the request was also sent to {}: {outcome}. ",
+        sent.text("first"),
+        sent.number("first_age_ms"),
+        sent.text("server"),
+    )
+}
+
 /// Lists the failures of backend servers, and what happened to these servers.
 fn failures(timeline: &[&LogLine], context: &[&LogLine]) -> String {
     let mut parts = Vec::new();
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -101,9 +101,10 @@
         return own_response(&job, StatusCode::BAD_GATEWAY, NO_ANSWER);
     }
     let now = job.host.now();
-    let retry_after = job
-        .host
-        .with_gateway(|g| g.retry_after_refusal(now, &job.service));
+    let retry_after = job.host.with_gateway(|g| {
+        g.hedging().record_refusal(now, &job.service);
+        g.retry_after_refusal(now, &job.service)
+    });
     refuse(&job, retry_after, "no server took it")
 }
 
--- a/crates/daemon/src/gateway/host.rs
+++ b/crates/daemon/src/gateway/host.rs
@@ -15,6 +15,7 @@
         Gateway, RouteKind, StoreEra, Target, Ticket, TicketOutcome,
         admission::{RequestSource, WaitKey},
         drain::DrainSchedule,
+        hedging::{HedgeRefusal, HedgeRequest},
         hubs::HubRole,
         members::MemberTable,
         paths::TokenEstimate,
@@ -340,6 +341,7 @@
                 return AdmissionOutcome::Admitted(TicketGuard::new(self, ticket));
             }
             Admission::Refuse(retry_after) => {
+                self.with_gateway(|g| g.hedging().record_refusal(now, service));
                 return AdmissionOutcome::Refused {
                     retry_after,
                     waited: false,
@@ -355,10 +357,17 @@
             Ok(Ok(guard)) => AdmissionOutcome::Admitted(guard),
             _ => match rx.try_recv() {
                 Ok(guard) => AdmissionOutcome::Admitted(guard),
-                Err(_) => AdmissionOutcome::Refused {
-                    retry_after: self.with_gateway(|g| g.retry_after_refusal(self.now(), service)),
-                    waited: true,
-                },
+                Err(_) => {
+                    let now = self.now();
+                    let retry_after = self.with_gateway(|g| {
+                        g.hedging().record_refusal(now, service);
+                        g.retry_after_refusal(now, service)
+                    });
+                    AdmissionOutcome::Refused {
+                        retry_after,
+                        waited: true,
+                    }
+                }
             },
         }
     }
@@ -378,6 +387,25 @@
         Some(TicketGuard::new(self, ticket))
     }
 
+    /// Reserves another server for the second attempt of a request.
+    pub(super) fn hedge(
+        self: &Arc<Self>,
+        request: &HedgeRequest<'_>,
+    ) -> Result<TicketGuard, HedgeRefusal> {
+        let now = self.now();
+        let hedged = self.with_gateway(|g| g.hedge(now, request));
+        match &hedged {
+            Ok(_) => {
+                self.metrics.repeats.inc();
+                self.metrics.record_hedge("sent");
+            }
+            Err(refusal) => self
+                .metrics
+                .record_hedge(&format!("refused_{}", refusal.as_str())),
+        }
+        Ok(TicketGuard::new(self, hedged?))
+    }
+
     /// Reserves capacity for another send of a request that no server has seen yet.
     pub(super) fn retry_unseen(
         self: &Arc<Self>,
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -149,7 +149,7 @@
     };
     let job = Job {
         host: host.clone(),
-        outgoing,
+        outgoing: Arc::new(outgoing),
         routed,
         service,
         demand: caller_request.token_estimate,
--- a/crates/daemon/src/gateway/job.rs
+++ b/crates/daemon/src/gateway/job.rs
@@ -2,6 +2,7 @@
 //! how it ends.
 
 use std::{
+    pin::Pin,
     sync::{Arc, atomic::AtomicBool},
     time::Duration,
 };
@@ -40,7 +41,7 @@
     /// The gateway.
     pub(super) host: Arc<GatewayHost>,
     /// The request to send.
-    pub(super) outgoing: OutgoingRequest,
+    pub(super) outgoing: Arc<OutgoingRequest>,
     /// The route of the request.
     pub(super) routed: RouteMatch,
     /// The service chosen from the route.
@@ -159,9 +160,11 @@
 
     /// Returns whether the request may be sent elsewhere when a server is silent, by
     /// this node or the one that forwarded it.
-    fn may_fail_over(&self) -> bool {
+    ///
+    /// `in_flight` is the number of its sends that are not answered yet.
+    pub(super) fn may_fail_over(&self, in_flight: u32) -> bool {
         match self.source {
-            RequestSource::Caller => self.runs + 1 < self.routed.route.max_attempts,
+            RequestSource::Caller => self.runs + in_flight < self.routed.route.max_attempts,
             RequestSource::Peer => self.sender_may_fail_over,
         }
     }
@@ -192,11 +195,13 @@
         self.host.publish_quarantine();
     }
 
-    /// Sends the request once, and settles the ticket unless a server responds.
-    pub(super) async fn send_once(&mut self, guard: TicketGuard) -> Attempt {
-        let sent_at = self.host.now();
-        self.log_send(&guard);
-        let outcome = self.send_while_responsive(&guard).await;
+    /// Records how one send ended, and settles its ticket unless a server responded.
+    pub(super) async fn conclude(
+        &mut self,
+        guard: TicketGuard,
+        sent_at: Timestamp,
+        outcome: WatchedSend,
+    ) -> Attempt {
         self.record_arrival(&outcome);
         let outcome = match outcome {
             WatchedSend::Completed(outcome) => outcome,
@@ -339,7 +344,7 @@
 
     /// Logs the target of a send, and how old the data is that the choice was
     /// based on.
-    fn log_send(&self, guard: &TicketGuard) {
+    pub(super) fn log_send(&self, guard: &TicketGuard) {
         if let Some(peer) = guard.target().peer() {
             self.log_forwarded(peer);
         }
@@ -418,47 +423,25 @@
         })
     }
 
-    async fn send_while_responsive(&self, guard: &TicketGuard) -> WatchedSend {
-        let started = self.host.now();
-        let sending = self.send_to(guard.target());
-        tokio::pin!(sending);
-        loop {
-            let quarantine_changed = self.host.quarantine_changed.notified();
-            let now = self.host.now();
-            if now >= self.deadline {
-                return WatchedSend::TimedOut;
-            }
-            if self.quarantine_left().is_some() {
-                return WatchedSend::Quarantined;
-            }
-            let silence = now.since(started);
-            let wait = match self.check_silence(guard, silence, false) {
-                StallAction::Failover(suspects) if self.may_fail_over() => {
-                    return WatchedSend::Unresponsive(suspects);
-                }
-                StallAction::Failover(_) => self.remaining(),
-                StallAction::Wait(wait) => wait.min(self.remaining()),
+    /// Sends the request to a target. The returned future does not borrow the job, so
+    /// that the job can record the end of one send while another one goes on.
+    pub(super) fn send_to(&self, target: &Target) -> Sending {
+        let (host, outgoing) = (self.host.clone(), self.outgoing.clone());
+        let (target, last_event) = (target.clone(), self.last_event.clone());
+        let (remaining, may_fail_over) = (self.remaining(), self.may_fail_over(1));
+        Box::pin(async move {
+            let last_event = last_event.as_deref();
+            let Target::Peer(peer) = &target else {
+                return send(&outgoing, &target, remaining, last_event).await;
             };
-            tokio::select! {
-                outcome = &mut sending => return WatchedSend::Completed(outcome),
-                () = tokio::time::sleep(wait) => {}
-                () = quarantine_changed => {}
-            }
-        }
-    }
-
-    async fn send_to(&self, target: &Target) -> SendOutcome {
-        let last_event = self.last_event.as_deref();
-        let Target::Peer(peer) = target else {
-            return send(&self.outgoing, target, self.remaining(), last_event).await;
-        };
-        let context = PeerContext {
-            own: &self.host.settings.node.vm,
-            time_left: self.remaining(),
-            last_event,
-            may_fail_over: self.may_fail_over(),
-        };
-        peer_forwarding::send(&self.host.peer_connections, &self.outgoing, peer, &context).await
+            let context = PeerContext {
+                own: &host.settings.node.vm,
+                time_left: remaining,
+                last_event,
+                may_fail_over,
+            };
+            peer_forwarding::send(&host.peer_connections, &outgoing, peer, &context).await
+        })
     }
 
     /// Decides whether to keep waiting for an unresponsive target. A request
@@ -517,10 +500,18 @@
     }
 }
 
-enum WatchedSend {
+/// A send that is not answered yet. Dropping it closes its connection.
+pub(super) type Sending = Pin<Box<dyn Future<Output = SendOutcome> + Send>>;
+
+/// How the wait for one send ended.
+pub(super) enum WatchedSend {
+    /// The send ended.
     Completed(SendOutcome),
+    /// These servers are silent.
     Unresponsive(Vec<VmId>),
+    /// The deadline of the request has passed.
     TimedOut,
+    /// The request was quarantined.
     Quarantined,
 }
 
@@ -534,7 +525,7 @@
 }
 
 /// Returns the server or the peer to which a request was sent.
-fn first_server(guard: &TicketGuard) -> String {
+pub(super) fn first_server(guard: &TicketGuard) -> String {
     let first = guard.target().first().map(|(id, _)| id);
     let id = first.or(guard.target().peer().map(|peer| &peer.vm));
     id.map(VmId::to_string).unwrap_or_default()
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -44,6 +44,7 @@
     failed_sends: Family<OutcomeLabel, Counter>,
     store_failures: Family<OutcomeLabel, Counter>,
     orders: Family<OutcomeLabel, Counter>,
+    hedges: Family<OutcomeLabel, Counter>,
     latency: Histogram,
     /// Time to the first event of a stream, in seconds.
     pub(super) first_event: Histogram,
@@ -79,6 +80,7 @@
             failed_sends: Family::default(),
             store_failures: Family::default(),
             orders: Family::default(),
+            hedges: Family::default(),
             latency: latency_histogram(),
             first_event: latency_histogram(),
             repeats: Counter::default(),
@@ -128,6 +130,12 @@
         self.orders.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a hedge that was sent, won or refused.
+    pub(super) fn record_hedge(&self, outcome: &str) {
+        let outcome = outcome.to_owned();
+        self.hedges.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     fn register(&self, registry: &mut Registry) {
         registry.register("answers", "Answers by status", self.answers.clone());
         registry.register(
@@ -150,6 +158,11 @@
             "Orders to engines by outcome",
             self.orders.clone(),
         );
+        registry.register(
+            "hedges",
+            "Second attempts of slow requests, by outcome",
+            self.hedges.clone(),
+        );
         registry.register("latency_seconds", "Time to the end", self.latency.clone());
         registry.register(
             "first_event_seconds",
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod events;
 mod exchange;
 mod forward;
+mod hedging;
 mod host;
 mod ingress;
 mod job;
--- a/crates/daemon/src/gateway/peers/tests.rs
+++ b/crates/daemon/src/gateway/peers/tests.rs
@@ -5,6 +5,7 @@
 use radishhaven_core::gateway::{
     CrashCause, Gateway, PromptPart,
     budget::BudgetConfig,
+    hedging::HedgePercent,
     peer_paths::{NodePaths, PathsReport},
     peers::ReportRecipient,
     quarantine::ReportedQuarantine,
@@ -21,6 +22,7 @@
             window: Duration::from_secs(10),
             slack: 100.0,
         },
+        hedging: HedgePercent::default(),
     };
     let gateway = Gateway::new(cfg, 7);
     Message::Report {
--- a/crates/daemon/src/gateway/settings.rs
+++ b/crates/daemon/src/gateway/settings.rs
@@ -3,7 +3,12 @@
 use std::{net::SocketAddr, path::Path, time::Duration};
 
 use radishhaven_core::{
-    gateway::{budget::BudgetConfig, members::Millicores, state::GatewayConfig},
+    gateway::{
+        budget::BudgetConfig,
+        hedging::{HedgePercent, MAX_HEDGE_PERCENT},
+        members::Millicores,
+        state::GatewayConfig,
+    },
     ids::{FailureDomain, VmId},
 };
 
@@ -29,6 +34,8 @@
     pub store: StoreSettings,
     /// `[bounds]`.
     pub bounds: Bounds,
+    /// `[hedging] max_percent`: hedges per 100 requests of a service; 0 is off.
+    pub hedging: HedgePercent,
     /// `[log]`.
     pub log: LogConfig,
 }
@@ -177,6 +184,15 @@
     }
 }
 
+/// Reads the limit of hedges, which is zero if it is not set.
+fn read_hedging(section: &mut Section<'_>) -> HedgePercent {
+    let allowed = format!("a whole number from 0 to {MAX_HEDGE_PERCENT}");
+    let limit = section.optional("max_percent", &allowed, |v| {
+        HedgePercent::try_from(v.parse::<u32>().ok()?).ok()
+    });
+    limit.unwrap_or_default()
+}
+
 impl GatewaySettings {
     /// Reads the settings from a file.
     ///
@@ -198,6 +214,7 @@
         let node = reader.section("node", GatewayNode::read);
         let store = reader.section("store", StoreSettings::read);
         let bounds = reader.section("bounds", Bounds::read);
+        let hedging = reader.section("hedging", read_hedging);
         let log = reader.section("log", LogConfig::read);
         let errors = reader.finish();
         match (node, store, bounds) {
@@ -205,6 +222,7 @@
                 node,
                 store,
                 bounds,
+                hedging,
                 log,
             }),
             _ => Err(SettingsErrors(errors)),
@@ -216,6 +234,7 @@
         GatewayConfig {
             max_confirmation_age: self.bounds.revocation_time.mul_f64(CONFIRMATION_FRACTION),
             budget: self.bounds.budget,
+            hedging: self.hedging,
         }
     }
 }
--- a/crates/daemon/tests/explain.rs
+++ b/crates/daemon/tests/explain.rs
@@ -19,6 +19,9 @@
    9.0 front-4 {"level":"info","timestamp":9000,"payload":"a request is sent","kv":{"request":"killed","route":"r-1","path":"700ms first 30ms i-6=0..80","waited_ms":0,"left_ms":19000,"version":3,"registry_ms":400,"runs":0,"not_run":0}}
    9.5 front-5 {"level":"info","timestamp":9500,"payload":"the node stopped before the end","kv":{"request":"stopped","route":"r-1","waited_ms":0,"took_ms":8100,"runs":1,"not_run":0}}
    9.9 front-4 {"level":"info","timestamp":9900,"payload":"the gateway starts","kv":{"vm":"front-4"}}
+   9.95 front-6 {"level":"info","timestamp":9950,"payload":"a hedge is sent","kv":{"request":"hedged","service":"libro","server":"i-8","first":"i-7","delay_ms":61,"first_age_ms":62,"left_ms":900}}
+   9.96 front-6 {"level":"info","timestamp":9960,"payload":"a hedge won","kv":{"request":"hedged","service":"libro","server":"i-8","first":"i-7","delay_ms":61,"took_ms":20,"first_age_ms":82}}
+   9.97 front-6 {"level":"info","timestamp":9970,"payload":"a request was answered","kv":{"request":"hedged","route":"r-1","status":200,"how":"whole","waited_ms":0,"took_ms":83,"runs":2,"not_run":0}}
    not a line of a log
    {"timestamp":"broken","payload":7}
 "#;
@@ -114,3 +117,18 @@
     let unknown = explain("never-seen");
     assert_contains(&unknown, &["No log line names never-seen"]);
 }
+
+/// Guards against an explanation that hides the second server.
+#[test]
+fn hedged_request_names_both_servers_and_the_delay() {
+    let text = explain("hedged");
+    assert_contains(
+        &text,
+        &[
+            "Cause: A backend server responded with status 200 after 83 ms",
+            "i-7 had not answered after 62 ms, so the request was also sent to i-8",
+            "i-8 answered 20 ms after that, and the first attempt was cancelled",
+            "No backend server failed the request.",
+        ],
+    );
+}
--- a/crates/daemon/tests/gateway_settings.rs
+++ b/crates/daemon/tests/gateway_settings.rs
@@ -1,6 +1,7 @@
 //! Tests of a gateway's settings: valid values, and the errors for invalid
 //! ones.
 
+use radishhaven_core::gateway::hedging::HedgePercent;
 use radishhavend::gateway::GatewaySettings;
 
 /// The settings template, which the platform fills in for each VM.
@@ -107,3 +108,34 @@
         );
     }
 }
+
+#[test]
+fn hedging_is_off_unless_it_is_set() {
+    let settings = GatewaySettings::parse("gateway.ini", &filled_template()).expect("it is valid");
+    assert_eq!(settings.hedging, HedgePercent::default());
+    let text = filled_template() + "[hedging]\nmax_percent = 5\n";
+    let settings = GatewaySettings::parse("gateway.ini", &text).expect("it is valid");
+    assert_eq!(Ok(settings.hedging), HedgePercent::try_from(5));
+}
+
+/// Guards against a limit that would double the load of servers, and against a key that is
+/// misspelt and so has no effect.
+#[test]
+fn invalid_limit_of_hedges_is_reported() {
+    for line in [
+        "max_percent = 51",
+        "max_percent = -1",
+        "max_percent = 2.5",
+        "max_percent = ",
+    ] {
+        let errors = error_messages(&(filled_template() + "[hedging]\n" + line + "\n"));
+        let expected =
+            format!("gateway.ini: [hedging] {line}: allowed is a whole number from 0 to 50");
+        assert_eq!(errors, [expected]);
+    }
+    let errors = error_messages(&(filled_template() + "[hedging]\npercent = 5\n"));
+    assert!(
+        errors.len() == 1 && errors[0].contains("max_percent"),
+        "{errors:#?}"
+    );
+}
