--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 pub mod drain;
 pub mod faults;
 pub mod freshness;
+pub mod hedging;
 pub mod hubs;
 pub mod links;
 pub mod list_schedule;
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -12,6 +12,7 @@
     config::Configuration,
     faults::Faults,
     freshness::{ConfigurationRead, Freshness},
+    hedging::{HedgePercent, Hedging},
     links::LinkTable,
     paths::copies::CopyTable,
     peer_paths::PeerPaths,
@@ -41,6 +42,8 @@
     pub max_confirmation_age: Duration,
     /// The retry budget of each service, shared by all nodes.
     pub budget: BudgetConfig,
+    /// The limit of hedges of each service.
+    pub hedging: HedgePercent,
 }
 
 /// Why a request was rejected before it was sent.
@@ -86,6 +89,7 @@
     pub(super) servers: Servers,
     pub(super) copies: CopyTable,
     pub(super) budgets: BTreeMap<ServiceId, RetryBudget>,
+    pub(super) hedging: Hedging,
     pub(super) queue: WaitQueue,
     pub(super) registry: RegistryHistory,
     pub(super) peers: BTreeMap<VmId, Peer>,
@@ -108,6 +112,7 @@
     /// its random number generator.
     pub fn new(cfg: GatewayConfig, seed: u64) -> Self {
         Self {
+            hedging: Hedging::new(cfg.hedging),
             cfg,
             configuration: None,
             routes: RouteTable::default(),
--- a/crates/daemon/src/gateway/peers/tests.rs
+++ b/crates/daemon/src/gateway/peers/tests.rs
@@ -6,6 +6,7 @@
     CrashCause, Gateway, PromptPart,
     budget::BudgetConfig,
     faults::ReportedFault,
+    hedging::HedgePercent,
     notices::Incarnation,
     peer_paths::{NodePaths, PathsReport},
     peers::ReportRecipient,
@@ -23,6 +24,7 @@
             window: Duration::from_secs(10),
             slack: 100.0,
         },
+        hedging: HedgePercent::default(),
     };
     let gateway = Gateway::new(cfg, 7);
     Message::Report {
