--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 mod settings;
 mod shutdown;
 mod store_sync;
+mod vm;
 
 pub use self::{
     host::{GatewayHost, GatewayStartError},
--- a/crates/daemon/src/gateway/settings.rs
+++ b/crates/daemon/src/gateway/settings.rs
@@ -7,6 +7,7 @@
     ids::{FailureDomain, VmId},
 };
 
+use super::vm::VmCapacity;
 use crate::{
     configs::LogConfig,
     settings::{Reader, Section, SettingsErrors},
@@ -20,6 +21,16 @@
 /// Maximum number of cores of a VM.
 const MAX_CORES: f64 = 1_024.0;
 
+/// Memory of the smallest VM, in megabytes: the default of `[limits] memory_mb`.
+const DEFAULT_MEMORY_MB: u32 = 112;
+/// Least memory with which a node starts, in megabytes. Below it nothing would be left
+/// for callers beside the process itself.
+const MIN_MEMORY_MB: u32 = 48;
+/// Descriptors of the smallest VM: the default of `[limits] max_descriptors`.
+const DEFAULT_MAX_DESCRIPTORS: u32 = 2_870;
+/// Least number of descriptors with which a node starts. 200 are reserved for files.
+const MIN_DESCRIPTORS: u32 = 264;
+
 /// All settings of a gateway.
 #[derive(Debug, Clone)]
 pub struct GatewaySettings {
@@ -29,6 +40,8 @@
     pub store: StoreSettings,
     /// `[bounds]`.
     pub bounds: Bounds,
+    /// `[limits]`.
+    pub limits: VmLimits,
     /// `[log]`.
     pub log: LogConfig,
 }
@@ -88,6 +101,17 @@
     pub budget: BudgetConfig,
 }
 
+/// `[limits]`: what the process may use of its VM. Without this section, the limits of
+/// the smallest VM apply, or what this VM has if that is less.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct VmLimits {
+    /// Memory of the process, in megabytes of 1,000,000 bytes. Bytes that were received
+    /// and not yet read count as well.
+    pub memory_mb: u32,
+    /// Largest number of open descriptors.
+    pub max_descriptors: u32,
+}
+
 fn decimal(section: &mut Section<'_>, key: &'static str, max: f64) -> Option<f64> {
     let allowed = format!("a number from 0 to {max}");
     section.require(key, &allowed, |v| {
@@ -148,6 +172,32 @@
     }
 }
 
+impl VmLimits {
+    fn read(section: &mut Section<'_>) -> Self {
+        let vm = VmCapacity::read();
+        let memory_mb = within(section, "memory_mb", MIN_MEMORY_MB, vm.memory_mb);
+        let max_descriptors = within(section, "max_descriptors", MIN_DESCRIPTORS, vm.descriptors);
+        let default = |default: u32, vm: Option<u32>| vm.map_or(default, |vm| vm.min(default));
+        Self {
+            memory_mb: memory_mb.unwrap_or(default(DEFAULT_MEMORY_MB, vm.memory_mb)),
+            max_descriptors: max_descriptors
+                .unwrap_or(default(DEFAULT_MAX_DESCRIPTORS, vm.descriptors)),
+        }
+    }
+}
+
+/// Reads an optional number that the VM bounds.
+fn within(section: &mut Section<'_>, key: &'static str, min: u32, vm: Option<u32>) -> Option<u32> {
+    let max = vm.unwrap_or(u32::MAX);
+    let allowed = match vm {
+        Some(max) => format!("{min} to {max}, which this VM has"),
+        None => format!("a whole number from {min}"),
+    };
+    section.optional(key, &allowed, |v| {
+        v.parse().ok().filter(|n| (min..=max).contains(n))
+    })
+}
+
 impl Bounds {
     fn read(section: &mut Section<'_>) -> Option<Self> {
         let (revocation_time, drain_time) =
@@ -198,6 +248,7 @@
         let node = reader.section("node", GatewayNode::read);
         let store = reader.section("store", StoreSettings::read);
         let bounds = reader.section("bounds", Bounds::read);
+        let limits = reader.section("limits", VmLimits::read);
         let log = reader.section("log", LogConfig::read);
         let errors = reader.finish();
         match (node, store, bounds) {
@@ -205,6 +256,7 @@
                 node,
                 store,
                 bounds,
+                limits,
                 log,
             }),
             _ => Err(SettingsErrors(errors)),
--- a/crates/daemon/tests/gateway_settings.rs
+++ b/crates/daemon/tests/gateway_settings.rs
@@ -107,3 +107,41 @@
         );
     }
 }
+
+/// A bound of zero or beyond the VM would leave the node without its protection against
+/// callers that exhaust its memory.
+#[test]
+fn limits_that_the_vm_does_not_have_are_reported() {
+    let text = filled_template().replace("[log]", "[limits]\nmemory_mb = 0\n[log]");
+    let errors = error_messages(&text);
+    assert_eq!(errors.len(), 1, "{errors:#?}");
+    let expected = "gateway.ini: [limits] memory_mb = 0: allowed is 48 to ";
+    assert!(errors[0].starts_with(expected), "{errors:#?}");
+    for (key, value) in [
+        ("memory_mb", "4000000000"),
+        ("memory_mb", ""),
+        ("memory_mb", "-112"),
+        ("max_descriptors", "0"),
+        ("max_descriptors", "4000000000"),
+        ("max_descriptors", "many"),
+    ] {
+        let limits = format!("[limits]\n{key} = {value}\n[log]");
+        let errors = error_messages(&filled_template().replace("[log]", &limits));
+        assert_eq!(errors.len(), 1, "{key} = {value}: {errors:#?}");
+        assert!(errors[0].contains(key), "{key} = {value}: {errors:#?}");
+    }
+}
+
+/// The limits of the smallest VM apply to settings that name none.
+#[test]
+fn missing_limits_are_those_of_the_smallest_vm() {
+    let without = filled_template();
+    let settings = GatewaySettings::parse("gateway.ini", &without).expect("it is valid");
+    assert!(settings.limits.memory_mb <= 112);
+    assert!(settings.limits.max_descriptors <= 2_870);
+    let limits = "[limits]\nmemory_mb = 64\nmax_descriptors = 300\n[log]";
+    let text = without.replace("[log]", limits);
+    let settings = GatewaySettings::parse("gateway.ini", &text).expect("it is valid");
+    assert_eq!(settings.limits.memory_mb, 64);
+    assert_eq!(settings.limits.max_descriptors, 300);
+}
