feat(gateway): bound what callers hold in a process

Bodies were read whole, each bounded by `max_body_bytes` and all together by nothing, and connections by nothing at all.

`core::gateway::caller_usage` now counts connections, heads, bodies, responses and receive buffers of the whole process against bounds that follow from `[limits] memory_mb` and `max_descriptors`, and decides what is closed or refused: slow holders first, then the largest, then the youngest; never a request that is being served. All listeners count before a handler runs. A stated length is counted before it is read, and larger ones than `max_body_bytes` are refused at once. Chunks are copied, since a chunk that is kept as it came takes many times its size. `header_timeout_ms`, `idle_timeout_ms` and `max_header_bytes` of the configuration are used.

Without the section, the limits of the smallest VM apply.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod admission;
 pub mod budget;
+pub mod caller_usage;
 mod chains;
 pub mod config;
 pub mod crash_cause;
--- a/crates/daemon/src/gateway/body.rs
+++ b/crates/daemon/src/gateway/body.rs
@@ -1,9 +1,18 @@
 //! Response bodies of a gateway.
 
+use std::{
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+};
+
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
+use http_body::{Frame, SizeHint};
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 
+use super::caller_account::Holder;
+
 /// Why a response body ends early. The connection to the caller is then closed
 /// without completing the response.
 #[derive(Debug, thiserror::Error)]
@@ -39,3 +48,45 @@
         .insert(header::CONTENT_TYPE, content_type);
     resp
 }
+
+/// A response body whose end is recorded at the caller's connection.
+#[derive(Debug)]
+pub(super) struct CountedBody {
+    body: Body,
+    holder: Arc<Holder>,
+}
+
+impl CountedBody {
+    /// Counts the bytes of a body of known size.
+    pub(super) fn new(body: Body, holder: Arc<Holder>) -> Self {
+        let bytes = http_body::Body::size_hint(&body).exact();
+        holder.hold_response(bytes.unwrap_or(0));
+        Self { body, holder }
+    }
+}
+
+impl http_body::Body for CountedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for CountedBody {
+    fn drop(&mut self) {
+        self.holder.end_response();
+    }
+}
--- a/crates/daemon/src/gateway/caller_stream.rs
+++ b/crates/daemon/src/gateway/caller_stream.rs
@@ -21,6 +21,8 @@
     net::TcpStream,
 };
 
+use super::caller_account::Holder;
+
 /// Whether the end of a connection would complete a response.
 #[derive(Debug, Clone, Default)]
 pub(super) struct EndOfResponse(Arc<AtomicBool>);
@@ -47,11 +49,20 @@
 pub(super) struct CallerStream {
     stream: TcpStream,
     end: EndOfResponse,
+    holder: Arc<Holder>,
 }
 
 impl CallerStream {
-    pub(super) fn new(stream: TcpStream, end: EndOfResponse) -> Self {
-        Self { stream, end }
+    pub(super) fn new(stream: TcpStream, end: EndOfResponse, holder: Arc<Holder>) -> Self {
+        Self {
+            stream,
+            end,
+            holder,
+        }
+    }
+
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        self.holder.set_unread(written.is_pending());
     }
 }
 
@@ -72,7 +83,15 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let received = buf.filled().len() - before;
+        if received > 0
+            && let Err(error) = self.holder.receive(received)
+        {
+            return Poll::Ready(Err(io::Error::other(error)));
+        }
+        read
     }
 }
 
@@ -82,10 +101,13 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record_write(&written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.holder.record_flush();
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
@@ -98,7 +120,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/daemon/src/gateway/connections.rs
+++ b/crates/daemon/src/gateway/connections.rs
@@ -1,16 +1,20 @@
 //! Serves the HTTP/1.1 connections of a listener.
 
-use std::{convert::Infallible, future::Future, net::SocketAddr, pin::pin, time::Duration};
+use std::{
+    convert::Infallible, future::Future, net::SocketAddr, pin::pin, sync::Arc, time::Duration,
+};
 
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use radishhaven_core::gateway::caller_usage::Origin;
 use spdlog::prelude::*;
 use tokio::net::{TcpListener, TcpSocket};
 
 use super::{
     GatewayStartError,
-    body::Body,
+    body::{Body, CountedBody, text_response},
+    caller_account::{CallerAccount, NoMemory},
     caller_stream::{CallerStream, EndOfResponse},
     closing::Closing,
 };
@@ -20,11 +24,10 @@
 /// Delay after a connection could not be accepted, as happens when file
 /// descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Timeout of an idle connection and of reading a request head. It must be
-/// longer than callers keep idle connections for reuse.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-/// Largest size of a request head, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Seconds after which a caller may retry that was refused for lack of memory. Slow
+/// holders of memory are closed after a second.
+const RETRY_AFTER_S: &str = "1";
 
 /// Listens on an address and replaces it by the bound one, in case its port is
 /// zero.
@@ -45,13 +48,39 @@
     bind().map_err(|source| GatewayStartError::Listen { address, source })
 }
 
-/// Serves all connections until the process ends. `closing` ends them earlier.
-pub(super) async fn serve<H, F>(listener: TcpListener, closing: Closing, handler: H)
+/// What the connections of a listener share with those of others.
+#[derive(Debug, Clone)]
+pub(super) struct Shared {
+    /// Ends the connections before the process does.
+    pub(super) closing: Closing,
+    /// Counts what the connections occupy.
+    pub(super) account: Arc<CallerAccount>,
+    /// Who uses the listener.
+    pub(super) origin: Origin,
+}
+
+/// Refuses a request of which nothing was passed on.
+fn refuse(error: &NoMemory) -> Response<Body> {
+    let mut resp = text_response(StatusCode::SERVICE_UNAVAILABLE, &error.to_string());
+    let headers = resp.headers_mut();
+    headers.insert(header::RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_S));
+    headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    resp
+}
+
+/// Serves all connections until the process ends.
+pub(super) async fn serve<H, F>(listener: TcpListener, shared: Shared, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
+    let Shared {
+        closing,
+        account,
+        origin,
+    } = shared;
     loop {
+        account.prepare(&listener);
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
@@ -60,6 +89,9 @@
                 continue;
             }
         };
+        let Some(holder) = account.admit(&stream, origin) else {
+            continue;
+        };
         if let Err(error) = stream.set_nodelay(true) {
             debug!("a connection was closed before its first request", kv: { error = error.to_string() });
             continue;
@@ -67,16 +99,27 @@
         let handler = handler.clone();
         let end = EndOfResponse::default();
         let end_of_request = end.clone();
-        let service = service_fn(move |req: Request<Incoming>| {
+        let serving = holder.clone();
+        let service = service_fn(move |mut req: Request<Incoming>| {
             end_of_request.record_request(req.version());
-            let response = handler(req);
-            async move { Ok::<_, Infallible>(response.await) }
+            let admitted = serving.serve();
+            req.extensions_mut().insert(serving.clone());
+            let response = admitted.map(|()| handler(req));
+            let holder = serving.clone();
+            async move {
+                let resp = match response {
+                    Ok(response) => response.await,
+                    Err(error) => refuse(&error),
+                };
+                Ok::<_, Infallible>(resp.map(|body| CountedBody::new(body, holder)))
+            }
         });
-        let stream = CallerStream::new(stream, end.clone());
+        let stream = CallerStream::new(stream, end.clone(), holder.clone());
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(IDLE_TIMEOUT)
-            .max_buf_size(MAX_HEAD_BYTES)
+            // It also runs between requests; heads have a timeout of their own.
+            .header_read_timeout(account.limits().idle_timeout)
+            .max_buf_size(account.max_head_bytes())
             .serve_connection(TokioIo::new(stream), service);
         // An error means that the caller disconnected or that a response was cut.
         // The end of each request is logged by its job.
@@ -84,8 +127,11 @@
         tokio::spawn(async move {
             let mut connection = pin!(connection);
             let driving = closing.drive(connection.as_mut(), |c| c.graceful_shutdown());
-            if driving.await.is_ok() {
-                end.record_complete();
+            tokio::select! {
+                driven = driving => if driven.is_ok() {
+                    end.record_complete();
+                },
+                () = holder.closed() => {}
             }
         });
     }
--- a/crates/daemon/src/gateway/connections/tests.rs
+++ b/crates/daemon/src/gateway/connections/tests.rs
@@ -7,7 +7,7 @@
 };
 
 use super::*;
-use crate::gateway::body::full;
+use crate::gateway::{body::full, settings::VmLimits};
 
 /// Timeout of a test for an expected event.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -18,8 +18,17 @@
 fn start(closing: &Closing, bytes: usize) -> SocketAddr {
     let mut address = "127.0.0.1:0".parse().expect("an address");
     let listener = listen(&mut address).expect("a port");
+    let limits = VmLimits {
+        memory_mb: 112,
+        max_descriptors: 2_870,
+    };
+    let shared = Shared {
+        closing: closing.clone(),
+        account: Arc::new(CallerAccount::new(limits)),
+        origin: Origin::Callers,
+    };
     let handler = move |_| std::future::ready(Response::new(full(vec![0; bytes])));
-    tokio::spawn(serve(listener, closing.clone(), handler));
+    tokio::spawn(serve(listener, shared, handler));
     address
 }
 
--- a/crates/daemon/src/gateway/host.rs
+++ b/crates/daemon/src/gateway/host.rs
@@ -30,7 +30,8 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::{
-    GatewaySettings, closing::Closing, metrics::GatewayMetrics, peer_forwarding::PeerConnections,
+    GatewaySettings, caller_account::CallerAccount, closing::Closing, metrics::GatewayMetrics,
+    peer_forwarding::PeerConnections,
 };
 use crate::clock::Clock;
 
@@ -108,6 +109,8 @@
     pub(super) metrics: GatewayMetrics,
     /// When the shutdown began.
     drain_started: OnceLock<Timestamp>,
+    /// What callers and peers occupy in this process.
+    pub(super) callers: Arc<CallerAccount>,
     /// Closes the connections of callers and peers.
     pub(super) closing: Closing,
     /// Whether the process exits now, even if requests are still open.
@@ -219,6 +222,7 @@
             report_delay_ms: AtomicU64::new(0),
             clock: Clock::start(),
             store: StoreClient::new(settings.store.address),
+            callers: Arc::new(CallerAccount::new(settings.limits)),
             settings,
             metrics: GatewayMetrics::default(),
             drain_started: OnceLock::new(),
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
 use radishhaven_core::{
     gateway::{
         CrashCause, PromptPart, RequestDigest,
@@ -26,6 +26,7 @@
 
 use super::{
     body::{Body, text_response},
+    caller_account::{Holder, NoMemory},
     exchange::OutgoingRequest,
     forward::{SHUTTING_DOWN, forward, set_retry_after},
     host::{GatewayHost, OpenRequestGuard},
@@ -33,6 +34,13 @@
     peer_forwarding::NodeOutcome,
 };
 
+/// Memory that one part of a prompt takes while its request is handled, in bytes: its
+/// place among the parts and among the causes of crashes. 13 were measured before the
+/// causes are made.
+const PART_BYTES: usize = 64;
+/// Smallest memory of a body of unknown length, in bytes.
+const MIN_BODY_CAPACITY: usize = 4 * 1024;
+
 /// What a node states about a request that it forwards for its caller.
 #[derive(Debug)]
 pub(super) struct Forwarded {
@@ -46,12 +54,17 @@
 pub(super) async fn handle(host: Arc<GatewayHost>, req: Request<Incoming>) -> Response<Body> {
     let mut resp = handle_request(&host, req, None).await;
     if host.is_draining() {
-        let close = HeaderValue::from_static("close");
-        resp.headers_mut().insert(header::CONNECTION, close);
+        set_close(&mut resp);
     }
     resp
 }
 
+/// Closes the caller's connection after a response.
+fn set_close(resp: &mut Response<Body>) {
+    let close = HeaderValue::from_static("close");
+    resp.headers_mut().insert(header::CONNECTION, close);
+}
+
 /// Handles one request that a peer forwards and returns its response.
 pub(super) async fn handle_from_peer(
     host: Arc<GatewayHost>,
@@ -122,11 +135,19 @@
         set_retry_after(&mut resp, host.with_gateway(|g| g.retry_elsewhere_after()));
         return resp;
     }
-    let body = match tokio::time::timeout(time_limit, read_body(host, body)).await {
+    let holder = head.extensions.get::<Arc<Holder>>().cloned();
+    let reading = read_body(host, holder.as_deref(), &caller_request, body);
+    let body = match tokio::time::timeout(time_limit, reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(ReadError::TooLarge)) => {
             return refuse(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
         }
+        Ok(Err(ReadError::NoMemory)) => {
+            let mut resp = refuse(StatusCode::SERVICE_UNAVAILABLE, "no memory for the body");
+            set_retry_after(&mut resp, host.with_gateway(|g| g.retry_after()));
+            set_close(&mut resp);
+            return resp;
+        }
         Ok(Err(ReadError::Broken)) => return refuse(StatusCode::BAD_REQUEST, "the body broke off"),
         Err(_) => return refuse(StatusCode::REQUEST_TIMEOUT, "the body came too slowly"),
     };
@@ -211,19 +232,76 @@
 /// Why a body could not be read.
 enum ReadError {
     TooLarge,
+    NoMemory,
     Broken,
 }
 
-/// Reads a body up to the size limit of the configuration.
-async fn read_body(host: &Arc<GatewayHost>, body: Incoming) -> Result<Bytes, ReadError> {
+impl From<NoMemory> for ReadError {
+    fn from(_: NoMemory) -> Self {
+        Self::NoMemory
+    }
+}
+
+/// Reads a body up to the size limit of the configuration. Its bytes are counted before
+/// they are read, and copied, since chunks that are kept as they came take many times
+/// their size.
+async fn read_body(
+    host: &Arc<GatewayHost>,
+    holder: Option<&Holder>,
+    caller_request: &CallerRequest,
+    mut body: Incoming,
+) -> Result<Bytes, ReadError> {
     let limit = host.with_gateway(|g| g.configuration().map(|c| c.limits.max_body_bytes));
-    let collected = Limited::new(body, limit.unwrap_or_default())
-        .collect()
-        .await;
-    match collected {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(ReadError::TooLarge),
-        Err(_) => Err(ReadError::Broken),
+    let limit = limit.unwrap_or_default();
+    let hold = |bytes| holder.map_or(Ok(()), |h| h.hold(bytes));
+    let parts = caller_request.shared_parts.len();
+    if parts > 0 {
+        hold(parts * PART_BYTES)?;
+    }
+    let stated = body.size_hint();
+    if stated.lower() > limit as u64 {
+        return Err(ReadError::TooLarge);
+    }
+    let length = stated.exact().map_or(0, |length| length as usize);
+    if length > 0 {
+        hold(length)?;
+    }
+    let receiving = holder.map(Holder::receive_body);
+    let mut read = Vec::with_capacity(length);
+    loop {
+        let frame = tokio::select! {
+            frame = body.frame() => frame,
+            () = refused(holder) => return Err(ReadError::NoMemory),
+        };
+        let Some(frame) = frame else {
+            return Ok(read.into());
+        };
+        let frame = frame.map_err(|_| ReadError::Broken)?;
+        // Trailers are not forwarded.
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let needed = read.len() + data.len();
+        if needed > limit {
+            return Err(ReadError::TooLarge);
+        }
+        if needed > read.capacity() {
+            let capacity = (read.capacity() * 2).max(MIN_BODY_CAPACITY).min(limit);
+            let capacity = capacity.max(needed);
+            hold(capacity - read.capacity())?;
+            read.reserve_exact(capacity - read.len());
+        }
+        read.extend_from_slice(&data);
+        if let Some(receiving) = &receiving {
+            receiving.record(data.len());
+        }
+    }
+}
+
+async fn refused(holder: Option<&Holder>) {
+    match holder {
+        Some(holder) => holder.body_refused().await,
+        None => std::future::pending().await,
     }
 }
 
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -182,12 +182,38 @@
 pub(super) fn render(host: &Arc<GatewayHost>) -> Response<Body> {
     let mut registry = Registry::with_prefix("radishhaven_gateway");
     host.metrics.register(&mut registry);
+    registry.register(
+        "refused_callers",
+        "Connections and requests that the VM's limits ended, by reason",
+        host.callers.refusals.clone(),
+    );
     let now = host.now();
     let dropped = ConstCounter::new(crate::logging::dropped_records());
     registry.register("log_lines_dropped", "Log lines dropped", dropped);
     let mut gauge = |name: &str, help: &str, value: i64| {
         registry.register(name, help, ConstGauge::new(value));
     };
+    let (bounds, held, connections) = host.callers.usage();
+    gauge(
+        "caller_bytes",
+        "Bytes that requests and responses of callers hold",
+        held as i64,
+    );
+    gauge(
+        "caller_bytes_bound",
+        "Bytes that requests and responses of callers may hold",
+        bounds.bytes as i64,
+    );
+    gauge(
+        "caller_connections",
+        "Connections of callers and peers",
+        connections as i64,
+    );
+    gauge(
+        "caller_connections_bound",
+        "Connections that callers and peers may have",
+        bounds.connections as i64,
+    );
     let (version, proof, servers, waiting) = host.with_gateway(|g| {
         let version = g.configuration().map_or(0, |c| c.version);
         (
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! See `docs/design/platform.md`.
 
 mod body;
+mod caller_account;
 mod caller_stream;
 mod closing;
 mod connections;
--- a/crates/daemon/src/gateway/peer_forwarding/server.rs
+++ b/crates/daemon/src/gateway/peer_forwarding/server.rs
@@ -5,6 +5,7 @@
 use http::{HeaderValue, Request, Response};
 use hyper::{body::Incoming, server::conn::http2, service::service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use radishhaven_core::gateway::caller_usage::Origin;
 use spdlog::prelude::*;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -13,7 +14,8 @@
     client::{CONNECTION_WINDOW, MAX_STREAMS, STREAM_WINDOW},
 };
 use crate::gateway::{
-    body::Body,
+    body::{Body, CountedBody},
+    caller_account::Holder,
     host::GatewayHost,
     ingress::{self, Forwarded},
 };
@@ -29,8 +31,13 @@
 /// Serves the connections of peers until the process ends.
 pub(in crate::gateway) async fn serve(host: Arc<GatewayHost>, listener: TcpListener) {
     loop {
+        host.callers.prepare(&listener);
         match listener.accept().await {
-            Ok((stream, _)) => serve_connection(host.clone(), stream),
+            Ok((stream, _)) => {
+                if let Some(holder) = host.callers.admit(&stream, Origin::Others) {
+                    serve_connection(host.clone(), stream, holder);
+                }
+            }
             Err(error) => {
                 warn!("failed to accept a connection of a peer", kv: { error = error.to_string() });
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -39,15 +46,21 @@
     }
 }
 
-fn serve_connection(host: Arc<GatewayHost>, stream: TcpStream) {
+fn serve_connection(host: Arc<GatewayHost>, stream: TcpStream, holder: Arc<Holder>) {
     if let Err(error) = stream.set_nodelay(true) {
         debug!("a peer closed its connection", kv: { error = error.to_string() });
         return;
     }
     let closing = host.closing.clone();
-    let service = service_fn(move |req| {
+    let carrier = holder.clone();
+    let service = service_fn(move |mut req: Request<Incoming>| {
         let host = host.clone();
-        async move { Ok::<_, Infallible>(handle(host, req).await) }
+        let holder = carrier.open_request();
+        req.extensions_mut().insert(holder.clone());
+        async move {
+            let resp = handle(host, req).await;
+            Ok::<_, Infallible>(resp.map(|body| CountedBody::new(body, holder)))
+        }
     });
     let connection = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
@@ -61,7 +74,10 @@
     // The sender notices the end of a connection by its requests.
     tokio::spawn(async move {
         let connection = pin!(connection);
-        let _ = closing.drive(connection, |c| c.graceful_shutdown()).await;
+        tokio::select! {
+            _ = closing.drive(connection, |c| c.graceful_shutdown()) => {}
+            () = holder.closed() => {}
+        }
     });
 }
 
--- a/crates/daemon/src/gateway/shutdown.rs
+++ b/crates/daemon/src/gateway/shutdown.rs
@@ -3,6 +3,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use radishhaven_core::gateway::caller_usage::Origin;
 use spdlog::prelude::*;
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -10,8 +11,9 @@
 };
 
 use super::{
-    GatewayHost, GatewaySettings, GatewayStartError, connections, directory, dump, ingress, links,
-    members, metrics, peer_forwarding, peers, placer, store_sync,
+    GatewayHost, GatewaySettings, GatewayStartError, caller_account,
+    connections::{self, Shared},
+    directory, dump, ingress, links, members, metrics, peer_forwarding, peers, placer, store_sync,
 };
 
 /// Time until the directories of all nodes leave a node out that shuts down.
@@ -105,28 +107,32 @@
         });
         let host = Arc::new(Self::new(settings));
         let shared_host = host.clone();
-        let closing = &host.closing;
+        let shared = |origin| Shared {
+            closing: host.closing.clone(),
+            account: host.callers.clone(),
+            origin,
+        };
         tokio::spawn(connections::serve(
             caller_listener,
-            closing.clone(),
+            shared(Origin::Callers),
             move |req| ingress::handle(shared_host.clone(), req),
         ));
         let shared_host = host.clone();
         tokio::spawn(connections::serve(
             readiness_listener,
-            closing.clone(),
+            shared(Origin::Others),
             move |req| std::future::ready(directory::readiness(&shared_host, &req)),
         ));
         let shared_host = host.clone();
         tokio::spawn(connections::serve(
             directory_listener,
-            closing.clone(),
+            shared(Origin::Others),
             move |req| std::future::ready(directory::resolve(&shared_host, &req)),
         ));
         let shared_host = host.clone();
         tokio::spawn(connections::serve(
             metrics_listener,
-            closing.clone(),
+            shared(Origin::Others),
             move |req| {
                 std::future::ready(match req.uri().path() {
                     dump::DUMP_PATH => dump::render(&shared_host),
@@ -141,6 +147,7 @@
         tokio::spawn(peers::run(host.clone(), socket));
         tokio::spawn(peer_forwarding::serve(host.clone(), peer_listener));
         tokio::spawn(links::run(host.clone()));
+        tokio::spawn(caller_account::run(host.clone()));
         Ok(host)
     }
 
--- a/crates/daemon/tests/gateway_settings.rs
+++ b/crates/daemon/tests/gateway_settings.rs
@@ -6,8 +6,15 @@
 /// The settings template, which the platform fills in for each VM.
 const TEMPLATE: &str = include_str!("../../../deploy/gateway.ini");
 
+/// The template with the limits of the VM.
+const TEMPLATE_WITH_LIMITS: &str = include_str!("../../../deploy/front.ini");
+
 /// Returns the template with values for one VM, as the platform fills them in.
 fn filled_template() -> String {
+    fill(TEMPLATE)
+}
+
+fn fill(template: &str) -> String {
     let values = [
         ("{{node_name}}", "front-1"),
         ("{{zone}}", "centro"),
@@ -23,6 +30,8 @@
         ("{{platform.parts}}", "12"),
         ("{{platform.writes_per_s}}", "400"),
         ("{{limits.cpu_share}}", "0.25"),
+        ("{{limits.memory_mb}}", "112"),
+        ("{{limits.max_fds}}", "264"),
         ("{{bounds.config_ms}}", "2000"),
         ("{{bounds.stability_window_ms}}", "3000"),
         ("{{bounds.revoke_ms}}", "5000"),
@@ -34,7 +43,7 @@
         ("{{bounds.budget_slack}}", "198"),
     ];
     let fill = |text: String, (name, value): &(&str, &str)| text.replace(name, value);
-    values.iter().fold(TEMPLATE.to_owned(), fill)
+    values.iter().fold(template.to_owned(), fill)
 }
 
 fn error_messages(text: &str) -> Vec<String> {
@@ -145,3 +154,16 @@
     assert_eq!(settings.limits.memory_mb, 64);
     assert_eq!(settings.limits.max_descriptors, 300);
 }
+
+/// Guards against templates that differ in more than the limits of the VM.
+#[test]
+fn templates_differ_by_the_limits_alone() {
+    let text = fill(TEMPLATE_WITH_LIMITS);
+    assert!(!text.contains("{{"), "a value is missing:\n{text}");
+    let settings = GatewaySettings::parse("front.ini", &text).expect("it is valid");
+    assert_eq!(settings.limits.memory_mb, 112);
+    assert_eq!(settings.limits.max_descriptors, 264);
+    let limits = "[limits]\nmemory_mb = {{limits.memory_mb}}\n\
+                  max_descriptors = {{limits.max_fds}}\n\n";
+    assert_eq!(TEMPLATE_WITH_LIMITS.replace(limits, ""), TEMPLATE);
+}
