--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! See `docs/design/platform.md`.
 
 mod body;
+mod caller_account;
 mod caller_stream;
 mod closing;
 mod connections;
@@ -28,6 +29,7 @@
 mod settings;
 mod shutdown;
 mod store_sync;
+mod vm;
 
 pub use self::{
     host::{GatewayHost, GatewayStartError},
--- a/crates/daemon/tests/gateway_settings.rs
+++ b/crates/daemon/tests/gateway_settings.rs
@@ -7,8 +7,15 @@
 /// The settings template, which the platform fills in for each VM.
 const TEMPLATE: &str = include_str!("../../../deploy/gateway.ini");
 
+/// The template with the limits of the VM.
+const TEMPLATE_WITH_LIMITS: &str = include_str!("../../../deploy/front.ini");
+
 /// Returns the template with values for one VM, as the platform fills them in.
 fn filled_template() -> String {
+    fill(TEMPLATE)
+}
+
+fn fill(template: &str) -> String {
     let values = [
         ("{{node_name}}", "front-1"),
         ("{{zone}}", "centro"),
@@ -24,6 +31,8 @@
         ("{{platform.parts}}", "12"),
         ("{{platform.writes_per_s}}", "400"),
         ("{{limits.cpu_share}}", "0.25"),
+        ("{{limits.memory_mb}}", "112"),
+        ("{{limits.max_fds}}", "264"),
         ("{{bounds.config_ms}}", "2000"),
         ("{{bounds.stability_window_ms}}", "3000"),
         ("{{bounds.revoke_ms}}", "5000"),
@@ -35,7 +44,7 @@
         ("{{bounds.budget_slack}}", "198"),
     ];
     let fill = |text: String, (name, value): &(&str, &str)| text.replace(name, value);
-    values.iter().fold(TEMPLATE.to_owned(), fill)
+    values.iter().fold(template.to_owned(), fill)
 }
 
 fn error_messages(text: &str) -> Vec<String> {
@@ -139,3 +148,54 @@
         "{errors:#?}"
     );
 }
+
+/// A bound of zero or beyond the VM would leave the node without its protection against
+/// callers that exhaust its memory.
+#[test]
+fn limits_that_the_vm_does_not_have_are_reported() {
+    let text = filled_template().replace("[log]", "[limits]\nmemory_mb = 0\n[log]");
+    let errors = error_messages(&text);
+    assert_eq!(errors.len(), 1, "{errors:#?}");
+    let expected = "gateway.ini: [limits] memory_mb = 0: allowed is 48 to ";
+    assert!(errors[0].starts_with(expected), "{errors:#?}");
+    for (key, value) in [
+        ("memory_mb", "4000000000"),
+        ("memory_mb", ""),
+        ("memory_mb", "-112"),
+        ("max_descriptors", "0"),
+        ("max_descriptors", "4000000000"),
+        ("max_descriptors", "many"),
+    ] {
+        let limits = format!("[limits]\n{key} = {value}\n[log]");
+        let errors = error_messages(&filled_template().replace("[log]", &limits));
+        assert_eq!(errors.len(), 1, "{key} = {value}: {errors:#?}");
+        assert!(errors[0].contains(key), "{key} = {value}: {errors:#?}");
+    }
+}
+
+/// The limits of the smallest VM apply to settings that name none.
+#[test]
+fn missing_limits_are_those_of_the_smallest_vm() {
+    let without = filled_template();
+    let settings = GatewaySettings::parse("gateway.ini", &without).expect("it is valid");
+    assert!(settings.limits.memory_mb <= 112);
+    assert!(settings.limits.max_descriptors <= 2_870);
+    let limits = "[limits]\nmemory_mb = 64\nmax_descriptors = 300\n[log]";
+    let text = without.replace("[log]", limits);
+    let settings = GatewaySettings::parse("gateway.ini", &text).expect("it is valid");
+    assert_eq!(settings.limits.memory_mb, 64);
+    assert_eq!(settings.limits.max_descriptors, 300);
+}
+
+/// Guards against templates that differ in more than the limits of the VM.
+#[test]
+fn templates_differ_by_the_limits_alone() {
+    let text = fill(TEMPLATE_WITH_LIMITS);
+    assert!(!text.contains("{{"), "a value is missing:\n{text}");
+    let settings = GatewaySettings::parse("front.ini", &text).expect("it is valid");
+    assert_eq!(settings.limits.memory_mb, 112);
+    assert_eq!(settings.limits.max_descriptors, 264);
+    let limits = "[limits]\nmemory_mb = {{limits.memory_mb}}\n\
+                  max_descriptors = {{limits.max_fds}}\n\n";
+    assert_eq!(TEMPLATE_WITH_LIMITS.replace(limits, ""), TEMPLATE);
+}
