fix(gateway): limits of the VM are not those of the process

A node did not start where the platform states 4,100 descriptors and the process has a soft limit of 200 open files, because the platform counts sockets apart.

--- a/crates/daemon/src/gateway/settings.rs
+++ b/crates/daemon/src/gateway/settings.rs
@@ -35,6 +35,9 @@
 const DEFAULT_MAX_DESCRIPTORS: u32 = 2_870;
 /// Least number of descriptors with which a node starts. 200 are reserved for files.
 const MIN_DESCRIPTORS: u32 = 264;
+/// Most descriptors that Linux gives to a process by default. A platform may count the
+/// sockets of a VM apart from the process's limit of open files, so that limit is no bound.
+const MAX_DESCRIPTORS: u32 = 1 << 20;
 
 /// All settings of a gateway.
 #[derive(Debug, Clone)]
@@ -183,12 +186,19 @@
     fn read(section: &mut Section<'_>) -> Self {
         let vm = VmCapacity::read();
         let memory_mb = within(section, "memory_mb", MIN_MEMORY_MB, vm.memory_mb);
-        let max_descriptors = within(section, "max_descriptors", MIN_DESCRIPTORS, vm.descriptors);
-        let default = |default: u32, vm: Option<u32>| vm.map_or(default, |vm| vm.min(default));
+        let descriptors = Some(MAX_DESCRIPTORS);
+        let max_descriptors = within(section, "max_descriptors", MIN_DESCRIPTORS, descriptors);
+        let default = |default: u32, min: u32, vm: Option<u32>| {
+            vm.map_or(default, |vm| vm.min(default).max(min))
+        };
+        let (memory, descriptors) = (vm.memory_mb, vm.descriptors);
         Self {
-            memory_mb: memory_mb.unwrap_or(default(DEFAULT_MEMORY_MB, vm.memory_mb)),
-            max_descriptors: max_descriptors
-                .unwrap_or(default(DEFAULT_MAX_DESCRIPTORS, vm.descriptors)),
+            memory_mb: memory_mb.unwrap_or(default(DEFAULT_MEMORY_MB, MIN_MEMORY_MB, memory)),
+            max_descriptors: max_descriptors.unwrap_or(default(
+                DEFAULT_MAX_DESCRIPTORS,
+                MIN_DESCRIPTORS,
+                descriptors,
+            )),
         }
     }
 }
@@ -197,7 +207,7 @@
 fn within(section: &mut Section<'_>, key: &'static str, min: u32, vm: Option<u32>) -> Option<u32> {
     let max = vm.unwrap_or(u32::MAX);
     let allowed = match vm {
-        Some(max) => format!("{min} to {max}, which this VM has"),
+        Some(max) => format!("{min} to {max}"),
         None => format!("a whole number from {min}"),
     };
     section.optional(key, &allowed, |v| {
