fix(gateway): bounds of starts leave out the request's own prompt; faults name their engine

Found in review. A prompt that alone takes longer than the bound never started, also at idle engines; the bound now covers the backlog ahead. The reserve of KV cache counted for copies only, not for paths that are sought among all engines. The shortest target latency of a priority never expired while other routes had requests. A failure of an unnamed engine was told to peers as one of the first engine of the path; now only named and silent ones are. An extended engine keeps the memory of the requests that run there. Faults are left out of a message that is too large, and the latest are kept.

Tests: long prompts at idle engines, memory for urgent requests with 7 and with 60 nodes, a short target that is no longer used; the ranges of filled gaps are exact now.

--- a/crates/core/benches/gateway.rs
+++ b/crates/core/benches/gateway.rs
@@ -13,7 +13,6 @@
         Server,
         paths::{choose, copies::Copies},
         placement::{PendingOrders, next_orders, plan},
-        urgency::StartLimits,
     },
     ids::VmId,
 };
@@ -49,22 +48,14 @@
         c.bench_function(&format!("draw, {} engines", engines.len()), |b| {
             b.iter(|| {
                 let draw = || rng.random_range(0.0..1.0);
-                black_box(copies.draw_path(
-                    &spec,
-                    &view,
-                    ms(0),
-                    TYPICAL,
-                    StartLimits::RESUMED,
-                    &[],
-                    draw,
-                ))
+                black_box(copies.draw_path(&spec, &view, ms(0), &TYPICAL.into(), draw))
             });
         });
         let mut rng = StdRng::seed_from_u64(1);
         c.bench_function(&format!("choose, {} engines", engines.len()), |b| {
             b.iter(|| {
                 let draw = || rng.random_range(0.0..1.0);
-                black_box(choose(&spec, &view, &service, ms(0), TYPICAL, &[], draw))
+                black_box(choose(&spec, &view, &service, ms(0), &TYPICAL.into(), draw))
             });
         });
     }
--- a/crates/core/src/gateway/faults.rs
+++ b/crates/core/src/gateway/faults.rs
@@ -9,7 +9,7 @@
 //! A node whose own links are cut sees faults of healthy engines. A reported fault is
 //! therefore void once any node reports progress that is more recent than the fault.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -83,14 +83,14 @@
 }
 
 impl Gateway {
-    /// Records that an engine failed a request of this node. Returns whether peers
-    /// should learn it at once.
-    pub(super) fn record_fault(&mut self, now: Timestamp, id: &VmId) -> bool {
-        let row = self.servers.get(id).filter(|row| is_engine(row));
-        row.is_some_and(|row| {
-            let incarnation = Incarnation::from(&row.entry);
-            self.faults.record(now, id, incarnation)
-        })
+    /// Records that an engine failed a request of this node, for its peers. It has to be
+    /// certain which engine failed, since the peers don't use it for some time.
+    pub fn record_fault(&mut self, now: Timestamp, id: &VmId) {
+        let Some(row) = self.servers.get(id).filter(|row| is_engine(row)) else {
+            return;
+        };
+        let incarnation = Incarnation::from(&row.entry);
+        self.has_new_fault |= self.faults.record(now, id, incarnation);
     }
 
     /// Returns whether this node found a fault since the last call that peers should
@@ -111,9 +111,12 @@
             }
         }
         expire(&mut latest, now);
-        let reported = latest.into_iter().take(MAX_REPORTED_FAULTS);
+        let mut latest: Vec<_> = latest.into_iter().collect();
+        latest.sort_by_key(|(_, (_, at))| Reverse(*at));
+        latest.truncate(MAX_REPORTED_FAULTS);
         FaultReport {
-            faults: reported
+            faults: latest
+                .into_iter()
                 .map(|(id, (incarnation, at))| {
                     let age_ms = now.since(at).as_millis() as u64;
                     (
--- a/crates/core/src/gateway/outcomes.rs
+++ b/crates/core/src/gateway/outcomes.rs
@@ -88,6 +88,9 @@
             TicketOutcome::Full { by } => {
                 if let Some(id) = server_at_fault(&self.servers, by) {
                     self.record_refusal(now, &id, FULL_BACKOFF);
+                    if by.is_some() {
+                        self.record_fault(now, &id);
+                    }
                 }
             }
             TicketOutcome::Misdirected { by } => {
@@ -135,7 +138,6 @@
         if let Some(row) = self.servers.get_mut(id) {
             row.refused_at = Some(now);
         }
-        self.has_new_fault |= self.record_fault(now, id);
     }
 
     /// Starts a server's backoff, which is `first` after one failure and
@@ -151,7 +153,6 @@
     /// Records that a server failed a request and starts its backoff.
     pub fn record_server_failure(&mut self, now: Timestamp, id: &VmId) {
         self.back_off(now, id, INITIAL_BACKOFF);
-        self.has_new_fault |= self.record_fault(now, id);
         if let Some(row) = self.servers.get_mut(id) {
             row.latency_ms += (FAILURE_LATENCY_MS - row.latency_ms) * LATENCY_EWMA_WEIGHT;
         }
--- a/crates/core/src/gateway/paths.rs
+++ b/crates/core/src/gateway/paths.rs
@@ -16,6 +16,7 @@
     chains::StageStart,
     config::{Accelerator, EngineSpec},
     servers::{ServerRow, Servers},
+    urgency::StartLimits,
 };
 use crate::{
     ids::{FailureDomain, LayerRange, ServiceId, VmId},
@@ -55,6 +56,28 @@
     }
 }
 
+/// A request that looks for a path.
+#[derive(Debug, Clone, Copy)]
+pub struct PathRequest<'a> {
+    /// Its token estimate.
+    pub estimate: TokenEstimate,
+    /// Bounds on the load of the engines at which it starts.
+    pub limits: StartLimits,
+    /// Engines that are excluded.
+    pub avoid: &'a [VmId],
+}
+
+impl From<TokenEstimate> for PathRequest<'_> {
+    /// A request without bounds or exclusions.
+    fn from(estimate: TokenEstimate) -> Self {
+        Self {
+            estimate,
+            limits: StartLimits::RESUMED,
+            avoid: &[],
+        }
+    }
+}
+
 /// The layers that one engine runs on a path.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Stage {
@@ -81,10 +104,9 @@
     pub cost_ms: f64,
     /// Predicted time until the prompt has been processed, in milliseconds.
     pub first_ms: f64,
-    /// Predicted longest time between two events while the prompts that are not
-    /// processed yet pass the engines, in milliseconds. The first event comes after
-    /// the same time, because it takes the same steps.
-    pub gap_ms: f64,
+    /// Predicted time to the first event without the request's own prompt, in
+    /// milliseconds: that of the prompts ahead and of the steps of one event.
+    pub backlog_ms: f64,
 }
 
 /// An engine that may take part in a request.
@@ -137,20 +159,21 @@
 
 /// Selects the path with the lowest cost among the engines that have capacity.
 ///
-/// Engines in `avoid` are excluded. `draw` returns random numbers in
-/// `0.0..1.0`.
+/// Returns `None` if the limit of the time to the first event excludes that path; others
+/// are not sought, because the cheapest one has a short backlog. `draw` returns random
+/// numbers in `0.0..1.0`.
 pub fn choose(
     spec: &EngineSpec,
     servers: &Servers,
     service: &ServiceId,
     now: Timestamp,
-    estimate: TokenEstimate,
-    avoid: &[VmId],
+    req: &PathRequest<'_>,
     draw: impl FnMut() -> f64,
 ) -> Option<Path> {
-    let (candidates, inbound) = candidates(spec, servers, service, now, avoid, draw);
-    let best = search(spec, &candidates, &inbound, estimate);
-    trace_back(spec, &candidates, &best, estimate)
+    let (candidates, inbound) = candidates(spec, servers, service, now, req.avoid, draw);
+    let best = search(spec, &candidates, &inbound, req);
+    let path = trace_back(spec, &candidates, &best, req)?;
+    req.limits.allow(path.backlog_ms).then_some(path)
 }
 
 /// Returns the engines that may take part in a request, and for each failure
@@ -197,7 +220,7 @@
     spec: &EngineSpec,
     candidates: &[Candidate<'_>],
     inbound: &[u64],
-    estimate: TokenEstimate,
+    req: &PathRequest<'_>,
 ) -> Table {
     let unreached = vec![
         Best {
@@ -217,10 +240,10 @@
             if candidate.layers.start() > position || candidate.layers.end() <= position {
                 continue;
             }
-            let Some(own) = stage_cost(spec, candidate, position, estimate) else {
+            let Some(own) = stage_cost(spec, candidate, position, req) else {
                 continue;
             };
-            let crossing = crossing_cost(spec, inbound[candidate.domain], estimate);
+            let crossing = crossing_cost(spec, inbound[candidate.domain], req.estimate);
             let (before, from) = cheapest_arrival(here.as_deref(), candidate.domain, crossing);
             let cost = before + own * candidate.jitter;
             let slot = best
@@ -269,13 +292,13 @@
     spec: &EngineSpec,
     candidate: &Candidate<'_>,
     start: u16,
-    estimate: TokenEstimate,
+    req: &PathRequest<'_>,
 ) -> Option<f64> {
-    let row = candidate.row;
+    let (row, estimate) = (candidate.row, req.estimate);
     let run = f64::from(candidate.layers.end() - start);
     let tokens = row.total_tokens() as f64 + kv_tokens_held(estimate, run, candidate.layers);
     let fill = tokens / candidate.capacity.max(1.0);
-    if fill > MAX_KV_FILL || (start == 0 && !candidate.may_be_first) {
+    if fill > req.limits.kv_fill || (start == 0 && !candidate.may_be_first) {
         return None;
     }
     let write = f64::from(estimate.output) * step_ms(spec, candidate, start);
@@ -309,6 +332,18 @@
     unread * 1e3 / spec.prefill_tokens_per_s * candidate.kind.read_factor * share
 }
 
+/// Returns the time in milliseconds for which the prompts ahead and the steps of one
+/// event keep an engine busy, from the layer `start` to its last one. A request's own
+/// prompt doesn't count, so that a long one starts at idle engines.
+fn backlog_ms(spec: &EngineSpec, candidate: &Candidate<'_>, start: u16) -> f64 {
+    let no_prompt = TokenEstimate {
+        prompt: 0,
+        output: 0,
+    };
+    f64::from(spec.stride) * step_ms(spec, candidate, start)
+        + prefill_ms(spec, candidate, start, no_prompt)
+}
+
 /// Returns the KV cache that a request occupies on an engine that runs `run` of
 /// the layers that it holds, as a number of tokens over all of them.
 fn kv_tokens_held(estimate: TokenEstimate, run: f64, held: LayerRange) -> f64 {
@@ -319,7 +354,7 @@
     spec: &EngineSpec,
     candidates: &[Candidate<'_>],
     best: &Table,
-    estimate: TokenEstimate,
+    req: &PathRequest<'_>,
 ) -> Option<Path> {
     let ends = best.get(&spec.layers)?;
     let (mut domain, last) = ends
@@ -338,7 +373,7 @@
         (position, domain) = (start, from);
     }
     stages.reverse();
-    let path = build_path(spec, candidates, &stages, estimate)?;
+    let path = build_path(spec, candidates, &stages, req)?;
     Some(Path { cost_ms, ..path })
 }
 
@@ -347,23 +382,23 @@
     spec: &EngineSpec,
     candidates: &[Candidate<'_>],
     stages: &[StageStart],
-    estimate: TokenEstimate,
+    req: &PathRequest<'_>,
 ) -> Option<Path> {
+    let estimate = req.estimate;
     let mut path = Path {
         stages: Vec::with_capacity(stages.len()),
         cost_ms: 0.0,
         first_ms: 0.0,
-        gap_ms: 0.0,
+        backlog_ms: 0.0,
     };
     let mut previous_domain = None;
     for StageStart { index, start } in stages.iter().copied() {
         let candidate = &candidates[index];
         let end = candidate.layers.end();
         let run = f64::from(end - start);
-        let prefill = prefill_ms(spec, candidate, start, estimate);
-        path.first_ms += prefill;
-        path.gap_ms += f64::from(spec.stride) * step_ms(spec, candidate, start) + prefill;
-        path.cost_ms += stage_cost(spec, candidate, start, estimate)?;
+        path.first_ms += prefill_ms(spec, candidate, start, estimate);
+        path.backlog_ms += backlog_ms(spec, candidate, start);
+        path.cost_ms += stage_cost(spec, candidate, start, req)?;
         path.stages.push(Stage {
             server: candidate.id.clone(),
             address: candidate.row.entry.address,
--- a/crates/core/src/gateway/paths/copies.rs
+++ b/crates/core/src/gateway/paths/copies.rs
@@ -16,14 +16,12 @@
 
 use std::collections::BTreeMap;
 
-use super::{Candidate, Path, build_path, candidate, prefill_ms, step_ms};
+use super::{Candidate, Path, PathRequest, backlog_ms, build_path, candidate, prefill_ms, step_ms};
 use crate::{
     gateway::{
         chains::{self, Link, StageStart},
         config::EngineSpec,
-        paths::TokenEstimate,
         servers::Servers,
-        urgency::StartLimits,
     },
     ids::{FailureDomain, ServiceId, VmId},
     time::Timestamp,
@@ -95,17 +93,14 @@
         }
     }
 
-    /// Draws a copy that has capacity, and returns its path. Engines in `avoid`
-    /// are excluded, and copies beyond the `limits`. `draw` returns random numbers in
-    /// `0.0..1.0`.
+    /// Draws a copy that has capacity within the request's limits, and returns its path.
+    /// `draw` returns random numbers in `0.0..1.0`.
     pub fn draw_path(
         &self,
         spec: &EngineSpec,
         servers: &Servers,
         now: Timestamp,
-        estimate: TokenEstimate,
-        limits: StartLimits,
-        avoid: &[VmId],
+        req: &PathRequest<'_>,
         mut draw: impl FnMut() -> f64,
     ) -> Option<Path> {
         let count = self.copies.len();
@@ -116,8 +111,8 @@
                 .collect(),
         };
         let usable = drawn.into_iter().filter_map(|index| {
-            let copy = self.candidates(index, spec, servers, now, avoid)?;
-            let weight = weight(spec, &copy, estimate, limits)?;
+            let copy = self.candidates(index, spec, servers, now, req.avoid)?;
+            let weight = weight(spec, &copy, req)?;
             Some((weight, copy))
         });
         let usable: Vec<_> = usable.collect();
@@ -127,7 +122,7 @@
             left -= weight;
             left < 0.0
         })?;
-        build_path(spec, candidates, stages, estimate)
+        build_path(spec, candidates, stages, req)
     }
 
     /// Returns the engines of a copy with their current load, or `None` if one of
@@ -165,11 +160,11 @@
 fn weight(
     spec: &EngineSpec,
     (candidates, stages): &LoadedCopy<'_>,
-    estimate: TokenEstimate,
-    limits: StartLimits,
+    req: &PathRequest<'_>,
 ) -> Option<f64> {
+    let (estimate, limits) = (req.estimate, req.limits);
     let mut free_tokens = f64::INFINITY;
-    let (mut first_ms, mut token_ms) = (0.0, 0.0);
+    let (mut first_ms, mut token_ms, mut backlog) = (0.0, 0.0, 0.0);
     for (candidate, stage) in candidates.iter().zip(stages) {
         let held = f64::from(candidate.layers.count());
         let run = f64::from(candidate.layers.end() - stage.start);
@@ -177,6 +172,7 @@
         free_tokens = free_tokens.min(free * held / run);
         first_ms += prefill_ms(spec, candidate, stage.start, estimate);
         token_ms += step_ms(spec, candidate, stage.start);
+        backlog += backlog_ms(spec, candidate, stage.start);
     }
     let head = candidates.first().filter(|head| head.may_be_first)?;
     let free_slots = f64::from(spec.slots.saturating_sub(head.row.total_requests()));
@@ -185,10 +181,10 @@
     if free_tokens < tokens {
         return None;
     }
-    if !limits.allow(first_ms + f64::from(spec.stride) * token_ms) {
+    if !limits.allow(backlog) {
         return None;
     }
     let duration = first_ms + token_ms * f64::from(spec.baseline_output_tokens.max(1));
-    let backlog = first_ms / HALF_WEIGHT_BACKLOG_MS;
-    Some(free_tokens / duration.powf(DURATION_EXPONENT) / (1.0 + backlog.powi(2)))
+    let delay = first_ms / HALF_WEIGHT_BACKLOG_MS;
+    Some(free_tokens / duration.powf(DURATION_EXPONENT) / (1.0 + delay.powi(2)))
 }
--- a/crates/core/src/gateway/placement/completion.rs
+++ b/crates/core/src/gateway/placement/completion.rs
@@ -3,7 +3,8 @@
 //! Load pattern: engines are lost one by one in different copies. Each loss makes
 //! a whole copy useless, although most of its engines are left. Empty engines fill its
 //! gaps; without any, the engines on both sides of a gap take its layers too, and if they
-//! lack memory, the engines of one broken copy fill the gaps of the others.
+//! lack memory, the engines of one broken copy fill the gaps of the others. Empty engines
+//! that can't fill all gaps of a copy fill some of them.
 
 use std::{cmp::Reverse, collections::BTreeMap};
 
@@ -39,7 +40,7 @@
 ) -> Vec<Assignment> {
     let mut assignments = Vec::new();
     for spare in spare_engines(spec, servers, service, pending).into_values() {
-        assignments.extend(complete_in_domain(spec, spare, pending, may_move));
+        assignments.extend(complete_in_domain(spec, servers, spare, pending, may_move));
     }
     assignments
 }
@@ -89,6 +90,7 @@
 /// too few.
 fn complete_in_domain(
     spec: &EngineSpec,
+    servers: &Servers,
     mut spare: Spare<'_>,
     pending: &PendingOrders,
     may_move: bool,
@@ -106,7 +108,7 @@
         };
         let like = spare.holding[chain[0]].0.kind.step_factor;
         let fills = fill_with(spec, &gaps, spare.empty.clone(), like)
-            .or_else(|| extend(spec, &spare.holding, &chain, &gaps, pending))
+            .or_else(|| extend(spec, servers, &spare.holding, &chain, &gaps, pending))
             .or_else(|| {
                 let unchained = (0..spare.holding.len()).filter(|index| !chain.contains(index));
                 let held = unchained.map(|index| &spare.holding[index].0);
@@ -152,6 +154,7 @@
 /// ended. This takes longer than the load of a few layers.
 fn extend(
     spec: &EngineSpec,
+    servers: &Servers,
     holding: &[(Engine<'_>, Link)],
     chain: &[usize],
     gaps: &[(u16, u16)],
@@ -164,10 +167,13 @@
         .collect();
     let spare_layers = |stage: usize, (start, end): (u16, u16)| {
         let engine = &holding[chain[stage]].0;
-        match pending.contains_key(engine.id) {
-            true => 0,
-            false => max_layers(spec, engine.kind, REPAIR_TOKENS).saturating_sub(end - start),
+        if pending.contains_key(engine.id) {
+            return 0;
         }
+        // The requests that run there keep their memory.
+        let used = servers.get(engine.id).map_or(0, |row| row.total_tokens());
+        let tokens = u32::try_from(used).map_or(u32::MAX, |used| used.max(REPAIR_TOKENS));
+        max_layers(spec, engine.kind, tokens).saturating_sub(end - start)
     };
     for &(from, to) in gaps {
         let before = ranges.iter().position(|(_, end)| *end == from);
--- a/crates/core/src/gateway/placement/mixed.rs
+++ b/crates/core/src/gateway/placement/mixed.rs
@@ -30,10 +30,10 @@
 }
 
 /// Deals the engines of one failure domain, the fastest ones first, to as many copies as
-/// let most requests run. Returns `None` if copies of one kind keep the gap, or if the
+/// let most requests run. Returns `None` if copies of each kind keep the gap, or if the
 /// engines are too few for a copy.
 pub(super) fn deal<'a>(spec: &EngineSpec, engines: &[Engine<'a>]) -> Option<Dealt<'a>> {
-    if engines.iter().all(|engine| keeps_gap(spec, engine.kind)) {
+    if spec.layers == 0 || engines.iter().all(|engine| keeps_gap(spec, engine.kind)) {
         return None;
     }
     let mut best: Option<(f64, Dealt<'a>)> = None;
--- a/crates/core/src/gateway/starts.rs
+++ b/crates/core/src/gateway/starts.rs
@@ -8,7 +8,7 @@
     Gateway,
     admission::{self, RequestSource, WaitKey},
     hubs,
-    paths::{self, TokenEstimate},
+    paths::{self, PathRequest, TokenEstimate},
     plain,
     routes::RouteMatch,
     state::Admission,
@@ -188,14 +188,18 @@
         let target = match (&spec.engine, estimate) {
             (Some(engine), Some(estimate)) => {
                 let servers = &self.servers;
+                let req = PathRequest {
+                    estimate,
+                    limits,
+                    avoid,
+                };
                 let drawn = has_stale_view.then(|| {
                     let copies = self.copies.get(engine, servers, service);
-                    copies.draw_path(engine, servers, now, estimate, limits, avoid, &mut draw)
-                });
-                let path = drawn.flatten().or_else(|| {
-                    paths::choose(engine, servers, service, now, estimate, avoid, &mut draw)
-                        .filter(|path| limits.allow(path.gap_ms))
+                    copies.draw_path(engine, servers, now, &req, &mut draw)
                 });
+                let path = drawn
+                    .flatten()
+                    .or_else(|| paths::choose(engine, servers, service, now, &req, &mut draw));
                 Target::Engines(path?)
             }
             _ => {
--- a/crates/core/src/gateway/ticket.rs
+++ b/crates/core/src/gateway/ticket.rs
@@ -55,7 +55,7 @@
             Self::Engines(path) => {
                 write!(f, "{:.0}ms", path.cost_ms)?;
                 write!(f, " first {:.0}ms", path.first_ms)?;
-                write!(f, " gap {:.0}ms", path.gap_ms)?;
+                write!(f, " backlog {:.0}ms", path.backlog_ms)?;
                 for stage in &path.stages {
                     let link = if stage.crosses { " > " } else { " " };
                     write!(f, "{link}{}={}", stage.server, stage.layers)?;
--- a/crates/core/src/gateway/urgency.rs
+++ b/crates/core/src/gateway/urgency.rs
@@ -21,31 +21,32 @@
 const BACKLOG_RESERVE: f64 = 0.25;
 /// Part of the KV cache that each less urgent priority leaves to the next more urgent one.
 const KV_RESERVE: f64 = 0.06;
-/// Largest number of reserves. The share of the least urgent priorities stays above half.
+/// Largest number of reserves, so that half of the time is left to the least urgent ones.
 const MAX_RESERVES: usize = 2;
 
 /// Bounds on the load of the engines at which a request starts.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct StartLimits {
-    /// Largest predicted time to the first event, or `None` without a bound.
+    /// Largest predicted time to the first event, apart from the request's own prompt, or
+    /// `None` without a bound.
     pub(super) first_event: Option<Duration>,
     /// Largest fraction of an engine's KV cache that is reserved.
     pub(super) kv_fill: f64,
 }
 
 impl StartLimits {
-    /// The bounds of a request that was started before. Its prompt has been paid for, so
-    /// that it goes before new ones.
+    /// The bounds of a request that was admitted before: a retry, a hedge or a resumed
+    /// stream. It goes before new ones, because work or waiting was spent on it.
     pub const RESUMED: Self = Self {
         first_event: None,
         kv_fill: MAX_KV_FILL,
     };
 
-    /// Returns whether a request may start where its first event is predicted after
-    /// `first_event_ms` milliseconds.
-    pub(super) fn allow(&self, first_event_ms: f64) -> bool {
+    /// Returns whether a request may start where the backlog takes `backlog_ms`
+    /// milliseconds.
+    pub(super) fn allow(&self, backlog_ms: f64) -> bool {
         let bound = self.first_event;
-        bound.is_none_or(|bound| first_event_ms <= bound.as_secs_f64() * 1e3)
+        bound.is_none_or(|bound| backlog_ms <= bound.as_secs_f64() * 1e3)
     }
 }
 
@@ -61,6 +62,8 @@
     at: Timestamp,
     /// The shortest target latency of their routes.
     target: Duration,
+    /// Time of the last request with that target.
+    target_at: Timestamp,
 }
 
 impl Priorities {
@@ -84,9 +87,16 @@
         };
         recent.retain(|_, recent| now.since(recent.at) < MAX_IDLE);
         let target = route.target_latency;
-        let recent = recent.entry(priority).or_insert(Recent { at: now, target });
+        let new = Recent {
+            at: now,
+            target,
+            target_at: now,
+        };
+        let recent = recent.entry(priority).or_insert(new);
         recent.at = now;
-        recent.target = recent.target.min(target);
+        if target <= recent.target || now.since(recent.target_at) >= MAX_IDLE {
+            *recent = new;
+        }
     }
 
     /// Returns the bounds of a new request with this priority.
--- a/crates/core/tests/gateway_fakes/mod.rs
+++ b/crates/core/tests/gateway_fakes/mod.rs
@@ -21,7 +21,6 @@
         members::{Member, Millicores},
         paths::{TokenEstimate, choose, copies::Copies},
         state::GatewayConfig,
-        urgency::StartLimits,
     },
     ids::{LayerRange, Priority, VmId},
     time::Timestamp,
@@ -78,16 +77,8 @@
 ) -> Option<Path> {
     let service = id(ENGINES);
     let copies = Copies::new(&spec(), servers, &service);
-    let path = copies.draw_path(
-        &spec(),
-        servers,
-        now,
-        estimate,
-        StartLimits::RESUMED,
-        &[],
-        &mut draw,
-    );
-    path.or_else(|| choose(&spec(), servers, &service, now, estimate, &[], draw))
+    let path = copies.draw_path(&spec(), servers, now, &estimate.into(), &mut draw);
+    path.or_else(|| choose(&spec(), servers, &service, now, &estimate.into(), draw))
 }
 
 /// A position in the first era of the store.
--- a/crates/core/tests/gateway_paths.rs
+++ b/crates/core/tests/gateway_paths.rs
@@ -10,21 +10,17 @@
 use radishhaven_core::{
     gateway::{
         Path, ServerState, Servers,
-        paths::{TokenEstimate, choose},
+        paths::{PathRequest, TokenEstimate, choose},
     },
     ids::VmId,
 };
 
 fn path(servers: &Servers, estimate: TokenEstimate, avoid: &[VmId]) -> Option<Path> {
-    choose(
-        &spec(),
-        servers,
-        &id(ENGINES),
-        ms(0),
-        estimate,
+    let req = PathRequest {
         avoid,
-        || 0.5,
-    )
+        ..estimate.into()
+    };
+    choose(&spec(), servers, &id(ENGINES), ms(0), &req, || 0.5)
 }
 
 #[test]
@@ -62,7 +58,14 @@
         .kv_tokens(&small.accelerators["l40s"], 20)
         .expect("the layers fit");
     servers.get_mut(&name(0)).expect("the entry exists").tokens = u64::from(capacity);
-    let full = choose(&small, &servers, &id(ENGINES), ms(0), TYPICAL, &[], || 0.5);
+    let full = choose(
+        &small,
+        &servers,
+        &id(ENGINES),
+        ms(0),
+        &TYPICAL.into(),
+        || 0.5,
+    );
     assert_eq!(full, None);
 }
 
--- a/crates/core/tests/gateway_placement.rs
+++ b/crates/core/tests/gateway_placement.rs
@@ -397,6 +397,7 @@
         .iter()
         .find(|a| a.server == name(20))
         .expect("an order");
-    let starts = [0, 50];
-    assert!(starts.contains(&filled.layers.start()), "{}", filled.layers);
+    let gaps = [(0, 10), (50, 60)];
+    let layers = (filled.layers.start(), filled.layers.end());
+    assert!(gaps.contains(&layers), "{}", filled.layers);
 }
--- a/crates/core/tests/gateway_requests.rs
+++ b/crates/core/tests/gateway_requests.rs
@@ -226,6 +226,7 @@
                 started += 1;
                 in_time += u32::from(at.since(since) < TARGET);
             }
+            // Memory is the limit here, and not the prompts that are still processed.
             gateway.record_first_event(&mut ticket);
             running.push(ticket);
         }
--- a/crates/core/tests/gateway_shortage.rs
+++ b/crates/core/tests/gateway_shortage.rs
@@ -11,6 +11,7 @@
 use radishhaven_core::{
     gateway::{
         Configuration, Gateway, Server, Ticket, TicketOutcome,
+        paths::TokenEstimate,
         peers::{ReportRecipient, Source},
         state::Admission,
     },
@@ -78,15 +79,100 @@
     let batch = fill(&mut node, now, "batch");
     let usual = fill(&mut node, now, "usual");
     let urgent = fill(&mut node, now, "urgent");
-    assert!(!batch.is_empty() && !usual.is_empty() && !urgent.is_empty());
-    let slowest = urgent.iter().filter_map(|ticket| match &ticket.target {
-        radishhaven_core::gateway::Target::Engines(path) => Some(path.gap_ms),
-        _ => None,
-    });
-    let slowest = slowest.fold(0.0, f64::max);
+    assert!(!batch.is_empty() && !usual.is_empty());
+    let reserved = batch.len() / 4;
+    assert!(
+        urgent.len() > reserved,
+        "{} urgent after {} batch",
+        urgent.len(),
+        batch.len()
+    );
+}
+
+/// Load pattern: less urgent requests run long, so that memory is the limit and not their
+/// prompts. Guards against a full KV cache when urgent requests arrive, on paths through
+/// copies as well as on others.
+#[test]
+fn long_running_less_urgent_requests_leave_memory_for_urgent_ones() {
+    let now = ms(10_000);
+    for nodes in [7, MANY_NODES] {
+        let mut node = node(now, placed_engines(), three_priorities());
+        node.record_node_count(now, nodes);
+        for (route, _, _) in ROUTES {
+            assert!(matches!(admit(&mut node, now, route), Admission::Start(_)));
+        }
+        let mut fill_read = |route| {
+            let mut count = 0;
+            while let Admission::Start(mut ticket) = admit(&mut node, now, route) {
+                node.record_first_event(&mut ticket);
+                count += 1;
+            }
+            count
+        };
+        let (batch, urgent) = (fill_read("batch"), fill_read("urgent"));
+        assert!(
+            batch > 300 && urgent > 20,
+            "{nodes} nodes: {batch} batch, {urgent} urgent"
+        );
+    }
+}
+
+/// Guards against large requests that never start: their own prompt takes longer than the
+/// bound, also at idle engines.
+#[test]
+fn long_prompt_of_any_priority_starts_at_idle_engines() {
+    let now = ms(10_000);
+    let mut node = node(now, placed_engines(), three_priorities());
+    for (route, _, _) in ROUTES {
+        let Admission::Start(ticket) = admit(&mut node, now, route) else {
+            panic!("idle engines take each request");
+        };
+        node.finish(now, &ticket, TicketOutcome::Abandoned);
+    }
+    let long = TokenEstimate {
+        prompt: 20_000,
+        output: 200,
+    };
+    for (route, _, _) in ROUTES {
+        let path = format!("/{route}/1");
+        let routed = node.route(now, HOST, &path, Some(KEY));
+        let routed = routed.expect("the route exists");
+        let admission = node.admit(now, &routed, &id(ENGINES), Some(long));
+        let Admission::Start(ticket) = admission else {
+            panic!("{route}: {admission:?}");
+        };
+        node.finish(now, &ticket, TicketOutcome::Abandoned);
+    }
+}
+
+/// Guards against a bound that a route keeps short which is no longer used.
+#[test]
+fn target_of_a_route_counts_for_some_seconds_only() {
+    let mut configuration = three_priorities();
+    let mut short = configuration.routes["urgent"].clone();
+    short.path_prefix = "/short/".to_owned();
+    short.target_latency = Duration::from_millis(60);
+    configuration.routes.insert("short".to_owned(), short);
+    let mut node = node(ms(10_000), placed_engines(), configuration);
+    let Admission::Start(ticket) = admit(&mut node, ms(10_000), "short") else {
+        panic!("idle engines take each request");
+    };
+    node.finish(ms(10_000), &ticket, TicketOutcome::Abandoned);
+    let mut count_at = |now: Timestamp| {
+        node.confirm_configuration(now);
+        let tickets = fill(&mut node, now, "urgent");
+        for ticket in &tickets {
+            node.finish(now, ticket, TicketOutcome::Abandoned);
+        }
+        tickets.len()
+    };
+    let beside = count_at(ms(12_000));
+    // Requests with the longer target keep the priority in use.
+    count_at(ms(14_000));
+    let later = count_at(ms(15_500));
     assert!(
-        slowest <= 500.0,
-        "an urgent request is predicted to start after {slowest} ms"
+        beside < later,
+        "{beside} beside the short target, {later} after it"
     );
 }
 
--- a/crates/core/tests/gateway_spread.rs
+++ b/crates/core/tests/gateway_spread.rs
@@ -14,7 +14,6 @@
         Gateway, Path, Server, Servers,
         paths::{self, copies::CopyTable},
         peers::{ReportRecipient, ServerLoad, Source},
-        urgency::StartLimits,
     },
     ids::VmId,
     time::Timestamp,
@@ -170,7 +169,7 @@
 #[test]
 fn cheapest_path_fills_engines_under_the_same_load() {
     let out = play(&engines(), |view, now, draw| {
-        paths::choose(&spec(), view, &id(ENGINES), now, TYPICAL, &[], draw)
+        paths::choose(&spec(), view, &id(ENGINES), now, &TYPICAL.into(), draw)
     });
     assert!(out.max_fill > 1.0, "{:.2}", out.max_fill);
 }
@@ -282,8 +281,7 @@
         let copies = copies.get(&spec(), view, &id(ENGINES));
         (0..300).any(|_| {
             let draw = || rng.random_range(0.0..1.0);
-            let limits = StartLimits::RESUMED;
-            let path = copies.draw_path(&spec(), view, ms(0), TYPICAL, limits, &[], draw);
+            let path = copies.draw_path(&spec(), view, ms(0), &TYPICAL.into(), draw);
             let stages = path.expect("there is capacity").stages;
             stages.iter().any(|stage| stage.server == *server)
         })
--- a/crates/daemon/src/gateway/job.rs
+++ b/crates/daemon/src/gateway/job.rs
@@ -342,7 +342,10 @@
     pub(super) fn record_failures(&mut self, suspects: &[VmId]) {
         let now = self.host.now();
         for id in suspects {
-            self.host.with_gateway(|g| g.record_server_failure(now, id));
+            self.host.with_gateway(|g| {
+                g.record_server_failure(now, id);
+                g.record_fault(now, id);
+            });
             self.excluded.push(id.clone());
         }
         self.host.publish_faults();
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -290,9 +290,10 @@
 /// follows a message. Of a message that is too large, details are
 /// left out: a node whose messages don't arrive counts as gone.
 fn encode(mut message: Message, supplement: &Supplement) -> Option<Vec<u8>> {
+    let mut supplement = supplement.clone();
     let mut details = Detail::LEFT_OUT_FIRST.into_iter();
     loop {
-        let bytes = match encode_whole(&message, supplement) {
+        let bytes = match encode_whole(&message, &supplement) {
             Ok(bytes) if bytes.len() <= MAX_MESSAGE_BYTES => return Some(bytes),
             Ok(bytes) => bytes.len(),
             Err(error) => {
@@ -300,6 +301,10 @@
                 return None;
             }
         };
+        if supplement.faults.take().is_some() {
+            warn!("a message to a peer is too large and lacks a detail", kv: { bytes, detail = "faults" });
+            continue;
+        }
         let Some(detail) = details.find(|detail| detail.remove_from(&mut message)) else {
             error!("a message to a peer is too large to send", kv: { bytes });
             return None;
