feat(gateway): count refusals by reason and priority, and engines that failed at peers

Operators could not see which priorities are refused, nor that engines are left out because of a fault that a peer has reported. The line of a request that the node answers itself names its organisation and priority.

--- a/crates/core/src/gateway/faults.rs
+++ b/crates/core/src/gateway/faults.rs
@@ -99,6 +99,15 @@
         std::mem::take(&mut self.has_new_fault)
     }
 
+    /// Returns the number of engines that are not used because they failed at a peer.
+    pub fn faulty_engines(&self, now: Timestamp) -> usize {
+        let rows = self.servers.iter().filter(|(_, row)| {
+            let fault = row.peer_fault;
+            fault.is_some_and(|fault| fault.holds(now, row.last_progress))
+        });
+        rows.count()
+    }
+
     /// Returns the recent faults for a peer.
     pub fn fault_report(&self, now: Timestamp, recipient: ReportRecipient<'_>) -> FaultReport {
         let mut latest = self.faults.own.clone();
--- a/crates/core/tests/gateway_shortage.rs
+++ b/crates/core/tests/gateway_shortage.rs
@@ -282,7 +282,9 @@
     assert!(second.apply_faults(now, &id("front-1"), report.clone()));
     assert!(!second.apply_faults(now, &id("front-1"), report));
     assert!(start_at_engine_1(&mut second, now).is_none());
+    assert_eq!(second.faulty_engines(now), 1);
     let later = now + Duration::from_secs(2);
+    assert_eq!(second.faulty_engines(later), 0);
     assert!(
         start_at_engine_1(&mut second, later).is_some(),
         "the engine is tested again"
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -211,7 +211,9 @@
 }
 
 /// Returns a response for a request that has not run and never will.
-fn refuse(job: &Job, retry_after: Duration, reason: &str) -> Response<Body> {
+fn refuse(job: &Job, retry_after: Duration, reason: &'static str) -> Response<Body> {
+    let priority = job.routed.priority;
+    job.host.metrics.record_refusal(reason, priority);
     let mut resp = own_response(job, StatusCode::SERVICE_UNAVAILABLE, reason);
     set_retry_after(&mut resp, retry_after);
     resp
@@ -232,6 +234,8 @@
     info!("a request ended without a server's answer", kv: {
         request = job.outgoing.attempt_id.as_str(),
         route = job.routed.name.as_str(),
+        organisation = job.routed.organisation.as_ref().map_or("", |id| id.as_str()),
+        priority = job.routed.priority.0,
         status = status.as_u16(),
         reason,
         waited_ms = job.waited.as_millis() as u64,
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -14,6 +14,8 @@
     registry::Registry,
 };
 
+use radishhaven_core::ids::Priority;
+
 use super::{
     body::{Body, full, text_response},
     host::{GatewayHost, lock},
@@ -36,11 +38,18 @@
     outcome: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RefusalLabel {
+    reason: &'static str,
+    priority: u8,
+}
+
 /// Counters and histograms of a gateway.
 #[derive(Debug)]
 pub(super) struct GatewayMetrics {
     answers: Family<StatusLabel, Counter>,
     rejections: Family<StatusLabel, Counter>,
+    refusals: Family<RefusalLabel, Counter>,
     failed_sends: Family<OutcomeLabel, Counter>,
     store_failures: Family<OutcomeLabel, Counter>,
     orders: Family<OutcomeLabel, Counter>,
@@ -77,6 +86,7 @@
         Self {
             answers: Family::default(),
             rejections: Family::default(),
+            refusals: Family::default(),
             failed_sends: Family::default(),
             store_failures: Family::default(),
             orders: Family::default(),
@@ -108,6 +118,14 @@
         self.rejections.get_or_create(&StatusLabel { status }).inc();
     }
 
+    /// Counts a routed request that was refused and has not run.
+    pub(super) fn record_refusal(&self, reason: &'static str, priority: Priority) {
+        let Priority(priority) = priority;
+        self.refusals
+            .get_or_create(&RefusalLabel { reason, priority })
+            .inc();
+    }
+
     /// Counts a send that ended without a usable response.
     pub(super) fn record_failed_send(&self, outcome: &str) {
         let outcome = outcome.to_owned();
@@ -143,6 +161,11 @@
             "Requests that were not routed, by status",
             self.rejections.clone(),
         );
+        registry.register(
+            "refusals",
+            "Routed requests that were refused and have not run",
+            self.refusals.clone(),
+        );
         registry.register(
             "failed_sends",
             "Sends without an answer, by outcome",
@@ -268,6 +291,12 @@
         "Servers that have named a limit",
         limited as i64,
     );
+    let faulty = host.with_gateway(|g| g.faulty_engines(now));
+    gauge(
+        "faulty_engines",
+        "Engines that are not used because they failed at a peer",
+        faulty as i64,
+    );
     gauge(
         "open_requests",
         "Requests not answered",
