fix(gateway): bounds and mixed copies only where routes have different priorities

Both parts now need routes of different priorities that state a gap; faults are still shared and broken copies completed everywhere. The tests of the wait queue are again those of before, since one priority has no bounds.

--- a/crates/core/src/gateway/config.rs
+++ b/crates/core/src/gateway/config.rs
@@ -135,7 +135,8 @@
     /// Decoding steps that an engine runs for a request before it passes the result on.
     /// An event of a stream holds the tokens of these steps.
     pub stride: u32,
-    /// The shortest [`Route::target_gap`] of the routes to the service.
+    /// The shortest [`Route::target_gap`] of the routes to the service, if they have
+    /// different priorities. Otherwise engines are placed without regard to it.
     pub target_gap: Option<Duration>,
     /// Prompt tokens processed per second over all layers at read factor 1.
     #[serde(rename = "read_per_s")]
--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -5,8 +5,8 @@
 //! and the links between domains are shared. A copy consists of the fastest
 //! engines of the domain. Its size is a trade-off: more engines leave more
 //! memory for requests, but slower engines make each request take longer. The
-//! remaining engines form copies across domains. If routes state a gap between events
-//! that copies of the slowest engines would not keep, each copy gets engines of all
+//! remaining engines form copies across domains. If ranked routes state a gap
+//! between events that copies of the slowest engines would not keep, each copy gets engines of all
 //! kinds instead ([`mixed`]).
 //!
 //! Later, engines without layers and engines of broken copies complete other
--- a/crates/core/src/gateway/urgency.rs
+++ b/crates/core/src/gateway/urgency.rs
@@ -99,13 +99,17 @@
         }
     }
 
-    /// Returns the bounds of a new request with this priority.
+    /// Returns the bounds of a new request with this priority. There are none while recent
+    /// requests of the service have one priority.
     pub(super) fn start_limits(
         &self,
         now: Timestamp,
         service: &ServiceId,
         priority: Priority,
     ) -> StartLimits {
+        if !self.are_mixed(now, service) {
+            return StartLimits::RESUMED;
+        }
         let recent = self.by_service.get(service).into_iter().flatten();
         let recent = recent.filter(|(other, r)| **other <= priority && now.since(r.at) < MAX_IDLE);
         let (mut reserves, mut first_event) = (0, None::<Duration>);
