--- a/crates/core/src/gateway/faults.rs
+++ b/crates/core/src/gateway/faults.rs
@@ -24,6 +24,9 @@
 const MIN_BACKOFF: Duration = Duration::from_millis(400);
 /// Largest random extension of [`MIN_BACKOFF`].
 const MAX_EXTRA_BACKOFF: Duration = Duration::from_millis(1_200);
+/// Age of the last progress up to which an engine that refuses requests is full, but not
+/// dead. It exceeds the interval of reports.
+const MAX_PROGRESS_AGE: Duration = Duration::from_millis(300);
 /// Largest number of faults in a report.
 pub const MAX_REPORTED_FAULTS: usize = 64;
 
@@ -93,6 +96,12 @@
         self.has_new_fault |= self.faults.record(now, id, incarnation);
     }
 
+    /// Returns whether an engine has recently made progress on a request of any node.
+    pub(super) fn makes_progress(&self, now: Timestamp, id: &VmId) -> bool {
+        let row = self.servers.get(id);
+        row.is_some_and(|row| now.since(row.last_progress) < MAX_PROGRESS_AGE)
+    }
+
     /// Returns whether this node found a fault since the last call that peers should
     /// learn at once.
     pub fn take_new_fault(&mut self) -> bool {
--- a/crates/core/src/gateway/outcomes.rs
+++ b/crates/core/src/gateway/outcomes.rs
@@ -88,7 +88,7 @@
             TicketOutcome::Full { by } => {
                 if let Some(id) = server_at_fault(&self.servers, by) {
                     self.record_refusal(now, &id, FULL_BACKOFF);
-                    if by.is_some() {
+                    if by.is_some() && !self.makes_progress(now, &id) {
                         self.record_fault(now, &id);
                     }
                 }
