feat(gateway): log the size and duration of configuration reads, dump the role

A node that is behind logged that its reads time out, but not how large the configuration is, nor how long reads take that succeed. The state dump did not tell a hub from a leaf.

No measurement: logs and the state dump only.

--- a/crates/core/src/gateway/hubs.rs
+++ b/crates/core/src/gateway/hubs.rs
@@ -48,6 +48,16 @@
     }
 }
 
+impl HubRole {
+    /// Returns the name of the role in logs and in the state dump.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Hub { .. } => "hub",
+            Self::Leaf { .. } => "leaf",
+        }
+    }
+}
+
 /// Returns the role of the node `own` among all members.
 ///
 /// Hubs are the nodes with the largest processor shares, since a hub works for
--- a/crates/daemon/src/gateway/dump.rs
+++ b/crates/daemon/src/gateway/dump.rs
@@ -17,10 +17,11 @@
 /// Returns the state as JSON. API keys of organisations are left out.
 pub(super) fn render(host: &Arc<GatewayHost>) -> Response<Body> {
     let now = host.now();
-    let (members, token) = {
+    let (members, token, role) = {
         let peers = lock(&host.peers);
         let members: Vec<String> = peers.members.members().iter().map(encode_name).collect();
-        (members, peers.order_lease.map(|lease| lease.token))
+        let token = peers.order_lease.map(|lease| lease.token);
+        (members, token, peers.role.as_str())
     };
     let state = host.with_gateway(|g| {
         let servers: BTreeMap<_, _> = g.servers().iter().collect();
@@ -33,6 +34,7 @@
             "waiting": g.queued(),
             "open_requests": host.open_requests(),
             "members": members,
+            "role": role,
             "order_token": token,
             "store_era": host.store.era(),
             "quarantined_parts": g.quarantined_causes().iter().map(|(cause, quarantined)| {
--- a/crates/daemon/src/gateway/members.rs
+++ b/crates/daemon/src/gateway/members.rs
@@ -188,10 +188,13 @@
 }
 
 fn log_role(role: &HubRole) {
-    let (part, hubs) = match role {
-        HubRole::Hub { others, .. } => ("hub", others),
-        HubRole::Leaf { hubs } => ("leaf", hubs),
+    let hubs = match role {
+        HubRole::Hub { others, .. } => others,
+        HubRole::Leaf { hubs } => hubs,
     };
     let hubs: Vec<&str> = hubs.iter().map(|vm| vm.as_str()).collect();
-    info!("the role of this node changed", kv: { part, hubs = hubs.join(",").as_str() });
+    info!("the role of this node changed", kv: {
+        part = role.as_str(),
+        hubs = hubs.join(",").as_str(),
+    });
 }
--- a/crates/daemon/src/gateway/store_sync/configuration.rs
+++ b/crates/daemon/src/gateway/store_sync/configuration.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use radishhaven_core::gateway::{StorePosition, freshness::ConfigurationRead};
+use radishhaven_core::{
+    gateway::{StorePosition, freshness::ConfigurationRead},
+    time::Timestamp,
+};
 use radishhaven_platform::{
     configuration,
     names::{CONFIGURATION_KEY, OPERATOR_TOPIC},
@@ -69,7 +72,7 @@
                     written: next.is_some() && records.records.iter().any(is_configuration),
                 };
                 next = Some(records.next);
-                let all_applied = records.records.iter().all(|r| apply_record(&host, r));
+                let all_applied = records.records.iter().all(|r| apply_record(&host, r, sent));
                 if all_applied && records.reached_end {
                     host.with_gateway(|g| g.record_configuration_read(now, read));
                 }
@@ -87,8 +90,9 @@
     }
 }
 
-/// Applies a record, and returns whether it could be decoded.
-fn apply_record(host: &GatewayHost, record: &KeyedRecord) -> bool {
+/// Applies a record of a read that was sent at `sent`, and returns whether it could be
+/// decoded.
+fn apply_record(host: &GatewayHost, record: &KeyedRecord, sent: Timestamp) -> bool {
     if record.key != CONFIGURATION_KEY.as_bytes() {
         return true;
     }
@@ -101,7 +105,12 @@
             let routes = configuration.routes.len();
             let applied = host.with_gateway(|g| g.set_configuration(configuration));
             if applied {
-                info!("a configuration is in force", kv: { version, routes });
+                info!("a configuration is in force", kv: {
+                    version,
+                    routes,
+                    bytes = value.len(),
+                    read_ms = host.now().since(sent).as_millis() as u64,
+                });
             }
             true
         }
