fix(gateway): nodes pass on what changes in the configuration

What callers saw: on 133 nodes, requests were handled by a configuration that had been replaced more than 3,000 ms before (CONFIG).

Cause: each node read the whole configuration from the store, all at the same moment, and gave a read up when its response had not ended within 800 ms. A larger configuration on more nodes makes every read longer; one that exceeds the timeout begins anew, and so do all others. Ruled out: versions that follow each other quickly (the last node 0.75 s behind) and the processor of small nodes (it is idle meanwhile).

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod caller_usage;
 mod chains;
 pub mod config;
+pub mod config_update;
 pub mod crash_cause;
 pub mod drain;
 pub mod faults;
--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -265,7 +265,7 @@
         self.apply_crash_report(now, &report.crashes);
         self.apply_limits(now, &report.limits);
         if let Some(version) = report.configuration_version {
-            self.record_configuration_version(version);
+            self.record_configuration_version(now, version);
         }
         if let Some(age) = report.confirmation_age_ms {
             let confirmed_at = now - Duration::from_millis(age);
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -10,6 +10,7 @@
     admission::{WaitKey, WaitQueue},
     budget::{BudgetConfig, NodeCount, RetryBudget},
     config::Configuration,
+    config_update::ConfigurationHistory,
     faults::Faults,
     freshness::{ConfigurationRead, Freshness},
     hedging::{HedgePercent, Hedging},
@@ -21,7 +22,7 @@
     routes::{RouteError, RouteMatch, RouteTable},
     server_limits::ServerLimits,
     servers::{Server, ServerChange, Servers},
-    store_view::RegistryHistory,
+    store_view::{RegistryHistory, StorePosition},
     ticket::Ticket,
     urgency::Priorities,
 };
@@ -33,6 +34,9 @@
 /// Number of nodes assumed to share the retry budgets before the first member
 /// list arrives.
 const DEFAULT_NODE_COUNT: u32 = 16;
+/// Versions newer than the active one that are remembered.
+const MAX_NEWER_VERSIONS: usize = 32;
+
 /// Limits of a gateway that the operators set.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct GatewayConfig {
@@ -40,6 +44,9 @@
     /// longer accepted.
     #[serde(rename = "proof_bound")]
     pub max_confirmation_age: Duration,
+    /// Time since a peer first reported a newer configuration from which the active one
+    /// is no longer used.
+    pub max_time_behind: Duration,
     /// The retry budget of each service, shared by all nodes.
     pub budget: BudgetConfig,
     /// The limit of hedges of each service.
@@ -55,6 +62,9 @@
     /// The configuration was not confirmed recently to be the newest.
     #[error("the configuration was not confirmed recently")]
     Unconfirmed,
+    /// A newer configuration has been in force at peers for too long.
+    #[error("the configuration was replaced")]
+    Outdated,
     /// The configuration is older than the one by which a peer has forwarded the request.
     #[error("the configuration is older than that of the peer")]
     Older,
@@ -81,9 +91,13 @@
     pub(super) cfg: GatewayConfig,
     pub(super) configuration: Option<Arc<Configuration>>,
     routes: RouteTable,
+    pub(super) configuration_history: ConfigurationHistory,
+    /// Position in the store after the record of the active configuration.
+    pub(super) configuration_end: Option<StorePosition>,
     freshness: Freshness,
-    /// The highest version of the configuration that a peer has reported.
-    newest_known_version: u64,
+    /// Versions newer than the active one that peers have reported, with the time of the
+    /// first report.
+    newer_versions: BTreeMap<u64, Timestamp>,
     /// When a peer last had the newest configuration.
     peers_confirmed_at: Option<Timestamp>,
     pub(super) servers: Servers,
@@ -116,8 +130,10 @@
             cfg,
             configuration: None,
             routes: RouteTable::default(),
+            configuration_history: ConfigurationHistory::default(),
+            configuration_end: None,
             freshness: Freshness::default(),
-            newest_known_version: 0,
+            newer_versions: BTreeMap::new(),
             peers_confirmed_at: None,
             servers: Servers::default(),
             copies: CopyTable::default(),
@@ -150,6 +166,11 @@
         if current.is_some_and(|version| version >= configuration.version) {
             return false;
         }
+        if let Some(replaced) = &self.configuration {
+            self.configuration_history.record(replaced, &configuration);
+        }
+        let active = configuration.version;
+        self.newer_versions.retain(|version, _| *version > active);
         self.routes = RouteTable::new(&configuration);
         self.configuration = Some(Arc::new(configuration));
         true
@@ -179,8 +200,30 @@
     }
 
     /// Records that a peer has the configuration `version`.
-    pub(super) fn record_configuration_version(&mut self, version: u64) {
-        self.newest_known_version = self.newest_known_version.max(version);
+    pub(super) fn record_configuration_version(&mut self, now: Timestamp, version: u64) {
+        let active = self.configuration.as_ref().map_or(0, |c| c.version);
+        if version <= active {
+            return;
+        }
+        self.newer_versions.entry(version).or_insert(now);
+        if self.newer_versions.len() > MAX_NEWER_VERSIONS {
+            // The oldest report decides how long this node has been behind, and the
+            // newest version what confirms its configuration.
+            let last_but_one = self.newer_versions.keys().rev().nth(1).copied();
+            last_but_one.map(|version| self.newer_versions.remove(&version));
+        }
+    }
+
+    /// Returns whether the active configuration was replaced so long ago that no request
+    /// may be handled by it. This counts only while a peer that has a newer one can serve
+    /// the callers.
+    fn is_outdated(&self, now: Timestamp) -> bool {
+        let first_report = self.newer_versions.values().min();
+        let active = self.configuration.as_ref().map(|c| c.version);
+        first_report.is_some_and(|at| now.since(*at) >= self.cfg.max_time_behind)
+            && self
+                .fresh_reports(now)
+                .any(|(_, report)| report.configuration_version > active)
     }
 
     /// Records that a peer has confirmed at `at` that its configuration `version` is the
@@ -205,7 +248,8 @@
     pub fn is_left_behind(&self, now: Timestamp) -> bool {
         let bound = self.cfg.max_confirmation_age;
         let peers_confirmed = self.peers_confirmed_at;
-        !self.is_confirmed(now) && peers_confirmed.is_some_and(|at| now.since(at) < bound)
+        self.is_outdated(now)
+            || (!self.is_confirmed(now) && peers_confirmed.is_some_and(|at| now.since(at) < bound))
     }
 
     /// Returns whether keys can be checked: the active configuration was confirmed recently.
@@ -223,9 +267,8 @@
 
     /// Returns whether no peer has a newer configuration. The store may return
     /// from a copy that lacks it.
-    fn has_newest_known_configuration(&self) -> bool {
-        let active = self.configuration.as_ref().map_or(0, |c| c.version);
-        active >= self.newest_known_version
+    pub fn has_newest_known_configuration(&self) -> bool {
+        self.newer_versions.is_empty()
     }
 
     /// Returns the active configuration.
@@ -277,7 +320,7 @@
     /// # Errors
     ///
     /// Returns an error if there is no configuration, if the configuration was
-    /// not confirmed recently, or if it does not allow the request.
+    /// replaced or not confirmed recently, or if it does not allow the request.
     pub fn route(
         &self,
         now: Timestamp,
@@ -288,6 +331,9 @@
         if self.configuration.is_none() {
             return Err(Rejection::NoConfiguration);
         }
+        if self.is_outdated(now) {
+            return Err(Rejection::Outdated);
+        }
         let confirmed = self.is_confirmed(now);
         match self.routes.find(host, path, key) {
             Ok(route_match) if route_match.organisation.is_none() || confirmed => Ok(route_match),
--- a/crates/core/src/gateway/store_view.rs
+++ b/crates/core/src/gateway/store_view.rs
@@ -180,7 +180,7 @@
         if let Some((version, age)) = view.configuration {
             let current = self.configuration().map(|c| c.version);
             applied.newer_configuration = current < Some(version);
-            self.record_configuration_version(version);
+            self.record_configuration_version(now, version);
             if current == Some(version) {
                 self.confirm_configuration(requested - age);
             }
--- a/crates/core/tests/gateway_fakes/mod.rs
+++ b/crates/core/tests/gateway_fakes/mod.rs
@@ -223,6 +223,7 @@
 pub fn gateway_config() -> GatewayConfig {
     GatewayConfig {
         max_confirmation_age: Duration::from_millis(4_500),
+        max_time_behind: Duration::from_millis(1_200),
         budget: BudgetConfig {
             ratio: 0.2,
             window: Duration::from_secs(10),
--- a/crates/daemon/src/gateway/host.rs
+++ b/crates/daemon/src/gateway/host.rs
@@ -86,8 +86,10 @@
     waiters: Mutex<BTreeMap<WaitKey, oneshot::Sender<TicketGuard>>>,
     /// The group of nodes.
     pub(super) peers: Mutex<PeerState>,
-    /// Wakes the reader of the configuration when a hub has a newer version.
+    /// Wakes the reader of the configuration when a peer has a newer version.
     pub(super) newer_configuration: Notify,
+    /// The address of the peer that was last heard to have a newer configuration.
+    newer_configuration_at: Mutex<Option<SocketAddr>>,
     /// Wakes requests when some are quarantined.
     pub(super) quarantine_changed: Notify,
     /// Whether causes of crashes are left out of the evidence or the reports at a time.
@@ -216,6 +218,7 @@
             waiters: Mutex::default(),
             peers: Mutex::default(),
             newer_configuration: Notify::new(),
+            newer_configuration_at: Mutex::default(),
             quarantine_changed: Notify::new(),
             leaves_causes_out: AtomicBool::new(false),
             report_soon: Notify::new(),
@@ -280,6 +283,22 @@
         matches!(role, HubRole::Hub { has_leaves, .. } if *has_leaves)
     }
 
+    /// Records that the peer at `address` has this version of the configuration, and
+    /// wakes the reader if it is newer.
+    pub(super) fn record_peer_configuration(&self, address: SocketAddr, version: Option<u64>) {
+        if version > self.with_gateway(|g| g.configuration().map(|c| c.version)) {
+            *lock(&self.newer_configuration_at) = Some(address);
+            self.newer_configuration.notify_one();
+        }
+    }
+
+    /// Returns the address of a peer with a newer configuration, if one is known.
+    pub(super) fn newer_configuration_at(&self) -> Option<SocketAddr> {
+        let is_behind = !self.with_gateway(|g| g.has_newest_known_configuration());
+        let address = *lock(&self.newer_configuration_at);
+        address.filter(|_| is_behind)
+    }
+
     /// Returns whether the node is shutting down.
     pub(super) fn is_draining(&self) -> bool {
         self.drain_started.get().is_some()
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -351,9 +351,10 @@
     let status = match rejected {
         Rejection::Route(RouteError::NoRoute) => StatusCode::NOT_FOUND,
         Rejection::Route(RouteError::UnknownKey) => StatusCode::UNAUTHORIZED,
-        Rejection::NoConfiguration | Rejection::Unconfirmed | Rejection::Older => {
-            StatusCode::SERVICE_UNAVAILABLE
-        }
+        Rejection::NoConfiguration
+        | Rejection::Unconfirmed
+        | Rejection::Outdated
+        | Rejection::Older => StatusCode::SERVICE_UNAVAILABLE,
     };
     let mut resp = reject(host, "", attempt_id, status, &rejected.to_string());
     if status == StatusCode::SERVICE_UNAVAILABLE {
--- a/crates/daemon/src/gateway/members.rs
+++ b/crates/daemon/src/gateway/members.rs
@@ -179,7 +179,11 @@
         peers.role = role.clone();
         (nodes, role, changed)
     };
-    host.with_gateway(|g| g.record_node_count(now, nodes.saturating_add(STARTING_NODES)));
+    let has_leaves = host.has_leaves();
+    host.with_gateway(|g| {
+        g.record_node_count(now, nodes.saturating_add(STARTING_NODES));
+        g.keep_configuration_history(has_leaves);
+    });
     info!("the members were listed", kv: { nodes, source });
     if changed {
         log_role(&role);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod links;
 mod members;
 mod metrics;
+mod peer_configuration;
 mod peer_forwarding;
 mod peers;
 mod placer;
--- a/crates/daemon/src/gateway/peer_forwarding/client.rs
+++ b/crates/daemon/src/gateway/peer_forwarding/client.rs
@@ -44,7 +44,8 @@
 /// that do not read don't stop the streams of others.
 pub(super) const CONNECTION_WINDOW: u32 = STREAM_WINDOW * MAX_STREAMS;
 
-type Sender = SendRequest<Full<Bytes>>;
+/// Sends requests on one connection.
+pub(in crate::gateway) type Sender = SendRequest<Full<Bytes>>;
 
 /// The open connections to peers.
 #[derive(Debug, Default)]
@@ -54,7 +55,7 @@
 
 impl PeerConnections {
     /// Returns a connection to a peer, which is opened if there is none.
-    async fn get(&self, address: SocketAddr) -> io::Result<Sender> {
+    pub(in crate::gateway) async fn get(&self, address: SocketAddr) -> io::Result<Sender> {
         if let Some(sender) = self.existing(address) {
             return Ok(sender);
         }
--- a/crates/daemon/src/gateway/peer_forwarding/server.rs
+++ b/crates/daemon/src/gateway/peer_forwarding/server.rs
@@ -18,6 +18,7 @@
     caller_account::Holder,
     host::GatewayHost,
     ingress::{self, Forwarded},
+    peer_configuration,
 };
 
 /// Delay after a connection could not be accepted.
@@ -83,6 +84,10 @@
 
 /// Handles one request of a peer and returns the response for it.
 async fn handle(host: Arc<GatewayHost>, mut req: Request<Incoming>) -> Response<Body> {
+    let is_forwarded = req.headers().contains_key(FORWARDED_BY);
+    if !is_forwarded && peer_configuration::is_requested(req.uri()) {
+        return peer_configuration::respond(&host, req.uri());
+    }
     let headers = req.headers_mut();
     let configuration_version = stated_version(headers);
     let from = headers.remove(FORWARDED_BY);
--- a/crates/daemon/src/gateway/peers.rs
+++ b/crates/daemon/src/gateway/peers.rs
@@ -79,6 +79,14 @@
 }
 
 impl Message {
+    fn node(&self) -> &NodeReport {
+        match self {
+            Self::Report { node, .. } | Self::Query { node, .. } | Self::Response { node, .. } => {
+                node
+            }
+        }
+    }
+
     fn node_mut(&mut self) -> &mut NodeReport {
         match self {
             Self::Report { node, .. } | Self::Query { node, .. } | Self::Response { node, .. } => {
@@ -351,6 +359,7 @@
     };
     let now = host.now();
     apply_supplement(host, now, &message, received);
+    let version = message.node().configuration_version;
     match message {
         Message::Report { from, node } => {
             let is_known = host.with_gateway(|g| g.has_report_of(now, &from));
@@ -394,6 +403,7 @@
             members::apply_hub_page(host, now, members);
         }
     }
+    host.record_peer_configuration(address, version);
     host.publish_quarantine();
     host.log_limits();
     // The report may show a peer that reaches the servers.
--- a/crates/daemon/src/gateway/peers/tests.rs
+++ b/crates/daemon/src/gateway/peers/tests.rs
@@ -19,6 +19,7 @@
 fn message() -> Message {
     let cfg = GatewayConfig {
         max_confirmation_age: Duration::from_secs(4),
+        max_time_behind: Duration::from_secs(2),
         budget: BudgetConfig {
             ratio: 0.2,
             window: Duration::from_secs(10),
--- a/crates/daemon/src/gateway/settings.rs
+++ b/crates/daemon/src/gateway/settings.rs
@@ -22,6 +22,9 @@
 /// configuration is valid. The rest covers the time from a request's check to
 /// its send.
 const CONFIRMATION_FRACTION: f64 = 0.9;
+/// Fraction of the time within which a configuration must be in force after which a node
+/// uses an older one no longer. The rest covers the time until it hears of the newer one.
+const BEHIND_FRACTION: f64 = 0.6;
 
 /// Maximum number of cores of a VM.
 const MAX_CORES: f64 = 1_024.0;
@@ -295,6 +298,7 @@
     pub fn gateway_config(&self) -> GatewayConfig {
         GatewayConfig {
             max_confirmation_age: self.bounds.revocation_time.mul_f64(CONFIRMATION_FRACTION),
+            max_time_behind: self.bounds.configuration_time.mul_f64(BEHIND_FRACTION),
             budget: self.bounds.budget,
             hedging: self.hedging,
         }
--- a/crates/daemon/src/gateway/store_sync/mod.rs
+++ b/crates/daemon/src/gateway/store_sync/mod.rs
@@ -4,7 +4,7 @@
 pub(super) mod configuration;
 pub(super) mod registry;
 
-use std::{sync::Arc, time::Duration};
+use std::{fmt::Display, sync::Arc, time::Duration};
 
 use radishhaven_core::{
     gateway::{Gateway, StorePosition, store_view::StoreView},
@@ -83,7 +83,7 @@
     }
 
     /// Records a failed call.
-    pub(super) fn record_failure(&mut self, host: &GatewayHost, error: &StoreError) {
+    pub(super) fn record_failure(&mut self, host: &GatewayHost, error: &impl Display) {
         host.metrics.record_store_failure(self.name);
         self.failures = self.failures.saturating_add(1);
         if self.lost_since.is_none() {
@@ -139,9 +139,6 @@
 pub(super) fn apply_hub_view(host: &Arc<GatewayHost>, sent_at: Timestamp, view: StoreView) {
     let now = host.now();
     let update = host.with_gateway(|g| g.apply_store_view(now, sent_at, view));
-    if update.newer_configuration {
-        host.newer_configuration.notify_one();
-    }
     let changed = !update.changes.is_empty();
     for (id, change) in update.changes {
         registry::log_change(host, &id, change, "hub");
