fix(placement): engines that return share the gap of a broken copy

Cause: the first empty engine took as many layers of a gap as fit beside 30,000 tokens of KV cache. Two engines that had held 13 layers each came back with 21 and 5. A request takes KV cache on every engine of its copy, so that the copy ran a fraction of its requests, and the longer load kept it broken for longer.

Change: an engine that fills a gap keeps as much KV cache free as the engines of that copy do, or as much as is possible. Engines that are moved take as many layers as before, since each move takes an engine away from its requests.

Evidence: engines_that_return_together_leave_each_other_memory failed before (82,788 of 161,220 tokens).

--- a/crates/core/src/gateway/placement/completion.rs
+++ b/crates/core/src/gateway/placement/completion.rs
@@ -9,7 +9,8 @@
 use std::{cmp::Reverse, collections::BTreeMap};
 
 use super::{
-    Assignment, Engine, MIN_COPY_TOKENS, PendingOrders, REPAIR_TOKENS, assigned_layers, max_layers,
+    Assignment, Engine, MAX_COPY_TOKENS, MIN_COPY_TOKENS, PendingOrders, REPAIR_TOKENS, TOKEN_STEP,
+    assigned_layers, max_layers,
 };
 use crate::{
     gateway::{
@@ -107,16 +108,18 @@
             return assignments;
         };
         let like = spare.holding[chain[0]].0.kind.step_factor;
-        let fills = fill_with(spec, &gaps, spare.empty.clone(), like)
+        let tokens = free_tokens(spec, &spare.holding, &chain);
+        let fills = fill_with(spec, &gaps, spare.empty.clone(), like, tokens)
             .or_else(|| extend(spec, servers, &spare.holding, &chain, &gaps, pending))
             .or_else(|| {
                 let unchained = (0..spare.holding.len()).filter(|index| !chain.contains(index));
                 let held = unchained.map(|index| &spare.holding[index].0);
                 let movable = held.filter(|e| may_move && !pending.contains_key(e.id));
                 let donors = spare.empty.iter().chain(movable).cloned().collect();
-                fill_with(spec, &gaps, donors, like)
+                // Each move takes an engine away from its requests, so few of them are made.
+                fill_with(spec, &gaps, donors, like, MIN_COPY_TOKENS)
             })
-            .unwrap_or_else(|| fill_some(spec, gaps, spare.empty.clone(), like));
+            .unwrap_or_else(|| fill_some(spec, gaps, spare.empty.clone(), like, tokens));
         if fills.is_empty() {
             return assignments;
         }
@@ -136,11 +139,12 @@
     mut gaps: Vec<(u16, u16)>,
     mut empty: Vec<Engine<'_>>,
     like: f64,
+    tokens: u32,
 ) -> Vec<Assignment> {
     let mut fills = Vec::new();
     gaps.sort_by_key(|(from, to)| Reverse(to - from));
     for gap in gaps {
-        let filled = fill_with(spec, &[gap], empty.clone(), like).unwrap_or_default();
+        let filled = fill_with(spec, &[gap], empty.clone(), like, tokens).unwrap_or_default();
         empty.retain(|engine| filled.iter().all(|fill| fill.server != *engine.id));
         fills.extend(filled);
     }
@@ -207,19 +211,44 @@
     Some(extended)
 }
 
+/// Returns the KV cache, in tokens, that every engine of a chain keeps free. Requests run
+/// on all of them, so that an engine with less would be what limits the copy.
+fn free_tokens(spec: &EngineSpec, holding: &[(Engine<'_>, Link)], chain: &[usize]) -> u32 {
+    let held = chain.iter().map(|index| &holding[*index]);
+    let free = held.filter_map(|(engine, link)| spec.kv_tokens(engine.kind, link.layers.count()));
+    let least = free.min().unwrap_or(MIN_COPY_TOKENS);
+    least.clamp(MIN_COPY_TOKENS, MAX_COPY_TOKENS)
+}
+
 /// Assigns the gaps to engines, or returns `None` if there are too few. Engines of
-/// the speed `like` come first, as a copy is as slow as its slowest engines.
+/// the speed `like` come first, as a copy is as slow as its slowest engines. Each engine
+/// keeps KV cache free for `tokens` tokens, or for as many as are possible.
 fn fill_with(
+    spec: &EngineSpec,
+    gaps: &[(u16, u16)],
+    donors: Vec<Engine<'_>>,
+    like: f64,
+    tokens: u32,
+) -> Option<Vec<Assignment>> {
+    let fewer = (MIN_COPY_TOKENS..tokens).rev().step_by(TOKEN_STEP as usize);
+    let mut tokens = std::iter::once(tokens)
+        .chain(fewer)
+        .chain([MIN_COPY_TOKENS]);
+    tokens.find_map(|tokens| fill(spec, gaps, donors.clone(), like, tokens))
+}
+
+fn fill(
     spec: &EngineSpec,
     gaps: &[(u16, u16)],
     mut donors: Vec<Engine<'_>>,
     like: f64,
+    tokens: u32,
 ) -> Option<Vec<Assignment>> {
     let mut fills = Vec::new();
     for &(from, to) in gaps {
         let mut start = from;
         while start < to {
-            let width = |engine: &Engine<'_>| max_layers(spec, engine.kind, MIN_COPY_TOKENS);
+            let width = |engine: &Engine<'_>| max_layers(spec, engine.kind, tokens);
             let best = donors
                 .iter()
                 .position(|e| e.kind.step_factor == like && width(e) > 0);
--- a/crates/core/tests/gateway_placement.rs
+++ b/crates/core/tests/gateway_placement.rs
@@ -266,6 +266,50 @@
     assert_eq!(copy_count(&engines), 3);
 }
 
+/// Guards against a copy that runs a fraction of its requests once lost engines are back:
+/// one of them took as many layers as fit, and had memory left for few requests.
+#[test]
+fn engines_that_return_together_leave_each_other_memory() {
+    let mut engines = three_copies();
+    let of_kind = |engines: &BTreeMap<VmId, Server>, kind: &str| {
+        let mut of_kind: Vec<_> = engines
+            .iter()
+            .filter(|(_, server)| server.accelerator.as_deref() == Some(kind))
+            .map(|(id, server)| (server.layers, id.clone()))
+            .collect();
+        of_kind.sort();
+        of_kind
+    };
+    let least_free = |engines: &BTreeMap<VmId, Server>| {
+        let free = engines.values().map(|server| {
+            let kind = &spec().accelerators[server.accelerator.as_ref().expect("an engine")];
+            let held = server.layers.expect("layers").count();
+            spec().kv_tokens(kind, held).expect("the layers fit")
+        });
+        free.min().expect("an engine")
+    };
+    let before = least_free(&engines);
+    let neighbours: Vec<VmId> = of_kind(&engines, "l4")
+        .into_iter()
+        .skip(4)
+        .take(2)
+        .map(|(_, id)| id)
+        .collect();
+    for lost in &neighbours {
+        engines.remove(lost);
+    }
+    for number in [40, 41] {
+        engines.insert(name(number), engine(number, "centro", "l4", None));
+    }
+    settle(&mut engines);
+    assert_eq!(copy_count(&engines), 3);
+    assert!(
+        least_free(&engines) >= before,
+        "{} of {before} tokens",
+        least_free(&engines)
+    );
+}
+
 #[test]
 fn complete_copies_are_left_alone() {
     let mut engines = three_copies();
