fix(placement): do not count on orders that conflicted

What callers saw: copies stayed broken for ten seconds after the holder of the lease for orders had changed or all nodes had restarted.

Cause: an order was kept as pending whatever the engine replied. A new holder does not know the orders of the one before, so that engines that carry those out answer 409.

Change: an order that conflicted is not pending. Its engine gets none for a second; the registry then says what it holds.

Test: order_that_conflicts_is_not_counted_on; the code before has no place for the reply.

--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -76,6 +76,51 @@
 /// Orders that may still be carried out, with the time at which each was sent.
 pub type PendingOrders = BTreeMap<VmId, (LayerRange, Timestamp)>;
 
+/// Time for which an engine gets no order after one that conflicted with its state.
+const BUSY_TIME: Duration = Duration::from_millis(1_000);
+
+/// The orders that a node has sent, and the engines that carry out those of another node.
+#[derive(Debug, Default)]
+pub struct SentOrders {
+    pending: PendingOrders,
+    /// When an order last conflicted with an engine's state.
+    busy: BTreeMap<VmId, Timestamp>,
+}
+
+impl SentOrders {
+    /// Records an order before it is sent.
+    pub fn record_sent(&mut self, now: Timestamp, assignment: &Assignment) {
+        let order = (assignment.layers, now);
+        self.pending.insert(assignment.server.clone(), order);
+    }
+
+    /// Records that an engine began nothing, because it carries out another order. What it
+    /// will hold is not known before the registry says so.
+    pub fn record_conflict(&mut self, now: Timestamp, server: &VmId) {
+        self.pending.remove(server);
+        self.busy.insert(server.clone(), now);
+    }
+
+    /// Forgets all orders.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Returns the orders to send now; see [`next_orders`]. Busy engines get none.
+    pub fn next(
+        &mut self,
+        spec: &EngineSpec,
+        servers: &Servers,
+        service: &ServiceId,
+        now: Timestamp,
+    ) -> Vec<Assignment> {
+        self.busy.retain(|_, at| now.since(*at) < BUSY_TIME);
+        let mut next = next_orders(spec, servers, service, &mut self.pending, now);
+        next.retain(|assignment| !self.busy.contains_key(&assignment.server));
+        next
+    }
+}
+
 /// An engine that is available for placement.
 #[derive(Debug, Clone)]
 struct Engine<'a> {
--- a/crates/core/tests/gateway_placement.rs
+++ b/crates/core/tests/gateway_placement.rs
@@ -16,7 +16,7 @@
 use radishhaven_core::{
     gateway::{
         EngineSpec, Server,
-        placement::{PendingOrders, next_orders, plan, rebalance},
+        placement::{PendingOrders, SentOrders, next_orders, plan, rebalance},
     },
     ids::VmId,
 };
@@ -194,6 +194,30 @@
     assert_eq!(at(ms(60_000)), 5);
 }
 
+/// Guards against a plan that counts on an order which no engine carries out. The holder of
+/// the lease before had given other orders, which this node does not know.
+#[test]
+fn order_that_conflicts_is_not_counted_on() {
+    let mut engines = placed_engines();
+    let engine = engines.get_mut(&name(0)).expect("the entry exists");
+    engine.layers = None;
+    let servers = table(&engines);
+    let mut orders = SentOrders::default();
+    let at = |orders: &mut SentOrders, time| {
+        let next = orders.next(&spec(), &servers, &id(ENGINES), time);
+        for assignment in &next {
+            orders.record_sent(time, assignment);
+        }
+        next
+    };
+    let first = at(&mut orders, ms(2_000));
+    assert_eq!(first.len(), 1);
+    orders.record_conflict(ms(2_010), &name(0));
+    assert_eq!(at(&mut orders, ms(2_300)), [], "the engine is busy");
+    assert_eq!(at(&mut orders, ms(3_200)), first);
+    assert_eq!(at(&mut orders, ms(3_500)), [], "the order is carried out");
+}
+
 /// Applies orders until there are none, and returns their number.
 fn settle(engines: &mut BTreeMap<VmId, Server>) -> usize {
     let mut orders = 0;
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -5,7 +5,7 @@
 use radishhaven_core::{
     gateway::{
         EngineSpec,
-        placement::{self, Assignment, PendingOrders},
+        placement::{Assignment, SentOrders},
     },
     ids::{FencingToken, ServiceId},
 };
@@ -19,22 +19,20 @@
 
 /// Assigns layers until the process ends.
 pub(super) async fn run(host: Arc<GatewayHost>) {
-    let mut ordered = PendingOrders::new();
+    let mut orders = SentOrders::default();
     let mut interval = tokio::time::interval(PLACEMENT_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
         let now = host.now();
         let Some(OrderLease { token, .. }) = host.order_lease() else {
-            ordered.clear();
+            orders.clear();
             continue;
         };
         for (service, spec) in engine_services(&host) {
-            let assignments = host.with_gateway(|g| {
-                placement::next_orders(&spec, g.servers(), &service, &mut ordered, now)
-            });
+            let assignments = host.with_gateway(|g| orders.next(&spec, g.servers(), &service, now));
             for assignment in assignments {
-                send_order(&host, assignment, token, &mut ordered).await;
+                send_order(&host, assignment, token, &mut orders).await;
             }
         }
     }
@@ -54,7 +52,7 @@
     host: &GatewayHost,
     assignment: Assignment,
     token: FencingToken,
-    ordered: &mut PendingOrders,
+    orders: &mut SentOrders,
 ) {
     let address =
         host.with_gateway(|g| g.servers().get(&assignment.server).map(|r| r.entry.address));
@@ -62,7 +60,7 @@
         return;
     };
     let now = host.now();
-    ordered.insert(assignment.server.clone(), (assignment.layers, now));
+    orders.record_sent(now, &assignment);
     let result = engine::order_layers(address, &assignment, token).await;
     let reply = result.as_ref().ok().map(|response| response.reply);
     let outcome = match reply {
@@ -81,6 +79,9 @@
     if let Some(limit) = notices.and_then(|notices| notices.limit) {
         host.record_limit(&assignment.server, now, Some(limit));
     }
+    if reply == Some(OrderReply::Conflict) {
+        orders.record_conflict(now, &assignment.server);
+    }
     if reply == Some(OrderReply::StaleToken) {
         // Another node holds the lease; the next join returns the current
         // holder.
