fix(placement): move engines only while the registry is quiet

Cause: while engines crash, return and are replaced, engines of broken copies were moved to the gaps of others, some of them three times within 15 s. A move takes the engine away until the streams on its old layers have ended, 11 to 14 s in the log, and the registry shows it without layers meanwhile, so that further orders follow. The engines whose place it takes return after 3 to 5 s. This is a metastable failure: the overload that the moves cause keeps streams long, and long streams keep moves long.

Change: engines that hold layers are moved only once no entry of the registry has changed for 6 s. Empty engines and neighbours of a gap are used at once, as before.

--- a/crates/core/src/gateway/placement.rs
+++ b/crates/core/src/gateway/placement.rs
@@ -76,6 +76,11 @@
 /// Orders that may still be carried out, with the time at which each was sent.
 pub type PendingOrders = BTreeMap<VmId, (LayerRange, Timestamp)>;
 
+/// Time without a change of the registry after which engines that hold layers are moved.
+/// Most lost engines return within this time, and an engine that gives up layers serves
+/// nothing until the streams that use them have ended.
+const MOVE_QUIET_TIME: Duration = Duration::from_millis(6_000);
+
 /// Time for which an engine gets no order after one that conflicted with its state.
 const BUSY_TIME: Duration = Duration::from_millis(1_000);
 
@@ -222,7 +227,8 @@
     }
     let mut next = Vec::new();
     if !all_empty {
-        next = completion::complete_copies(spec, servers, service, pending, registered);
+        let may_move = servers.unchanged_for(now) >= MOVE_QUIET_TIME;
+        next = completion::complete_copies(spec, servers, service, pending, may_move);
     }
     let mut planned = pending.clone();
     planned.extend(next.iter().map(|a| (a.server.clone(), (a.layers, now))));
--- a/crates/core/src/gateway/servers.rs
+++ b/crates/core/src/gateway/servers.rs
@@ -299,6 +299,8 @@
     changed: BTreeSet<VmId>,
     /// Grows with each change of an entry.
     layout_version: u64,
+    /// When an entry last changed.
+    changed_at: Timestamp,
     notices: Notices,
     /// The last incarnation of each server that was removed.
     removed: BTreeMap<VmId, Incarnation>,
@@ -312,7 +314,7 @@
     pub fn apply(&mut self, now: Timestamp, id: &VmId, entry: Option<Server>) -> ServerChange {
         let change = self.update(now, id, entry);
         if change != ServerChange::None {
-            self.record_change(id);
+            self.record_change(now, id);
         }
         change
     }
@@ -353,7 +355,7 @@
 
     /// Removes the servers that are not in a full listing and returns their
     /// ids.
-    pub fn retain(&mut self, listed: &BTreeMap<VmId, Server>) -> Vec<VmId> {
+    pub fn retain(&mut self, now: Timestamp, listed: &BTreeMap<VmId, Server>) -> Vec<VmId> {
         let removed: Vec<VmId> = self
             .rows
             .keys()
@@ -364,14 +366,20 @@
             if let Some(row) = self.rows.remove(id) {
                 self.remember_removed(id, &row.entry);
             }
-            self.record_change(id);
+            self.record_change(now, id);
         }
         removed
     }
 
-    fn record_change(&mut self, id: &VmId) {
+    fn record_change(&mut self, now: Timestamp, id: &VmId) {
         self.changed.insert(id.clone());
         self.layout_version += 1;
+        self.changed_at = now;
+    }
+
+    /// Returns the time since an entry last changed.
+    pub(super) fn unchanged_for(&self, now: Timestamp) -> Duration {
+        now.since(self.changed_at)
     }
 
     /// Returns a number that grows with each change of an entry.
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -307,7 +307,7 @@
 
     /// Replaces all servers with a full listing and returns the removed ones.
     pub fn set_servers(&mut self, now: Timestamp, listed: BTreeMap<VmId, Server>) -> Vec<VmId> {
-        let removed = self.servers.retain(&listed);
+        let removed = self.servers.retain(now, &listed);
         for (id, entry) in listed {
             self.servers.apply(now, &id, Some(entry));
         }
