fix(gateway): answer every request before the process ends

What callers saw, as other operators report it: in a planned stop, requests were passed on late in the grace period and cut at its end without an answer, among them requests that may not be repeated (LOST).

Cause: whether a request ends before the process was decided when it was first sent. A request that a server refuses later as not run was sent again without that check, and one that came before SIGTERM waited for its own time limit, even if the process ended sooner.

Evidence: every_request_is_answered_before_the_process_ends and request_that_was_not_run_is_not_sent_late_in_a_shutdown (platform, shutdown) failed before: "stopped all_requests_ended=false open=1", and two sends instead of one.

--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -61,15 +61,15 @@
             return refuse(&job, retry_after, reason);
         }
     };
-    if !job.ends_before_exit(&guard) {
-        drop(guard);
-        let retry_after = job.host.with_gateway(|g| g.retry_elsewhere_after());
-        return refuse(&job, retry_after, SHUTTING_DOWN);
-    }
     loop {
         if let Some(left) = job.quarantine_left() {
             return end_quarantined(&job, left);
         }
+        if job.runs == 0 && !job.ends_before_exit(&guard) {
+            drop(guard);
+            let retry_after = job.host.with_gateway(|g| g.retry_elsewhere_after());
+            return refuse(&job, retry_after, SHUTTING_DOWN);
+        }
         match job.send_once(guard).await {
             Attempt::Responded(response, guard) if is_stream(&job, &response) => {
                 return relay::start(job, *response, guard);
@@ -135,24 +135,23 @@
         driver,
     } = response;
     let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-    let body = tokio::time::timeout(job.remaining(), body).await;
+    let body = tokio::select! {
+        body = tokio::time::timeout(job.remaining(), body) => body.ok(),
+        () = job.host.answers_due() => None,
+    };
     drop(driver);
     job.runs += 1;
     let took = job.host.now().since(guard.ticket().acquired_at);
     let body = match body {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => {
-            job.log_failed_send(
-                &guard,
-                "broke off",
-                guard.ticket().acquired_at,
-                &error.to_string(),
-            );
+        Some(Ok(body)) => body.to_bytes(),
+        Some(Err(error)) => {
+            let sent_at = guard.ticket().acquired_at;
+            job.log_failed_send(&guard, "broke off", sent_at, &error.to_string());
             crash::check_first(job, &guard).await;
             guard.settle(TicketOutcome::Failed);
             return None;
         }
-        Err(_) => {
+        None => {
             let sent_at = guard.ticket().acquired_at;
             job.log_failed_send(&guard, "unfinished", sent_at, "");
             guard.settle(TicketOutcome::Failed);
--- a/crates/daemon/src/gateway/hedging.rs
+++ b/crates/daemon/src/gateway/hedging.rs
@@ -160,6 +160,9 @@
                 }
                 () = tokio::time::sleep(wait) => {}
                 () = quarantine_changed => {}
+                () = self.host.answers_due() => {
+                    return Event::Ended(0, WatchedSend::TimedOut);
+                }
             }
         }
     }
--- a/crates/daemon/src/gateway/host.rs
+++ b/crates/daemon/src/gateway/host.rs
@@ -112,6 +112,8 @@
     pub(super) metrics: GatewayMetrics,
     /// When the shutdown began.
     drain_started: OnceLock<Timestamp>,
+    /// Wakes requests when the shutdown begins.
+    drain_began: Notify,
     /// What callers and peers occupy in this process.
     pub(super) callers: Arc<CallerAccount>,
     /// Closes the connections of callers and peers.
@@ -231,6 +233,7 @@
             settings,
             metrics: GatewayMetrics::default(),
             drain_started: OnceLock::new(),
+            drain_began: Notify::new(),
             closing: Closing::default(),
             stopping: AtomicBool::new(false),
             open_count: AtomicU64::new(0),
@@ -325,6 +328,21 @@
     /// Begins the shutdown.
     pub(super) fn begin_drain(&self) {
         self.drain_started.get_or_init(|| self.now());
+        self.drain_began.notify_waiters();
+    }
+
+    /// Waits until every request has to be answered because the process is about to end.
+    pub(super) async fn answers_due(&self) {
+        let began = self.drain_began.notified();
+        let elapsed = match self.drain_elapsed() {
+            Some(elapsed) => elapsed,
+            None => {
+                began.await;
+                Duration::ZERO
+            }
+        };
+        let due = self.drain_schedule().last_end();
+        tokio::time::sleep(due.saturating_sub(elapsed)).await;
     }
 
     /// Marks the process as about to exit.
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -140,7 +140,16 @@
     }
     let holder = head.extensions.get::<Arc<Holder>>().cloned();
     let reading = read_body(host, holder.as_deref(), &caller_request, body);
-    let body = match tokio::time::timeout(time_limit, reading).await {
+    let body = tokio::select! {
+        body = tokio::time::timeout(time_limit, reading) => body,
+        () = host.answers_due() => {
+            let mut resp = refuse(StatusCode::SERVICE_UNAVAILABLE, SHUTTING_DOWN);
+            set_retry_after(&mut resp, host.with_gateway(|g| g.retry_elsewhere_after()));
+            set_close(&mut resp);
+            return resp;
+        }
+    };
+    let body = match body {
         Ok(Ok(body)) => body,
         Ok(Err(ReadError::TooLarge)) => {
             return refuse(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
