fix(gateway): an unframed response that ends after its head is no answer

Cause: a response without a length ends with its connection. If the server stops right after the head, the body that is read is empty, and callers got it with content-length 0. Within the head nothing is taken: every length of three heads, closed and reset, alone and after an interim response, ends as 502.

Change: an empty body that only the end of the connection has ended counts as broken off, as it does for streams; the request is sent again if it may be. HEAD, 204 and 304 have no body and are left as they are.

--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -1,11 +1,11 @@
 //! Forwards a request to backend servers, with retries until one responds or no
 //! attempt is left.
 
-use std::{sync::atomic::Ordering, time::Duration};
+use std::{error::Error, sync::atomic::Ordering, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderValue, Response, StatusCode, header, response};
-use http_body_util::{BodyExt, Limited};
+use http::{HeaderValue, Method, Response, StatusCode, header, response};
+use http_body_util::{BodyExt, Collected, Limited};
 use radishhaven_client::BodyFraming;
 use radishhaven_core::gateway::{Gateway, RouteKind, TicketOutcome};
 use radishhaven_platform::backend_response;
@@ -142,11 +142,11 @@
     drop(driver);
     job.runs += 1;
     let took = job.host.now().since(guard.ticket().acquired_at);
-    let body = match body {
-        Some(Ok(body)) => body.to_bytes(),
-        Some(Err(error)) => {
+    let body = match body.map(|body| whole_body(job, &head, framing, body)) {
+        Some(Ok(body)) => body,
+        Some(Err(reason)) => {
             let sent_at = guard.ticket().acquired_at;
-            job.log_failed_send(&guard, "broke off", sent_at, &error.to_string());
+            job.log_failed_send(&guard, "broke off", sent_at, &reason);
             crash::check_first(job, &guard).await;
             guard.settle(TicketOutcome::Failed);
             return None;
@@ -178,6 +178,23 @@
     Some(caller_response(&head, body))
 }
 
+/// Returns the bytes of a body, or why it is not whole. Without a length, a server that stops
+/// after the head can't be told from one that has sent an empty body, which servers state.
+fn whole_body(
+    job: &Job,
+    head: &response::Parts,
+    framing: BodyFraming,
+    body: Result<Collected<Bytes>, Box<dyn Error + Send + Sync>>,
+) -> Result<Bytes, String> {
+    let body = body.map_err(|error| error.to_string())?.to_bytes();
+    let has_body = job.outgoing.method != Method::HEAD
+        && ![StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status);
+    if body.is_empty() && has_body && framing == BodyFraming::UntilClose {
+        return Err("the connection ended after the head".to_owned());
+    }
+    Ok(body)
+}
+
 fn caller_response(head: &response::Parts, body: Bytes) -> Response<Body> {
     let mut resp = Response::new(full(body));
     *resp.status_mut() = head.status;
