--- a/crates/core/src/gateway/config_update.rs
+++ b/crates/core/src/gateway/config_update.rs
@@ -4,7 +4,7 @@
 //! change at the same moment. If each read the whole from the store, the store's bandwidth
 //! would be divided among them, and the time until the last one has it would grow with
 //! both numbers. A node that has the new version therefore passes on what has changed. See
-//! `docs/design/platform.md`, "Many nodes".
+//! `docs/design/platform.md`, "Configuration between nodes".
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
