--- a/review/harness-2/blank_lines.rs
+++ b/review/harness-2/blank_lines.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    deployment::{configuration, request, Entry, Record, Node},
+    deployment::{configuration, request, Entry, Node, Record},
     http::Answer,
     outcome::Outcome,
     store::Store,
@@ -24,12 +24,12 @@
 /// Time after the limit by which the rule wants a final answer.
 const GRACE: Duration = Duration::from_millis(500);
 /// Streams that are served before the trouble.
-const SOUND_STREAMS: usize = 160;
+const SOUND_STREAMS: usize = 320;
 /// Streams whose answers are spoiled: 1 of 21.
-const SPOILED_STREAMS: usize = 8;
+const SPOILED_STREAMS: usize = 16;
 /// Plain requests during the trouble, and the time between two of them.
-const REQUESTS: u32 = 60;
-const REQUEST_GAP: Duration = Duration::from_millis(100);
+const REQUESTS: u32 = 120;
+const REQUEST_GAP: Duration = Duration::from_millis(50);
 /// Bytes of the comment line before the blank lines.
 const COMMENT_BYTES: usize = 248 * 1024;
 /// Bytes of one chunk of blank lines.
@@ -58,7 +58,10 @@
         let (due, spoiling) = (due.clone(), record.clone());
         workers::engine(&record, name, move |req, stream| {
             let take = |left: usize| left.checked_sub(1);
-            if due.fetch_update(Ordering::SeqCst, Ordering::SeqCst, take).is_err() {
+            if due
+                .fetch_update(Ordering::SeqCst, Ordering::SeqCst, take)
+                .is_err()
+            {
                 return false;
             }
             spoiling.line(&format!("spoiled   {}", req.attempt_id()));
@@ -76,13 +79,27 @@
     for (id, address, layers) in engines {
         let (id, layers) = (id.to_owned(), Some(layers));
         let (service, slots) = ("dictado", 192);
-        Entry { id, service, address, slots, layers }.register(&store);
+        Entry {
+            id,
+            service,
+            address,
+            slots,
+            layers,
+        }
+        .register(&store);
     }
     for number in 0..3 {
         let id = format!("plain-{number}");
         let address = workers::plain(&record, &id, Duration::from_millis(60), |_, _| false);
         let (service, slots, layers) = ("libro", 6, None);
-        Entry { id, service, address, slots, layers }.register(&store);
+        Entry {
+            id,
+            service,
+            address,
+            slots,
+            layers,
+        }
+        .register(&store);
     }
     let node = match Node::start("front-1", store.listen(), files) {
         Ok(node) if node.wait_ready() => node,
@@ -92,15 +109,24 @@
     let stream = |id: String| request(record, target, &id, "/trip/1", 20_000);
     let log = request(record, target, "aa00", "/log/1", 3_000);
     let served = thread::scope(|scope| {
-        let callers = (0..8).map(|caller| {
-            let numbers = (0..SOUND_STREAMS).filter(move |number| number % 8 == caller);
-            scope.spawn(move || numbers.filter(|n| stream(format!("bb{n:03}")).complete).count())
+        let callers = (0..16).map(|caller| {
+            let numbers = (0..SOUND_STREAMS).filter(move |number| number % 16 == caller);
+            scope.spawn(move || {
+                numbers
+                    .filter(|n| stream(format!("bb{n:03}")).complete)
+                    .count()
+            })
         });
         let callers: Vec<_> = callers.collect();
-        callers.into_iter().map(|caller| caller.join().unwrap_or(0)).sum::<usize>()
+        callers
+            .into_iter()
+            .map(|caller| caller.join().unwrap_or(0))
+            .sum::<usize>()
     });
     if served < SOUND_STREAMS || !log.complete {
-        record.line(&format!("only {served} streams are served before the trouble"));
+        record.line(&format!(
+            "only {served} streams are served before the trouble"
+        ));
         return Outcome::CannotRun;
     }
     if trouble {
@@ -121,7 +147,9 @@
             })
         });
         let requests: Vec<_> = requests.collect();
-        let ended = requests.into_iter().map(|request| request.join().unwrap_or_default());
+        let ended = requests
+            .into_iter()
+            .map(|request| request.join().unwrap_or_default());
         ended.collect::<Vec<Answer>>()
     });
     let is_later = |time: Duration| move |a: &&Answer| !a.complete || a.took > time;
--- a/review/harness-2/deployment.rs
+++ b/review/harness-2/deployment.rs
@@ -55,7 +55,10 @@
     }
 
     pub fn has_run(&self, id: &str) -> bool {
-        self.has_run.lock().expect("no panic under the lock").contains(id)
+        self.has_run
+            .lock()
+            .expect("no panic under the lock")
+            .contains(id)
     }
 }
 
@@ -84,7 +87,9 @@
         "pairs_per_m":0.3,"chunk":512,"report_lag_ms":200.0,"loads_per_s":0.0,
         "loads_at_once":5,"delays":[],"usual":{"prompt":774,"answer":200},"layers":80,
         "layer_mb":1750.0,"act_bytes":45900,"pipe_mbps":26000.0,
-        "kinds":[{"name":"a100","mb":73728.0,"pace":2.4,"read_x":3.2}]}"#;
+        "kinds":[{"name":"a100","mb":73728.0,"pace":2.4,"read_x":3.2},
+        {"name":"l40s","mb":44032.0,"pace":5.6,"read_x":2.7},
+        {"name":"l4","mb":22528.0,"pace":16.0,"read_x":8.2}]}"#;
     let routes = routes.join(",");
     format!(
         r#"{{"version":1,"routes":[{routes}],"services":[
@@ -107,6 +112,23 @@
     pub layers: Option<(u16, u16)>,
 }
 
+/// Returns the registry entry of an engine of a kind, with the layers that it holds.
+pub fn engine_entry(
+    address: SocketAddr,
+    kind: &str,
+    layers: Option<(u16, u16)>,
+    sequence: u64,
+) -> String {
+    let layers = layers.map_or(String::new(), |(from, target)| {
+        format!(r#","layers":{{"from":{from},"target":{target},"version":1}}"#)
+    });
+    format!(
+        r#"{{"service":"dictado","address":"{address}","zone":"centro","version":"v1",
+        "slots":192,"state":"ready","cold_remaining_ms":0,"sequence":{sequence},
+        "born":1700000000000,"kind":"{kind}","stage":"colocated"{layers}}}"#
+    )
+}
+
 impl Entry {
     fn text(&self, sequence: u64) -> String {
         let Self {
@@ -358,13 +380,7 @@
 }
 
 /// Sends a request on a connection of its own.
-pub fn request(
-    record: &Record,
-    node: &Target,
-    id: &str,
-    path: &str,
-    deadline_ms: u64,
-) -> Answer {
+pub fn request(record: &Record, node: &Target, id: &str, path: &str, deadline_ms: u64) -> Answer {
     let patience = Duration::from_millis(deadline_ms);
     match Connection::open(node.callers, patience) {
         Ok(mut connection) => request_on(record, &mut connection, id, path, deadline_ms),
--- a/review/harness-2/http.rs
+++ b/review/harness-2/http.rs
@@ -28,8 +28,14 @@
     }
 
     pub fn parameter(&self, name: &str) -> Option<&str> {
-        let pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
+        let pairs = self
+            .query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='));
+        pairs
+            .into_iter()
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| value)
     }
 }
 
@@ -182,7 +188,12 @@
         let status = text.split(' ').nth(1).and_then(|s| s.parse().ok());
         self.status = status.unwrap_or(0);
         let headers = parse_headers(&text);
-        let header = |name: &str| headers.iter().find(|(k, _)| k == name).map(|(_, v)| v.as_str());
+        let header = |name: &str| {
+            headers
+                .iter()
+                .find(|(k, _)| k == name)
+                .map(|(_, v)| v.as_str())
+        };
         let rest = &buf[end + 4..];
         if let Some(length) = header("content-length").and_then(|v| v.parse::<usize>().ok()) {
             self.body = rest[..rest.len().min(length)].to_vec();
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod outcome;
 mod small_chunks;
+mod stale_orders;
 mod store;
 mod workers;
 
@@ -32,6 +33,7 @@
     let outcome = match case.as_str() {
         "blank-lines" => blank_lines::run(folder, files, trouble),
         "small-chunks" => small_chunks::run(folder, files, trouble),
+        "stale-orders" => stale_orders::run(folder, files, trouble),
         _ => Outcome::CannotRun,
     };
     println!("{outcome:?}");
--- a/review/harness-2/small_chunks.rs
+++ b/review/harness-2/small_chunks.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::{
-    deployment::{configuration, request, request_on, Entry, Record, Node, Target, MEMORY_MB},
+    deployment::{configuration, request, request_on, Entry, Node, Record, Target, MEMORY_MB},
     http::Connection,
     outcome::Outcome,
     store::Store,
@@ -58,8 +58,7 @@
         let (answers, spoiling) = (answers.clone(), record.clone());
         let is_faulty = trouble && number < 2;
         let address = workers::plain(record, &id, work, move |req, stream| {
-            let is_due =
-                is_faulty && answers.fetch_add(1, Ordering::SeqCst) % SPOILED_ONE_OF == 9;
+            let is_due = is_faulty && answers.fetch_add(1, Ordering::SeqCst) % SPOILED_ONE_OF == 9;
             if is_due {
                 spoiling.line(&format!("spoiled   {}", req.attempt_id()));
                 write_endlessly(stream, &workers::signed_head(req, 200));
@@ -67,24 +66,33 @@
             is_due
         });
         let (service, slots, layers) = ("libro", 6, None);
-        Entry { id, service, address, slots, layers }.register(store);
+        Entry {
+            id,
+            service,
+            address,
+            slots,
+            layers,
+        }
+        .register(store);
     }
     for number in 0..3 {
         let id = format!("agenda-{number}");
         let address = workers::plain(record, &id, work, |_, _| false);
         let (service, slots, layers) = ("agenda", 6, None);
-        Entry { id, service, address, slots, layers }.register(store);
+        Entry {
+            id,
+            service,
+            address,
+            slots,
+            layers,
+        }
+        .register(store);
     }
 }
 
 /// Sends requests to sound workers on one connection as long as it lasts, then on the next
 /// one. Returns how many were lost on a connection that had carried others before.
-fn use_kept_connections(
-    record: &Record,
-    node: &Target,
-    caller: usize,
-    ended: &AtomicBool,
-) -> u32 {
+fn use_kept_connections(record: &Record, node: &Target, caller: usize, ended: &AtomicBool) -> u32 {
     let (mut lost, mut number) = (0, 0);
     let patience = Duration::from_secs(1);
     while !ended.load(Ordering::SeqCst) {
@@ -121,9 +129,8 @@
     let begun = Instant::now();
     let (mut ends, mut most) = (0, 0.0_f64);
     let lost = thread::scope(|scope| {
-        let kept = (0..KEPT_CONNECTIONS).map(|caller| {
-            scope.spawn(move || use_kept_connections(record, target, caller, ended))
-        });
+        let kept = (0..KEPT_CONNECTIONS)
+            .map(|caller| scope.spawn(move || use_kept_connections(record, target, caller, ended)));
         let kept: Vec<_> = kept.collect();
         scope.spawn(move || {
             for number in 0.. {
@@ -151,7 +158,11 @@
             }
         }
         ended.store(true, Ordering::SeqCst);
-        Some(kept.into_iter().map(|caller| caller.join().unwrap_or(0)).sum::<u32>())
+        Some(
+            kept.into_iter()
+                .map(|caller| caller.join().unwrap_or(0))
+                .sum::<u32>(),
+        )
     })?;
     let name = &target.name;
     record.line(&format!(
@@ -168,7 +179,11 @@
     store.put("keyed.op", "config", Some(&configuration()));
     register(&store, &record, trouble);
     let address = store.listen();
-    let start = |name| Node::start(name, address, files).ok().filter(Node::wait_ready);
+    let start = |name| {
+        Node::start(name, address, files)
+            .ok()
+            .filter(Node::wait_ready)
+    };
     let (Some(first), Some(second)) = (start("front-1"), start("front-2")) else {
         return Outcome::CannotRun;
     };
--- a/review/harness-2/store.rs
+++ b/review/harness-2/store.rs
@@ -19,6 +19,22 @@
     /// Members with the end of their TTL.
     members: BTreeMap<String, Instant>,
     generation: u64,
+    /// The member that owns the only partition that is dealt.
+    owner: Option<String>,
+    /// The member that owned it in each generation.
+    owners: BTreeMap<u64, String>,
+}
+
+impl State {
+    /// Returns the member that should own the partition.
+    fn desired(&self) -> Option<&String> {
+        self.members.keys().next()
+    }
+
+    fn set_owner(&mut self, owner: Option<String>) {
+        self.owner = owner;
+        self.generation += 1;
+    }
 }
 
 /// The store. Clones share its contents.
@@ -107,22 +123,41 @@
         }
     }
 
+    /// Renews a membership. The partition moves when its owner has joined with the
+    /// generation in which it is another member's.
     fn join(&self, req: &Request) -> String {
         let member = text_field(&req.body, "member");
+        let joined_with = number_field(&req.body, "generation");
+        let ttl = Duration::from_millis(number_field(&req.body, "ttl_ms"));
         let now = Instant::now();
         let mut state = self.0.lock().expect("no panic under the lock");
         let before = state.members.len();
         state.members.retain(|_, until| *until > now);
         let expired = state.members.len() < before;
-        let ttl = Duration::from_millis(2_000);
         let is_new = state.members.insert(member.clone(), now + ttl).is_none();
         state.generation += u64::from(expired || is_new);
-        let owner = state.members.keys().next();
-        let parts = match owner == Some(&member) {
-            true => "[[\"members.0\",0,0]]",
-            false => "[]",
-        };
-        format!("{{\"generation\":{},\"parts\":{parts}}}", state.generation)
+        let is_desired = state.desired() == Some(&member);
+        let owner = state.owner.clone();
+        let owner = owner.filter(|owner| state.members.contains_key(owner));
+        if owner.is_none() && is_desired {
+            state.set_owner(Some(member.clone()));
+        } else if owner.as_ref() == Some(&member) && !is_desired && joined_with == state.generation
+        {
+            state.set_owner(None);
+        }
+        let generation = state.generation;
+        let holds = state.owner.as_ref() == Some(&member) && state.desired() == Some(&member);
+        if holds {
+            state.owners.insert(generation, member.clone());
+        }
+        let parts = if holds { "[[\"members.0\",0,0]]" } else { "[]" };
+        format!("{{\"generation\":{generation},\"parts\":{parts}}}")
+    }
+
+    /// Returns the member that owned the partition in a generation.
+    pub fn owner_in(&self, generation: u64) -> Option<String> {
+        let state = self.0.lock().expect("no panic under the lock");
+        state.owners.get(&generation).cloned()
     }
 
     fn owners(&self) -> String {
@@ -142,6 +177,17 @@
     text.unwrap_or_default().to_owned()
 }
 
+/// Returns the number of a field of a JSON object.
+pub fn number_field(body: &[u8], name: &str) -> u64 {
+    let body = String::from_utf8_lossy(body);
+    let rest = body
+        .split(&format!("\"{name}\":"))
+        .nth(1)
+        .unwrap_or_default();
+    let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().unwrap_or(0)
+}
+
 fn respond(stream: &mut TcpStream, status: u16, body: &[u8]) -> io::Result<()> {
     let length = body.len();
     let head = format!("HTTP/1.1 {status} Status\r\ncontent-length: {length}\r\n\r\n");
@@ -152,7 +198,9 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::new();
     for group in bytes.chunks(3) {
-        let bits = group.iter().fold(0_u32, |bits, b| bits << 8 | u32::from(*b));
+        let bits = group
+            .iter()
+            .fold(0_u32, |bits, b| bits << 8 | u32::from(*b));
         let bits = bits << (8 * (3 - group.len()));
         for digit in 0..4 {
             let index = (bits >> (18 - 6 * digit)) as usize & 63;
