--- a/review/harness-2/blank_lines.rs
+++ b/review/harness-2/blank_lines.rs
@@ -23,21 +23,23 @@
 const TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Time after the limit by which the rule wants a final answer.
 const GRACE: Duration = Duration::from_millis(500);
-/// Streams that are served before the trouble.
-const SOUND_STREAMS: usize = 320;
-/// Streams whose answers are spoiled: 1 of 21.
-const SPOILED_STREAMS: usize = 16;
+/// Streams that are served before those whose answers are spoiled: 3 of 63.
+const SOUND_STREAMS: usize = 60;
+const SPOILED_STREAMS: usize = 3;
 /// Plain requests during the trouble, and the time between two of them.
 const REQUESTS: u32 = 120;
 const REQUEST_GAP: Duration = Duration::from_millis(50);
-/// Bytes of the comment line before the blank lines.
-const COMMENT_BYTES: usize = 248 * 1024;
+/// How long the node is watched after the last request.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+/// Bytes of each comment line before the blank lines, and their number.
+const COMMENT_BYTES: usize = 200 * 1024;
+const COMMENTS: usize = 3;
 /// Bytes of one chunk of blank lines.
 const CHUNK_BYTES: usize = 16 * 1024 * 1024;
 
-/// Writes a comment line, then blank lines until the caller closes the connection.
+/// Writes comment lines, then blank lines until the caller closes the connection.
 fn write_endlessly(stream: &mut impl Write, head: &str) {
-    let comment = format!(":{}\n\n", "x".repeat(COMMENT_BYTES));
+    let comment = format!(":{}\n\n", "x".repeat(COMMENT_BYTES)).repeat(COMMENTS);
     let blank = "\n".repeat(CHUNK_BYTES);
     let first = format!("{head}{:x}\r\n{comment}\r\n", comment.len());
     let chunk = format!("{:x}\r\n{blank}\r\n", blank.len());
@@ -133,10 +135,12 @@
         due.store(SPOILED_STREAMS, Ordering::SeqCst);
     }
     let answers = thread::scope(|scope| {
-        for number in 0..SPOILED_STREAMS {
-            scope.spawn(move || stream(format!("cc{number:03}")));
-        }
         let begun = Instant::now();
+        scope.spawn(move || {
+            for number in 0..SPOILED_STREAMS {
+                stream(format!("cc{number:03}"));
+            }
+        });
         let requests = (0..REQUESTS).map(|number| {
             let at = begun + REQUEST_GAP * number;
             scope.spawn(move || {
@@ -152,6 +156,19 @@
             .map(|request| request.join().unwrap_or_default());
         ended.collect::<Vec<Answer>>()
     });
+    let waits_since = Instant::now();
+    while !node.is_ready() && waits_since.elapsed() < MAX_WAIT {
+        thread::sleep(Duration::from_millis(100));
+    }
+    record.line(&format!(
+        "the node {} on the readiness check {} ms after the last request",
+        if node.is_ready() {
+            "answers"
+        } else {
+            "doesn't answer"
+        },
+        waits_since.elapsed().as_millis()
+    ));
     let is_later = |time: Duration| move |a: &&Answer| !a.complete || a.took > time;
     let late = answers.iter().filter(is_later(TIMEOUT)).count();
     let unanswered = answers.iter().filter(is_later(TIMEOUT + GRACE)).count();
--- a/review/harness-2/deployment.rs
+++ b/review/harness-2/deployment.rs
@@ -355,6 +355,10 @@
     )
 }
 
+/// Time after which a caller leaves a stream: the gap without an event that the protocol
+/// names. A sound stream ends long before.
+const STREAM_PATIENCE: Duration = Duration::from_secs(2);
+
 /// The body of all requests.
 const QUESTION: &[u8] = b"question";
 
@@ -367,7 +371,10 @@
     deadline_ms: u64,
 ) -> Answer {
     record.line(&format!("sent      {id} {path}"));
-    let patience = Duration::from_millis(deadline_ms);
+    let patience = match path.starts_with("/trip/") {
+        true => STREAM_PATIENCE,
+        false => Duration::from_millis(deadline_ms),
+    };
     let answer = connection.send(&head(id, path, deadline_ms), QUESTION, patience);
     record.line(&format!(
         "answered  {id} status {} complete {} closed {} after {} ms",
