--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -5,6 +5,7 @@
 mod blank_lines;
 mod deployment;
 mod http;
+mod missing_id;
 mod outcome;
 mod small_chunks;
 mod stale_orders;
@@ -32,6 +33,7 @@
     });
     let outcome = match case.as_str() {
         "blank-lines" => blank_lines::run(folder, files, trouble),
+        "missing-id" => missing_id::run(folder, files, trouble),
         "small-chunks" => small_chunks::run(folder, files, trouble),
         "stale-orders" => stale_orders::run(folder, files, trouble),
         _ => Outcome::CannotRun,
--- a/review/harness-2/workers.rs
+++ b/review/harness-2/workers.rs
@@ -69,6 +69,16 @@
     format!("{head}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n")
 }
 
+/// Refuses a request without an attempt id. Returns whether `req` is one.
+fn refuse_without_id(req: &Request, stream: &mut TcpStream) -> io::Result<bool> {
+    if !req.attempt_id().is_empty() {
+        return Ok(false);
+    }
+    let head = "HTTP/1.1 400 Status\r\nradishhaven-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+    stream.write_all(head.as_bytes())?;
+    Ok(true)
+}
+
 /// The first engine of a path, which streams all events. `spoil` is as for [`plain`].
 pub fn engine<S>(record: &Record, name: &str, spoil: S) -> SocketAddr
 where
@@ -79,6 +89,9 @@
         if answer_control(req, stream)? {
             return Ok(());
         }
+        if refuse_without_id(req, stream)? {
+            return Ok(());
+        }
         let from: u32 = req.header("last-event-id").parse().unwrap_or(0);
         let id = req.attempt_id();
         record.run(id, &format!("{name} from event {}", from + 1));
