fix: copy the bytes of bodies instead of keeping their chunks

Cause: a collected body keeps each chunk as it came. A chunk takes 32 bytes and shares the read buffer of the HTTP library, up to 408 KB with the size lines in it, however few bytes it has. The limit of 2 MiB counted only the bytes of data. What tells it from a limit that is too high: with 250 blanks behind each size, memory grows by the bytes of the wire (66 MB of 64 in a debug build within the deadline); without, by about 40 bytes a chunk (22 to 40 MB).

Change: BodyBuffer copies the bytes into one buffer that doubles up to the limit, so that memory depends on the number of bytes alone. The same cause is mended where else bodies were collected: the JSON client (64 MiB), responses to orders, and the bodies of callers and operators of `serve`. Bodies of the gateway's callers were copied already; that code now uses the same buffer.

--- a/crates/client/src/caller.rs
+++ b/crates/client/src/caller.rs
@@ -19,7 +19,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::{
-    json::{HttpError, JsonClient, read_body},
+    json::{HttpError, JsonClient, read_response_body},
     sse::EventReader,
 };
 
@@ -142,7 +142,7 @@
             .await?;
         let mut answer = Answer::from_headers(resp.headers());
         if !resp.status().is_success() {
-            let body = read_body(resp.into_body()).await?;
+            let body = read_response_body(resp.into_body()).await?;
             return Ok(answer.with_error(&body));
         }
         let mut events = EventReader::new(resp.into_body());
@@ -178,7 +178,7 @@
             .send(Method::POST, node, &path, headers, body)
             .await?;
         let mut answer = Answer::from_headers(resp.headers());
-        let body = read_body(resp.into_body()).await?;
+        let body = read_response_body(resp.into_body()).await?;
         let Ok(reply) = serde_json::from_slice::<ServiceAnswer>(&body) else {
             return Ok(answer.with_error(&body));
         };
--- a/crates/client/src/json.rs
+++ b/crates/client/src/json.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use serde::{Serialize, de::DeserializeOwned};
 use volo_http::{
     body::Body,
@@ -13,6 +12,8 @@
     response::Response,
 };
 
+use crate::body::read_body;
+
 /// Maximum size in bytes of a body that is read.
 pub const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 /// Timeout for connecting.
@@ -161,7 +162,7 @@
         let exchange = async {
             let resp = self.send(method, addr, path, headers, body).await?;
             let status = resp.status();
-            let body = read_body(resp.into_body()).await?;
+            let body = read_response_body(resp.into_body()).await?;
             match status.is_success() {
                 true => Ok(body),
                 false => Err(HttpError::Status { status, body }),
@@ -224,11 +225,7 @@
 }
 
 /// Reads a body of at most [`MAX_BODY_BYTES`].
-pub(crate) async fn read_body(body: Body) -> Result<Bytes, HttpError> {
-    let limited = Limited::new(body, MAX_BODY_BYTES);
-    let body = limited
-        .collect()
-        .await
-        .map_err(|e| HttpError::NoResponse(e.to_string()))?;
-    Ok(body.to_bytes())
+pub(crate) async fn read_response_body(body: Body) -> Result<Bytes, HttpError> {
+    let read = read_body(body, MAX_BODY_BYTES).await;
+    read.map_err(|e| HttpError::NoResponse(e.to_string()))
 }
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -5,11 +5,13 @@
 //! of the nodes and request ids, sends requests and reads complete responses
 //! and streams.
 
+mod body;
 mod caller;
 mod http1;
 mod json;
 mod sse;
 
+pub use body::{BodyBuffer, BodyTooLarge, ReadBodyError, read_body};
 pub use caller::{Answer, Caller, CallerError, RequestOptions};
 pub use http1::{BodyFraming, Connection, ConnectionError, ConnectionTimeouts, Driver};
 pub use json::{HttpError, JsonClient, MAX_BODY_BYTES};
--- a/crates/daemon/src/edges/callers/input.rs
+++ b/crates/daemon/src/edges/callers/input.rs
@@ -2,7 +2,6 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode, header::AUTHORIZATION};
-use http_body_util::{BodyExt, Limited};
 use radishhaven_core::outcome::{NotRun, Outcome};
 use radishhaven_proto::caller::ErrorBody;
 use sha2::{Digest, Sha256};
@@ -45,8 +44,8 @@
 
 /// Reads a request's body. Rejects one that is too large or breaks off.
 pub(super) async fn read_body(body: Body) -> Result<Bytes, Rejection> {
-    let collected = Limited::new(body, MAX_REQUEST_BYTES).collect().await;
-    collected.map(|b| b.to_bytes()).map_err(|_| Rejection {
+    let read = radishhaven_client::read_body(body, MAX_REQUEST_BYTES).await;
+    read.map_err(|_| Rejection {
         status: StatusCode::PAYLOAD_TOO_LARGE,
         reason: NotRun::BadRequest,
         message: format!("the body broke off or has more than {MAX_REQUEST_BYTES} bytes"),
--- a/crates/daemon/src/edges/operators.rs
+++ b/crates/daemon/src/edges/operators.rs
@@ -4,7 +4,7 @@
 use std::{convert::Infallible, sync::Arc};
 
 use http::{HeaderMap, Method, StatusCode, header::AUTHORIZATION};
-use http_body_util::{BodyExt, Limited};
+use radishhaven_client::read_body;
 use radishhaven_core::{
     language::{MAX_TEXT_BYTES, answer, node_statuses, parse_query},
     node::Node,
@@ -102,8 +102,8 @@
     async fn post(&self, path: &str, body: Body) -> Response {
         let bad_request =
             |message: String| json(StatusCode::BAD_REQUEST, &json!({ "message": message }));
-        let body = match Limited::new(body, MAX_TEXT_BYTES).collect().await {
-            Ok(body) => body.to_bytes(),
+        let body = match read_body(body, MAX_TEXT_BYTES).await {
+            Ok(body) => body,
             Err(error) => return bad_request(error.to_string()),
         };
         let body = match std::str::from_utf8(&body) {
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -1,12 +1,11 @@
 //! Forwards a request to backend servers, with retries until one responds or no
 //! attempt is left.
 
-use std::{error::Error, sync::atomic::Ordering, time::Duration};
+use std::{sync::atomic::Ordering, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Response, StatusCode, header, response};
-use http_body_util::{BodyExt, Collected, Limited};
-use radishhaven_client::BodyFraming;
+use radishhaven_client::{BodyFraming, ReadBodyError, read_body};
 use radishhaven_core::gateway::{Gateway, RouteKind, TicketOutcome};
 use radishhaven_platform::backend_response;
 use spdlog::prelude::*;
@@ -134,7 +133,7 @@
         framing,
         driver,
     } = response;
-    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+    let body = read_body(body, MAX_RESPONSE_BYTES);
     let body = tokio::select! {
         body = tokio::time::timeout(job.remaining(), body) => body.ok(),
         () = job.host.answers_due() => None,
@@ -184,9 +183,9 @@
     job: &Job,
     head: &response::Parts,
     framing: BodyFraming,
-    body: Result<Collected<Bytes>, Box<dyn Error + Send + Sync>>,
+    body: Result<Bytes, ReadBodyError<hyper::Error>>,
 ) -> Result<Bytes, String> {
-    let body = body.map_err(|error| error.to_string())?.to_bytes();
+    let body = body.map_err(|error| error.to_string())?;
     let has_body = job.outgoing.method != Method::HEAD
         && ![StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status);
     if body.is_empty() && has_body && framing == BodyFraming::UntilClose {
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -9,6 +9,7 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header, request};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
+use radishhaven_client::{BodyBuffer, BodyTooLarge};
 use radishhaven_core::{
     gateway::{
         CrashCause, PromptPart, RequestDigest,
@@ -38,8 +39,6 @@
 /// place among the parts and among the causes of crashes. 13 were measured before the
 /// causes are made.
 const PART_BYTES: usize = 64;
-/// Smallest memory of a body of unknown length, in bytes.
-const MIN_BODY_CAPACITY: usize = 4 * 1024;
 
 /// What a node states about a request that it forwards for its caller.
 #[derive(Debug)]
@@ -254,9 +253,14 @@
     }
 }
 
+impl From<BodyTooLarge> for ReadError {
+    fn from(_: BodyTooLarge) -> Self {
+        Self::TooLarge
+    }
+}
+
 /// Reads a body up to the size limit of the configuration. Its bytes are counted before
-/// they are read, and copied, since chunks that are kept as they came take many times
-/// their size.
+/// they are read.
 async fn read_body(
     host: &Arc<GatewayHost>,
     holder: Option<&Holder>,
@@ -279,31 +283,25 @@
         hold(length)?;
     }
     let receiving = holder.map(Holder::receive_body);
-    let mut read = Vec::with_capacity(length);
+    let mut read = BodyBuffer::new(length, limit);
     loop {
         let frame = tokio::select! {
             frame = body.frame() => frame,
             () = refused(holder) => return Err(ReadError::NoMemory),
         };
         let Some(frame) = frame else {
-            return Ok(read.into());
+            return Ok(read.into_bytes());
         };
         let frame = frame.map_err(|_| ReadError::Broken)?;
         // Trailers are not forwarded.
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        let needed = read.len() + data.len();
-        if needed > limit {
-            return Err(ReadError::TooLarge);
-        }
-        if needed > read.capacity() {
-            let capacity = (read.capacity() * 2).max(MIN_BODY_CAPACITY).min(limit);
-            let capacity = capacity.max(needed);
-            hold(capacity - read.capacity())?;
-            read.reserve_exact(capacity - read.len());
+        let growth = read.growth(data.len())?;
+        if growth > 0 {
+            hold(growth)?;
         }
-        read.extend_from_slice(&data);
+        read.push(&data)?;
         if let Some(receiving) = &receiving {
             receiving.record(data.len());
         }
