fix(gateway): bound the memory of all responses that are being received

Each response may have 2 MiB, so 36 unfinished ones take a node of 64 MB to 116 MB, and the platform ends the process with the requests of all callers.

Cause: responses are counted only once they are complete. A limit for each is no limit for all.

Change: ResponseUsage (core) bounds the buffers of all responses under way to a sixth of the memory beside the process itself; with the bounds of callers this is all memory. Complete responses that wait for slow callers shrink it once they exceed their own bound. If it is used up, a response of unknown size ends before one that states its size, the largest first; up to 16 KiB none is ended. The request of an ended response goes to another server if it may, else its caller gets 502; the server isn't blamed. A stated size over 2 MiB fails at once. A response that is too large is no evidence of a crash any more. New gauges: response_bytes and its bound.

Evidence (x86_64, debug build): unfinished_answers_together_do_not_fill_the_memory failed before with 116.0 MB of 64, and has 39.8 MB now, while ordinary requests are answered beside it; four tests of the decision, one over 10,000 generated cases.

--- a/crates/core/src/gateway/caller_usage.rs
+++ b/crates/core/src/gateway/caller_usage.rs
@@ -13,7 +13,7 @@
 
 /// Memory that the process uses without callers, in bytes: code, configuration, registry
 /// and connections to servers and peers.
-const PROCESS_BYTES: u64 = 32_000_000;
+pub(super) const PROCESS_BYTES: u64 = 32_000_000;
 /// Memory of a connection without a request, in bytes: 21 KB were measured, most of it in
 /// the buffers of the HTTP library.
 const CONNECTION_BYTES: u64 = 24_000;
@@ -266,6 +266,11 @@
         self.held
     }
 
+    /// Returns the bytes beyond the bound that are held, as responses are not refused.
+    pub fn excess_bytes(&self) -> u64 {
+        self.held.saturating_sub(self.bounds.bytes)
+    }
+
     /// Returns the number of open connections.
     pub fn connections(&self) -> u64 {
         self.connections
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 pub mod recent_count;
 pub mod request_digest;
 pub mod request_rate;
+pub mod response_usage;
 pub mod routes;
 pub mod server_limits;
 pub mod servers;
--- a/crates/daemon/src/gateway/caller_account.rs
+++ b/crates/daemon/src/gateway/caller_account.rs
@@ -132,6 +132,11 @@
         self.with(|usage, _| (usage.bounds(), usage.held_bytes(), usage.connections()))
     }
 
+    /// Returns the bytes beyond their bound that requests and responses hold.
+    pub(super) fn excess_bytes(&self) -> u64 {
+        self.with(|usage, _| usage.excess_bytes())
+    }
+
     /// Returns the limits of the configuration in force.
     pub(super) fn limits(&self) -> CallerLimits {
         lock(&self.state).limits
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Response, StatusCode, header, response};
-use radishhaven_client::{BodyFraming, ReadBodyError, read_body};
+use radishhaven_client::BodyFraming;
 use radishhaven_core::gateway::{Gateway, RouteKind, TicketOutcome};
 use radishhaven_platform::backend_response;
 use spdlog::prelude::*;
@@ -17,12 +17,9 @@
     host::{AdmissionOutcome, TicketGuard},
     job::{Attempt, Job},
     relay,
+    response_memory::ReadResponseError,
 };
 
-/// Largest response that is buffered, in bytes. A server that sends more fails,
-/// and its connection is closed, so that endless bytes don't fill the memory.
-const MAX_RESPONSE_BYTES: usize = 2 * 1024 * 1024;
-
 /// Reason of a response to a request that may have run without a result.
 const NO_ANSWER: &str = "no answer to rely on";
 /// Reason of a refusal because the request, or a part of its prompt, crashes servers.
@@ -133,7 +130,8 @@
         framing,
         driver,
     } = response;
-    let body = read_body(body, MAX_RESPONSE_BYTES);
+    let responses = job.host.responses.clone();
+    let body = responses.read(body);
     let body = tokio::select! {
         body = tokio::time::timeout(job.remaining(), body) => body.ok(),
         () = job.host.answers_due() => None,
@@ -143,7 +141,20 @@
     let took = job.host.now().since(guard.ticket().acquired_at);
     let body = match body.map(|body| whole_body(job, &head, framing, body)) {
         Some(Ok(body)) => body,
-        Some(Err(reason)) => {
+        Some(Err(InvalidBody::NoMemory)) => {
+            let sent_at = guard.ticket().acquired_at;
+            job.log_failed_send(&guard, "no memory", sent_at, "");
+            // Nothing shows that this server is at fault.
+            guard.settle(TicketOutcome::Abandoned);
+            return None;
+        }
+        Some(Err(InvalidBody::TooLarge(reason))) => {
+            let sent_at = guard.ticket().acquired_at;
+            job.log_failed_send(&guard, "too large", sent_at, &reason);
+            guard.settle(TicketOutcome::Failed);
+            return None;
+        }
+        Some(Err(InvalidBody::BrokenOff(reason))) => {
             let sent_at = guard.ticket().acquired_at;
             job.log_failed_send(&guard, "broke off", sent_at, &reason);
             crash::check_first(job, &guard).await;
@@ -177,19 +188,34 @@
     Some(caller_response(&head, body))
 }
 
+/// Why the body of a response can't be passed on.
+enum InvalidBody {
+    /// The connection ended before the body did.
+    BrokenOff(String),
+    /// The server sent more than a response may have. It has not crashed.
+    TooLarge(String),
+    /// The memory for responses is used up.
+    NoMemory,
+}
+
 /// Returns the bytes of a body, or why it is not whole. Without a length, a server that stops
 /// after the head can't be told from one that has sent an empty body, which servers state.
 fn whole_body(
     job: &Job,
     head: &response::Parts,
     framing: BodyFraming,
-    body: Result<Bytes, ReadBodyError<hyper::Error>>,
-) -> Result<Bytes, String> {
-    let body = body.map_err(|error| error.to_string())?;
+    body: Result<Bytes, ReadResponseError>,
+) -> Result<Bytes, InvalidBody> {
+    let body = body.map_err(|error| match error {
+        ReadResponseError::Broken(error) => InvalidBody::BrokenOff(error.to_string()),
+        ReadResponseError::TooLarge(error) => InvalidBody::TooLarge(error.to_string()),
+        ReadResponseError::NoMemory(_) => InvalidBody::NoMemory,
+    })?;
     let has_body = job.outgoing.method != Method::HEAD
         && ![StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status);
     if body.is_empty() && has_body && framing == BodyFraming::UntilClose {
-        return Err("the connection ended after the head".to_owned());
+        let reason = "the connection ended after the head".to_owned();
+        return Err(InvalidBody::BrokenOff(reason));
     }
     Ok(body)
 }
--- a/crates/daemon/src/gateway/host.rs
+++ b/crates/daemon/src/gateway/host.rs
@@ -32,7 +32,7 @@
 
 use super::{
     GatewaySettings, caller_account::CallerAccount, closing::Closing, metrics::GatewayMetrics,
-    peer_forwarding::PeerConnections,
+    peer_forwarding::PeerConnections, response_memory::ResponseMemory,
 };
 use crate::clock::Clock;
 
@@ -116,6 +116,8 @@
     drain_began: Notify,
     /// What callers and peers occupy in this process.
     pub(super) callers: Arc<CallerAccount>,
+    /// What responses occupy in this process while they are received.
+    pub(super) responses: Arc<ResponseMemory>,
     /// Closes the connections of callers and peers.
     pub(super) closing: Closing,
     /// Whether the process exits now, even if requests are still open.
@@ -215,6 +217,7 @@
         let seed = crate::clock::incarnation().0;
         let mut gateway = Gateway::new(settings.gateway_config(), seed);
         gateway.set_failure_domain(settings.node.failure_domain.clone());
+        let callers = Arc::new(CallerAccount::new(settings.limits));
         Self {
             gateway: Mutex::new(gateway),
             waiters: Mutex::default(),
@@ -229,7 +232,8 @@
             report_delay_ms: AtomicU64::new(0),
             clock: Clock::start(),
             store: StoreClient::new(settings.store.address),
-            callers: Arc::new(CallerAccount::new(settings.limits)),
+            responses: Arc::new(ResponseMemory::new(settings.limits, callers.clone())),
+            callers,
             settings,
             metrics: GatewayMetrics::default(),
             drain_started: OnceLock::new(),
--- a/crates/daemon/src/gateway/metrics.rs
+++ b/crates/daemon/src/gateway/metrics.rs
@@ -229,6 +229,17 @@
     let mut gauge = |name: &str, help: &str, value: i64| {
         registry.register(name, help, ConstGauge::new(value));
     };
+    let (response_bytes, response_bound) = host.responses.usage();
+    gauge(
+        "response_bytes",
+        "Bytes of responses that are being received from servers",
+        response_bytes as i64,
+    );
+    gauge(
+        "response_bytes_bound",
+        "Bytes that responses being received may take",
+        response_bound as i64,
+    );
     let (bounds, held, connections) = host.callers.usage();
     gauge(
         "caller_bytes",
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 mod peers;
 mod placer;
 mod relay;
+mod response_memory;
 mod settings;
 mod shutdown;
 mod store_sync;
