fix(gateway): split events in linear time and yield to other requests

Cause: the end of an event was searched for as LF LF and as CR LF CR LF, the second time through all bytes that were left. The work grew with the square of what one read brings, up to 408 KB, and all its events were handled without a pause on the only thread. It isn't about blank lines: comments, events that the caller has had and sound short events do the same, lines that never end an event don't.

Change: EventSplitter keeps where the current line begins and looks at each byte once. It is also used by the reader of events of callers' programs, which searched its whole buffer after each read. A stream yields after 256 events, and a connection to a server reads 32 KiB at once. Lines may end with LF and CR LF in turn.

--- a/crates/client/src/http1.rs
+++ b/crates/client/src/http1.rs
@@ -16,6 +16,10 @@
 use socket2::SockRef;
 use tokio::{net::TcpStream, task::JoinHandle};
 
+/// Largest size of the buffer into which a connection reads, in bytes. It bounds the head of
+/// a response, and the bytes of a body that are handled at once.
+const MAX_READ_BYTES: usize = 32 * 1024;
+
 /// Error of a connection, or of a request sent on it.
 #[derive(Debug, thiserror::Error)]
 pub enum ConnectionError {
@@ -137,7 +141,9 @@
         SockRef::from(&stream)
             .set_tcp_user_timeout(Some(timeouts.unacknowledged))
             .map_err(|e| connect_error(e.to_string()))?;
-        let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = hyper::client::conn::http1::Builder::new()
+            .max_buf_size(MAX_READ_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| connect_error(e.to_string()))?;
         // Errors of the connection are also returned by the request in
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -7,12 +7,14 @@
 
 mod body;
 mod caller;
+mod events;
 mod http1;
 mod json;
 mod sse;
 
 pub use body::{BodyBuffer, BodyTooLarge, ReadBodyError, read_body};
 pub use caller::{Answer, Caller, CallerError, RequestOptions};
+pub use events::{EventSplitter, InvalidEvents};
 pub use http1::{BodyFraming, Connection, ConnectionError, ConnectionTimeouts, Driver};
 pub use json::{HttpError, JsonClient, MAX_BODY_BYTES};
 pub use sse::{Event, EventReader};
--- a/crates/client/src/sse.rs
+++ b/crates/client/src/sse.rs
@@ -1,10 +1,9 @@
 //! Reads server-sent events from the body of a response.
 
-use bytes::BytesMut;
 use http_body_util::BodyExt;
 use volo_http::body::Body;
 
-use crate::json::HttpError;
+use crate::{events::EventSplitter, json::HttpError};
 
 /// Maximum size of an event in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
@@ -22,7 +21,7 @@
 #[derive(Debug)]
 pub struct EventReader {
     body: Body,
-    buf: BytesMut,
+    splitter: EventSplitter,
 }
 
 impl EventReader {
@@ -30,7 +29,7 @@
     pub fn new(body: Body) -> Self {
         Self {
             body,
-            buf: BytesMut::new(),
+            splitter: EventSplitter::new(MAX_EVENT_BYTES),
         }
     }
 
@@ -39,20 +38,15 @@
     /// # Errors
     ///
     /// Returns an error if the connection breaks, if the body ends inside an
-    /// event, or if an event is too long or isn't UTF-8 text.
+    /// event, or if an event is invalid, too long or isn't UTF-8 text.
     pub async fn next(&mut self) -> Result<Option<Event>, HttpError> {
         loop {
-            if let Some(end) = find_event_end(&self.buf) {
-                let raw = self.buf.split_to(end + 2);
+            let event = self.splitter.next_event();
+            if let Some(raw) = event.map_err(|e| HttpError::Malformed(e.to_string()))? {
                 return parse_event(&raw).map(Some);
             }
-            if self.buf.len() > MAX_EVENT_BYTES {
-                return Err(HttpError::Malformed(
-                    "an event exceeds the size limit".to_owned(),
-                ));
-            }
             match self.body.frame().await {
-                None if self.buf.is_empty() => return Ok(None),
+                None if self.splitter.is_empty() => return Ok(None),
                 None => {
                     return Err(HttpError::NoResponse(
                         "the body ended inside an event".to_owned(),
@@ -61,7 +55,7 @@
                 Some(Err(e)) => return Err(HttpError::NoResponse(e.to_string())),
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
-                        self.buf.extend_from_slice(&data);
+                        self.splitter.push(&data);
                     }
                 }
             }
@@ -69,10 +63,6 @@
     }
 }
 
-fn find_event_end(buf: &[u8]) -> Option<usize> {
-    buf.windows(2).position(|pair| pair == b"\n\n")
-}
-
 fn parse_event(raw: &[u8]) -> Result<Event, HttpError> {
     let text = std::str::from_utf8(raw).map_err(|e| HttpError::Malformed(e.to_string()))?;
     let mut event = Event {
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -13,7 +13,7 @@
 use http::{HeaderMap, Response, header, response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use radishhaven_client::{BodyFraming, Driver};
+use radishhaven_client::{BodyFraming, Driver, EventSplitter};
 use radishhaven_core::{
     gateway::{RouteKind, TicketOutcome, admission::RequestSource, stall::StallAction},
     ids::VmId,
@@ -25,7 +25,7 @@
 use super::{
     body::{Body, BodyError},
     crash,
-    events::{EventSplitter, InvalidStream, event_id, is_newer},
+    events::{InvalidStream, MAX_EVENT_BYTES, event_id, is_newer},
     exchange::BackendResponse,
     forward::log_answered,
     host::TicketGuard,
@@ -41,6 +41,8 @@
 /// Delay before an unresponsive stream that could not be resumed is checked
 /// again.
 const SILENCE_RECHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Largest number of events that a stream handles before other tasks run.
+const MAX_EVENTS_PER_TURN: u32 = 256;
 
 /// Returns whether the connection broke because of the bytes that arrived, and
 /// not because it was closed.
@@ -91,6 +93,8 @@
     resumable: bool,
     resume_count: u32,
     event_count: u64,
+    /// Whether events may be left that were received, since other tasks are to run first.
+    is_turn_over: bool,
     ended: bool,
 }
 
@@ -110,7 +114,7 @@
         status,
         media_type,
         framing: response.framing,
-        splitter: EventSplitter::default(),
+        splitter: EventSplitter::new(MAX_EVENT_BYTES),
         last_received: now,
         last_recorded: now,
         has_events: false,
@@ -122,6 +126,7 @@
         resumable,
         resume_count: 0,
         event_count: 0,
+        is_turn_over: false,
         ended: false,
     };
     let frames = stream::unfold(relay, |mut relay| async move {
@@ -140,11 +145,15 @@
             if self.ended {
                 return None;
             }
+            if std::mem::take(&mut self.is_turn_over) {
+                tokio::task::yield_now().await;
+            }
             let host = self.job.host.clone();
             let quarantine_changed = host.quarantine_changed.notified();
             let now = host.now();
             match self.complete_events(now) {
                 Ok(Some(events)) => return Some(Ok(events)),
+                Ok(None) if self.is_turn_over => continue,
                 Ok(None) => {}
                 Err(error) => {
                     if let Some(error) = self.handle_invalid(error).await {
@@ -254,7 +263,8 @@
         }
     }
 
-    /// Returns all complete events that were received and not yet forwarded.
+    /// Returns complete events that were received and not yet forwarded, as many as one
+    /// turn may handle.
     ///
     /// # Errors
     ///
@@ -263,12 +273,16 @@
         let mut events = BytesMut::new();
         let mut received = 0;
         loop {
+            if received == MAX_EVENTS_PER_TURN {
+                self.is_turn_over = true;
+                break;
+            }
             let event = match self.splitter.next_event() {
                 Ok(Some(event)) => event,
                 Ok(None) => break,
                 // The events before the invalid bytes are forwarded first.
                 Err(_) if !events.is_empty() => break,
-                Err(error) => return Err(error),
+                Err(error) => return Err(error.into()),
             };
             received += 1;
             let id = event_id(&event);
