fix(gateway): only new events are progress of a stream

What callers saw: an engine that sends blank lines, comments, fields without data or events that the caller has had, without end, kept its stream: all of them but the last were passed on, and each reset the time after which a silent stream is moved.

Change: an event has a field with data. Other bytes go to the caller with the event that follows them, or at the end of a complete stream, so a sound body is passed on as it came. A comment still shows that the server is alive, as long as the route's callers wait for an event (2 s, four target latencies or eight target gaps); a node that serves the stream for a peer passes comments on to it at once.

--- a/crates/client/src/events.rs
+++ b/crates/client/src/events.rs
@@ -15,20 +15,29 @@
 
 /// Splits bytes into server-sent events, however they are divided when they arrive. Each
 /// byte is looked at a fixed number of times.
+///
+/// A blank line ends an event if a field with data is before it. Other bytes, such as
+/// comments, belong to the event that follows them.
 #[derive(Debug)]
 pub struct EventSplitter {
     max_event_bytes: usize,
     buf: BytesMut,
-    /// Number of bytes at the start of `buf` that are complete lines of an event.
+    /// Number of bytes at the start of `buf` that are complete lines.
     line_start: usize,
     /// Number of bytes at the start of `buf` behind which the end of a line is looked for.
     scanned: usize,
-    /// Whether one of the complete lines is a field.
+    /// Whether a field follows the last blank line.
     has_field: bool,
+    /// Whether a field with data follows the last event.
+    has_data: bool,
+    /// Bytes before the next event that were taken already.
+    taken: usize,
+    has_comment: bool,
 }
 
 impl EventSplitter {
-    /// Creates a splitter of events that have at most `max_event_bytes` bytes.
+    /// Creates a splitter of events that have at most `max_event_bytes` bytes, with those
+    /// that have arrived since the event before.
     pub fn new(max_event_bytes: usize) -> Self {
         Self {
             max_event_bytes,
@@ -36,6 +45,9 @@
             line_start: 0,
             scanned: 0,
             has_field: false,
+            has_data: false,
+            taken: 0,
+            has_comment: false,
         }
     }
 
@@ -55,24 +67,26 @@
             let unread = &self.buf[self.scanned..];
             let Some(length) = unread.iter().position(|b| *b == b'\n') else {
                 self.scanned = self.buf.len();
-                return match self.buf.len() > self.max_event_bytes {
+                return match self.taken + self.buf.len() > self.max_event_bytes {
                     true => Err(InvalidEvents::TooLong),
                     false => Ok(None),
                 };
             };
             let end = self.scanned + length + 1;
-            if end > self.max_event_bytes {
+            if self.taken + end > self.max_event_bytes {
                 return Err(InvalidEvents::TooLong);
             }
             let line = Line::parse(&self.buf[self.line_start..end]);
             match line.ok_or(InvalidEvents::NoEvent)? {
-                Line::Blank => {
+                Line::Blank if self.has_data => {
                     let event = self.buf.split_to(end).freeze();
                     self.restart();
                     return Ok(Some(event));
                 }
-                Line::Comment => {}
+                Line::Blank => self.has_field = false,
+                Line::Comment => self.has_comment = true,
                 Line::Field => self.has_field = true,
+                Line::Data => (self.has_field, self.has_data) = (true, true),
             }
             (self.line_start, self.scanned) = (end, end);
         }
@@ -84,6 +98,23 @@
         self.has_field || self.line_start < self.buf.len()
     }
 
+    /// Returns whether a comment has arrived since the last event and the last call.
+    pub fn take_comment(&mut self) -> bool {
+        std::mem::take(&mut self.has_comment)
+    }
+
+    /// Takes the complete lines that belong to no event so far.
+    pub fn take_idle_lines(&mut self) -> Bytes {
+        if self.has_field || self.has_data {
+            return Bytes::new();
+        }
+        let lines = self.buf.split_to(self.line_start).freeze();
+        self.taken += lines.len();
+        self.scanned -= lines.len();
+        self.line_start = 0;
+        lines
+    }
+
     /// Returns whether no bytes are left.
     pub fn is_empty(&self) -> bool {
         self.buf.is_empty()
@@ -107,7 +138,8 @@
     }
 
     fn restart(&mut self) {
-        (self.line_start, self.scanned, self.has_field) = (0, 0, false);
+        (self.line_start, self.scanned, self.taken) = (0, 0, 0);
+        (self.has_field, self.has_data, self.has_comment) = (false, false, false);
     }
 }
 
@@ -116,6 +148,7 @@
     Blank,
     Comment,
     Field,
+    Data,
 }
 
 impl Line {
@@ -129,6 +162,7 @@
         match name {
             [] if line.is_empty() => Some(Self::Blank),
             [] => Some(Self::Comment),
+            b"data" => Some(Self::Data),
             name => name.iter().all(is_name_byte).then_some(Self::Field),
         }
     }
--- a/crates/core/src/gateway/config.rs
+++ b/crates/core/src/gateway/config.rs
@@ -6,6 +6,9 @@
 
 use crate::ids::{FailureDomain, OrganisationId, Priority, ServiceId};
 
+/// Shortest time without an event after which callers give a stream up.
+const MIN_CALLER_PATIENCE: Duration = Duration::from_secs(2);
+
 /// One version of the configuration. It replaces the previous version as a
 /// whole.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -99,6 +102,16 @@
     pub split: Vec<(ServiceId, u32)>,
 }
 
+impl Route {
+    /// Returns the time without an event after which callers give a stream up: the longest
+    /// of two seconds, four times the target latency and eight times the target gap.
+    pub fn caller_patience(&self) -> Duration {
+        let gap = self.target_gap.unwrap_or_default();
+        let patience = (self.target_latency * 4).max(gap * 8);
+        patience.max(MIN_CALLER_PATIENCE)
+    }
+}
+
 /// A service in the configuration.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Service {
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -25,7 +25,7 @@
 use super::{
     body::{Body, BodyError},
     crash,
-    events::{InvalidStream, MAX_EVENT_BYTES, event_id, is_newer},
+    events::{InvalidStream, MAX_EVENT_BYTES, MAX_REPEATED_BYTES, event_id, is_newer},
     exchange::BackendResponse,
     forward::log_answered,
     host::TicketGuard,
@@ -75,8 +75,12 @@
     /// How the current engine shows the end of the stream.
     framing: BodyFraming,
     splitter: EventSplitter,
-    /// When an event was last received. Other bytes are no progress.
+    /// When a new event was last received. Other bytes are no progress.
     last_received: Timestamp,
+    /// When a comment was last received, with which a server keeps the connection open.
+    last_comment: Option<Timestamp>,
+    /// Bytes of events since the last new one, which the caller has received already.
+    repeated_bytes: usize,
     /// When progress was last recorded.
     last_recorded: Timestamp,
     has_events: bool,
@@ -116,6 +120,8 @@
         framing: response.framing,
         splitter: EventSplitter::new(MAX_EVENT_BYTES),
         last_received: now,
+        last_comment: None,
+        repeated_bytes: 0,
         last_recorded: now,
         has_events: false,
         has_events_of_run: false,
@@ -223,12 +229,24 @@
         match &self.guard {
             Some(guard) if self.resumable => {
                 self.job
-                    .check_silence(guard, now.since(self.last_received), self.has_events)
+                    .check_silence(guard, self.silence(now), self.has_events)
             }
             _ => StallAction::Wait(self.job.remaining()),
         }
     }
 
+    /// Returns the time since the server was last heard. Comments count as long as the caller
+    /// waits for an event.
+    fn silence(&self, now: Timestamp) -> Duration {
+        let without_event = now.since(self.last_received);
+        match self.last_comment {
+            Some(at) if without_event < self.job.routed.route.caller_patience() => {
+                without_event.min(now.since(at))
+            }
+            _ => without_event,
+        }
+    }
+
     /// Records once that the request can be answered.
     fn record_answered(&mut self, now: Timestamp) {
         if !std::mem::replace(&mut self.is_answered, true) {
@@ -271,9 +289,9 @@
     /// Returns an error if the received bytes are not events.
     fn complete_events(&mut self, now: Timestamp) -> Result<Option<Bytes>, InvalidStream> {
         let mut events = BytesMut::new();
-        let mut received = 0;
+        let mut handled = 0;
         loop {
-            if received == MAX_EVENTS_PER_TURN {
+            if handled == MAX_EVENTS_PER_TURN {
                 self.is_turn_over = true;
                 break;
             }
@@ -284,18 +302,31 @@
                 Err(_) if !events.is_empty() => break,
                 Err(error) => return Err(error.into()),
             };
-            received += 1;
+            handled += 1;
             let id = event_id(&event);
             if self.resumable && !is_newer(self.job.last_event.as_deref(), id) {
+                self.repeated_bytes += event.len();
+                if self.repeated_bytes > MAX_REPEATED_BYTES && events.is_empty() {
+                    return Err(InvalidStream::Repeated);
+                }
                 continue;
             }
+            self.repeated_bytes = 0;
             if let Some(id) = id {
                 self.job.last_event = Some(id.to_owned());
             }
             self.event_count += 1;
             events.extend_from_slice(&event);
         }
-        if received > 0 {
+        let is_new = !events.is_empty();
+        if self.splitter.take_comment() {
+            self.last_comment = Some(now);
+            if self.job.source == RequestSource::Peer {
+                // The sender shall know that the stream goes on.
+                events.extend_from_slice(&self.splitter.take_idle_lines());
+            }
+        }
+        if is_new {
             // The first events may precede a crash.
             if self.has_events_of_run {
                 self.goes_on = true;
@@ -450,7 +481,8 @@
             self.driver = response.driver;
             let now = self.job.host.now();
             self.longest_gap = self.longest_gap.max(now.since(self.last_received));
-            self.last_received = now;
+            (self.last_received, self.last_comment) = (now, None);
+            self.repeated_bytes = 0;
             self.guard = Some(guard);
             self.job.host.metrics.resumed.inc();
         }
