--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -130,7 +130,7 @@
         }
         ResponseHead::Misdirected { engine } => SendOutcome::Misdirected(engine),
         ResponseHead::Untrusted => {
-            SendOutcome::Unknown(format!("an unsigned answer with status {}", head.status))
+            SendOutcome::Unknown(format!("an untrusted answer with status {}", head.status))
         }
     }
 }
