fix(client): end responses that go on without a body

What callers saw: a server that sends sizes of chunks padded without end, chunks of one byte or interim responses holds its request until the deadline (504), and takes as much of the processor as it sends.

Cause: only bytes of the body were limited. The HTTP library limits heads, trailers and extensions of chunks, but not what it skips around a body.

Change: a connection to a server may receive 256 KiB in a row that are no body of a response, and on average as many as of the body; then it fails as malformed, at all users of the connection: requests, orders and the store. It also lets other tasks run after 64 KiB. A malformed response of a plain server is no longer looked at as the sign of a crash.

--- a/crates/client/src/http1.rs
+++ b/crates/client/src/http1.rs
@@ -11,11 +11,13 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::Full;
-use hyper::{body::Incoming, client::conn::http1::SendRequest};
+use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::{net::TcpStream, task::JoinHandle};
 
+use crate::received::{Allowance, LimitedStream, ResponseBody};
+
 /// Largest size of the buffer into which a connection reads, in bytes. It bounds the head of
 /// a response, and the bytes of a body that are handled at once.
 const MAX_READ_BYTES: usize = 32 * 1024;
@@ -104,6 +106,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: Driver,
+    allowance: Allowance,
 }
 
 /// The task that reads and writes a connection. Dropping it closes the
@@ -141,6 +144,8 @@
         SockRef::from(&stream)
             .set_tcp_user_timeout(Some(timeouts.unacknowledged))
             .map_err(|e| connect_error(e.to_string()))?;
+        let allowance = Allowance::default();
+        let stream = LimitedStream::new(stream, allowance.clone());
         let (sender, connection) = hyper::client::conn::http1::Builder::new()
             .max_buf_size(MAX_READ_BYTES)
             .handshake(TokioIo::new(stream))
@@ -151,7 +156,11 @@
         let driver = Driver(tokio::spawn(async move {
             let _ = connection.await;
         }));
-        Ok(Self { sender, driver })
+        Ok(Self {
+            sender,
+            driver,
+            allowance,
+        })
     }
 
     /// Returns whether the connection can still send a request.
@@ -168,9 +177,11 @@
     pub async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, ConnectionError> {
+    ) -> Result<Response<ResponseBody>, ConnectionError> {
         self.sender.ready().await?;
-        Ok(self.sender.send_request(req).await?)
+        self.allowance.restart();
+        let resp = self.sender.send_request(req).await?;
+        Ok(resp.map(|body| ResponseBody::new(body, self.allowance.clone())))
     }
 
     /// Returns the driver, which keeps the connection open until the body of a
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -10,6 +10,7 @@
 mod events;
 mod http1;
 mod json;
+mod received;
 mod sse;
 
 pub use body::{BodyBuffer, BodyTooLarge, ReadBodyError, read_body};
@@ -17,4 +18,5 @@
 pub use events::{EventSplitter, InvalidEvents};
 pub use http1::{BodyFraming, Connection, ConnectionError, ConnectionTimeouts, Driver};
 pub use json::{HttpError, JsonClient, MAX_BODY_BYTES};
+pub use received::ResponseBody;
 pub use sse::{Event, EventReader};
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -1,12 +1,13 @@
 //! Sends one request to one target and reads the head of the response.
 
-use std::time::Duration;
+use std::{io::ErrorKind, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri, response};
 use http_body_util::Full;
-use hyper::body::Incoming;
-use radishhaven_client::{BodyFraming, Connection, ConnectionError, ConnectionTimeouts, Driver};
+use radishhaven_client::{
+    BodyFraming, Connection, ConnectionError, ConnectionTimeouts, Driver, ResponseBody,
+};
 use radishhaven_core::{
     gateway::{Target, links::ConnectFailure},
     ids::{OrganisationId, Priority},
@@ -48,7 +49,7 @@
     /// Status and headers.
     pub(super) head: response::Parts,
     /// The body.
-    pub(super) body: Incoming,
+    pub(super) body: ResponseBody,
     /// How the response shows the end of its body.
     pub(super) framing: BodyFraming,
     /// Drives the connection, which closes when this is dropped. Connections to
@@ -142,3 +143,16 @@
     };
     SendOutcome::Unreachable(failure, error.to_string())
 }
+
+/// Returns whether the connection broke because of the bytes that arrived, and
+/// not because it was closed.
+pub(super) fn is_malformed(error: &hyper::Error) -> bool {
+    let source = std::error::Error::source(error);
+    let io_error = source.and_then(|source| source.downcast_ref::<std::io::Error>());
+    io_error.is_some_and(|error| {
+        matches!(
+            error.kind(),
+            ErrorKind::InvalidInput | ErrorKind::InvalidData
+        )
+    })
+}
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -13,7 +13,7 @@
 use super::{
     body::{Body, full, text_response},
     crash,
-    exchange::BackendResponse,
+    exchange::{BackendResponse, is_malformed},
     host::{AdmissionOutcome, TicketGuard},
     job::{Attempt, Job},
     relay,
@@ -148,9 +148,9 @@
             guard.settle(TicketOutcome::Abandoned);
             return None;
         }
-        Some(Err(InvalidBody::TooLarge(reason))) => {
+        Some(Err(InvalidBody::Malformed(reason))) => {
             let sent_at = guard.ticket().acquired_at;
-            job.log_failed_send(&guard, "too large", sent_at, &reason);
+            job.log_failed_send(&guard, "malformed", sent_at, &reason);
             guard.settle(TicketOutcome::Failed);
             return None;
         }
@@ -192,8 +192,8 @@
 enum InvalidBody {
     /// The connection ended before the body did.
     BrokenOff(String),
-    /// The server sent more than a response may have. It has not crashed.
-    TooLarge(String),
+    /// The server sent bytes that are no response, or too many. It has not crashed.
+    Malformed(String),
     /// The memory for responses is used up.
     NoMemory,
 }
@@ -207,8 +207,11 @@
     body: Result<Bytes, ReadResponseError>,
 ) -> Result<Bytes, InvalidBody> {
     let body = body.map_err(|error| match error {
+        ReadResponseError::Broken(error) if is_malformed(&error) => {
+            InvalidBody::Malformed(error.to_string())
+        }
         ReadResponseError::Broken(error) => InvalidBody::BrokenOff(error.to_string()),
-        ReadResponseError::TooLarge(error) => InvalidBody::TooLarge(error.to_string()),
+        ReadResponseError::TooLarge(error) => InvalidBody::Malformed(error.to_string()),
         ReadResponseError::NoMemory(_) => InvalidBody::NoMemory,
     })?;
     let has_body = job.outgoing.method != Method::HEAD
--- a/crates/daemon/src/gateway/peer_forwarding/client.rs
+++ b/crates/daemon/src/gateway/peer_forwarding/client.rs
@@ -174,7 +174,7 @@
     if let ResponseHead::Executed = backend_response::decode(&head, attempt_id) {
         return SendOutcome::Responded(Box::new(BackendResponse {
             head,
-            body,
+            body: body.into(),
             framing: BodyFraming::EndStream,
             driver: None,
         }));
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -6,14 +6,14 @@
 //! doesn't show that the stream is complete: a connection that ends a body without
 //! a length also ends when its engine fails.
 
-use std::{io::ErrorKind, sync::atomic::Ordering, time::Duration};
+use std::{sync::atomic::Ordering, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
 use http::{HeaderMap, Response, header, response};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
-use radishhaven_client::{BodyFraming, Driver, EventSplitter};
+use hyper::body::Frame;
+use radishhaven_client::{BodyFraming, Driver, EventSplitter, ResponseBody};
 use radishhaven_core::{
     gateway::{RouteKind, TicketOutcome, admission::RequestSource, stall::StallAction},
     ids::VmId,
@@ -26,7 +26,7 @@
     body::{Body, BodyError},
     crash,
     events::{InvalidStream, MAX_EVENT_BYTES, MAX_REPEATED_BYTES, event_id, is_newer},
-    exchange::BackendResponse,
+    exchange::{BackendResponse, is_malformed},
     forward::log_answered,
     host::TicketGuard,
     job::{Attempt, Job},
@@ -44,19 +44,6 @@
 /// Largest number of events that a stream handles before other tasks run.
 const MAX_EVENTS_PER_TURN: u32 = 256;
 
-/// Returns whether the connection broke because of the bytes that arrived, and
-/// not because it was closed.
-fn is_malformed(error: &hyper::Error) -> bool {
-    let source = std::error::Error::source(error);
-    let io_error = source.and_then(|source| source.downcast_ref::<std::io::Error>());
-    io_error.is_some_and(|error| {
-        matches!(
-            error.kind(),
-            ErrorKind::InvalidInput | ErrorKind::InvalidData
-        )
-    })
-}
-
 /// Returns the media type of a response in lower case, without its parameters.
 fn media_type(headers: &HeaderMap) -> Option<String> {
     let value = headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
@@ -67,7 +54,7 @@
 struct StreamRelay {
     job: Job,
     guard: Option<TicketGuard>,
-    body: Incoming,
+    body: ResponseBody,
     driver: Option<Driver>,
     status: http::StatusCode,
     /// The media type of the first engine's response.
--- a/crates/daemon/src/gateway/response_memory.rs
+++ b/crates/daemon/src/gateway/response_memory.rs
@@ -8,8 +8,7 @@
 
 use http_body::Body as _;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
-use radishhaven_client::{BodyBuffer, BodyTooLarge};
+use radishhaven_client::{BodyBuffer, BodyTooLarge, ResponseBody};
 use radishhaven_core::gateway::response_usage::{
     ResponseFit, ResponseId, ResponseSize, ResponseUsage,
 };
@@ -94,7 +93,7 @@
     /// Returns an error if the body breaks off, or if there is no memory for it.
     pub(super) async fn read(
         self: &Arc<Self>,
-        mut body: Incoming,
+        mut body: ResponseBody,
     ) -> Result<bytes::Bytes, ReadResponseError> {
         let stated = body.size_hint().exact();
         if stated.is_some_and(|size| size > MAX_RESPONSE_BYTES as u64) {
