fix(gateway): count the unfinished events of streams

An event may have 256 KiB, and each stream may stop within one: 240 of them take a node of 64 MB to 124 MB.

Cause: a stream counted only as a connection, though it keeps the event that it has not received whole.

Change: the buffer of a stream counts to the bound of responses that are being received. A stream that is ended so is resumed elsewhere like a broken one, and its server isn't blamed.

--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -15,7 +15,10 @@
 use hyper::body::Frame;
 use radishhaven_client::{BodyFraming, Driver, EventSplitter, ResponseBody};
 use radishhaven_core::{
-    gateway::{RouteKind, TicketOutcome, admission::RequestSource, stall::StallAction},
+    gateway::{
+        RouteKind, TicketOutcome, admission::RequestSource, response_usage::ResponseSize,
+        stall::StallAction,
+    },
     ids::VmId,
     time::Timestamp,
 };
@@ -30,6 +33,7 @@
     forward::log_answered,
     host::TicketGuard,
     job::{Attempt, Job},
+    response_memory::ReceivedResponse,
 };
 
 /// Interval at which progress of a stream is recorded for its engines. Events
@@ -62,6 +66,8 @@
     /// How the current engine shows the end of the stream.
     framing: BodyFraming,
     splitter: EventSplitter,
+    /// Counts the bytes of an unfinished event.
+    received: ReceivedResponse,
     /// When a new event was last received. Other bytes are no progress.
     last_received: Timestamp,
     /// When a comment was last received, with which a server keeps the connection open.
@@ -96,6 +102,7 @@
     let status = response.head.status;
     let media_type = media_type(&response.head.headers);
     job.runs += 1;
+    let received = job.host.responses.open(ResponseSize::Open);
     let resumable = job.routed.route.kind == RouteKind::Streaming { resumable: true };
     let relay = StreamRelay {
         job,
@@ -106,6 +113,7 @@
         media_type,
         framing: response.framing,
         splitter: EventSplitter::new(MAX_EVENT_BYTES),
+        received,
         last_received: now,
         last_comment: None,
         repeated_bytes: 0,
@@ -181,6 +189,12 @@
             let wait = wait.min(self.job.remaining());
             let received = tokio::select! {
                 received = tokio::time::timeout(wait, self.body.frame()) => received,
+                () = self.received.ended() => {
+                    if let Some(error) = self.handle_no_memory().await {
+                        return Some(Err(error));
+                    }
+                    continue;
+                }
                 () = quarantine_changed, if !self.has_events_of_run => continue,
             };
             match received {
@@ -189,6 +203,11 @@
                     if let Ok(data) = frame.into_data() {
                         self.splitter.push(&data);
                     }
+                    if self.received.resize(self.splitter.capacity()).is_err()
+                        && let Some(error) = self.handle_no_memory().await
+                    {
+                        return Some(Err(error));
+                    }
                 }
                 Ok(None) => match self.premature_end() {
                     Some(reason) => {
@@ -403,6 +422,22 @@
         self.handle_disconnect(&error.to_string()).await
     }
 
+    /// Handles an unfinished event for which there is no memory: the connection is closed,
+    /// and the stream is resumed elsewhere. Nothing shows that the server is at fault.
+    /// Returns an error if it can't be resumed.
+    async fn handle_no_memory(&mut self) -> Option<BodyError> {
+        self.driver = None;
+        self.splitter.clear();
+        self.received = self.job.host.responses.open(ResponseSize::Open);
+        if let Some(guard) = self.guard.take() {
+            let sent_at = guard.ticket().acquired_at;
+            self.job.log_failed_send(&guard, "no memory", sent_at, "");
+            guard.settle(TicketOutcome::Abandoned);
+        }
+        self.handle_disconnect("no memory is left for an event")
+            .await
+    }
+
     /// Handles an interrupted connection. Returns an error if the stream can't
     /// be resumed.
     async fn handle_disconnect(&mut self, reason: &str) -> Option<BodyError> {
