fix(gateway): look at the lease before each order to an engine

Cause: the lease was read once for a list of orders. A refused token dropped the lease, but not the list; and a join that was on its way could bring the same token back.

Change: the lease is read before each order, and its current token is used. After a refusal only the response to a join that was sent later grants it again.

--- a/crates/daemon/src/gateway/host.rs
+++ b/crates/daemon/src/gateway/host.rs
@@ -66,6 +66,8 @@
     pub last_hub_contact: Option<Timestamp>,
     /// The lease for orders to engines, if this node holds it.
     pub order_lease: Option<OrderLease>,
+    /// The last token that an engine has refused, and when.
+    pub refused_token: Option<(FencingToken, Timestamp)>,
 }
 
 /// The right to send orders to engines.
@@ -279,6 +281,16 @@
         lease.filter(|lease| now < lease.until && lease.era == era)
     }
 
+    /// Gives up the lease whose token an engine has refused. Another node holds the lease,
+    /// unless the store grants it again in answer to a later call.
+    pub(super) fn record_refused_token(&self, token: FencingToken) {
+        let mut peers = lock(&self.peers);
+        peers.refused_token = Some((token, self.now()));
+        if peers.order_lease.is_some_and(|lease| lease.token <= token) {
+            peers.order_lease = None;
+        }
+    }
+
     /// Returns whether this node is a leaf: a hub reads the store for it.
     pub(super) fn is_leaf(&self) -> bool {
         matches!(lock(&self.peers).role, HubRole::Leaf { .. })
--- a/crates/daemon/src/gateway/members.rs
+++ b/crates/daemon/src/gateway/members.rs
@@ -82,7 +82,7 @@
         match members::join(&host.store, &name, &topics, generation, ttl, CALL_TIMEOUT).await {
             Ok(joined) => {
                 dependency.record_success(host.now());
-                update_lease(&host, &joined, sent + ttl.mul_f64(LEASE_FRACTION));
+                update_lease(&host, &joined, sent, ttl.mul_f64(LEASE_FRACTION));
                 let now = host.now();
                 let changed = (joined.era, joined.generation) != (era, generation);
                 (era, generation) = (joined.era, joined.generation);
@@ -108,18 +108,21 @@
     }
 }
 
-fn update_lease(host: &GatewayHost, joined: &Membership, until: Timestamp) {
+/// Updates the lease from the response to a join that was sent at `sent`.
+fn update_lease(host: &GatewayHost, joined: &Membership, sent: Timestamp, time: Duration) {
     let mut peers = lock(&host.peers);
     let previous = peers.order_lease.map(|lease| lease.token);
-    let era = joined.era;
-    peers.order_lease = joined
-        .order_token
-        .map(|token| OrderLease { token, until, era });
+    let (until, era) = (sent + time, joined.era);
+    let refused = peers.refused_token;
+    // The response may be older than the refusal.
+    let is_outdated = |token| refused.is_some_and(|(refused, at)| token <= refused && sent <= at);
+    let granted = joined.order_token.filter(|token| !is_outdated(*token));
+    peers.order_lease = granted.map(|token| OrderLease { token, until, era });
     drop(peers);
-    if previous != joined.order_token {
+    if previous != granted {
         info!("the lease for orders changed", kv: {
-            holds = joined.order_token.is_some(),
-            token = joined.order_token.map_or(0, |token| token.0),
+            holds = granted.is_some(),
+            token = granted.map_or(0, |token| token.0),
             generation = joined.generation,
         });
     }
--- a/crates/daemon/src/gateway/placer.rs
+++ b/crates/daemon/src/gateway/placer.rs
@@ -12,7 +12,7 @@
 use radishhaven_platform::engine::{self, OrderReply};
 use spdlog::prelude::*;
 
-use super::host::{GatewayHost, OrderLease, lock};
+use super::host::{GatewayHost, OrderLease};
 
 /// Interval at which the layers that engines hold are checked.
 const PLACEMENT_INTERVAL: Duration = Duration::from_millis(300);
@@ -25,13 +25,17 @@
     loop {
         interval.tick().await;
         let now = host.now();
-        let Some(OrderLease { token, .. }) = host.order_lease() else {
+        if host.order_lease().is_none() {
             orders.clear();
             continue;
-        };
+        }
         for (service, spec) in engine_services(&host) {
             let assignments = host.with_gateway(|g| orders.next(&spec, g.servers(), &service, now));
             for assignment in assignments {
+                // The lease may have ended during the orders before.
+                let Some(OrderLease { token, .. }) = host.order_lease() else {
+                    break;
+                };
                 send_order(&host, assignment, token, &mut orders).await;
             }
         }
@@ -83,9 +87,7 @@
         orders.record_conflict(now, &assignment.server);
     }
     if reply == Some(OrderReply::StaleToken) {
-        // Another node holds the lease; the next join returns the current
-        // holder.
-        lock(&host.peers).order_lease = None;
+        host.record_refused_token(token);
     }
     host.metrics.record_order(outcome);
     info!("an engine was told which layers to hold", kv: {
