fix(gateway): don't blame servers for requests that are at fault

Cause: servers refuse such a request with 400 and state that it has not run. Every such refusal counted as a full server, and four servers a request were left alone, longer with each refusal. A version of the model that no server has did the same through 421.

Change: 400, and 421 if the caller names a version, say nothing about the server's room. A request without an id is rejected with 400 before it is sent, as all servers refuse it.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -3,7 +3,7 @@
 use std::{io::ErrorKind, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Uri, response};
+use http::{HeaderMap, Method, Request, StatusCode, Uri, response};
 use http_body_util::Full;
 use radishhaven_client::{
     BodyFraming, Connection, ConnectionError, ConnectionTimeouts, Driver, ResponseBody,
@@ -65,6 +65,9 @@
     /// A server reported that the request was not run. The address is that of
     /// the server, if it was named.
     NotRun(Option<std::net::SocketAddr>, ServerNotices),
+    /// A server did not run the request, which is itself at fault. The address is that of
+    /// the server, if it was named.
+    Rejected(Option<std::net::SocketAddr>, StatusCode, ServerNotices),
     /// The request reached a server other than the intended one and was not
     /// run. The address is that of the server, if it was named.
     Misdirected(Option<std::net::SocketAddr>),
@@ -119,7 +122,8 @@
         Err(error) => return unreachable(&error),
     };
     let (head, body) = resp.into_parts();
-    match backend_response::decode(&head, &outgoing.attempt_id) {
+    let names_version = caller::names_version(&outgoing.headers);
+    match backend_response::decode(&head, &outgoing.attempt_id, names_version) {
         ResponseHead::Executed => SendOutcome::Responded(Box::new(BackendResponse {
             framing: BodyFraming::of(&head.headers),
             head,
@@ -129,6 +133,10 @@
         ResponseHead::NotRun { engine } => {
             SendOutcome::NotRun(engine, backend_response::decode_notices(&head))
         }
+        ResponseHead::Rejected { engine } => {
+            let notices = backend_response::decode_notices(&head);
+            SendOutcome::Rejected(engine, head.status, notices)
+        }
         ResponseHead::Misdirected { engine } => SendOutcome::Misdirected(engine),
         ResponseHead::Untrusted => {
             SendOutcome::Unknown(format!("an untrusted answer with status {}", head.status))
--- a/crates/daemon/src/gateway/ingress.rs
+++ b/crates/daemon/src/gateway/ingress.rs
@@ -126,6 +126,9 @@
             reason,
         )
     };
+    if caller_request.attempt_id.is_empty() {
+        return refuse(StatusCode::BAD_REQUEST, "the id of the attempt is missing");
+    }
     if head.method == Method::CONNECT {
         return refuse(StatusCode::METHOD_NOT_ALLOWED, "a tunnel is not forwarded");
     }
--- a/crates/daemon/src/gateway/job.rs
+++ b/crates/daemon/src/gateway/job.rs
@@ -239,6 +239,14 @@
                 self.log_failed_send(&guard, "not run", sent_at, &address_text(by));
                 guard.settle(TicketOutcome::Full { by });
             }
+            SendOutcome::Rejected(by, status, notices) => {
+                self.not_run += 1;
+                self.exclude_server(&guard, by);
+                self.record_notices(&guard, sent_at, by, notices);
+                self.log_failed_send(&guard, "rejected", sent_at, status.as_str());
+                // The server would have taken another request.
+                guard.settle(TicketOutcome::Abandoned);
+            }
             SendOutcome::Misdirected(by) => {
                 self.not_run += 1;
                 self.exclude_server(&guard, by);
--- a/crates/daemon/src/gateway/peer_forwarding/client.rs
+++ b/crates/daemon/src/gateway/peer_forwarding/client.rs
@@ -171,7 +171,7 @@
 
 fn decode(resp: Response<Incoming>, attempt_id: &str) -> SendOutcome {
     let (head, body) = resp.into_parts();
-    if let ResponseHead::Executed = backend_response::decode(&head, attempt_id) {
+    if let ResponseHead::Executed = backend_response::decode(&head, attempt_id, false) {
         return SendOutcome::Responded(Box::new(BackendResponse {
             head,
             body: body.into(),
