perf(gateway): count only unusually large events of streams

Cause: the memory of a stream's buffer was counted with each frame, which takes two locks; usual events are far below the 16 KiB that are never ended.

Change: a stream is counted once its buffer exceeds 16 KiB, and again when that changes.

--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -16,7 +16,9 @@
 use radishhaven_client::{BodyFraming, Driver, EventSplitter, ResponseBody};
 use radishhaven_core::{
     gateway::{
-        RouteKind, TicketOutcome, admission::RequestSource, response_usage::ResponseSize,
+        RouteKind, TicketOutcome,
+        admission::RequestSource,
+        response_usage::{ResponseSize, SMALL_RESPONSE_BYTES},
         stall::StallAction,
     },
     ids::VmId,
@@ -33,7 +35,7 @@
     forward::log_answered,
     host::TicketGuard,
     job::{Attempt, Job},
-    response_memory::ReceivedResponse,
+    response_memory::{NoResponseMemory, ReceivedResponse},
 };
 
 /// Interval at which progress of a stream is recorded for its engines. Events
@@ -66,8 +68,10 @@
     /// How the current engine shows the end of the stream.
     framing: BodyFraming,
     splitter: EventSplitter,
-    /// Counts the bytes of an unfinished event.
+    /// Counts the memory of an unfinished event.
     received: ReceivedResponse,
+    /// Memory that is counted, in bytes.
+    counted_bytes: usize,
     /// When a new event was last received. Other bytes are no progress.
     last_received: Timestamp,
     /// When a comment was last received, with which a server keeps the connection open.
@@ -114,6 +118,7 @@
         framing: response.framing,
         splitter: EventSplitter::new(MAX_EVENT_BYTES),
         received,
+        counted_bytes: 0,
         last_received: now,
         last_comment: None,
         repeated_bytes: 0,
@@ -203,7 +208,7 @@
                     if let Ok(data) = frame.into_data() {
                         self.splitter.push(&data);
                     }
-                    if self.received.resize(self.splitter.capacity()).is_err()
+                    if self.count_received().is_err()
                         && let Some(error) = self.handle_no_memory().await
                     {
                         return Some(Err(error));
@@ -231,6 +236,19 @@
         }
     }
 
+    /// Counts the memory of events that are not forwarded yet, unless they are of usual size.
+    fn count_received(&mut self) -> Result<(), NoResponseMemory> {
+        let bytes = self.splitter.capacity();
+        let bytes = match bytes as u64 > SMALL_RESPONSE_BYTES {
+            true => bytes,
+            false => 0,
+        };
+        if bytes != std::mem::replace(&mut self.counted_bytes, bytes) {
+            self.received.resize(bytes)?;
+        }
+        Ok(())
+    }
+
     fn check_silence(&self, now: Timestamp) -> StallAction {
         match &self.guard {
             Some(guard) if self.resumable => {
@@ -429,6 +447,7 @@
         self.driver = None;
         self.splitter.clear();
         self.received = self.job.host.responses.open(ResponseSize::Open);
+        self.counted_bytes = 0;
         if let Some(guard) = self.guard.take() {
             let sent_at = guard.ticket().acquired_at;
             self.job.log_failed_send(&guard, "no memory", sent_at, "");
