--- a/review/harness-3/lib.rs
+++ b/review/harness-3/lib.rs
@@ -410,6 +410,7 @@
     pub id: String,
     pub address: SocketAddr,
     registers: Arc<AtomicBool>,
+    is_leaving: Arc<AtomicBool>,
     has_exited: Arc<AtomicBool>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
 }
@@ -422,6 +423,7 @@
             id: id.to_owned(),
             address: listener.local_addr().unwrap(),
             registers: Arc::new(AtomicBool::new(true)),
+            is_leaving: Arc::default(),
             has_exited: Arc::default(),
             connections: Arc::default(),
         };
@@ -454,10 +456,11 @@
         server
     }
 
-    /// Leaves without a report: the entry is removed, and the server goes on. Returns when
-    /// the store has accepted it.
+    /// Leaves without a report: the entry is removed, and the server goes on and says in its
+    /// answers that it leaves. Returns when the store has accepted the removal.
     pub fn leave(&self, store: &Store, record: &Record) -> Duration {
         self.registers.store(false, Ordering::SeqCst);
+        self.is_leaving.store(true, Ordering::SeqCst);
         store.put("keyed.servers", &self.id, None);
         record.add(format!("the store has accepted that the entry of {} is removed", self.id))
     }
@@ -490,7 +493,11 @@
             record.add(format!("the run of {attempt} at {} was cut", self.id));
             return;
         }
-        let headers = format!("{echo}radishhaven-server-signature: {}.{attempt}\r\n", self.id);
+        let leaving = match self.is_leaving.load(Ordering::SeqCst) {
+            true => "server-leaving: 1\r\n",
+            false => "",
+        };
+        let headers = format!("{echo}{leaving}radishhaven-server-signature: {}.{attempt}\r\n", self.id);
         let _ = stream.write_all(&response("200 OK", &headers, attempt.as_bytes()));
     }
 }
