review: case 12, queued log records are not part of the memory budget

Tried: crowds of callers against a node with the least limits of a site, with bodies that stop short, many short fields, and requests with long ids to a path without a route, and logs that are read at different rates.

--- a/review/harness-3/lib.rs
+++ b/review/harness-3/lib.rs
@@ -25,6 +25,9 @@
 /// `stability_window_ms` of the deployment.
 pub const STABILITY: Duration = Duration::from_millis(3_000);
 
+/// Rate at which the platform reads what a node logs.
+const LOG_BYTES_PER_S: f64 = 10e6;
+
 pub fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -502,24 +505,27 @@
     }
 }
 
-/// The operator's configuration: `/log/` may run once, `/get/` may be repeated.
+/// The operator's configuration: `/log/` may run once, `/get/` may be repeated, and `/trip/` has
+/// streams that may be resumed.
 pub fn configuration(version: u64) -> String {
     let route = |name: &str, kind: &str| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"/{name}/\",\
-             \"kind\":\"{kind}\",\"timeout_ms\":3000,\"target_latency_ms\":300,\"priority\":2,\
-             \"service\":\"libro\",\"max_attempts\":{},\"public\":false}}",
-            if kind == "idempotent" { 2 } else { 1 }
+             \"kind\":\"{kind}\",\"timeout_ms\":{},\"target_latency_ms\":300,\"priority\":2,\
+             \"service\":\"libro\",\"max_attempts\":{},\"public\":false,\"resumable\":true}}",
+            if kind == "streaming" { 20_000 } else { 3_000 },
+            if kind == "non_idempotent" { 1 } else { 2 }
         )
     };
     format!(
-        "{{\"version\":{version},\"routes\":[{},{}],\"services\":[{{\"name\":\"libro\",\
+        "{{\"version\":{version},\"routes\":[{},{},{}],\"services\":[{{\"name\":\"libro\",\
          \"health_path\":\"/health\",\"max_connections\":100}}],\"limits\":\
          {{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\
          \"idle_timeout_ms\":15000}},\"tenants\":[{{\"name\":\"hule930\",\"api_keys\":[\"{KEY}\"],\
          \"priority\":1}}]}}",
         route("log", "non_idempotent"),
-        route("get", "idempotent")
+        route("get", "idempotent"),
+        route("trip", "streaming")
     )
 }
 
@@ -548,6 +554,11 @@
 impl Node {
     /// Starts a node in the folder `temp`. `store` is where it reaches the store.
     pub fn start(name: &str, store: SocketAddr, temp: &Path) -> Self {
+        Self::start_with(name, store, temp, 260, 4_100)
+    }
+
+    /// Starts a node with these limits. What it logs is read and dropped.
+    pub fn start_with(name: &str, store: SocketAddr, temp: &Path, memory_mb: u64, descriptors: u64) -> Self {
         let addresses: Vec<SocketAddr> = (0..5).map(|_| free_address()).collect();
         let text = format!(
             "[node]\nvm = {name}\nfailure_domain = centro\ncallers = {}\nreadiness = {}\n\
@@ -555,20 +566,32 @@
              heartbeat_ms = 1200\nleast_ttl_ms = 1000\npartitions = 12\nwrites_per_s = 400\n\
              [bounds]\nrevoke_ms = 5000\ndrain_ms = 2000\nconfig_ms = 2000\nstability_ms = 3000\n\
              grace_s = 8\nkeep_s = 5\nretry_ratio = 0.2\nretry_window_s = 10\nretry_slack = 198\n\
-             [limits]\nmemory_mb = 260\nmax_descriptors = 4100\n[log]\nlevel = info\nformat = json\n",
+             [limits]\nmemory_mb = {memory_mb}\nmax_descriptors = {descriptors}\n[log]\nlevel = info\nformat = json\n",
             addresses[0], addresses[1], addresses[2], addresses[3], addresses[4]
         );
-        let settings = temp.join(format!("{name}.ini"));
+        let settings = temp.join(format!("{name}-{}.ini", addresses[0].port()));
         fs::write(&settings, text).expect("the settings are written");
-        let log = fs::File::create(temp.join(format!("{name}.log"))).expect("the log is created");
-        let child = Command::new("target/release/radishhavend")
+        let mut child = Command::new("target/release/radishhavend")
             .args(["route", "--config"])
             .arg(&settings)
             .stdin(Stdio::null())
-            .stdout(log)
+            .stdout(Stdio::piped())
             .stderr(Stdio::inherit())
             .spawn()
             .expect("the program starts");
+        if let Some(mut log) = child.stdout.take() {
+            thread::spawn(move || {
+                let (began, mut total, mut chunk) = (Instant::now(), 0, vec![0; 64 * 1024]);
+                while let Ok(read) = log.read(&mut chunk) {
+                    if read == 0 {
+                        return;
+                    }
+                    total += read;
+                    let due = Duration::from_secs_f64(total as f64 / LOG_BYTES_PER_S);
+                    thread::sleep(due.saturating_sub(began.elapsed()));
+                }
+            });
+        }
         Self {
             name: name.to_owned(),
             child,
@@ -582,6 +605,27 @@
         self.child.id()
     }
 
+    /// Returns whether the process runs.
+    pub fn is_alive(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Ends the process with SIGKILL.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Returns the memory of the process that is not backed by files, in bytes.
+    pub fn memory(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
+        let kib = |name: &str| {
+            let line = status.lines().find_map(|line| line.strip_prefix(name));
+            line.and_then(|line| line.trim().strip_suffix(" kB")?.parse::<u64>().ok())
+        };
+        1_024 * (kib("RssAnon:").unwrap_or(0) + kib("RssShmem:").unwrap_or(0))
+    }
+
     /// Waits until the node says that it is ready.
     pub fn wait_ready(&self) -> bool {
         let deadline = Instant::now() + ms(15_000);
