--- a/review/harness-3/crowd_memory.rs
+++ b/review/harness-3/crowd_memory.rs
@@ -1,4 +1,4 @@
-//! Case 12: a crowd of callers sends requests with long ids to a path without a route, and bodies
+//! Case 13: a crowd of callers sends requests with long ids to a path without a route, and bodies
 //! that stop just short of their end. The platform kills a process whose memory is over
 //! `memory_mb` and starts it again.
 
@@ -14,7 +14,7 @@
     time::{Duration, Instant},
 };
 
-use lib::{Node, Record, Server, Store, HOST, KEY};
+use lib::{Node, Record, Server, Settings, Store, HOST, KEY};
 
 /// `memory_mb` and `max_fds` of the smallest machines of tetrad-almaty-grown.
 const MEMORY_MB: u64 = 112;
@@ -66,7 +66,12 @@
     let _servers = ["i-1", "i-2"].map(|id| Server::start(id, "libro", &store, record, work));
     let start = |i: usize| {
         let name = format!("front-{}", i + 1);
-        Node::start_with(&name, store.address, temp, MEMORY_MB, DESCRIPTORS)
+        let settings = Settings {
+            memory_mb: MEMORY_MB,
+            descriptors: DESCRIPTORS,
+            ..Settings::default()
+        };
+        Node::start_with(&name, store.address, temp, &settings)
     };
     let mut nodes = [start(0), start(1)];
     if !nodes.iter().all(Node::wait_ready) {
--- a/review/harness-3/lib.rs
+++ b/review/harness-3/lib.rs
@@ -346,6 +346,7 @@
 pub struct Link {
     pub address: SocketAddr,
     is_cut: Arc<AtomicBool>,
+    is_refused: Arc<AtomicBool>,
 }
 
 impl Link {
@@ -354,8 +355,9 @@
         let link = Self {
             address: listener.local_addr().unwrap(),
             is_cut: Arc::default(),
+            is_refused: Arc::default(),
         };
-        let is_cut = link.is_cut.clone();
+        let (is_cut, is_refused) = (link.is_cut.clone(), link.is_refused.clone());
         thread::spawn(move || {
             let mut unestablished = Vec::new();
             for stream in listener.incoming().flatten() {
@@ -363,29 +365,42 @@
                     unestablished.push(stream);
                     continue;
                 }
+                if is_refused.load(Ordering::SeqCst) {
+                    continue;
+                }
                 let Ok(other) = TcpStream::connect(target) else {
                     continue;
                 };
                 for (from, to) in [(&stream, &other), (&other, &stream)] {
                     let (from, to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
-                    let is_cut = is_cut.clone();
-                    thread::spawn(move || pump(from, to, &is_cut));
+                    let (is_cut, is_refused) = (is_cut.clone(), is_refused.clone());
+                    thread::spawn(move || pump(from, to, &is_cut, &is_refused));
                 }
             }
         });
         link
     }
 
+    /// Sets whether the store turns the node away: its connections are closed.
+    pub fn set_refused(&self, is_refused: bool) {
+        self.is_refused.store(is_refused, Ordering::SeqCst);
+    }
+
     pub fn set_cut(&self, is_cut: bool) {
         self.is_cut.store(is_cut, Ordering::SeqCst);
     }
 }
 
-fn pump(mut from: TcpStream, mut to: TcpStream, is_cut: &AtomicBool) {
+fn pump(mut from: TcpStream, mut to: TcpStream, is_cut: &AtomicBool, is_refused: &AtomicBool) {
     let _ = to.set_nodelay(true);
     let _ = from.set_read_timeout(Some(ms(5)));
     let mut chunk = [0; 16 * 1024];
     loop {
+        if is_refused.load(Ordering::SeqCst) {
+            let _ = to.shutdown(Shutdown::Both);
+            let _ = from.shutdown(Shutdown::Both);
+            return;
+        }
         if is_cut.load(Ordering::SeqCst) {
             thread::sleep(ms(2));
             continue;
@@ -529,9 +544,32 @@
     )
 }
 
+/// Settings in which deployments differ.
+pub struct Settings {
+    pub memory_mb: u64,
+    pub descriptors: u64,
+    pub drain_ms: u64,
+    pub config_ms: u64,
+    pub stability_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            memory_mb: 260,
+            descriptors: 4_100,
+            drain_ms: 2_000,
+            config_ms: 2_000,
+            stability_ms: 3_000,
+        }
+    }
+}
+
 /// A node, started with the command of the deploy file.
 pub struct Node {
     pub name: String,
+    /// The last line of the log that names the role of the node.
+    role: Arc<Mutex<String>>,
     child: Child,
     settings: PathBuf,
     pub callers: SocketAddr,
@@ -554,17 +592,18 @@
 impl Node {
     /// Starts a node in the folder `temp`. `store` is where it reaches the store.
     pub fn start(name: &str, store: SocketAddr, temp: &Path) -> Self {
-        Self::start_with(name, store, temp, 260, 4_100)
+        Self::start_with(name, store, temp, &Settings::default())
     }
 
-    /// Starts a node with these limits. What it logs is read and dropped.
-    pub fn start_with(name: &str, store: SocketAddr, temp: &Path, memory_mb: u64, descriptors: u64) -> Self {
+    /// Starts a node with these settings. What it logs is read and dropped, but for its role.
+    pub fn start_with(name: &str, store: SocketAddr, temp: &Path, settings: &Settings) -> Self {
+        let Settings { memory_mb, descriptors, drain_ms, config_ms, stability_ms } = *settings;
         let addresses: Vec<SocketAddr> = (0..5).map(|_| free_address()).collect();
         let text = format!(
             "[node]\nvm = {name}\nfailure_domain = centro\ncallers = {}\nreadiness = {}\n\
              directory = {}\npeers = {}\nmetrics = {}\ncores = 0.25\n[store]\naddress = {store}\n\
              heartbeat_ms = 1200\nleast_ttl_ms = 1000\npartitions = 12\nwrites_per_s = 400\n\
-             [bounds]\nrevoke_ms = 5000\ndrain_ms = 2000\nconfig_ms = 2000\nstability_ms = 3000\n\
+             [bounds]\nrevoke_ms = 5000\ndrain_ms = {drain_ms}\nconfig_ms = {config_ms}\nstability_ms = {stability_ms}\n\
              grace_s = 8\nkeep_s = 5\nretry_ratio = 0.2\nretry_window_s = 10\nretry_slack = 198\n\
              [limits]\nmemory_mb = {memory_mb}\nmax_descriptors = {descriptors}\n[log]\nlevel = info\nformat = json\n",
             addresses[0], addresses[1], addresses[2], addresses[3], addresses[4]
@@ -579,6 +618,8 @@
             .stderr(Stdio::inherit())
             .spawn()
             .expect("the program starts");
+        let role: Arc<Mutex<String>> = Arc::default();
+        let last_role = role.clone();
         if let Some(mut log) = child.stdout.take() {
             thread::spawn(move || {
                 let (began, mut total, mut chunk) = (Instant::now(), 0, vec![0; 64 * 1024]);
@@ -587,6 +628,11 @@
                         return;
                     }
                     total += read;
+                    let text = String::from_utf8_lossy(&chunk[..read]);
+                    let mut lines = text.lines().rev();
+                    if let Some(line) = lines.find(|l| l.contains("the role of this node changed")) {
+                        *last_role.lock().unwrap() = line.to_owned();
+                    }
                     let due = Duration::from_secs_f64(total as f64 / LOG_BYTES_PER_S);
                     thread::sleep(due.saturating_sub(began.elapsed()));
                 }
@@ -594,6 +640,7 @@
         }
         Self {
             name: name.to_owned(),
+            role,
             child,
             settings,
             callers: addresses[0],
@@ -605,6 +652,17 @@
         self.child.id()
     }
 
+    /// Returns the hubs of the node in the order in which it asks them, or `None` unless it is
+    /// a leaf.
+    pub fn hubs(&self) -> Option<Vec<String>> {
+        let role = self.role.lock().unwrap();
+        if !role.contains("\"part\":\"leaf\"") {
+            return None;
+        }
+        let (_, rest) = role.split_once("\"hubs\":\"")?;
+        Some(rest.split('"').next()?.split(',').map(str::to_owned).collect())
+    }
+
     /// Returns whether the process runs.
     pub fn is_alive(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
--- a/review/harness-3/return_and_leave.rs
+++ b/review/harness-3/return_and_leave.rs
@@ -1,4 +1,4 @@
-//! Case 11: a node is cut off from the store for 4 s. Just after the cut has healed, a server
+//! Case 12: a node is cut off from the store for 4 s. Just after the cut has healed, a server
 //! leaves by the removal of its entry.
 
 #[path = "lib.rs"]
