--- a/review/harness-3/calm_leaf.rs
+++ b/review/harness-3/calm_leaf.rs
@@ -83,8 +83,12 @@
     let named = named.join(", ");
     record.add(format!("{named} read the store for the others"));
 
-    let trouble = lib::has_trouble();
-    if trouble {
+    // With HOW=cut, the paths of these nodes to the store are cut instead.
+    let is_cut = std::env::var("HOW").as_deref() == Ok("cut");
+    if lib::has_trouble() && is_cut {
+        record.add(format!("{named} are cut off from the store"));
+        hubs.iter().for_each(|i| links[*i].set_cut(true));
+    } else if lib::has_trouble() {
         record.add(format!("the store turns {named} away"));
         hubs.iter().for_each(|i| links[*i].set_refused(true));
     }
@@ -117,7 +121,10 @@
     thread::sleep((left + GOES_ON).saturating_sub(record.now()));
     servers[0].exit(record);
     calls.into_iter().for_each(|call| drop(call.join()));
-    hubs.iter().for_each(|i| links[*i].set_refused(false));
+    hubs.iter().for_each(|i| {
+        links[*i].set_refused(false);
+        links[*i].set_cut(false);
+    });
 
     // The rule: a request reaches a server later than `drain_ms` after the store has accepted
     // that the server is gone, taken from the caller and sent on by a node in touch.
