--- a/review/harness-3/lib.rs
+++ b/review/harness-3/lib.rs
@@ -5,7 +5,7 @@
     collections::BTreeMap,
     fs,
     io::{Read, Write},
-    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -584,9 +584,18 @@
     }
 }
 
+/// Returns a loopback address whose port is free, from below the ports that outgoing connections
+/// take.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let first = u64::from(std::process::id()) * 97;
+    loop {
+        let port = 12_000 + (first + NEXT.fetch_add(1, Ordering::SeqCst)) % 18_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Node {
